--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+GOLANGCI_VERSION := v2.15.0
+TOOLS := $(CURDIR)/.tools
+
+.PHONY: demo test lint generate check-generated model bench bench-full plots capacity soak
+
+demo:
+	go run ./cmd/bluebell-demo
+
+test:
+	go test ./...
+
+lint: $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
+	test -z "$$(git ls-files '*.go' | xargs gofmt -l)"
+	go vet ./...
+	$(TOOLS)/golangci-lint-$(GOLANGCI_VERSION) run ./...
+
+$(TOOLS)/golangci-lint-$(GOLANGCI_VERSION):
+	mkdir -p $(TOOLS)
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	mv $(TOOLS)/golangci-lint $@
+
+generate:
+	go generate ./internal/api ./internal/event
+
+check-generated: generate
+	git diff --exit-code -- internal/api docs/events.md
--- /dev/null
+++ b/internal/peer/messages.go
@@ -0,0 +1,219 @@
+// Package peer is the protocol between bluebellseam's processes: typed
+// messages over JSON-RPC 2.0 on TCP.
+package peer
+
+import (
+	"time"
+
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+	"github.com/bluebellseam/bluebellseam/internal/target"
+)
+
+// Methods of a dispatcher.
+const (
+	MethodHello     = "peer.hello"
+	MethodHeartbeat = "peer.heartbeat"
+	MethodSubmit    = "dispatcher.submit"
+	MethodCancel    = "dispatcher.cancel"
+	MethodAttach    = "dispatcher.attach"
+	MethodLookup    = "request.lookup"
+	MethodAcquire   = "claim.acquire"
+	MethodRecord    = "claim.record"
+	MethodConfig    = "config.fetch"
+	MethodShare     = "quarantine.share"
+)
+
+// Notifications from a dispatcher to a gate.
+const (
+	// NotifyStarted tells the target before the request is sent to it.
+	NotifyStarted = "request.started"
+	// NotifyChunk carries a part of an answer.
+	NotifyChunk = "request.chunk"
+	// NotifyFinished ends a request.
+	NotifyFinished = "request.finished"
+)
+
+// Hello opens a connection.
+type Hello struct {
+	Host tables.HostID `json:"host"`
+	// Role is "gate", "dispatcher" or "controller".
+	Role string `json:"role"`
+	// Key is the shared key of the peers.
+	Key string `json:"key"`
+}
+
+// Submit hands a request to a dispatcher. A result with a kind proves that the
+// dispatcher has not sent it and will not send it.
+type Submit struct {
+	ID            tables.RequestID   `json:"id"`
+	Customer      tables.CustomerID  `json:"customer"`
+	Service       tables.ServiceID   `json:"service"`
+	Operation     string             `json:"operation,omitempty"`
+	Fingerprint   tables.Fingerprint `json:"fingerprint"`
+	Tier          int                `json:"tier"`
+	Share         float64            `json:"share"`
+	Plain         bool               `json:"plain,omitempty"`
+	NonIdempotent bool               `json:"non_idempotent,omitempty"`
+	// Age, FirstTokenIn and DueIn are durations at the time of sending, so
+	// that clocks of hosts need not agree.
+	Age          time.Duration     `json:"age"`
+	FirstTokenIn time.Duration     `json:"first_token_in"`
+	DueIn        time.Duration     `json:"due_in"`
+	Model        string            `json:"model,omitempty"`
+	Adapter      string            `json:"adapter,omitempty"`
+	Body         []byte            `json:"body"`
+	MaxTokens    int               `json:"max_tokens,omitempty"`
+	PromptTokens int               `json:"prompt_tokens,omitempty"`
+	Allowed      []tables.TargetID `json:"allowed"`
+	Trace        map[string]string `json:"trace,omitempty"`
+}
+
+// SubmitResult answers Submit.
+type SubmitResult struct {
+	Kind       errkind.Kind         `json:"kind,omitempty"`
+	Detail     string               `json:"detail,omitempty"`
+	RetryAfter time.Duration        `json:"retry_after,omitempty"`
+	Pool       []tables.PoolSummary `json:"pool,omitempty"`
+}
+
+// Started tells a gate where its request goes.
+type Started struct {
+	ID     tables.RequestID `json:"id"`
+	Target tables.TargetID  `json:"target"`
+}
+
+// Chunk carries a part of an answer.
+type Chunk struct {
+	ID    tables.RequestID `json:"id"`
+	Chunk target.Chunk     `json:"chunk"`
+}
+
+// Finished ends a request.
+type Finished struct {
+	ID     tables.RequestID `json:"id"`
+	Kind   errkind.Kind     `json:"kind,omitempty"`
+	Detail string           `json:"detail,omitempty"`
+	// RetryAfter is the advice of a refusal; zero means the default.
+	RetryAfter time.Duration        `json:"retry_after,omitempty"`
+	Target     tables.TargetID      `json:"target,omitempty"`
+	Tokens     int                  `json:"tokens,omitempty"`
+	Status     int                  `json:"status,omitempty"`
+	Body       []byte               `json:"body,omitempty"`
+	Pool       []tables.PoolSummary `json:"pool,omitempty"`
+}
+
+// CancelRequest stops a request at its dispatcher and target.
+type CancelRequest struct {
+	ID tables.RequestID `json:"id"`
+	// Targets are asked directly when the dispatcher does not know the ID.
+	Targets []tables.TargetID `json:"targets,omitempty"`
+}
+
+// CancelResult states what is proved about a request.
+type CancelResult struct {
+	Progress target.Progress `json:"progress"`
+	Target   tables.TargetID `json:"target,omitempty"`
+}
+
+// Attach asks a dispatcher for the stream of a dispatch from a token offset on.
+type Attach struct {
+	ID     tables.RequestID `json:"id"`
+	Target tables.TargetID  `json:"target"`
+	Offset int              `json:"offset"`
+}
+
+// Lookup asks what a host knows of a request.
+type Lookup struct {
+	ID tables.RequestID `json:"id"`
+}
+
+// Outcome is what a host knows of a request.
+type Outcome struct {
+	ID tables.RequestID `json:"id"`
+	// Known is false when the host has never heard of the request.
+	Known bool `json:"known"`
+	// Done is false while the request is queued or running.
+	Done   bool            `json:"done"`
+	Kind   errkind.Kind    `json:"kind,omitempty"`
+	Detail string          `json:"detail,omitempty"`
+	Target tables.TargetID `json:"target,omitempty"`
+	Status int             `json:"status,omitempty"`
+	// Body is the whole answer when it is kept.
+	Body     []byte `json:"body,omitempty"`
+	BodyKept bool   `json:"body_kept,omitempty"`
+	Tokens   int    `json:"tokens,omitempty"`
+	TraceID  string `json:"trace_id,omitempty"`
+}
+
+// Acquire asks the home of a key for the right to dispatch.
+type Acquire struct {
+	Customer    tables.CustomerID  `json:"customer"`
+	Service     tables.ServiceID   `json:"service"`
+	Key         string             `json:"key"`
+	Request     tables.RequestID   `json:"request"`
+	Fingerprint tables.Fingerprint `json:"fingerprint"`
+}
+
+// AcquireResult answers Acquire.
+type AcquireResult struct {
+	// Kind is ClaimsUnavailable, KeyExpired, KeyReused or empty.
+	Kind   errkind.Kind `json:"kind,omitempty"`
+	Detail string       `json:"detail,omitempty"`
+	// Won is set when Request holds the key; it alone may be dispatched.
+	Won bool `json:"won"`
+	// Holder is the request that holds the key.
+	Holder tables.RequestID `json:"holder,omitempty"`
+	// Outcome is the recorded outcome of the holder, if there is one.
+	Outcome *Outcome `json:"outcome,omitempty"`
+}
+
+// Record writes the outcome of a key's holder. An outcome that proves "not
+// run" frees the key.
+type Record struct {
+	Customer tables.CustomerID `json:"customer"`
+	Service  tables.ServiceID  `json:"service"`
+	Key      string            `json:"key"`
+	Outcome  Outcome           `json:"outcome"`
+}
+
+// Heartbeat is exchanged both ways between peers.
+type Heartbeat struct {
+	Host          tables.HostID        `json:"host"`
+	Incarnation   int64                `json:"incarnation"`
+	Leaving       bool                 `json:"leaving,omitempty"`
+	ConfigVersion uint64               `json:"config_version"`
+	ConfigDigest  uint64               `json:"config_digest"`
+	Pool          []tables.PoolSummary `json:"pool,omitempty"`
+}
+
+// ConfigRequest asks a peer for its configuration.
+type ConfigRequest struct {
+	Have uint64 `json:"have"`
+}
+
+// ConfigState is a peer's configuration in force; Snapshot is empty when the
+// asker has the same version.
+type ConfigState struct {
+	Version  uint64 `json:"version"`
+	Digest   uint64 `json:"digest"`
+	Snapshot []byte `json:"snapshot,omitempty"`
+}
+
+// QuarantineEntry is one fingerprint that is refused.
+type QuarantineEntry struct {
+	Fingerprint tables.Fingerprint `json:"fingerprint"`
+	Customer    tables.CustomerID  `json:"customer"`
+	Service     tables.ServiceID   `json:"service"`
+	// Crashes counts the target crashes with the fingerprint in flight.
+	Crashes int `json:"crashes"`
+	// Expires is when the entry lapses.
+	Expires time.Time `json:"expires"`
+	// Released is when an operator lifted it; zero otherwise.
+	Released time.Time `json:"released,omitzero"`
+}
+
+// Share spreads quarantine entries between peers.
+type Share struct {
+	Entries []QuarantineEntry `json:"entries"`
+}
--- /dev/null
+++ b/internal/tables/target.go
@@ -0,0 +1,118 @@
+package tables
+
+import "time"
+
+// Target is one row of the target table: what configuration says of a target
+// and what its dispatcher has learned.
+type Target struct {
+	ID         TargetID
+	Address    string
+	Domain     DomainID
+	Generation string
+	Plain      bool
+	// Services lists what the target may serve.
+	Services map[ServiceID]bool
+	// WindowMin and WindowMax bound the requests at the target at once.
+	WindowMin int
+	WindowMax int
+	// ChecksFencing states that the target refuses old fencing numbers.
+	ChecksFencing bool
+	// Drained is the operator's mark, Leaving that of the host list.
+	Drained bool
+	Leaving bool
+	// Owned is set while this host is the target's owner.
+	Owned bool
+	// RampUntil limits the window of a new owner until this time.
+	RampUntil time.Time
+	// DownUntil keeps work off a target that refused connections.
+	DownUntil time.Time
+	// Isolate lets a suspect request run only while nothing else does.
+	Isolate RequestID
+
+	// Speed is the nominal speed of the hardware generation.
+	Speed Speed
+	// Estimate is what the dispatcher has measured.
+	Estimate Estimate
+	// Load is the latest load report.
+	Load LoadReport
+	// Straggler is set by the straggler system.
+	Straggler bool
+	// ProbeAt is when a straggler may next get a probe.
+	ProbeAt time.Time
+	// Window is the number of requests that the target may run at once.
+	Window float64
+}
+
+// Open reports whether the target may get new work at now.
+func (t *Target) Open(now time.Time) bool {
+	return !t.Drained && !t.Leaving && !now.Before(t.DownUntil)
+}
+
+// Fits reports whether the target may serve r.
+func (t *Target) Fits(r *Request) bool {
+	return t.Services[r.Service]
+}
+
+// Speed describes an engine by its generation.
+type Speed struct {
+	// PrefillTokensPerSecond is the prompt throughput.
+	PrefillTokensPerSecond float64
+	// Step is the decode step at batch size one.
+	Step time.Duration
+	// StepPerSequence is added to the step by each further sequence.
+	StepPerSequence time.Duration
+}
+
+// Estimate is the measured speed of a target.
+type Estimate struct {
+	// TokenGap is the smoothed time between tokens of one sequence.
+	TokenGap time.Duration
+	// PrefillTokensPerSecond is the smoothed prompt throughput.
+	PrefillTokensPerSecond float64
+	// Slowdown is measured time over nominal time; 1 is nominal.
+	Slowdown float64
+	// Samples counts the measurements.
+	Samples int
+	// Updated is the time of the last measurement.
+	Updated time.Time
+}
+
+// LoadReport is an engine's own, lagging account of itself.
+type LoadReport struct {
+	// At is the engine's time of the report.
+	At time.Time
+	// Running and Waiting count sequences.
+	Running int
+	Waiting int
+	// CacheTokens is the used prefix cache in tokens.
+	CacheTokens int
+}
+
+// Targets is the target table.
+type Targets struct {
+	rows map[TargetID]*Target
+}
+
+// NewTargets returns an empty table.
+func NewTargets() *Targets {
+	return &Targets{rows: make(map[TargetID]*Target)}
+}
+
+// Put adds t, or replaces the row of the same ID.
+func (t *Targets) Put(row *Target) { t.rows[row.ID] = row }
+
+// Get returns the row of id, or nil.
+func (t *Targets) Get(id TargetID) *Target { return t.rows[id] }
+
+// Delete removes the row of id.
+func (t *Targets) Delete(id TargetID) { delete(t.rows, id) }
+
+// Len counts the rows.
+func (t *Targets) Len() int { return len(t.rows) }
+
+// All calls visit for every row, in no fixed order.
+func (t *Targets) All(visit func(*Target)) {
+	for _, r := range t.rows {
+		visit(r)
+	}
+}
