Let indexes follow the request and target tables

Cause: a scheduling decision must not scan all rows. Change: Requests notes added and removed rows, Targets counts its changes, Target carries the number of running requests. Conclusion: additions only; every existing signature is unchanged.

--- a/internal/tables/request.go
+++ b/internal/tables/request.go
@@ -64,9 +64,12 @@
 	Cancelling bool
 }
 
-// Requests is a dispatcher's request table.
+// Requests is a dispatcher's request table. It notes which rows were added and
+// removed, so that an index over it can follow without a scan.
 type Requests struct {
-	rows map[RequestID]*Request
+	rows    map[RequestID]*Request
+	added   []*Request
+	removed []*Request
 }
 
 // NewRequests returns an empty table.
@@ -75,13 +78,40 @@
 }
 
 // Put adds r, or replaces the row of the same ID.
-func (t *Requests) Put(r *Request) { t.rows[r.ID] = r }
+func (t *Requests) Put(r *Request) {
+	t.Delete(r.ID)
+	t.rows[r.ID] = r
+	t.added = append(t.added, r)
+}
 
 // Get returns the row of id, or nil.
 func (t *Requests) Get(id RequestID) *Request { return t.rows[id] }
 
 // Delete removes the row of id.
-func (t *Requests) Delete(id RequestID) { delete(t.rows, id) }
+func (t *Requests) Delete(id RequestID) {
+	r, ok := t.rows[id]
+	if !ok {
+		return
+	}
+	delete(t.rows, id)
+	t.removed = append(t.removed, r)
+}
+
+// Changes calls add and remove for the rows added and removed since the last
+// call. A row that was added and removed in between is passed to both, to add
+// first.
+func (t *Requests) Changes(add, remove func(*Request)) {
+	for _, r := range t.added {
+		add(r)
+	}
+	for _, r := range t.removed {
+		remove(r)
+	}
+	clear(t.added)
+	clear(t.removed)
+	t.added = t.added[:0]
+	t.removed = t.removed[:0]
+}
 
 // Len counts the rows.
 func (t *Requests) Len() int { return len(t.rows) }
--- a/internal/tables/target.go
+++ b/internal/tables/target.go
@@ -41,6 +41,9 @@
 	ProbeAt time.Time
 	// Window is the number of requests that the target may run at once.
 	Window float64
+	// Running counts the requests at the target; the scheduling system
+	// keeps it.
+	Running int
 }
 
 // Open reports whether the target may get new work at now.
@@ -90,7 +93,8 @@
 
 // Targets is the target table.
 type Targets struct {
-	rows map[TargetID]*Target
+	rows    map[TargetID]*Target
+	version uint64
 }
 
 // NewTargets returns an empty table.
@@ -99,13 +103,23 @@
 }
 
 // Put adds t, or replaces the row of the same ID.
-func (t *Targets) Put(row *Target) { t.rows[row.ID] = row }
+func (t *Targets) Put(row *Target) {
+	t.rows[row.ID] = row
+	t.version++
+}
 
 // Get returns the row of id, or nil.
 func (t *Targets) Get(id TargetID) *Target { return t.rows[id] }
 
 // Delete removes the row of id.
-func (t *Targets) Delete(id TargetID) { delete(t.rows, id) }
+func (t *Targets) Delete(id TargetID) {
+	delete(t.rows, id)
+	t.version++
+}
+
+// Version changes with every Put and Delete, so that pointers to rows may be
+// kept until then.
+func (t *Targets) Version() uint64 { return t.version }
 
 // Len counts the rows.
 func (t *Targets) Len() int { return len(t.rows) }
