Schedule by tier, slack and fair share; route by expected finish time

Cause: the first signatures started requests in map order and refused nothing. Change: schedule.Tick keeps queues by tier, customer and set of targets; it starts the most urgent tier first, refuses what cannot be finished when no lower tier is left, and otherwise cancels the lower tier with the least work lost. After a refusal lower tiers stay off the targets while the gate asks the other owners. route.Pick orders owners by expected finish time.

--- a/internal/systems/route/route.go
+++ b/internal/systems/route/route.go
@@ -1,10 +1,14 @@
 // Package route chooses, at a gate, the dispatcher and the targets that a
-// request may run at.
+// request may run at. It works from summaries that may be stale, together with
+// what the gate itself has sent since.
 package route
 
 import (
+	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -19,6 +23,10 @@
 	Updated time.Time
 	// Sent counts the requests that this gate sent since Updated.
 	Sent int
+	// Cached is the prompt part in tokens that the target probably holds.
+	Cached int
+	// Plain marks a target without tokens.
+	Plain bool
 }
 
 // Request is what the choice depends on.
@@ -39,20 +47,128 @@
 	Targets []tables.TargetID
 }
 
+const (
+	// stragglerPenalty is added to the expected finish time at a straggler.
+	stragglerPenalty = time.Minute
+	// preemptTime is the expected wait for a place that a lower tier gives up.
+	preemptTime = 200 * time.Millisecond
+	// placeTime is the expected wait for a place behind requests of the same
+	// or a higher tier when no wait was reported.
+	placeTime = time.Second
+	// spread is the share of the finish time by which choices of equal views
+	// differ between requests, so that gates do not all choose alike.
+	spread = 0.1
+	// plainTime is the expected time of a call of a plain service.
+	plainTime = 100 * time.Millisecond
+)
+
+type scored struct {
+	view *View
+	cost time.Duration
+}
+
 // Pick orders the owners of the fitting targets, best first. The gate tries
 // them in this order until one accepts, and refuses the request only when all
-// have refused. Views hold only targets that fit and are open.
-func Pick(_ time.Time, _ Request, views []View) []Choice {
+// have refused. Views hold only targets that fit and are open. An owner is as
+// good as its best target.
+func Pick(_ time.Time, r Request, views []View) []Choice {
+	ranked := make([]scored, len(views))
+	for i := range views {
+		v := &views[i]
+		ranked[i] = scored{view: v, cost: jitter(r.ID, v.Target, finishTime(r, v))}
+	}
+	sort.Slice(ranked, func(i, j int) bool {
+		if ranked[i].cost != ranked[j].cost {
+			return ranked[i].cost < ranked[j].cost
+		}
+		return ranked[i].view.Target < ranked[j].view.Target
+	})
+	return byOwner(ranked)
+}
+
+func byOwner(ranked []scored) []Choice {
 	var out []Choice
 	at := make(map[tables.HostID]int)
-	for _, v := range views {
-		i, ok := at[v.Owner]
+	for _, s := range ranked {
+		i, ok := at[s.view.Owner]
 		if !ok {
 			i = len(out)
-			at[v.Owner] = i
-			out = append(out, Choice{Owner: v.Owner})
+			at[s.view.Owner] = i
+			out = append(out, Choice{Owner: s.view.Owner})
 		}
-		out[i].Targets = append(out[i].Targets, v.Target)
+		out[i].Targets = append(out[i].Targets, s.view.Target)
 	}
 	return out
 }
+
+// finishTime is the expected time from now to the whole answer.
+func finishTime(r Request, v *View) time.Duration {
+	d := wait(r, v) + serviceTime(r, v)
+	if v.Summary.Straggler {
+		d += stragglerPenalty
+	}
+	return d
+}
+
+func serviceTime(r Request, v *View) time.Duration {
+	batch := running(v) + 1
+	if v.Plain {
+		return plainTime * time.Duration(batch)
+	}
+	d := v.Speed.Prefill(r.PromptTokens-v.Cached) + time.Duration(r.PredictedTokens)*v.Speed.Gap(batch)
+	return time.Duration(float64(d) * max(v.Summary.Slowdown, 1))
+}
+
+// running is the expected batch of the target when the request arrives.
+func running(v *View) int {
+	n := v.Sent
+	for _, c := range v.Summary.RunningByTier {
+		n += c
+	}
+	return n
+}
+
+// wait is the expected time in the queue: the reported one scaled to the
+// requests that go first, which are those of the same or a higher tier.
+func wait(r Request, v *View) time.Duration {
+	ahead, all := queued(v.Summary.QueuedByTier, r.Tier)
+	over := v.Sent - max(v.Summary.Free, 0)
+	if ahead == 0 && over < 0 {
+		return 0
+	}
+	ahead += max(over, 0) + 1
+	all += max(over, 0) + 1
+	if lowerRunning(v.Summary.RunningByTier, r.Tier) >= ahead {
+		return preemptTime
+	}
+	each := placeTime
+	if reported := time.Duration(v.Summary.WaitMillis) * time.Millisecond; reported > 0 {
+		each = reported / time.Duration(all)
+	}
+	return time.Duration(ahead) * each
+}
+
+func queued(byTier []int, tier int) (ahead, all int) {
+	for i, n := range byTier {
+		all += n
+		if i <= tier {
+			ahead += n
+		}
+	}
+	return ahead, all
+}
+
+func lowerRunning(byTier []int, tier int) int {
+	n := 0
+	for i := tier + 1; i < len(byTier); i++ {
+		n += byTier[i]
+	}
+	return n
+}
+
+// jitter lengthens d by up to spread, by a hash of request and target.
+func jitter(id tables.RequestID, t tables.TargetID, d time.Duration) time.Duration {
+	h := xxhash.Sum64String(string(id) + "@" + string(t))
+	share := float64(h>>11) / float64(1<<53)
+	return time.Duration(float64(d) * (1 + spread*share))
+}
--- /dev/null
+++ b/internal/systems/schedule/queue.go
@@ -0,0 +1,97 @@
+package schedule
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+// entry is a queued request.
+type entry struct {
+	r     *tables.Request
+	group *group
+	queue *customerQueue
+	// startBy is the latest start that meets the deadlines; work is the
+	// expected time at a target.
+	startBy time.Time
+	work    time.Duration
+	pos     int
+	// preempted is when a running request was last cancelled for this one.
+	preempted time.Time
+}
+
+func (e *entry) before(o *entry) bool {
+	if !e.startBy.Equal(o.startBy) {
+		return e.startBy.Before(o.startBy)
+	}
+	return e.r.ID < o.r.ID
+}
+
+// customerQueue holds the requests of one customer, tier and group by startBy.
+type customerQueue struct {
+	customer tables.CustomerID
+	entries  []*entry
+}
+
+func (q *customerQueue) head() *entry {
+	if len(q.entries) == 0 {
+		return nil
+	}
+	return q.entries[0]
+}
+
+// Len, Less, Swap, Push and Pop implement heap.Interface.
+func (q *customerQueue) Len() int           { return len(q.entries) }
+func (q *customerQueue) Less(i, j int) bool { return q.entries[i].before(q.entries[j]) }
+func (q *customerQueue) Swap(i, j int) {
+	q.entries[i], q.entries[j] = q.entries[j], q.entries[i]
+	q.entries[i].pos, q.entries[j].pos = i, j
+}
+
+// Push appends an *entry.
+func (q *customerQueue) Push(v any) {
+	e := v.(*entry)
+	e.pos = len(q.entries)
+	q.entries = append(q.entries, e)
+}
+
+// Pop removes the last entry.
+func (q *customerQueue) Pop() any {
+	last := len(q.entries) - 1
+	e := q.entries[last]
+	q.entries[last] = nil
+	q.entries = q.entries[:last]
+	return e
+}
+
+// tierQueue holds the requests of one tier and group by customer.
+type tierQueue struct {
+	customers []*customerQueue
+	count     int
+	work      time.Duration
+}
+
+func (t *tierQueue) customer(id tables.CustomerID) *customerQueue {
+	for _, q := range t.customers {
+		if q.customer == id {
+			return q
+		}
+	}
+	q := &customerQueue{customer: id}
+	t.customers = append(t.customers, q)
+	return q
+}
+
+func (t *tierQueue) push(e *entry) {
+	e.queue = t.customer(e.r.Customer)
+	heap.Push(e.queue, e)
+	t.count++
+	t.work += e.work
+}
+
+func (t *tierQueue) remove(e *entry) {
+	heap.Remove(e.queue, e.pos)
+	t.count--
+	t.work -= e.work
+}
--- a/internal/systems/schedule/schedule.go
+++ b/internal/systems/schedule/schedule.go
@@ -1,6 +1,9 @@
 // Package schedule decides, for the targets that a dispatcher owns, which
 // queued requests start, which are refused and which running ones are
 // cancelled. It is a function of its tables and the time.
+//
+// Tiers are strict: within the targets that fit it, a request waits for no
+// lower tier, and it is refused only when no lower tier runs or queues there.
 package schedule
 
 import (
@@ -17,6 +20,11 @@
 	Targets  *tables.Targets
 	Prefixes *prefix.Index
 	Lengths  *predict.Lengths
+	// MaxQueuedPerTarget bounds the queue in front of one owned target; zero
+	// means DefaultMaxQueuedPerTarget.
+	MaxQueuedPerTarget int
+
+	index *index
 }
 
 // NewState returns empty tables.
@@ -26,57 +34,114 @@
 		Targets:  tables.NewTargets(),
 		Prefixes: prefix.NewIndex(),
 		Lengths:  predict.NewLengths(),
+		index:    newIndex(),
 	}
 }
 
 // Tick returns the decisions for now. The caller carries them out: a started
-// request is set Running by Tick itself; a shed one is left to the caller to
-// delete.
+// request is set Running by Tick itself, a cancelled one Cancelling; a shed one
+// has left the queue and its row is left to the caller to delete.
 func Tick(now time.Time, s *State) []tables.Decision {
-	var out []tables.Decision
-	s.Requests.All(func(r *tables.Request) {
-		if r.State != tables.Queued {
-			return
-		}
-		t := pick(now, s, r)
-		if t == nil {
-			return
+	x := s.index
+	x.sync(now, s)
+	p := &pass{now: now, state: s, index: x, out: x.decisions[:0]}
+	p.start()
+	p.admit()
+	p.rescue()
+	p.bound()
+	x.decisions = p.out
+	if len(p.out) == 0 {
+		return nil
+	}
+	return append([]tables.Decision(nil), p.out...)
+}
+
+// pass is the work of one Tick.
+type pass struct {
+	now   time.Time
+	state *State
+	index *index
+	out   []tables.Decision
+}
+
+// start fills free windows, the most urgent tier first.
+func (p *pass) start() {
+	for tier := range p.index.tiers {
+		for {
+			g, q := p.next(tier)
+			if g == nil {
+				break
+			}
+			p.run(g, q.head())
 		}
-		r.State = tables.Running
-		r.Target = t.ID
-		r.Started = now
-		out = append(out, tables.Decision{Action: tables.Start, Request: r.ID, Target: t.ID})
-	})
-	return out
+	}
 }
 
-func pick(now time.Time, s *State, r *tables.Request) *tables.Target {
-	for _, id := range r.Allowed {
-		t := s.Targets.Get(id)
-		if t != nil && t.Owned && t.Open(now) && t.Fits(r) && running(s, id) < t.WindowMax {
-			return t
+// next returns the group and customer queue whose head starts next, or nil.
+func (p *pass) next(tier int) (*group, *customerQueue) {
+	var bestGroup *group
+	var best *customerQueue
+	for _, g := range p.index.groups {
+		if tier >= len(g.tiers) || g.tiers[tier].count == 0 || !g.hasFree(p.now, tier) {
+			continue
+		}
+		for _, q := range g.tiers[tier].customers {
+			if q.head() != nil && (best == nil || p.before(tier, q, best)) {
+				bestGroup, best = g, q
+			}
 		}
 	}
-	return nil
+	return bestGroup, best
 }
 
-func running(s *State, id tables.TargetID) int {
-	n := 0
-	s.Requests.All(func(r *tables.Request) {
-		if r.State == tables.Running && r.Target == id {
-			n++
+// before reports whether the head of a goes before that of b: urgent heads by
+// deadline, then the customer with the least service by share.
+func (p *pass) before(tier int, a, b *customerQueue) bool {
+	x, y := a.head(), b.head()
+	urgentX, urgentY := p.urgent(x), p.urgent(y)
+	if urgentX != urgentY {
+		return urgentX
+	}
+	if !urgentX && a.customer != b.customer {
+		sa, sb := p.index.served(tier, a.customer), p.index.served(tier, b.customer)
+		if sa != sb {
+			return sa < sb
 		}
-	})
-	return n
+	}
+	return x.before(y)
+}
+
+// urgentSlack is the slack below which the deadline orders before fairness.
+const urgentSlack = 500 * time.Millisecond
+
+func (p *pass) urgent(e *entry) bool {
+	slack := e.startBy.Sub(p.now)
+	return slack >= 0 && slack < urgentSlack
 }
 
-// Summary describes each owned target for the gates.
-func Summary(_ time.Time, s *State) []tables.PoolSummary {
-	var out []tables.PoolSummary
-	s.Targets.All(func(t *tables.Target) {
-		if t.Owned {
-			out = append(out, tables.PoolSummary{Target: t.ID, Free: t.WindowMax - running(s, t.ID)})
+// run starts e at the free target of g that finishes it first.
+func (p *pass) run(g *group, e *entry) {
+	r := e.r
+	best := g.free[0]
+	cached := 0
+	var bestCost time.Duration
+	for i, sl := range g.free {
+		held := p.state.Prefixes.Match(sl.id, r.Prefix)
+		cost := finishTime(sl.t, r, held, len(sl.running)+1)
+		if i == 0 || cost < bestCost {
+			best, bestCost, cached = sl, cost, held
 		}
-	})
-	return out
+	}
+	p.index.dequeue(e)
+	p.index.charge(r)
+	r.State = tables.Running
+	r.Target = best.id
+	r.Started = p.now
+	r.CachedTokens = cached
+	if best.t.Straggler {
+		best.t.ProbeAt = p.now.Add(probeInterval)
+	}
+	best.add(r)
+	p.state.Prefixes.Stored(best.id, r.Prefix)
+	p.out = append(p.out, tables.Decision{Action: tables.Start, Request: r.ID, Target: best.id})
 }
--- /dev/null
+++ b/internal/systems/schedule/schedule_test.go
@@ -0,0 +1,150 @@
+package schedule_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/systems/schedule"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+func TestSchedule(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "schedule")
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func engine(id tables.TargetID, window int) *tables.Target {
+	return &tables.Target{
+		ID: id, Owned: true, WindowMin: 1, WindowMax: window,
+		Services: map[tables.ServiceID]bool{"reports": true},
+		Speed:    tables.Speed{PrefillTokensPerSecond: 8000, Step: 10 * time.Millisecond, StepPerSequence: time.Millisecond},
+	}
+}
+
+func request(id string, tier int, due time.Duration, allowed ...tables.TargetID) *tables.Request {
+	return &tables.Request{
+		ID: tables.RequestID(id), Customer: "museum", Service: "reports", Tier: tier, Share: 1,
+		Arrived: start, Due: start.Add(due), PromptTokens: 800, MaxTokens: 100, PredictedTokens: 100, Allowed: allowed,
+	}
+}
+
+func ids(ds []tables.Decision, a tables.Action) []string {
+	var out []string
+	for _, d := range ds {
+		if d.Action == a {
+			out = append(out, string(d.Request))
+		}
+	}
+	return out
+}
+
+var _ = Describe("Tick", func() {
+	var s *schedule.State
+	BeforeEach(func() { s = schedule.NewState() })
+
+	It("starts the higher tier first and keeps to the window", func() {
+		s.Targets.Put(engine("e1", 2))
+		for i, tier := range []int{2, 1, 0} {
+			s.Requests.Put(request(fmt.Sprintf("r%d", i), tier, time.Minute, "e1"))
+		}
+		Expect(ids(schedule.Tick(start, s), tables.Start)).To(Equal([]string{"r2", "r1"}))
+		Expect(s.Requests.Get("r2").State).To(Equal(tables.Running))
+		Expect(s.Requests.Get("r0").State).To(Equal(tables.Queued))
+		s.Requests.Delete("r2")
+		Expect(ids(schedule.Tick(start, s), tables.Start)).To(Equal([]string{"r0"}))
+	})
+
+	It("runs a request only at targets that the gate allows", func() {
+		s.Targets.Put(engine("e1", 2))
+		s.Targets.Put(engine("e2", 2))
+		s.Requests.Put(request("a", 0, time.Minute, "e2"))
+		ds := schedule.Tick(start, s)
+		Expect(ds).To(HaveLen(1))
+		Expect(ds[0].Target).To(BeEquivalentTo("e2"))
+	})
+
+	It("cancels the lower tier with the least work lost before a deadline passes", func() {
+		s.Targets.Put(engine("e1", 2))
+		s.Requests.Put(request("old", 2, time.Hour, "e1"))
+		schedule.Tick(start, s)
+		s.Requests.Put(request("young", 2, time.Hour, "e1"))
+		schedule.Tick(start.Add(time.Second), s)
+		s.Requests.Put(request("urgent", 0, 4*time.Second, "e1"))
+		var cancelled []string
+		for at := time.Second; at < 4*time.Second; at += 100 * time.Millisecond {
+			ds := schedule.Tick(start.Add(at), s)
+			Expect(ids(ds, tables.Shed)).To(BeEmpty())
+			cancelled = append(cancelled, ids(ds, tables.Cancel)...)
+		}
+		Expect(cancelled).To(HaveLen(1))
+		Expect(cancelled[0]).To(Equal("young"))
+		Expect(s.Requests.Get("young").Cancelling).To(BeTrue())
+	})
+
+	It("never cancels a running non-idempotent request", func() {
+		s.Targets.Put(engine("e1", 1))
+		commit := request("commit", 2, time.Hour, "e1")
+		commit.NonIdempotent = true
+		s.Requests.Put(commit)
+		schedule.Tick(start, s)
+		s.Requests.Put(request("urgent", 0, 2*time.Second, "e1"))
+		for at := time.Duration(0); at < 5*time.Second; at += 100 * time.Millisecond {
+			ds := schedule.Tick(start.Add(at), s)
+			Expect(ids(ds, tables.Cancel)).To(BeEmpty())
+			Expect(ids(ds, tables.Shed)).To(BeEmpty())
+		}
+	})
+
+	It("refuses at once what cannot be finished, and keeps lower tiers off for a moment", func() {
+		s.Targets.Put(engine("e1", 1))
+		for i := range 10 {
+			s.Requests.Put(request(fmt.Sprintf("r%d", i), 0, 5*time.Second, "e1"))
+		}
+		ds := schedule.Tick(start, s)
+		Expect(ids(ds, tables.Start)).To(HaveLen(1))
+		shed := ids(ds, tables.Shed)
+		Expect(len(shed)).To(BeNumerically(">=", 5))
+		for _, id := range shed {
+			s.Requests.Delete(tables.RequestID(id))
+		}
+		s.Requests.Put(request("low", 1, time.Hour, "e1"))
+		ds = schedule.Tick(start.Add(10*time.Millisecond), s)
+		Expect(ids(ds, tables.Shed)).To(Equal([]string{"low"}))
+		Expect(ds[0].Kind).To(Equal(errkind.Overloaded))
+	})
+
+	It("shares a tier between customers by tokens", func() {
+		s.Targets.Put(engine("e1", 1))
+		for i := range 20 {
+			r := request(fmt.Sprintf("big%02d", i), 1, time.Hour, "e1")
+			r.Customer = "big"
+			s.Requests.Put(r)
+		}
+		for i := range 5 {
+			r := request(fmt.Sprintf("small%02d", i), 1, 2*time.Hour, "e1")
+			r.Customer = "small"
+			s.Requests.Put(r)
+		}
+		var first []string
+		for range 10 {
+			started := ids(schedule.Tick(start, s), tables.Start)
+			Expect(started).To(HaveLen(1))
+			first = append(first, started[0])
+			s.Requests.Delete(tables.RequestID(started[0]))
+		}
+		small := 0
+		for _, id := range first {
+			if id[:5] == "small" {
+				small++
+			}
+		}
+		Expect(small).To(Equal(5))
+	})
+})
--- a/internal/tables/request.go
+++ b/internal/tables/request.go
@@ -68,8 +68,12 @@
 // removed, so that an index over it can follow without a scan.
 type Requests struct {
 	rows    map[RequestID]*Request
-	added   []*Request
-	removed []*Request
+	changes []change
+}
+
+type change struct {
+	row     *Request
+	removed bool
 }
 
 // NewRequests returns an empty table.
@@ -81,7 +85,7 @@
 func (t *Requests) Put(r *Request) {
 	t.Delete(r.ID)
 	t.rows[r.ID] = r
-	t.added = append(t.added, r)
+	t.changes = append(t.changes, change{row: r})
 }
 
 // Get returns the row of id, or nil.
@@ -94,23 +98,21 @@
 		return
 	}
 	delete(t.rows, id)
-	t.removed = append(t.removed, r)
+	t.changes = append(t.changes, change{row: r, removed: true})
 }
 
-// Changes calls add and remove for the rows added and removed since the last
-// call. A row that was added and removed in between is passed to both, to add
-// first.
+// Changes calls add and remove, in order, for the rows added and removed since
+// the last call. Neither may change the table.
 func (t *Requests) Changes(add, remove func(*Request)) {
-	for _, r := range t.added {
-		add(r)
-	}
-	for _, r := range t.removed {
-		remove(r)
+	for _, c := range t.changes {
+		if c.removed {
+			remove(c.row)
+		} else {
+			add(c.row)
+		}
 	}
-	clear(t.added)
-	clear(t.removed)
-	t.added = t.added[:0]
-	t.removed = t.removed[:0]
+	clear(t.changes)
+	t.changes = t.changes[:0]
 }
 
 // Len counts the rows.
--- a/internal/tables/target.go
+++ b/internal/tables/target.go
@@ -66,6 +66,31 @@
 	StepPerSequence time.Duration
 }
 
+// Nominal speed of an engine whose generation is not configured.
+const (
+	defaultPrefillTokensPerSecond = 4000
+	defaultStep                   = 20 * time.Millisecond
+	defaultStepPerSequence        = time.Millisecond
+)
+
+// Prefill returns the nominal time to compute a prompt part.
+func (s Speed) Prefill(tokens int) time.Duration {
+	rate := s.PrefillTokensPerSecond
+	if rate <= 0 {
+		rate = defaultPrefillTokensPerSecond
+	}
+	return time.Duration(float64(max(tokens, 0)) / rate * float64(time.Second))
+}
+
+// Gap returns the nominal time between tokens of one sequence in a batch.
+func (s Speed) Gap(batch int) time.Duration {
+	step, each := s.Step, s.StepPerSequence
+	if step <= 0 {
+		step, each = defaultStep, defaultStepPerSequence
+	}
+	return step + time.Duration(max(batch-1, 0))*each
+}
+
 // Estimate is the measured speed of a target.
 type Estimate struct {
 	// TokenGap is the smoothed time between tokens of one sequence.
