Measure the policy in virtual time against baselines

Cause: a policy needs figures under overload before it is changed. Change: internal/bench drives the real systems of 13 hosts with stale views over a continuous-batching engine model, with bursts, a straggler, an engine crash, a host crash and a caller that resends; a checker apart from the policy counts inversions. cmd/bluebell-bench prints, writes CSV and draws. measure, prefix and predict learn.

--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,12 @@
 
 check-generated: generate
 	git diff --exit-code -- internal/api docs/events.md
+
+bench:
+	go run ./cmd/bluebell-bench
+
+bench-full:
+	go run ./cmd/bluebell-bench --seeds 10 --length 300s --csv bench.csv
+
+plots:
+	go run ./cmd/bluebell-bench --plots docs/plots
--- /dev/null
+++ b/cmd/bluebell-bench/main.go
@@ -0,0 +1,97 @@
+// Command bluebell-bench measures the scheduling policy against baselines in
+// virtual time.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/bluebellseam/bluebellseam/internal/bench"
+)
+
+// options are the settings of the command.
+type options struct {
+	profiles, policies, loads string
+	seeds, workers            int
+	length                    time.Duration
+	csv, plots                string
+}
+
+func main() {
+	o := options{profiles: "workshop,grants", policies: strings.Join(bench.Policies, ","), loads: "0.7,1.0,1.5,2.0",
+		seeds: 3, workers: runtime.GOMAXPROCS(0), length: 180 * time.Second}
+	flaggy.SetName("bluebell-bench")
+	flaggy.SetDescription("measures scheduling policies in virtual time")
+	flaggy.String(&o.profiles, "", "profiles", "profiles, separated by commas")
+	flaggy.String(&o.policies, "", "policies", "policies, separated by commas")
+	flaggy.String(&o.loads, "", "loads", "offered load over capacity, separated by commas")
+	flaggy.Int(&o.seeds, "", "seeds", "number of seeds")
+	flaggy.Int(&o.workers, "", "workers", "runs at once")
+	flaggy.Duration(&o.length, "", "length", "virtual time of the arrivals of one run")
+	flaggy.String(&o.csv, "", "csv", "file for the results as CSV")
+	flaggy.String(&o.plots, "", "plots", "directory for the drawings")
+	flaggy.Parse()
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	loads, err := parseLoads(o.loads)
+	if err != nil {
+		return err
+	}
+	if o.seeds < 1 {
+		return fmt.Errorf("number of seeds %d is not positive", o.seeds)
+	}
+	results, err := bench.RunAll(bench.Runs{Profiles: strings.Split(o.profiles, ","), Policies: strings.Split(o.policies, ","),
+		Loads: loads, Seeds: o.seeds, Length: o.length, Workers: o.workers})
+	if err != nil {
+		return err
+	}
+	bench.Table(os.Stdout, results)
+	if err := writeCSV(o.csv, results); err != nil {
+		return err
+	}
+	if o.plots != "" {
+		if err := os.MkdirAll(o.plots, 0o755); err != nil {
+			return fmt.Errorf("directory for drawings: %w", err)
+		}
+		if err := bench.Plots(o.plots, results); err != nil {
+			return err
+		}
+	}
+	bench.Lines(os.Stdout, results)
+	return nil
+}
+
+func parseLoads(list string) ([]float64, error) {
+	var out []float64
+	for _, word := range strings.Split(list, ",") {
+		load, err := strconv.ParseFloat(word, 64)
+		if err != nil || load <= 0 {
+			return nil, fmt.Errorf("load %q is not a positive number", word)
+		}
+		out = append(out, load)
+	}
+	return out, nil
+}
+
+func writeCSV(path string, results []bench.Result) error {
+	if path == "" {
+		return nil
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("file for CSV: %w", err)
+	}
+	return errors.Join(bench.CSV(f, results), f.Close())
+}
--- a/internal/systems/schedule/index.go
+++ b/internal/systems/schedule/index.go
@@ -56,8 +56,6 @@
 	// capacity is the sum of the windows, running that of running requests.
 	capacity int
 	running  int
-	// serviceTime is the smoothed expected time of started requests.
-	serviceTime time.Duration
 }
 
 func newIndex() *index {
@@ -87,6 +85,9 @@
 	x.grow(r.Tier)
 	switch r.State {
 	case tables.Queued:
+		if r.PredictedTokens == 0 && !r.Plain {
+			r.PredictedTokens = s.Lengths.Predict(r)
+		}
 		e := &entry{r: r, group: x.group(s, r)}
 		e.estimate(now)
 		x.entries[r] = e
--- a/internal/systems/schedule/schedule.go
+++ b/internal/systems/schedule/schedule.go
@@ -23,6 +23,8 @@
 	// MaxQueuedPerTarget bounds the queue in front of one owned target; zero
 	// means DefaultMaxQueuedPerTarget.
 	MaxQueuedPerTarget int
+	// Policy is CurrentPolicy unless a measurement compares another.
+	Policy Policy
 
 	index *index
 }
@@ -34,6 +36,7 @@
 		Targets:  tables.NewTargets(),
 		Prefixes: prefix.NewIndex(),
 		Lengths:  predict.NewLengths(),
+		Policy:   CurrentPolicy(),
 		index:    newIndex(),
 	}
 }
--- a/internal/tables/target.go
+++ b/internal/tables/target.go
@@ -99,6 +99,9 @@
 	PrefillTokensPerSecond float64
 	// Slowdown is measured time over nominal time; 1 is nominal.
 	Slowdown float64
+	// Baseline is the low quantile of the same ratio, which prefill of other
+	// requests disturbs little.
+	Baseline float64
 	// Samples counts the measurements.
 	Samples int
 	// Updated is the time of the last measurement.
