--- /dev/null
+++ b/internal/peer/errors.go
@@ -0,0 +1,47 @@
+package peer
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+)
+
+// ErrNotSent is wrapped by errors that prove that no byte of a message was
+// sent to the peer.
+var ErrNotSent = errors.New("message not sent to peer")
+
+// ErrBroken is wrapped by errors after which the peer may have acted on the
+// message: the connection broke or the wait ended before the answer.
+var ErrBroken = errors.New("peer connection broke before the answer")
+
+// codeKind marks a JSON-RPC error that carries an error kind.
+const codeKind = 1
+
+type errorData struct {
+	Kind errkind.Kind `json:"kind"`
+}
+
+// toWire converts err to the JSON-RPC error that carries its kind.
+func toWire(err error) *jsonrpc2.Error {
+	e := &jsonrpc2.Error{Code: codeKind, Message: errkind.DetailOf(err)}
+	e.SetError(errorData{Kind: errkind.Of(err)})
+	return e
+}
+
+// fromWire converts the error of a call. An answer of the peer becomes an error
+// of its kind; everything else wraps ErrBroken.
+func fromWire(method string, err error) error {
+	var rpc *jsonrpc2.Error
+	if !errors.As(err, &rpc) {
+		return fmt.Errorf("call %s: %w: %w", method, ErrBroken, err)
+	}
+	var data errorData
+	if rpc.Data == nil || json.Unmarshal(*rpc.Data, &data) != nil || !data.Kind.Valid() {
+		return errkind.New(errkind.Internal, fmt.Sprintf("call %s: %s", method, rpc.Message))
+	}
+	return errkind.New(data.Kind, rpc.Message)
+}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -123,6 +123,14 @@
 	Offset int              `json:"offset"`
 }
 
+// AttachResult answers Attach. When Known is set, the parts of the answer from
+// the offset on follow as notifications on the same connection.
+type AttachResult struct {
+	Known bool `json:"known"`
+	// Progress is the target's word when the dispatch is not known here.
+	Progress target.Progress `json:"progress,omitempty"`
+}
+
 // Lookup asks what a host knows of a request.
 type Lookup struct {
 	ID tables.RequestID `json:"id"`
--- /dev/null
+++ b/internal/peer/relay_test.go
@@ -0,0 +1,61 @@
+package peer_test
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// pingStep moves the fake clock past one probe interval.
+const pingStep = 2 * time.Second
+
+// relay forwards bytes between a listener and a server and can stop doing so
+// while all sockets stay open.
+type relay struct {
+	mu     sync.Mutex
+	frozen bool
+}
+
+func newRelay(l net.Listener, backend string) *relay {
+	r := &relay{}
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", backend)
+			if err != nil {
+				return
+			}
+			go r.copy(in, out)
+			go r.copy(out, in)
+		}
+	}()
+	return r
+}
+
+func (r *relay) copy(dst, src net.Conn) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := src.Read(buf)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		drop := r.frozen
+		r.mu.Unlock()
+		if !drop {
+			_, _ = dst.Write(buf[:n])
+		}
+	}
+}
+
+func (r *relay) freeze() { r.set(true) }
+func (r *relay) thaw()   { r.set(false) }
+
+func (r *relay) set(frozen bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.frozen = frozen
+}
