--- /dev/null
+++ b/internal/dispatcher/job.go
@@ -0,0 +1,217 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/event"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/systems/measure"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+	"github.com/bluebellseam/bluebellseam/internal/target"
+)
+
+// recordTimeout bounds the recording of one outcome.
+const recordTimeout = 30 * time.Second
+
+// job is one request in the hands of the dispatcher.
+type job struct {
+	msg peer.Submit
+	// row is nil for a job that was taken over from another dispatcher.
+	row     *tables.Request
+	target  tables.TargetID
+	started bool
+	// reason is why a cancel was sent; empty without one.
+	reason   errkind.Kind
+	chunks   []target.Chunk
+	tokens   int
+	outcome  *peer.Finished
+	listener *peer.Conn
+	release  func()
+	// orphaned is when the listener's connection broke; zero otherwise.
+	orphaned time.Time
+	traceID  string
+	stop     context.CancelFunc
+}
+
+// listen sends the answer from a token offset on to conn.
+func (d *Dispatcher) listen(j *job, conn *peer.Conn, offset int) {
+	d.unlisten(j)
+	j.listener = conn
+	j.release = conn.Hold()
+	j.orphaned = time.Time{}
+	if j.started {
+		conn.Post(peer.NotifyStarted, peer.Started{ID: j.msg.ID, Target: j.target})
+	}
+	for _, c := range j.chunks {
+		if c.Offset >= offset {
+			conn.Post(peer.NotifyChunk, peer.Chunk{ID: j.msg.ID, Chunk: c})
+		}
+	}
+	if j.outcome != nil {
+		conn.Post(peer.NotifyFinished, *j.outcome)
+		d.unlisten(j)
+		return
+	}
+	go d.watchListener(j, conn)
+}
+
+func (d *Dispatcher) unlisten(j *job) {
+	if j.release != nil {
+		j.release()
+	}
+	j.listener = nil
+	j.release = nil
+}
+
+// watchListener marks j as orphaned when its connection breaks. The request
+// goes on: its gate may attach again, or the caller may look the answer up.
+func (d *Dispatcher) watchListener(j *job, conn *peer.Conn) {
+	select {
+	case <-d.ctx.Done():
+		return
+	case <-conn.Done():
+	}
+	d.post(func() {
+		if j.listener == conn {
+			d.unlisten(j)
+			j.orphaned = d.Clock.Now()
+		}
+	})
+}
+
+// dropOrphans refuses queued requests whose gate did not come back.
+func (d *Dispatcher) dropOrphans(now time.Time) {
+	for _, j := range d.jobs {
+		waiting := !j.started && !j.orphaned.IsZero()
+		if waiting && now.Sub(j.orphaned) >= orphanGrace {
+			d.finish(j, peer.Finished{Kind: errkind.CancelledBeforeRun, Detail: "the gate of the request is gone"})
+		}
+	}
+}
+
+func (j *job) notify(method string, params any) {
+	if j.listener != nil {
+		j.listener.Post(method, params)
+	}
+}
+
+// addChunk appends c when it continues the answer and drops a repeated part.
+func (d *Dispatcher) addChunk(j *job, c target.Chunk) {
+	if j.outcome != nil || c.Offset != j.tokens {
+		return
+	}
+	j.chunks = append(j.chunks, c)
+	j.tokens += c.Tokens
+	if j.row != nil {
+		if c.CachedTokens > 0 {
+			j.row.CachedTokens = c.CachedTokens
+		}
+		if t := d.state.Targets.Get(j.target); t != nil {
+			measure.Chunk(d.Clock.Now(), t, j.row, c.Tokens)
+		}
+	}
+	j.notify(peer.NotifyChunk, peer.Chunk{ID: j.msg.ID, Chunk: c})
+}
+
+// finish ends j with f; the first outcome stands.
+func (d *Dispatcher) finish(j *job, f peer.Finished) {
+	if j.outcome != nil {
+		return
+	}
+	now := d.Clock.Now()
+	f.ID = j.msg.ID
+	f.Target = j.target
+	f.Tokens = j.tokens
+	d.leaveTables(now, j, f)
+	f.Pool = d.summary()
+	j.outcome = &f
+	j.notify(peer.NotifyFinished, f)
+	d.unlisten(j)
+	if j.stop != nil {
+		j.stop()
+	}
+	d.logFinished(j, f)
+	d.record(j, f)
+}
+
+func (d *Dispatcher) leaveTables(now time.Time, j *job, f peer.Finished) {
+	delete(d.jobs, j.msg.ID)
+	d.kept.Add(j.msg.ID, j)
+	if j.row == nil {
+		return
+	}
+	if t := d.state.Targets.Get(j.target); t != nil && j.started {
+		measure.Finished(now, t, j.row, f.Kind)
+	}
+	if f.Kind == errkind.None && !j.row.Plain {
+		d.state.Lengths.Observe(j.row, j.tokens)
+	}
+	j.row.State = tables.Finished
+	d.state.Requests.Delete(j.msg.ID)
+	d.Observer.Ended(j.row, f, now)
+}
+
+func (d *Dispatcher) logFinished(j *job, f peer.Finished) {
+	e := event.RequestFinished
+	if f.Kind.Answer().Ran == errkind.RanNo {
+		e = event.RequestRefused
+	}
+	if f.Kind == errkind.OutcomeUnknown {
+		e = event.RequestUnknown
+	}
+	e.Log(d.Logger,
+		zap.String("request", string(j.msg.ID)),
+		zap.String("kind", string(f.Kind)),
+		zap.String("target", string(j.target)),
+		zap.Int("tokens", j.tokens),
+		zap.String("detail", f.Detail))
+}
+
+// record stores the outcome of a keyed request that ran. "Not run" is left to
+// the gate, which may still submit the request elsewhere.
+func (d *Dispatcher) record(j *job, f peer.Finished) {
+	if j.msg.Key == "" || f.Kind.Answer().Ran != errkind.RanYes {
+		return
+	}
+	r := peer.Record{Customer: j.msg.Customer, Service: j.msg.Service, Key: j.msg.Key, Outcome: d.outcomeOf(j)}
+	d.running.Add(1)
+	go func() {
+		defer d.running.Done()
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(d.ctx), recordTimeout)
+		defer cancel()
+		_ = d.Outcomes.Record(ctx, r)
+	}()
+}
+
+// outcomeOf describes what is known of j.
+func (d *Dispatcher) outcomeOf(j *job) peer.Outcome {
+	o := peer.Outcome{ID: j.msg.ID, Known: true, Target: j.target, Tokens: j.tokens, TraceID: j.traceID}
+	if j.outcome == nil {
+		return o
+	}
+	o.Done = true
+	o.Kind = j.outcome.Kind
+	o.Detail = j.outcome.Detail
+	o.Status = j.outcome.Status
+	if j.outcome.Kind == errkind.None {
+		o.Body = j.answer()
+		o.BodyKept = true
+	}
+	return o
+}
+
+// answer returns the whole answer of a finished job.
+func (j *job) answer() []byte {
+	if j.msg.Plain {
+		return j.outcome.Body
+	}
+	var b []byte
+	for _, c := range j.chunks {
+		b = append(b, c.Text...)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/dispatcher/recover.go
@@ -0,0 +1,204 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+	"github.com/bluebellseam/bluebellseam/internal/target"
+)
+
+// targetTimeout bounds one short question to a target.
+const targetTimeout = 2 * time.Second
+
+// cancelAtTargets asks every named target itself and returns the strongest
+// word: a run anywhere, else doubt, else the proof that none has started it.
+func (d *Dispatcher) cancelAtTargets(ctx context.Context, q peer.CancelRequest) peer.CancelResult {
+	result := peer.CancelResult{Progress: target.NotKnown}
+	if len(q.Targets) == 0 {
+		return result
+	}
+	proved := true
+	for _, id := range q.Targets {
+		progress := d.cancelAt(ctx, id, q.ID)
+		switch progress {
+		case target.NeverStarted:
+		case target.NotKnown:
+			proved = false
+		default:
+			return peer.CancelResult{Progress: progress, Target: id}
+		}
+	}
+	if proved {
+		result.Progress = target.NeverStarted
+	}
+	return result
+}
+
+// cancelAt leaves a tombstone at one target and returns the target's word, or
+// NotKnown when it gave none.
+func (d *Dispatcher) cancelAt(ctx context.Context, id tables.TargetID, request tables.RequestID) target.Progress {
+	place, ok := d.locate(id)
+	if !ok {
+		return target.NotKnown
+	}
+	ctx, cancel := context.WithTimeout(ctx, targetTimeout)
+	defer cancel()
+	var progress target.Progress
+	var err error
+	if place.plain {
+		progress, err = d.Targets.Plain(place.address, place.service).Cancel(ctx, request)
+	} else {
+		progress, err = d.Targets.Engine(place.address).Cancel(ctx, request)
+	}
+	if err != nil {
+		return target.NotKnown
+	}
+	return progress
+}
+
+// place is where and how to reach a target.
+type place struct {
+	address string
+	plain   bool
+	service tables.ServiceID
+}
+
+// locate finds a target in the configuration, owned or not.
+func (d *Dispatcher) locate(id tables.TargetID) (place, bool) {
+	doc := d.Document()
+	if doc == nil {
+		return place{}, false
+	}
+	t, ok := doc.Targets[string(id)]
+	if !ok || len(t.Services) == 0 {
+		return place{}, false
+	}
+	service := t.Services[0]
+	return place{address: t.Address, plain: isPlain(doc, t), service: tables.ServiceID(service)}, true
+}
+
+// attach sends the answer of a request to conn. A request of another
+// dispatcher is taken over from its target without dispatching it again.
+func (d *Dispatcher) attach(ctx context.Context, conn *peer.Conn, q peer.Attach) (peer.AttachResult, error) {
+	known, err := ask(ctx, d, func() bool { return d.attachKnown(conn, q) })
+	if err != nil {
+		return peer.AttachResult{}, err
+	}
+	if known {
+		return peer.AttachResult{Known: true}, nil
+	}
+	if q.Target == "" {
+		return peer.AttachResult{Progress: target.NotKnown}, nil
+	}
+	return d.takeOver(ctx, conn, q)
+}
+
+func (d *Dispatcher) attachKnown(conn *peer.Conn, q peer.Attach) bool {
+	j := d.known(q.ID)
+	if j == nil {
+		return false
+	}
+	d.listen(j, conn, q.Offset)
+	return true
+}
+
+// takeOver resumes the answer of a dispatch at its target from the start, so
+// that the whole answer can be looked up here as well.
+func (d *Dispatcher) takeOver(ctx context.Context, conn *peer.Conn, q peer.Attach) (peer.AttachResult, error) {
+	at, ok := d.locate(q.Target)
+	if !ok {
+		return peer.AttachResult{Progress: target.NotKnown}, nil
+	}
+	if at.plain {
+		return d.takeOverPlain(ctx, conn, q, at)
+	}
+	stream, err := d.resume(d.Targets.Engine(at.address), q.ID, 0)
+	if err != nil {
+		return peer.AttachResult{Progress: target.NotKnown}, nil
+	}
+	_, err = ask(ctx, d, func() bool {
+		j := d.adopt(conn, q, false)
+		d.follow(j, at, stream)
+		return true
+	})
+	return peer.AttachResult{Known: true}, err
+}
+
+func (d *Dispatcher) takeOverPlain(ctx context.Context, conn *peer.Conn, q peer.Attach, at place) (peer.AttachResult, error) {
+	short, cancel := context.WithTimeout(ctx, targetTimeout)
+	defer cancel()
+	answer, progress, err := d.Targets.Plain(at.address, at.service).Outcome(short, q.ID)
+	if err != nil {
+		return peer.AttachResult{Progress: target.NotKnown}, nil
+	}
+	if progress != target.Completed {
+		return peer.AttachResult{Progress: progress}, nil
+	}
+	_, err = ask(ctx, d, func() bool {
+		j := d.adopt(conn, q, true)
+		d.finish(j, peer.Finished{Kind: errkind.None, Status: answer.Status, Body: answer.Body, Sent: true})
+		return true
+	})
+	return peer.AttachResult{Known: true}, err
+}
+
+// adopt makes a job for a dispatch of another dispatcher.
+func (d *Dispatcher) adopt(conn *peer.Conn, q peer.Attach, plain bool) *job {
+	j := &job{msg: peer.Submit{ID: q.ID, Plain: plain}, target: q.Target, started: true}
+	d.jobs[q.ID] = j
+	d.listen(j, conn, q.Offset)
+	return j
+}
+
+// cancelRunning sends a cancel for a running job. Non-idempotent calls and
+// plain calls go on, since a service cannot stop them.
+func (d *Dispatcher) cancelRunning(j *job, reason errkind.Kind) {
+	if j.msg.Plain || j.msg.NonIdempotent || j.reason != errkind.None {
+		return
+	}
+	j.reason = reason
+	if j.row != nil {
+		j.row.Cancelling = true
+	}
+	at, ok := d.locate(j.target)
+	if !ok {
+		return
+	}
+	d.spawn(func() { d.sendCancel(j, at) })
+}
+
+func (d *Dispatcher) sendCancel(j *job, at place) {
+	ctx, cancel := context.WithTimeout(d.ctx, targetTimeout)
+	defer cancel()
+	progress, err := d.Targets.Engine(at.address).Cancel(ctx, j.msg.ID)
+	if err != nil {
+		d.post(func() { j.reason = errkind.None })
+		return
+	}
+	d.post(func() { d.finishCancelled(j, progress) })
+}
+
+// finishCancelled ends j by the target's word on its cancel. A completed
+// answer is left to its stream.
+func (d *Dispatcher) finishCancelled(j *job, progress target.Progress) {
+	switch progress {
+	case target.NeverStarted:
+		d.finish(j, peer.Finished{Kind: notRunKind(j.reason), Sent: true})
+	case target.Cancelled, target.Failed:
+		d.finish(j, peer.Finished{Kind: j.reason, Sent: true})
+	case target.InProgress, target.Completed, target.NotKnown:
+		j.reason = errkind.None
+	}
+}
+
+// notRunKind returns the kind that tells the same reason of a request that was
+// stopped before it ran.
+func notRunKind(reason errkind.Kind) errkind.Kind {
+	if reason == errkind.Preempted {
+		return errkind.Displaced
+	}
+	return errkind.CancelledBeforeRun
+}
--- /dev/null
+++ b/internal/dispatcher/serve.go
@@ -0,0 +1,142 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/systems/prefix"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+	"github.com/bluebellseam/bluebellseam/internal/target"
+)
+
+// Register adds the dispatcher's methods to mux.
+func (d *Dispatcher) Register(mux *peer.Mux) {
+	peer.Handle(mux, peer.MethodSubmit, d.submit)
+	peer.Handle(mux, peer.MethodCancel, d.cancel)
+	peer.Handle(mux, peer.MethodAttach, d.attach)
+	peer.Handle(mux, peer.MethodLookup, d.lookup)
+}
+
+func (d *Dispatcher) submit(ctx context.Context, conn *peer.Conn, msg peer.Submit) (peer.SubmitResult, error) {
+	return ask(ctx, d, func() peer.SubmitResult { return d.accept(conn, msg) })
+}
+
+// accept takes msg into the queue, or says why not. A refused request is not
+// kept, so it is proved that this dispatcher never sends it.
+func (d *Dispatcher) accept(conn *peer.Conn, msg peer.Submit) peer.SubmitResult {
+	refuse := func(kind errkind.Kind, detail string) peer.SubmitResult {
+		return peer.SubmitResult{Kind: kind, Detail: detail, Pool: d.summary()}
+	}
+	if d.known(msg.ID) != nil {
+		return peer.SubmitResult{}
+	}
+	if d.tombstones.Contains(msg.ID) {
+		return refuse(errkind.CancelledBeforeRun, "the request was cancelled before it arrived")
+	}
+	if d.leaving {
+		return refuse(errkind.ShuttingDown, fmt.Sprintf("dispatcher on host %s is stopping", d.Host))
+	}
+	if refused, _ := d.Quarantine.Check(msg.Fingerprint); refused {
+		return refuse(errkind.Quarantined, fmt.Sprintf("fingerprint %016x", uint64(msg.Fingerprint)))
+	}
+	row := d.newRow(msg)
+	if !d.servable(row) {
+		return refuse(errkind.NoTarget, fmt.Sprintf("host %s owns none of the allowed targets", d.Host))
+	}
+	j := &job{msg: msg, row: row}
+	d.jobs[msg.ID] = j
+	d.state.Requests.Put(row)
+	d.listen(j, conn, 0)
+	return peer.SubmitResult{}
+}
+
+func (d *Dispatcher) newRow(msg peer.Submit) *tables.Request {
+	now := d.Clock.Now()
+	_, alone := d.Quarantine.Check(msg.Fingerprint)
+	row := &tables.Request{
+		ID: msg.ID, Customer: msg.Customer, Service: msg.Service, Fingerprint: msg.Fingerprint,
+		Tier: msg.Tier, Share: msg.Share, Plain: msg.Plain, NonIdempotent: msg.NonIdempotent,
+		Arrived: now.Add(-msg.Age), FirstTokenDue: now.Add(msg.FirstTokenIn), Due: now.Add(msg.DueIn),
+		PromptTokens: msg.PromptTokens, MaxTokens: msg.MaxTokens,
+		Allowed: msg.Allowed, Alone: alone,
+	}
+	if !msg.Plain {
+		row.Prefix = prefix.Chain(msg.Model+"/"+msg.Adapter, msg.Body)
+		row.PredictedTokens = d.state.Lengths.Predict(row)
+	}
+	return row
+}
+
+// servable reports whether an allowed target is owned and open.
+func (d *Dispatcher) servable(r *tables.Request) bool {
+	now := d.Clock.Now()
+	for _, id := range r.Allowed {
+		t := d.state.Targets.Get(id)
+		if t != nil && t.Owned && t.Open(now) && t.Fits(r) {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Dispatcher) known(id tables.RequestID) *job {
+	if j := d.jobs[id]; j != nil {
+		return j
+	}
+	j, _ := d.kept.Get(id)
+	return j
+}
+
+func (d *Dispatcher) lookup(ctx context.Context, _ *peer.Conn, q peer.Lookup) (peer.Outcome, error) {
+	return ask(ctx, d, func() peer.Outcome {
+		if j := d.known(q.ID); j != nil {
+			return d.outcomeOf(j)
+		}
+		return peer.Outcome{ID: q.ID}
+	})
+}
+
+func (d *Dispatcher) cancel(ctx context.Context, _ *peer.Conn, q peer.CancelRequest) (peer.CancelResult, error) {
+	known, err := ask(ctx, d, func() *peer.CancelResult { return d.cancelKnown(q.ID) })
+	if err != nil {
+		return peer.CancelResult{}, err
+	}
+	if known != nil {
+		return *known, nil
+	}
+	return d.cancelAtTargets(ctx, q), nil
+}
+
+// cancelKnown cancels a job of this dispatcher. It returns nil and leaves a
+// tombstone when there is none.
+func (d *Dispatcher) cancelKnown(id tables.RequestID) *peer.CancelResult {
+	j := d.known(id)
+	switch {
+	case j == nil:
+		d.tombstones.Add(id, struct{}{})
+		return nil
+	case j.outcome != nil:
+		return &peer.CancelResult{Progress: progressOf(j.outcome.Kind), Target: j.target}
+	case !j.started:
+		d.finish(j, peer.Finished{Kind: errkind.CancelledBeforeRun})
+		return &peer.CancelResult{Progress: target.NeverStarted}
+	}
+	d.cancelRunning(j, errkind.CancelledWhileRun)
+	return &peer.CancelResult{Progress: target.InProgress, Target: j.target}
+}
+
+func progressOf(k errkind.Kind) target.Progress {
+	switch k.Answer().Ran {
+	case errkind.RanNo:
+		return target.NeverStarted
+	case errkind.RanUnknown:
+		return target.NotKnown
+	case errkind.RanYes:
+	}
+	if k == errkind.None {
+		return target.Completed
+	}
+	return target.Failed
+}
--- /dev/null
+++ b/internal/dispatcher/targets.go
@@ -0,0 +1,185 @@
+package dispatcher
+
+import (
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/config"
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/event"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+const (
+	// downFor keeps work off a target that refused a connection.
+	downFor = 1 * time.Second
+	// crashWindow joins the failures of one crash.
+	crashWindow = 5 * time.Second
+	// rampTime limits the window of a target that just changed its owner.
+	rampTime = 2 * time.Second
+
+	defaultWindowMin = 1
+	defaultWindowMax = 64
+)
+
+// Sync posts an update of the target table from configuration and membership.
+// It is called whenever one of them changes.
+func (d *Dispatcher) Sync() {
+	go d.post(d.sync)
+}
+
+func (d *Dispatcher) sync() {
+	doc := d.Document()
+	if doc == nil {
+		return
+	}
+	for name, t := range doc.Targets {
+		d.syncTarget(doc, tables.TargetID(name), t)
+	}
+	d.dropTargets(doc)
+	d.returnUnservable()
+}
+
+func (d *Dispatcher) syncTarget(doc *config.Document, id tables.TargetID, t config.Target) {
+	row := d.state.Targets.Get(id)
+	if row == nil {
+		row = &tables.Target{ID: id}
+		d.state.Targets.Put(row)
+	}
+	describe(row, doc, t)
+	d.setLeaving(row, d.Membership.TargetState(id) == tables.HostLeaving)
+	d.setOwned(row, d.Membership.Owner(id, row.Domain) == d.Host)
+}
+
+// describe copies what configuration says of t to its row.
+func describe(row *tables.Target, doc *config.Document, t config.Target) {
+	row.Address = t.Address
+	row.Domain = tables.DomainID(t.FailureDomain)
+	row.Generation = t.Generation
+	row.Plain = isPlain(doc, t)
+	row.Services = make(map[tables.ServiceID]bool, len(t.Services))
+	for _, s := range t.Services {
+		row.Services[tables.ServiceID(s)] = true
+	}
+	row.ChecksFencing = t.ChecksFencing
+	row.Drained = t.Drained
+	row.WindowMin = orDefault(t.WindowMin, defaultWindowMin)
+	row.WindowMax = orDefault(t.WindowMax, defaultWindowMax)
+	row.Speed = SpeedOf(doc, t)
+}
+
+// SpeedOf returns the nominal speed of a target by its hardware generation.
+func SpeedOf(doc *config.Document, t config.Target) tables.Speed {
+	g := doc.Generations[t.Generation]
+	return tables.Speed{
+		PrefillTokensPerSecond: g.PrefillTokensPerSecond,
+		Step:                   millis(g.StepMillis),
+		StepPerSequence:        millis(g.StepMillisPerSequence),
+	}
+}
+
+func millis(ms float64) time.Duration {
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+func orDefault(v, d int) int {
+	if v > 0 {
+		return v
+	}
+	return d
+}
+
+func isPlain(doc *config.Document, t config.Target) bool {
+	for _, s := range t.Services {
+		return doc.Services[s].Kind == config.PlainService
+	}
+	return false
+}
+
+func (d *Dispatcher) setLeaving(row *tables.Target, leaving bool) {
+	if leaving && !row.Leaving {
+		event.TargetLeaving.Log(d.Logger, zap.String("target", string(row.ID)))
+	}
+	row.Leaving = leaving
+}
+
+func (d *Dispatcher) setOwned(row *tables.Target, owned bool) {
+	if owned == row.Owned {
+		return
+	}
+	row.Owned = owned
+	if owned {
+		row.RampUntil = d.Clock.Now().Add(rampTime)
+		event.TargetOwned.Log(d.Logger, zap.String("target", string(row.ID)))
+		return
+	}
+	event.TargetLost.Log(d.Logger, zap.String("target", string(row.ID)))
+}
+
+func (d *Dispatcher) dropTargets(doc *config.Document) {
+	var gone []tables.TargetID
+	d.state.Targets.All(func(t *tables.Target) {
+		if _, ok := doc.Targets[string(t.ID)]; !ok {
+			gone = append(gone, t.ID)
+		}
+	})
+	for _, id := range gone {
+		d.state.Targets.Delete(id)
+	}
+}
+
+// returnUnservable gives queued requests back to their gates when this host no
+// longer owns an open target for them.
+func (d *Dispatcher) returnUnservable() {
+	for _, j := range d.jobs {
+		if j.row != nil && !j.started && !d.servable(j.row) {
+			d.finish(j, peer.Finished{Kind: errkind.NoTarget, Detail: "the targets have another owner or are closed"})
+		}
+	}
+}
+
+// markDown keeps new work off a target that refused a connection.
+func (d *Dispatcher) markDown(id tables.TargetID) {
+	if t := d.state.Targets.Get(id); t != nil {
+		t.DownUntil = d.Clock.Now().Add(downFor)
+	}
+}
+
+// crashed records that a target went down with requests in flight. Failures
+// within crashWindow are one crash.
+func (d *Dispatcher) crashed(id tables.TargetID) {
+	t := d.state.Targets.Get(id)
+	if t == nil {
+		return
+	}
+	now := d.Clock.Now()
+	recent := now.Sub(t.LastCrash) < crashWindow
+	t.DownUntil = now.Add(downFor)
+	if recent {
+		return
+	}
+	t.LastCrash = now
+	suspects := d.inFlight(id)
+	event.TargetCrashed.Log(d.Logger, zap.String("target", string(id)), zap.Int("in_flight", len(suspects)))
+	d.Quarantine.Crashed(id, suspects)
+}
+
+func (d *Dispatcher) inFlight(id tables.TargetID) []Suspect {
+	var out []Suspect
+	for _, j := range d.jobs {
+		if j.started && j.target == id && j.row != nil {
+			out = append(out, Suspect{Fingerprint: j.row.Fingerprint, Customer: j.row.Customer, Service: j.row.Service})
+		}
+	}
+	return out
+}
+
+func isRefusedDial(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -39,20 +39,54 @@
 	peer      atomic.Pointer[Hello]
 	lastHeard atomic.Int64
 	busy      atomic.Int64
+	outbox    chan posted
+}
+
+// outboxLength bounds the notifications that wait for a slow peer.
+const outboxLength = 8192
+
+type posted struct {
+	method string
+	params any
 }
 
 // newConn starts a connection on socket. A connection that was accepted
 // serves no method before a Hello with the right key.
 func newConn(ctx context.Context, socket net.Conn, mux *Mux, key string, clock clockwork.Clock, greeted bool) *Conn {
-	c := &Conn{clock: clock, mux: mux, key: key}
+	c := &Conn{clock: clock, mux: mux, key: key, outbox: make(chan posted, outboxLength)}
 	c.greeted.Store(greeted)
 	c.lastHeard.Store(clock.Now().UnixNano())
 	stream := jsonrpc2.NewBufferedStream(&deadlineSocket{socket}, jsonrpc2.VarintObjectCodec{})
 	c.rpc = jsonrpc2.NewConn(ctx, stream, c, jsonrpc2.OnRecv(c.heard), jsonrpc2.SetLogger(silentLogger{}))
 	go c.watch(ctx)
+	go c.drain(ctx)
 	return c
 }
 
+// Post queues a notification without blocking. Notifications keep their
+// order. A peer that is too slow loses the connection and can attach again.
+func (c *Conn) Post(method string, params any) {
+	select {
+	case c.outbox <- posted{method, params}:
+	default:
+		_ = c.rpc.Close()
+	}
+}
+
+func (c *Conn) drain(ctx context.Context) {
+	for {
+		select {
+		case <-c.Done():
+			return
+		case p := <-c.outbox:
+			if err := c.Notify(ctx, p.method, p.params); err != nil {
+				_ = c.rpc.Close()
+				return
+			}
+		}
+	}
+}
+
 // Peer returns the Hello of the other side, or the zero value before it.
 func (c *Conn) Peer() Hello {
 	if h := c.peer.Load(); h != nil {
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -66,6 +66,8 @@
 	MaxTokens    int               `json:"max_tokens,omitempty"`
 	PromptTokens int               `json:"prompt_tokens,omitempty"`
 	Allowed      []tables.TargetID `json:"allowed"`
+	// Key is the idempotency key, if the caller gave one.
+	Key string `json:"key,omitempty"`
 	Trace        map[string]string `json:"trace,omitempty"`
 }
 
@@ -95,12 +97,15 @@
 	Kind   errkind.Kind     `json:"kind,omitempty"`
 	Detail string           `json:"detail,omitempty"`
 	// RetryAfter is the advice of a refusal; zero means the default.
-	RetryAfter time.Duration        `json:"retry_after,omitempty"`
-	Target     tables.TargetID      `json:"target,omitempty"`
-	Tokens     int                  `json:"tokens,omitempty"`
-	Status     int                  `json:"status,omitempty"`
-	Body       []byte               `json:"body,omitempty"`
-	Pool       []tables.PoolSummary `json:"pool,omitempty"`
+	RetryAfter time.Duration   `json:"retry_after,omitempty"`
+	Target     tables.TargetID `json:"target,omitempty"`
+	Tokens     int             `json:"tokens,omitempty"`
+	Status     int             `json:"status,omitempty"`
+	Body       []byte          `json:"body,omitempty"`
+	// Sent is set when a byte may have reached a target; without it a refused
+	// request may be submitted elsewhere.
+	Sent bool                 `json:"sent,omitempty"`
+	Pool []tables.PoolSummary `json:"pool,omitempty"`
 }
 
 // CancelRequest stops a request at its dispatcher and target.
--- a/internal/systems/prefix/prefix.go
+++ b/internal/systems/prefix/prefix.go
@@ -11,6 +11,9 @@
 // Index maps targets to the prefix blocks that they probably hold.
 type Index struct{}
 
+// Chain returns the block hashes of a prompt under a scope.
+func Chain(_ string, _ []byte) []uint64 { return nil }
+
 // NewIndex returns an empty index.
 func NewIndex() *Index { return &Index{} }
 
--- a/internal/tables/request.go
+++ b/internal/tables/request.go
@@ -46,6 +46,8 @@
 	// Allowed lists the targets that the gate permits; the request runs at
 	// no other target.
 	Allowed []TargetID
+	// Alone lets the request run only while nothing else runs at its target.
+	Alone bool
 
 	State RequestState
 	// Target is set from Running on.
--- a/internal/tables/target.go
+++ b/internal/tables/target.go
@@ -26,6 +26,8 @@
 	RampUntil time.Time
 	// DownUntil keeps work off a target that refused connections.
 	DownUntil time.Time
+	// LastCrash is the start of the latest crash; zero without one.
+	LastCrash time.Time
 	// Isolate lets a suspect request run only while nothing else does.
 	Isolate RequestID
 
