--- a/internal/tables/request.go
+++ b/internal/tables/request.go
@@ -66,9 +66,16 @@
 	Cancelling bool
 }
 
-// Requests is a dispatcher's request table.
+// Requests is a dispatcher's request table. It notes which rows were added and
+// removed, so that an index over it can follow without a scan.
 type Requests struct {
-	rows map[RequestID]*Request
+	rows    map[RequestID]*Request
+	changes []change
+}
+
+type change struct {
+	row     *Request
+	removed bool
 }
 
 // NewRequests returns an empty table.
@@ -77,13 +84,38 @@
 }
 
 // Put adds r, or replaces the row of the same ID.
-func (t *Requests) Put(r *Request) { t.rows[r.ID] = r }
+func (t *Requests) Put(r *Request) {
+	t.Delete(r.ID)
+	t.rows[r.ID] = r
+	t.changes = append(t.changes, change{row: r})
+}
 
 // Get returns the row of id, or nil.
 func (t *Requests) Get(id RequestID) *Request { return t.rows[id] }
 
 // Delete removes the row of id.
-func (t *Requests) Delete(id RequestID) { delete(t.rows, id) }
+func (t *Requests) Delete(id RequestID) {
+	r, ok := t.rows[id]
+	if !ok {
+		return
+	}
+	delete(t.rows, id)
+	t.changes = append(t.changes, change{row: r, removed: true})
+}
+
+// Changes calls add and remove, in order, for the rows added and removed since
+// the last call. Neither may change the table.
+func (t *Requests) Changes(add, remove func(*Request)) {
+	for _, c := range t.changes {
+		if c.removed {
+			remove(c.row)
+		} else {
+			add(c.row)
+		}
+	}
+	clear(t.changes)
+	t.changes = t.changes[:0]
+}
 
 // Len counts the rows.
 func (t *Requests) Len() int { return len(t.rows) }
