Add lifetime, targets digest and retry advice to the claim messages

Cause: the home of a key checks its age against the service's lifetime, which only the gate knows; a settler needs to know which targets a dead holder could have used, and a refusal says when to send again. Change: optional fields on Acquire and AcquireResult, appended only. Conclusion: old senders keep working, zero values mean the defaults.

--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -153,6 +153,11 @@
 	Key         string             `json:"key"`
 	Request     tables.RequestID   `json:"request"`
 	Fingerprint tables.Fingerprint `json:"fingerprint"`
+	// Lifetime bounds the age of the key; zero means the home's maximum.
+	Lifetime time.Duration `json:"lifetime,omitempty"`
+	// TargetsDigest is claim.TargetsDigest of every target at which Request
+	// may be dispatched; zero when the gate does not state it.
+	TargetsDigest uint64 `json:"targets_digest,omitempty"`
 }
 
 // AcquireResult answers Acquire.
@@ -166,6 +171,12 @@
 	Holder tables.RequestID `json:"holder,omitempty"`
 	// Outcome is the recorded outcome of the holder, if there is one.
 	Outcome *Outcome `json:"outcome,omitempty"`
+	// RetryAfter goes with ClaimsUnavailable; zero means the default.
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
+	// TargetsDigest is the one that the holder claimed with.
+	TargetsDigest uint64 `json:"targets_digest,omitempty"`
+	// HeldSince is the log's time of the holder's claim; zero without one.
+	HeldSince time.Time `json:"held_since,omitzero"`
 }
 
 // Record writes the outcome of a key's holder. An outcome that proves "not
