--- /dev/null
+++ b/internal/systems/settle/settle_test.go
@@ -0,0 +1,118 @@
+package settle_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/systems/settle"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+	"github.com/bluebellseam/bluebellseam/internal/target"
+)
+
+func TestSettle(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "settle")
+}
+
+var _ = Describe("Next", func() {
+	var f *settle.Facts
+	BeforeEach(func() {
+		f = &settle.Facts{MayBeSent: true, SenderStopped: true, Plain: true, Allowed: []tables.TargetID{"a", "b"}}
+	})
+	It("cancels at every allowed target before it concludes", func() {
+		Expect(settle.Next(f).Action).To(Equal(settle.Cancel))
+		f.Heard("a", target.NeverStarted)
+		Expect(settle.Next(f)).To(Equal(settle.Step{Action: settle.Cancel, Targets: []tables.TargetID{"b"}}))
+		f.Heard("b", target.NeverStarted)
+		Expect(settle.Next(f).Kind).To(Equal(errkind.NotAdmitted))
+	})
+	It("leaves the outcome unknown when one target restarted", func() {
+		f.Heard("a", target.NeverStarted)
+		f.Heard("b", target.NotKnown)
+		Expect(settle.Next(f)).To(Equal(settle.Step{Kind: errkind.OutcomeUnknown}))
+	})
+	It("asks again after the sender has stopped", func() {
+		f.SenderStopped = false
+		f.Heard("a", target.NeverStarted)
+		f.Heard("b", target.NeverStarted)
+		Expect(settle.Next(f).Action).To(Equal(settle.Wait))
+		f.SenderStopped = true
+		Expect(settle.Next(f)).To(Equal(settle.Step{Action: settle.Cancel, Targets: f.Allowed}))
+	})
+	It("seeks a running stream before it cancels", func() {
+		f.Plain, f.Offset, f.Started = false, 7, "b"
+		Expect(settle.Next(f)).To(Equal(settle.Step{Action: settle.Resume, Targets: []tables.TargetID{"b", "a"}, Offset: 7}))
+	})
+	It("never calls a request not run after a token of it has arrived", func() {
+		f.Plain, f.Offset = false, 1
+		for _, id := range f.Allowed {
+			f.HeardNoStream(id)
+			f.Heard(id, target.NeverStarted)
+			f.HeardNoStream(id)
+		}
+		Expect(settle.Next(f).Kind).To(Equal(errkind.RanFailed))
+	})
+})
+
+var words = []target.Progress{
+	target.NeverStarted, target.InProgress, target.Completed, target.Cancelled, target.Failed, target.NotKnown,
+}
+
+func TestNextIsTruthful(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &settle.Facts{
+			MayBeSent:  true,
+			Plain:      rapid.Bool().Draw(t, "plain"),
+			CallerLeft: rapid.Bool().Draw(t, "left"),
+			Allowed:    []tables.TargetID{"a", "b", "c"}[:rapid.IntRange(0, 3).Draw(t, "targets")],
+			Offset:     rapid.IntRange(0, 1).Draw(t, "offset"),
+		}
+		for range 100 {
+			step := settle.Next(f)
+			if step.Action == settle.Finish {
+				checkKind(t, f, step.Kind)
+				return
+			}
+			if step.Action == settle.Wait {
+				f.SenderStopped = true
+			}
+			for _, id := range step.Targets {
+				answer(t, f, id)
+			}
+		}
+		t.Fatalf("no conclusion after 100 steps: %+v", f)
+	})
+}
+
+// answer plays a target that may say anything.
+func answer(t *rapid.T, f *settle.Facts, id tables.TargetID) {
+	switch rapid.IntRange(0, 4).Draw(t, "answer") {
+	case 0:
+		f.HeardNothing(id)
+	case 1:
+		f.HeardNoStream(id)
+	case 2:
+		f.HeardNotKept(id)
+	default:
+		f.Heard(id, rapid.SampledFrom(words).Draw(t, "word"))
+	}
+}
+
+func checkKind(t *rapid.T, f *settle.Facts, k errkind.Kind) {
+	if k.Answer().Ran != errkind.RanNo {
+		return
+	}
+	if f.Offset > 0 || len(f.Allowed) == 0 {
+		t.Fatalf("%s without proof: %+v", k, f)
+	}
+	for _, id := range f.Allowed {
+		a := f.Account(id)
+		if a.Progress != target.NeverStarted || !a.AfterStop || a.NotKept {
+			t.Fatalf("%s although %s said %+v", k, id, a)
+		}
+	}
+}
