Add typed settings of each binary

The binaries need settings that are checked before a socket opens. Each setting is one struct field whose tags give its variable, flag, default and help text; flags win over the environment and the environment over defaults. The flag library passes over unknown flags in silence when it may not exit by itself, so unknown flags and missing values are refused before it parses.

--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,150 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"regexp"
+	"runtime/debug"
+	"strings"
+	"time"
+)
+
+// minPeerKeyLength is the shortest accepted peer key in characters.
+const minPeerKeyLength = 16
+
+// maxNameLength bounds host and failure domain names in characters.
+const maxNameLength = 63
+
+// hostName is what may stand in a request ID before the dot of its UUID.
+var hostName = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$`)
+
+// InvalidError is a setting that the process cannot start with.
+type InvalidError struct {
+	// Reason is one line that names the setting and its value.
+	Reason string
+}
+
+// Error returns the reason.
+func (e *InvalidError) Error() string { return e.Reason }
+
+// HelpError carries the text that --help or --version asked for.
+type HelpError struct {
+	// Text is printed to standard output.
+	Text string
+}
+
+// Error returns the text.
+func (e *HelpError) Error() string { return e.Text }
+
+func invalid(format string, args ...any) error {
+	return &InvalidError{Reason: fmt.Sprintf(format, args...)}
+}
+
+func checkAll(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkCommon(c *Common) error {
+	if err := readPeerKey(c); err != nil {
+		return err
+	}
+	return checkAll(
+		checkName("--host", "BLUEBELL_HOST", string(c.Host)),
+		checkName("--failure-domain", "BLUEBELL_FAILURE_DOMAIN", string(c.FailureDomain)),
+		checkURL("--log-url", "BLUEBELL_LOG_URL", c.LogURL),
+		checkURL("--host-list-url", "BLUEBELL_HOST_LIST_URL", c.HostListURL),
+		checkListener("--metrics-address", c.MetricsAddress),
+		checkPositive("--stop-bound", c.StopBound),
+		checkNotNegative("--balancer-wait", c.BalancerWait),
+	)
+}
+
+func readPeerKey(c *Common) error {
+	if c.PeerKey == "" && c.PeerKeyFile != "" {
+		data, err := os.ReadFile(c.PeerKeyFile)
+		if err != nil {
+			return invalid("--peer-key-file: %s", err)
+		}
+		c.PeerKey = strings.TrimSpace(string(data))
+	}
+	if c.PeerKey == "" {
+		return invalid("the peer key is missing: set BLUEBELL_PEER_KEY or --peer-key-file")
+	}
+	if len(c.PeerKey) < minPeerKeyLength {
+		return invalid("the peer key has %d characters, but needs at least %d", len(c.PeerKey), minPeerKeyLength)
+	}
+	return nil
+}
+
+func checkName(flag, variable, name string) error {
+	if name == "" {
+		return invalid("%s is missing: set the flag or %s", flag, variable)
+	}
+	if len(name) > maxNameLength || !hostName.MatchString(name) {
+		return invalid("%s %q is no name of letters, digits, dots, underscores and hyphens with at most %d characters", flag, name, maxNameLength)
+	}
+	return nil
+}
+
+func checkURL(flag, variable, text string) error {
+	if text == "" {
+		return invalid("%s is missing: set the flag or %s", flag, variable)
+	}
+	u, err := url.Parse(text)
+	if err != nil {
+		return invalid("%s: %s", flag, err)
+	}
+	if u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		return invalid("%s %q is no http or https URL", flag, text)
+	}
+	if _, err := netip.ParseAddr(u.Hostname()); err != nil {
+		return invalid("%s %q: the host must be an IP number", flag, text)
+	}
+	return nil
+}
+
+func checkListener(flag, address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return invalid("%s %q is no IP:port: the host must be an IP number", flag, address)
+	}
+	return nil
+}
+
+func checkPositive(flag string, d time.Duration) error {
+	if d <= 0 {
+		return invalid("%s %s must be longer than zero", flag, d)
+	}
+	return nil
+}
+
+func checkNotNegative(flag string, d time.Duration) error {
+	if d < 0 {
+		return invalid("%s %s must not be negative", flag, d)
+	}
+	return nil
+}
+
+// Version returns the module version or revision that the binary was built
+// from, or "devel".
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "devel"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value
+		}
+	}
+	if info.Main.Version != "" {
+		return info.Main.Version
+	}
+	return "devel"
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,82 @@
+// Package settings reads the settings of each binary from flags and
+// environment variables. A flag wins over its variable, and a variable wins
+// over the default. Everything is checked before the process opens a socket.
+package settings
+
+import (
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+// Common are the settings that every binary has.
+type Common struct {
+	Host           tables.HostID   `env:"BLUEBELL_HOST" flag:"host" usage:"name of this host, as in the host list"`
+	FailureDomain  tables.DomainID `env:"BLUEBELL_FAILURE_DOMAIN" flag:"failure-domain" usage:"failure domain of this host"`
+	LogURL         string          `env:"BLUEBELL_LOG_URL" flag:"log-url" usage:"URL of the platform's log service"`
+	HostListURL    string          `env:"BLUEBELL_HOST_LIST_URL" flag:"host-list-url" usage:"URL of the platform's host list"`
+	WeightStoreURL string          `env:"BLUEBELL_WEIGHT_STORE_URL" flag:"weight-store-url" usage:"URL of the platform's weight store; the controller needs it"`
+	// PeerKey is the key that the system's own processes share. It has no
+	// flag, because other users of a host can read a command line.
+	PeerKey        string        `env:"BLUEBELL_PEER_KEY" secret:"true" usage:"key shared by the system's own processes, at least 16 characters"`
+	PeerKeyFile    string        `env:"BLUEBELL_PEER_KEY_FILE" flag:"peer-key-file" usage:"file with the peer key, read when BLUEBELL_PEER_KEY is empty"`
+	MetricsAddress string        `env:"BLUEBELL_METRICS_ADDRESS" envDefault:"127.0.0.1:0" flag:"metrics-address" usage:"listener for /metrics, /healthz and /readyz, as IP:port"`
+	TraceFile      string        `env:"BLUEBELL_TRACE_FILE" flag:"trace-file" usage:"file for trace spans; empty is off and - is standard output"`
+	LogLevel       zapcore.Level `env:"BLUEBELL_LOG_LEVEL" envDefault:"info" flag:"log-level" usage:"least severe level that is logged: debug, info, warn or error"`
+	StopBound      time.Duration `env:"BLUEBELL_STOP_BOUND" envDefault:"10m" flag:"stop-bound" usage:"longest time that a graceful shutdown waits for requests in flight"`
+	BalancerWait   time.Duration `env:"BLUEBELL_BALANCER_WAIT" envDefault:"5s" flag:"balancer-wait" usage:"time between readiness off and the closing of listeners"`
+}
+
+// Gate are the settings of bluebell-gate.
+type Gate struct {
+	Common
+	CallerAddress string `env:"BLUEBELL_CALLER_ADDRESS" envDefault:"127.0.0.1:8080" flag:"caller-address" usage:"listener of the callers' API, as IP:port"`
+}
+
+// Dispatcher are the settings of bluebell-dispatcher.
+type Dispatcher struct {
+	Common
+	PeerAddress string `env:"BLUEBELL_PEER_ADDRESS" envDefault:"127.0.0.1:7070" flag:"peer-address" usage:"listener for peers, as IP:port; the host list names the same address"`
+}
+
+// Controller are the settings of bluebell-controller.
+type Controller struct {
+	Common
+	OperatorAddress string `env:"BLUEBELL_OPERATOR_ADDRESS" envDefault:"127.0.0.1:8090" flag:"operator-address" usage:"listener of the operators' API, as IP:port"`
+	PeerAddress     string `env:"BLUEBELL_CONTROLLER_PEER_ADDRESS" envDefault:"127.0.0.1:7071" flag:"peer-address" usage:"listener for peers, as IP:port"`
+}
+
+// LoadGate reads the settings of bluebell-gate. args excludes the program
+// name. Errors are a *HelpError or a *InvalidError.
+func LoadGate(args, environ []string) (Gate, error) {
+	var s Gate
+	if err := load("bluebell-gate", &s, args, environ); err != nil {
+		return Gate{}, err
+	}
+	return s, checkAll(checkCommon(&s.Common), checkListener("--caller-address", s.CallerAddress))
+}
+
+// LoadDispatcher reads the settings of bluebell-dispatcher, like LoadGate.
+func LoadDispatcher(args, environ []string) (Dispatcher, error) {
+	var s Dispatcher
+	if err := load("bluebell-dispatcher", &s, args, environ); err != nil {
+		return Dispatcher{}, err
+	}
+	return s, checkAll(checkCommon(&s.Common), checkListener("--peer-address", s.PeerAddress))
+}
+
+// LoadController reads the settings of bluebell-controller, like LoadGate.
+func LoadController(args, environ []string) (Controller, error) {
+	var s Controller
+	if err := load("bluebell-controller", &s, args, environ); err != nil {
+		return Controller{}, err
+	}
+	return s, checkAll(
+		checkCommon(&s.Common),
+		checkURL("--weight-store-url", "BLUEBELL_WEIGHT_STORE_URL", s.WeightStoreURL),
+		checkListener("--operator-address", s.OperatorAddress),
+		checkListener("--peer-address", s.PeerAddress),
+	)
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,112 @@
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap/zapcore"
+)
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "settings")
+}
+
+const testKey = "0123456789abcdef-peer"
+
+func environ(more ...string) []string {
+	return append([]string{
+		"BLUEBELL_HOST=entry-1",
+		"BLUEBELL_FAILURE_DOMAIN=kiln-a",
+		"BLUEBELL_LOG_URL=http://127.0.0.1:9000",
+		"BLUEBELL_HOST_LIST_URL=http://127.0.0.1:9001",
+		"BLUEBELL_WEIGHT_STORE_URL=http://127.0.0.1:9002",
+		"BLUEBELL_PEER_KEY=" + testKey,
+	}, more...)
+}
+
+var _ = Describe("Load", func() {
+	It("prefers flags to the environment and the environment to defaults", func() {
+		s, err := LoadGate([]string{"--host", "entry-2", "--stop-bound=30s", "--log-level", "warn"},
+			environ("BLUEBELL_STOP_BOUND=40s", "BLUEBELL_BALANCER_WAIT=1s"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(s.Host)).To(Equal("entry-2"))
+		Expect(string(s.FailureDomain)).To(Equal("kiln-a"))
+		Expect(s.StopBound).To(Equal(30 * time.Second))
+		Expect(s.BalancerWait).To(Equal(time.Second))
+		Expect(s.LogLevel).To(Equal(zapcore.WarnLevel))
+		Expect(s.CallerAddress).To(Equal("127.0.0.1:8080"))
+	})
+	It("loads every binary", func() {
+		d, err := LoadDispatcher([]string{"--peer-address", "10.0.0.1:7070"}, environ())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.PeerAddress).To(Equal("10.0.0.1:7070"))
+		c, err := LoadController([]string{"--operator-address", "[::1]:1"}, environ())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.OperatorAddress).To(Equal("[::1]:1"))
+	})
+	It("reads the peer key from a file", func() {
+		file := filepath.Join(GinkgoT().TempDir(), "key")
+		Expect(os.WriteFile(file, []byte(testKey+"\n"), 0o600)).To(Succeed())
+		s, err := LoadGate([]string{"--peer-key-file", file}, environ("BLUEBELL_PEER_KEY="))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.PeerKey).To(Equal(testKey))
+	})
+	DescribeTable("refuses bad settings with one line and exit code 2",
+		func(args []string, more []string, want string) {
+			_, err := LoadController(args, environ(more...))
+			Expect(err).To(BeAssignableToTypeOf(&InvalidError{}))
+			var stdout, stderr bytes.Buffer
+			Expect(report(err, &stdout, &stderr)).To(Equal(ExitBadSettings))
+			Expect(stdout.String()).To(BeEmpty())
+			Expect(stderr.String()).To(MatchRegexp(`^[^\n]*` + want + `[^\n]*\n$`))
+		},
+		Entry("unknown flag", []string{"--colour", "blue"}, nil, "unknown flag --colour"),
+		Entry("short flag", []string{"-x"}, nil, `unexpected argument "-x"`),
+		Entry("positional", []string{"start"}, nil, `unexpected argument "start"`),
+		Entry("flag without value", []string{"--host"}, nil, "--host needs a value"),
+		Entry("host by name", []string{"--operator-address", "localhost:1"}, nil, "must be an IP number"),
+		Entry("URL by name", []string{"--log-url", "http://log:1"}, nil, "must be an IP number"),
+		Entry("URL without scheme", []string{"--log-url", "127.0.0.1:1"}, nil, "--log-url"),
+		Entry("bad duration flag", []string{"--stop-bound", "soon"}, nil, "soon"),
+		Entry("bad duration variable", nil, []string{"BLUEBELL_STOP_BOUND=soon"}, "soon"),
+		Entry("zero bound", []string{"--stop-bound", "0s"}, nil, "--stop-bound 0s"),
+		Entry("bad level", []string{"--log-level", "loud"}, nil, "loud"),
+		Entry("no host", nil, []string{"BLUEBELL_HOST="}, "--host is missing"),
+		Entry("no domain", nil, []string{"BLUEBELL_FAILURE_DOMAIN="}, "--failure-domain is missing"),
+		Entry("bad host", []string{"--host", "a b"}, nil, "--host"),
+		Entry("no weight store", nil, []string{"BLUEBELL_WEIGHT_STORE_URL="}, "--weight-store-url is missing"),
+		Entry("no peer key", nil, []string{"BLUEBELL_PEER_KEY="}, "peer key is missing"),
+		Entry("short peer key", nil, []string{"BLUEBELL_PEER_KEY=abc"}, "at least 16"),
+		Entry("peer key as flag", []string{"--peer-key", testKey}, nil, "unknown flag --peer-key"),
+	)
+	It("prints flag, variable and default of every setting for --help", func() {
+		_, err := LoadGate([]string{"--help"}, nil)
+		var stdout, stderr bytes.Buffer
+		Expect(report(err, &stdout, &stderr)).To(Equal(ExitOK))
+		Expect(stderr.String()).To(BeEmpty())
+		for _, f := range fieldsOf(&Gate{}) {
+			Expect(stdout.String()).To(ContainSubstring(f.variable))
+			Expect(stdout.String()).To(ContainSubstring(f.standard))
+			if f.flag != "" {
+				Expect(stdout.String()).To(ContainSubstring("--" + f.flag))
+			}
+		}
+	})
+	It("leaves the secrets out of the printed settings", func() {
+		s, err := LoadGate(nil, environ())
+		Expect(err).NotTo(HaveOccurred())
+		enc := zapcore.NewMapObjectEncoder()
+		for _, f := range Fields(&s) {
+			f.AddTo(enc)
+		}
+		Expect(enc.Fields).To(HaveKeyWithValue("BLUEBELL_CALLER_ADDRESS", "127.0.0.1:8080"))
+		Expect(fmt.Sprint(enc.Fields)).NotTo(ContainSubstring(testKey))
+	})
+})
