--- /dev/null
+++ b/internal/observe/generate.go
@@ -0,0 +1,3 @@
+package observe
+
+//go:generate go run ./gen ../../docs/metrics.md
