--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -25,24 +25,20 @@
 	target  tables.TargetID
 	started bool
 	// reason is why a cancel was sent; empty without one.
-	reason   errkind.Kind
-	chunks   []target.Chunk
-	tokens   int
-	outcome  *peer.Finished
-	listener *peer.Conn
-	release  func()
-	// orphaned is when the listener's connection broke; zero otherwise.
+	reason  errkind.Kind
+	chunks  []target.Chunk
+	tokens  int
+	outcome *peer.Finished
+	// listeners are the connections that get the answer, with the function
+	// that ends the watch on each.
+	listeners map[*peer.Conn]func()
+	// orphaned is when the last listener's connection broke; zero otherwise.
 	orphaned time.Time
 	traceID  string
-	stop     context.CancelFunc
 }
 
 // listen sends the answer from a token offset on to conn.
 func (d *Dispatcher) listen(j *job, conn *peer.Conn, offset int) {
-	d.unlisten(j)
-	j.listener = conn
-	j.release = conn.Hold()
-	j.orphaned = time.Time{}
 	if j.started {
 		conn.Post(peer.NotifyStarted, peer.Started{ID: j.msg.ID, Target: j.target})
 	}
@@ -53,34 +49,49 @@
 	}
 	if j.outcome != nil {
 		conn.Post(peer.NotifyFinished, *j.outcome)
-		d.unlisten(j)
 		return
 	}
+	j.orphaned = time.Time{}
+	if j.listeners[conn] != nil {
+		return
+	}
+	if j.listeners == nil {
+		j.listeners = make(map[*peer.Conn]func())
+	}
+	j.listeners[conn] = conn.Hold()
 	go d.watchListener(j, conn)
 }
 
-func (d *Dispatcher) unlisten(j *job) {
-	if j.release != nil {
-		j.release()
+// unlisten forgets every listener of j.
+func (j *job) unlisten() {
+	for _, release := range j.listeners {
+		release()
 	}
-	j.listener = nil
-	j.release = nil
+	j.listeners = nil
 }
 
-// watchListener marks j as orphaned when its connection breaks. The request
-// goes on: its gate may attach again, or the caller may look the answer up.
+// watchListener marks j as orphaned when its last connection breaks. The
+// request goes on: its gate may attach again, or the caller may look the
+// answer up.
 func (d *Dispatcher) watchListener(j *job, conn *peer.Conn) {
 	select {
 	case <-d.ctx.Done():
 		return
 	case <-conn.Done():
 	}
-	d.post(func() {
-		if j.listener == conn {
-			d.unlisten(j)
-			j.orphaned = d.Clock.Now()
-		}
-	})
+	d.post(func() { d.loseListener(j, conn) })
+}
+
+func (d *Dispatcher) loseListener(j *job, conn *peer.Conn) {
+	release, ok := j.listeners[conn]
+	if !ok {
+		return
+	}
+	release()
+	delete(j.listeners, conn)
+	if len(j.listeners) == 0 {
+		j.orphaned = d.Clock.Now()
+	}
 }
 
 // dropOrphans refuses queued requests whose gate did not come back.
@@ -94,8 +105,8 @@
 }
 
 func (j *job) notify(method string, params any) {
-	if j.listener != nil {
-		j.listener.Post(method, params)
+	for conn := range j.listeners {
+		conn.Post(method, params)
 	}
 }
 
@@ -130,10 +141,7 @@
 	f.Pool = d.summary()
 	j.outcome = &f
 	j.notify(peer.NotifyFinished, f)
-	d.unlisten(j)
-	if j.stop != nil {
-		j.stop()
-	}
+	j.unlisten()
 	d.logFinished(j, f)
 	d.record(j, f)
 }
--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -16,6 +16,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/systems/settle"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
@@ -39,6 +40,10 @@
 
 // start hands j to the adapter of its target. It runs on the owning goroutine.
 func (d *Dispatcher) start(j *job, id tables.TargetID) {
+	if d.abandoned(j) {
+		d.finish(j, peer.Finished{Kind: errkind.CancelledBeforeRun, Detail: "the gate of the request is gone"})
+		return
+	}
 	j.started = true
 	j.target = id
 	at, ok := d.locate(id)
@@ -57,6 +62,12 @@
 	d.spawn(func() { defer span.End(); d.runModel(ctx, j, at) })
 }
 
+// abandoned reports whether the gate may already have settled j as not run,
+// because the dispatcher was out of its reach for too long.
+func (d *Dispatcher) abandoned(j *job) bool {
+	return !j.orphaned.IsZero() && d.Clock.Now().Sub(j.orphaned) >= settle.SendLease
+}
+
 // spawn runs f beside the owning goroutine; Run waits for it at the end.
 func (d *Dispatcher) spawn(f func()) {
 	d.running.Add(1)
--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -91,7 +91,8 @@
 
 func (d *Dispatcher) lookup(ctx context.Context, _ *peer.Conn, q peer.Lookup) (peer.Outcome, error) {
 	return ask(ctx, d, func() peer.Outcome {
-		if j := d.known(q.ID); j != nil {
+		j := d.known(q.ID)
+		if j != nil && (q.Customer == "" || q.Customer == j.msg.Customer) {
 			return d.outcomeOf(j)
 		}
 		return peer.Outcome{ID: q.ID}
--- a/internal/dispatcher/targets.go
+++ b/internal/dispatcher/targets.go
@@ -70,21 +70,7 @@
 	row.Drained = t.Drained
 	row.WindowMin = orDefault(t.WindowMin, defaultWindowMin)
 	row.WindowMax = orDefault(t.WindowMax, defaultWindowMax)
-	row.Speed = SpeedOf(doc, t)
-}
-
-// SpeedOf returns the nominal speed of a target by its hardware generation.
-func SpeedOf(doc *config.Document, t config.Target) tables.Speed {
-	g := doc.Generations[t.Generation]
-	return tables.Speed{
-		PrefillTokensPerSecond: g.PrefillTokensPerSecond,
-		Step:                   millis(g.StepMillis),
-		StepPerSequence:        millis(g.StepMillisPerSequence),
-	}
-}
-
-func millis(ms float64) time.Duration {
-	return time.Duration(ms * float64(time.Millisecond))
+	row.Speed = doc.Generations[t.Generation].Speed()
 }
 
 func orDefault(v, d int) int {
--- /dev/null
+++ b/internal/gate/begin.go
@@ -0,0 +1,175 @@
+package gate
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/event"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/systems/claim"
+	"github.com/bluebellseam/bluebellseam/internal/systems/route"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+	"go.uber.org/zap"
+)
+
+const (
+	// claimTimeout bounds the wait for the home of a key.
+	claimTimeout = 5 * time.Second
+	// recordTimeout bounds the recording of an outcome.
+	recordTimeout = 10 * time.Second
+)
+
+// begin starts a, or joins the request that holds its key. The flight that it
+// returns has the answer.
+func (g *Gate) begin(ctx context.Context, a ask) (*flight, error) {
+	adm, err := g.admit(ctx, a)
+	if err != nil {
+		return nil, err
+	}
+	if a.key == "" {
+		return g.launch(adm.msg, adm.choices), nil
+	}
+	return g.beginKeyed(ctx, adm)
+}
+
+// launch opens a flight and drives it.
+func (g *Gate) launch(msg peer.Submit, choices []route.Choice) *flight {
+	f := newFlight(g, msg)
+	g.register(f)
+	go g.drive(f, choices)
+	return f
+}
+
+func (g *Gate) beginKeyed(ctx context.Context, adm admitted) (*flight, error) {
+	result, err := g.acquire(ctx, adm)
+	if err != nil {
+		return nil, err
+	}
+	if result.Won {
+		return g.launchKeyed(adm), nil
+	}
+	event.ClaimLost.Log(g.Logger, zap.String("request", string(adm.msg.ID)), zap.String("holder", string(result.Holder)))
+	return g.joinHolder(ctx, adm.msg, result)
+}
+
+// acquire asks the home of the key for the right to dispatch. No error of it
+// lets the request run.
+func (g *Gate) acquire(ctx context.Context, adm admitted) (peer.AcquireResult, error) {
+	msg := adm.msg
+	var result peer.AcquireResult
+	conn, err := g.claimHome(ctx, msg)
+	if err != nil {
+		return result, errkind.Wrap(err, errkind.ClaimsUnavailable, "the home of the key is out of reach")
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	err = conn.Call(ctx, peer.MethodAcquire, peer.Acquire{
+		Customer: msg.Customer, Service: msg.Service, Key: msg.Key, Request: msg.ID,
+		Fingerprint: msg.Fingerprint, Lifetime: adm.lifetime, TargetsDigest: claim.TargetsDigest(targetsOf(adm.choices)),
+	}, &result)
+	if err != nil {
+		return result, errkind.Wrap(err, errkind.ClaimsUnavailable, "the home of the key did not answer")
+	}
+	if result.Kind != errkind.None {
+		return result, &errkind.Error{Kind: result.Kind, Detail: result.Detail, RetryAfter: result.RetryAfter}
+	}
+	return result, nil
+}
+
+func (g *Gate) claimHome(ctx context.Context, msg peer.Submit) (*peer.Conn, error) {
+	shard := claim.ShardOf(msg.Customer, msg.Service, msg.Key, g.ClaimShards)
+	home := g.Membership.ClaimHome(shard)
+	address, ok := g.address(home)
+	if !ok {
+		return nil, fmt.Errorf("host %q, home of claim shard %d, has no address", home, shard)
+	}
+	return g.Peers.Get(ctx, address)
+}
+
+func targetsOf(choices []route.Choice) []tables.TargetID {
+	var out []tables.TargetID
+	for _, c := range choices {
+		out = append(out, c.Targets...)
+	}
+	return out
+}
+
+// launchKeyed drives the request that won its key and records a proof of "not
+// run", so that the key is free again.
+func (g *Gate) launchKeyed(adm admitted) *flight {
+	f := newFlight(g, adm.msg)
+	g.register(f)
+	go func() {
+		g.drive(f, adm.choices)
+		g.recordRefusal(f)
+	}()
+	return f
+}
+
+func (g *Gate) recordRefusal(f *flight) {
+	end := f.since(0).outcome
+	if end == nil || end.Kind.Answer().Ran != errkind.RanNo {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(g.ctx), recordTimeout)
+	defer cancel()
+	conn, err := g.claimHome(ctx, f.msg)
+	if err != nil {
+		return
+	}
+	_ = conn.Call(ctx, peer.MethodRecord, peer.Record{
+		Customer: f.msg.Customer, Service: f.msg.Service, Key: f.msg.Key,
+		Outcome: peer.Outcome{ID: f.id, Known: true, Done: true, Kind: end.Kind, Detail: end.Detail},
+	}, nil)
+}
+
+// joinHolder returns the flight of the request that holds the key: the one of
+// this gate, the recorded outcome, or the stream of its dispatcher.
+func (g *Gate) joinHolder(ctx context.Context, msg peer.Submit, result peer.AcquireResult) (*flight, error) {
+	if f := g.find(result.Holder); f != nil {
+		return f, nil
+	}
+	f := newFlight(g, msg)
+	f.id = result.Holder
+	if o := result.Outcome; o != nil && o.Done && (o.BodyKept || o.Kind != errkind.None) {
+		f.setOutcome(*o)
+		return f, nil
+	}
+	return g.joinStream(ctx, f)
+}
+
+// joinStream attaches to the dispatcher that runs, or ran, the holder.
+func (g *Gate) joinStream(ctx context.Context, f *flight) (*flight, error) {
+	for _, h := range g.Membership.Live() {
+		conn, err := g.Peers.Get(ctx, h.PeerAddress)
+		if err != nil {
+			continue
+		}
+		var o peer.Outcome
+		if err := conn.Call(ctx, peer.MethodLookup, peer.Lookup{ID: f.id}, &o); err != nil || !o.Known {
+			continue
+		}
+		f.msg.ID = f.id
+		g.register(f)
+		go g.driveJoined(f, conn)
+		return f, nil
+	}
+	return nil, errkind.New(errkind.OutcomeUnknown, fmt.Sprintf("request %s holds the key and no host knows its outcome", f.id))
+}
+
+func (g *Gate) driveJoined(f *flight, conn *peer.Conn) {
+	defer g.unregister(f)
+	if !g.attachAndFollow(f, conn, "") {
+		f.finish(peer.Finished{Kind: errkind.OutcomeUnknown, Detail: "the dispatcher of the request was lost", Sent: true})
+	}
+}
+
+// setOutcome fills a flight from a recorded outcome.
+func (f *flight) setOutcome(o peer.Outcome) {
+	if len(o.Body) > 0 && !f.msg.Plain {
+		f.onChunk(chunkOf(o))
+	}
+	f.finish(peer.Finished{Kind: o.Kind, Detail: o.Detail, Target: o.Target, Status: o.Status, Body: o.Body})
+}
--- /dev/null
+++ b/internal/gate/drive.go
@@ -0,0 +1,174 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/event"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/systems/route"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+// cancelTimeout bounds a cancel that nobody waits for.
+const cancelTimeout = 5 * time.Second
+
+// end is how one attempt with a dispatcher ended.
+type end int
+
+const (
+	// ended: the flight has its outcome.
+	ended end = iota
+	// notSent: no target can have got the request; another may be tried.
+	notSent
+	// lost: the dispatcher is out of reach and the request may have been sent.
+	lost
+)
+
+// drive takes a flight to its outcome.
+func (g *Gate) drive(f *flight, choices []route.Choice) {
+	defer g.unregister(f)
+	refusal := peer.Finished{Kind: errkind.NoTarget, Detail: "no live target serves this service"}
+	var tried []tables.TargetID
+	for _, c := range choices {
+		if f.callerLeft() {
+			refusal = peer.Finished{Kind: errkind.CancelledBeforeRun}
+			break
+		}
+		switch g.attempt(f, c, &refusal) {
+		case ended:
+			return
+		case lost:
+			g.settle(f, c, append(tried, c.Targets...))
+			return
+		case notSent:
+		}
+	}
+	f.finish(refusal)
+}
+
+// attempt hands f to one dispatcher and follows it there.
+func (g *Gate) attempt(f *flight, c route.Choice, refusal *peer.Finished) end {
+	address, ok := g.address(c.Owner)
+	if !ok {
+		return notSent
+	}
+	conn, err := g.Peers.Get(g.ctx, address)
+	if err != nil {
+		return notSent
+	}
+	msg := f.aged(g.Clock.Now())
+	msg.Allowed = c.Targets
+	f.update(func() { f.verdict = nil })
+	var result peer.SubmitResult
+	if err := conn.Call(g.ctx, peer.MethodSubmit, msg, &result); err != nil {
+		return lost
+	}
+	g.pools.update(c.Owner, result.Pool, g.Clock.Now())
+	if result.Kind != errkind.None {
+		*refusal = worse(*refusal, peer.Finished{Kind: result.Kind, Detail: result.Detail, RetryAfter: result.RetryAfter})
+		return notSent
+	}
+	g.pools.sent(c.Targets)
+	how := g.follow(f, conn, refusal)
+	if v := f.since(0).verdict; v != nil {
+		g.pools.update(c.Owner, v.Pool, g.Clock.Now())
+	}
+	return how
+}
+
+// aged returns the message of f with its times as of now.
+func (f *flight) aged(now time.Time) peer.Submit {
+	msg := f.msg
+	waited := now.Sub(f.arrived) - msg.Age
+	msg.Age += waited
+	msg.FirstTokenIn -= waited
+	msg.DueIn -= waited
+	return msg
+}
+
+// worse keeps the refusal that says most: the first one that is not about the
+// state of a host.
+func worse(old, next peer.Finished) peer.Finished {
+	if old.Kind == errkind.NoTarget || old.Kind == errkind.ShuttingDown || old.Kind == errkind.NotAdmitted {
+		return next
+	}
+	return old
+}
+
+// follow waits on one dispatcher until the request ends there.
+func (g *Gate) follow(f *flight, conn *peer.Conn, refusal *peer.Finished) end {
+	defer conn.Hold()()
+	left := f.left
+	for {
+		p := f.since(0)
+		switch {
+		case p.verdict != nil && f.retryable(p):
+			*refusal = worse(*refusal, *p.verdict)
+			return notSent
+		case p.verdict != nil && f.complete(p):
+			f.finish(*p.verdict)
+			return ended
+		case p.verdict != nil, p.gap:
+			return lost
+		}
+		select {
+		case <-p.changed:
+		case <-conn.Done():
+			return g.lostUnlessEnded(f)
+		case <-left:
+			left = nil
+			go g.sendCancel(conn, f.id)
+		case <-g.ctx.Done():
+			return lost
+		}
+	}
+}
+
+// retryable reports whether the verdict allows another dispatcher: the request
+// did not run and no byte can have reached a target.
+func (f *flight) retryable(p progress) bool {
+	v := p.verdict
+	if v.Sent || v.Kind.Answer().Ran != errkind.RanNo || f.callerLeft() {
+		return false
+	}
+	return v.Kind != errkind.Quarantined && v.Kind != errkind.CancelledBeforeRun
+}
+
+// complete reports whether every part of the answer that the verdict speaks of
+// has arrived.
+func (f *flight) complete(p progress) bool {
+	return p.verdict.Kind != errkind.None || f.msg.Plain || p.tokens == p.verdict.Tokens
+}
+
+// lostUnlessEnded looks once more, since the last messages of a connection may
+// have arrived just before it broke.
+func (g *Gate) lostUnlessEnded(f *flight) end {
+	p := f.since(0)
+	if p.verdict != nil && f.complete(p) && !f.retryable(p) {
+		f.finish(*p.verdict)
+		return ended
+	}
+	event.DispatcherLost.Log(g.Logger, zap.String("request", string(f.id)))
+	return lost
+}
+
+func (g *Gate) sendCancel(conn *peer.Conn, id tables.RequestID) {
+	ctx, cancel := context.WithTimeout(g.ctx, cancelTimeout)
+	defer cancel()
+	var result peer.CancelResult
+	_ = conn.Call(ctx, peer.MethodCancel, peer.CancelRequest{ID: id}, &result)
+}
+
+// address returns the peer address of a live host.
+func (g *Gate) address(host tables.HostID) (string, bool) {
+	for _, h := range g.Membership.Live() {
+		if h.ID == host {
+			return h.PeerAddress, h.PeerAddress != ""
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/gate/flight.go
@@ -0,0 +1,214 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+	"github.com/bluebellseam/bluebellseam/internal/target"
+)
+
+// flight is one open request. Its driver goroutine talks to dispatchers; any
+// number of readers follow the answer.
+type flight struct {
+	g       *Gate
+	id      tables.RequestID
+	msg     peer.Submit
+	arrived time.Time
+	keyed   bool
+
+	mu      sync.Mutex
+	changed chan struct{}
+	target  tables.TargetID
+	chunks  []target.Chunk
+	tokens  int
+	// verdict is the end that a dispatcher gave; the driver makes it the
+	// outcome or tries another dispatcher.
+	verdict *peer.Finished
+	outcome *peer.Finished
+	// gap is set when a part of the answer did not arrive.
+	gap     bool
+	readers int
+	// left is closed when the last reader of an unkeyed request is gone.
+	left chan struct{}
+}
+
+func newFlight(g *Gate, msg peer.Submit) *flight {
+	return &flight{
+		g:       g,
+		id:      msg.ID,
+		msg:     msg,
+		arrived: g.Clock.Now().Add(-msg.Age),
+		keyed:   msg.Key != "",
+		changed: make(chan struct{}),
+		left:    make(chan struct{}),
+	}
+}
+
+// update changes the flight and wakes everyone who waits on it.
+func (f *flight) update(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *flight) onStarted(s peer.Started) {
+	f.update(func() { f.target = s.Target })
+}
+
+// onChunk appends c when it continues the answer. A part that is already here
+// is dropped, and a part from further on marks a gap.
+func (f *flight) onChunk(c target.Chunk) {
+	f.update(func() {
+		switch {
+		case f.outcome != nil || c.Offset < f.tokens:
+		case c.Offset > f.tokens:
+			f.gap = true
+		default:
+			f.chunks = append(f.chunks, c)
+			f.tokens += c.Tokens
+		}
+	})
+}
+
+func (f *flight) onFinished(end peer.Finished) {
+	f.update(func() { f.verdict = &end })
+}
+
+// finish sets the outcome; the first one stands.
+func (f *flight) finish(end peer.Finished) {
+	end.ID = f.id
+	f.update(func() {
+		if f.outcome == nil {
+			end.Tokens = f.tokens
+			if end.Target == "" {
+				end.Target = f.target
+			}
+			f.outcome = &end
+		}
+	})
+}
+
+// progress is a consistent view of a flight.
+type progress struct {
+	chunks  []target.Chunk
+	tokens  int
+	target  tables.TargetID
+	verdict *peer.Finished
+	outcome *peer.Finished
+	gap     bool
+	changed <-chan struct{}
+}
+
+// since returns the state of the flight with the chunks from index on.
+func (f *flight) since(index int) progress {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return progress{
+		chunks:  f.chunks[index:],
+		tokens:  f.tokens,
+		target:  f.target,
+		verdict: f.verdict,
+		outcome: f.outcome,
+		gap:     f.gap,
+		changed: f.changed,
+	}
+}
+
+// join adds a reader; the returned function takes it away.
+func (f *flight) join() (leave func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readers++
+	return f.leave
+}
+
+func (f *flight) leave() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readers--
+	if f.readers == 0 && !f.keyed && f.outcome == nil {
+		close(f.left)
+	}
+}
+
+// callerLeft reports whether nobody waits for the answer.
+func (f *flight) callerLeft() bool {
+	select {
+	case <-f.left:
+		return true
+	default:
+		return false
+	}
+}
+
+// wait blocks until the flight has an outcome and returns it.
+func (f *flight) wait(ctx context.Context) (peer.Finished, error) {
+	for {
+		p := f.since(0)
+		if p.outcome != nil {
+			return *p.outcome, nil
+		}
+		select {
+		case <-p.changed:
+		case <-ctx.Done():
+			return peer.Finished{}, ctx.Err()
+		}
+	}
+}
+
+// whole returns the answer of a finished model request as one text.
+func (f *flight) whole() []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var b []byte
+	for _, c := range f.chunks {
+		b = append(b, c.Text...)
+	}
+	return b
+}
+
+// error converts a refusal or failure to an error of its kind, or nil.
+func finishedError(end peer.Finished) error {
+	if end.Kind == errkind.None {
+		return nil
+	}
+	return &errkind.Error{Kind: end.Kind, Detail: end.Detail, RetryAfter: end.RetryAfter}
+}
+
+// register makes f reachable for notifications and counts it as open.
+func (g *Gate) register(f *flight) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.flights[f.id] = f
+	g.inFlight[f.msg.Customer]++
+	g.open.Add(1)
+}
+
+func (g *Gate) unregister(f *flight) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.flights, f.id)
+	g.inFlight[f.msg.Customer]--
+	if g.inFlight[f.msg.Customer] == 0 {
+		delete(g.inFlight, f.msg.Customer)
+	}
+	g.kept.Add(f.id, f)
+	g.open.Done()
+}
+
+// find returns the flight of id, open or kept, or nil.
+func (g *Gate) find(id tables.RequestID) *flight {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if f := g.flights[id]; f != nil {
+		return f
+	}
+	f, _ := g.kept.Get(id)
+	return f
+}
--- /dev/null
+++ b/internal/gate/settle.go
@@ -0,0 +1,202 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/systems/route"
+	"github.com/bluebellseam/bluebellseam/internal/systems/settle"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+	"github.com/bluebellseam/bluebellseam/internal/target"
+)
+
+// Bounds on the questions about a lost dispatcher's request.
+const (
+	askTimeout = 3 * time.Second
+	askPause   = 200 * time.Millisecond
+	// reattachAttempts bounds the new connections to a silent dispatcher.
+	reattachAttempts = 2
+)
+
+// settle finds the outcome of a request whose dispatcher is out of reach. The
+// request is never submitted again.
+func (g *Gate) settle(f *flight, c route.Choice, allowed []tables.TargetID) {
+	lostAt := g.Clock.Now()
+	if g.reattach(f, c.Owner) {
+		return
+	}
+	p := f.since(0)
+	facts := &settle.Facts{
+		Plain: f.msg.Plain, MayBeSent: true, Allowed: allowed,
+		Started: p.target, Offset: p.tokens, CallerLeft: f.callerLeft(),
+	}
+	for g.ctx.Err() == nil {
+		step := settle.Next(facts)
+		if step.Action == settle.Finish {
+			f.finish(peer.Finished{Kind: step.Kind, Detail: "the dispatcher of the request was lost", Sent: true})
+			return
+		}
+		if g.carryOut(f, c.Owner, facts, step, lostAt) {
+			return
+		}
+		facts.Offset = f.since(0).tokens
+	}
+	f.finish(peer.Finished{Kind: errkind.OutcomeUnknown, Detail: "the gate stopped", Sent: true})
+}
+
+// reattach asks the same dispatcher on new connections, since it may be only
+// the connection that was lost.
+func (g *Gate) reattach(f *flight, owner tables.HostID) bool {
+	for range reattachAttempts {
+		address, ok := g.address(owner)
+		if !ok {
+			return false
+		}
+		conn, err := g.Peers.Fresh(g.ctx, address)
+		if err != nil {
+			return false
+		}
+		if g.attachAndFollow(f, conn, "") {
+			return true
+		}
+	}
+	return false
+}
+
+// attachAndFollow reports whether the flight got its outcome over conn.
+func (g *Gate) attachAndFollow(f *flight, conn *peer.Conn, at tables.TargetID) bool {
+	f.update(func() {
+		f.verdict = nil
+		f.gap = false
+	})
+	result, err := g.attach(f, conn, at)
+	if err != nil || !result.Known {
+		return false
+	}
+	var refusal peer.Finished
+	switch g.follow(f, conn, &refusal) {
+	case ended:
+		return true
+	case notSent:
+		f.finish(refusal)
+		return true
+	case lost:
+	}
+	return false
+}
+
+func (g *Gate) attach(f *flight, conn *peer.Conn, at tables.TargetID) (peer.AttachResult, error) {
+	ctx, cancel := context.WithTimeout(g.ctx, askTimeout)
+	defer cancel()
+	var result peer.AttachResult
+	err := conn.Call(ctx, peer.MethodAttach, peer.Attach{ID: f.id, Target: at, Offset: f.since(0).tokens}, &result)
+	return result, err
+}
+
+// carryOut does one step and reports whether the flight has its outcome.
+func (g *Gate) carryOut(f *flight, avoid tables.HostID, facts *settle.Facts, step settle.Step, lostAt time.Time) bool {
+	switch step.Action {
+	case settle.Wait:
+		g.pauseUntil(lostAt.Add(settle.SendLease))
+		facts.SenderStopped = true
+	case settle.Cancel:
+		for _, id := range step.Targets {
+			g.askCancel(f, avoid, facts, id)
+		}
+	case settle.Resume, settle.Fetch:
+		for _, id := range step.Targets {
+			if g.askStream(f, avoid, facts, id) {
+				return true
+			}
+		}
+	case settle.Finish:
+	}
+	return false
+}
+
+func (g *Gate) pauseUntil(t time.Time) {
+	select {
+	case <-g.Clock.After(t.Sub(g.Clock.Now())):
+	case <-g.ctx.Done():
+	}
+}
+
+// askCancel leaves a tombstone at a target through another dispatcher.
+func (g *Gate) askCancel(f *flight, avoid tables.HostID, facts *settle.Facts, id tables.TargetID) {
+	conn := g.helper(avoid, f.id, facts.Account(id).Failures)
+	if conn == nil {
+		g.noAnswer(facts, id)
+		return
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, askTimeout)
+	defer cancel()
+	var result peer.CancelResult
+	q := peer.CancelRequest{ID: f.id, Targets: []tables.TargetID{id}}
+	if err := conn.Call(ctx, peer.MethodCancel, q, &result); err != nil {
+		g.noAnswer(facts, id)
+		return
+	}
+	facts.Heard(id, result.Progress)
+}
+
+// askStream asks for the answer at a target through another dispatcher and
+// reports whether the flight has its outcome.
+func (g *Gate) askStream(f *flight, avoid tables.HostID, facts *settle.Facts, id tables.TargetID) bool {
+	conn := g.helper(avoid, f.id, facts.Account(id).Failures)
+	if conn == nil {
+		g.noAnswer(facts, id)
+		return false
+	}
+	before := f.since(0).tokens
+	result, err := g.attach(f, conn, id)
+	switch {
+	case err != nil:
+		g.noAnswer(facts, id)
+	case result.Known:
+		return g.followTaken(f, conn, facts, id, before)
+	case f.msg.Plain:
+		facts.Heard(id, result.Progress)
+		g.pauseUntil(g.Clock.Now().Add(askPause))
+	default:
+		facts.HeardNoStream(id)
+	}
+	return false
+}
+
+// followTaken follows an answer that another dispatcher took over.
+func (g *Gate) followTaken(f *flight, conn *peer.Conn, facts *settle.Facts, id tables.TargetID, before int) bool {
+	var refusal peer.Finished
+	if g.follow(f, conn, &refusal) == ended {
+		return true
+	}
+	if f.since(0).tokens > before {
+		facts.Heard(id, target.InProgress)
+		return false
+	}
+	g.noAnswer(facts, id)
+	return false
+}
+
+func (g *Gate) noAnswer(facts *settle.Facts, id tables.TargetID) {
+	facts.HeardNothing(id)
+	g.pauseUntil(g.Clock.Now().Add(askPause))
+}
+
+// helper returns a connection to a live dispatcher other than the lost one,
+// another one after each failure.
+func (g *Gate) helper(avoid tables.HostID, id tables.RequestID, failures int) *peer.Conn {
+	hosts := g.Membership.Live()
+	start := len(id) + failures
+	for i := range hosts {
+		h := hosts[(start+i)%len(hosts)]
+		if h.ID == avoid || h.PeerAddress == "" {
+			continue
+		}
+		if conn, err := g.Peers.Get(g.ctx, h.PeerAddress); err == nil {
+			return conn
+		}
+	}
+	return nil
+}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -67,8 +67,8 @@
 	PromptTokens int               `json:"prompt_tokens,omitempty"`
 	Allowed      []tables.TargetID `json:"allowed"`
 	// Key is the idempotency key, if the caller gave one.
-	Key string `json:"key,omitempty"`
-	Trace        map[string]string `json:"trace,omitempty"`
+	Key   string            `json:"key,omitempty"`
+	Trace map[string]string `json:"trace,omitempty"`
 }
 
 // SubmitResult answers Submit.
@@ -139,6 +139,9 @@
 // Lookup asks what a host knows of a request.
 type Lookup struct {
 	ID tables.RequestID `json:"id"`
+	// Customer limits the answer to requests of this customer; empty for an
+	// operator or a peer.
+	Customer tables.CustomerID `json:"customer,omitempty"`
 }
 
 // Outcome is what a host knows of a request.
