Add the stand-ins and their HTTP clients

Cause: every later part needs a log, a host list, a weight store and targets to run against. Change: in-memory stand-ins with fault switches and records of their own, served over HTTP; clients whose errors tell 'nothing was sent' from 'outcome unknown'.

--- /dev/null
+++ b/internal/standin/endpoint/endpoint.go
@@ -0,0 +1,111 @@
+// Package endpoint serves a stand-in on a TCP address and fails it at the
+// network's level: refused connections, cut connections and connections that
+// stay silent for good.
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	// listenTimeout bounds the wait for a port that is in use.
+	listenTimeout = 3 * time.Second
+)
+
+// Endpoint is one listening address. Its methods may be called concurrently.
+type Endpoint struct {
+	handler http.Handler
+
+	mu      sync.Mutex
+	address string
+	server  *http.Server
+	conns   map[*conn]struct{}
+}
+
+// Listen serves handler on address; port 0 takes a free port.
+func Listen(address string, handler http.Handler) (*Endpoint, error) {
+	e := &Endpoint{handler: handler, address: address, conns: make(map[*conn]struct{})}
+	if err := e.Up(); err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+// Address returns host:port.
+func (e *Endpoint) Address() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.address
+}
+
+// URL returns the base URL.
+func (e *Endpoint) URL() string { return "http://" + e.Address() }
+
+// Up listens again after Down; it does nothing while listening.
+func (e *Endpoint) Up() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.server != nil {
+		return nil
+	}
+	// While the endpoint is down, a client socket may hold its port.
+	l, err := backoff.Retry(context.Background(), func() (net.Listener, error) {
+		return net.Listen("tcp", e.address)
+	}, backoff.WithMaxElapsedTime(listenTimeout))
+	if err != nil {
+		return fmt.Errorf("listen on %q: %w", e.address, err)
+	}
+	e.address = l.Addr().String()
+	e.server = &http.Server{Handler: e.handler, ReadHeaderTimeout: readHeaderTimeout}
+	go serve(e.server, &listener{Listener: l, endpoint: e})
+	return nil
+}
+
+func serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		panic(fmt.Sprintf("stand-in on %s: %v", l.Addr(), err))
+	}
+}
+
+// Down refuses new connections and cuts the open ones.
+func (e *Endpoint) Down() {
+	e.mu.Lock()
+	server := e.server
+	e.server = nil
+	e.mu.Unlock()
+	if server != nil {
+		server.Close()
+	}
+}
+
+// Silence makes every connection that is open now stay open and deliver
+// nothing more in either direction. New connections work.
+func (e *Endpoint) Silence() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for c := range e.conns {
+		c.silence()
+	}
+}
+
+// Connections counts the open connections.
+func (e *Endpoint) Connections() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.conns)
+}
+
+func (e *Endpoint) forget(c *conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.conns, c)
+}
--- /dev/null
+++ b/internal/standin/engine/stream.go
@@ -0,0 +1,109 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/bluebellseam/bluebellseam/internal/target"
+)
+
+const finishLength = "length"
+
+// view is the state of a dispatch at one moment.
+type view struct {
+	emitted      int
+	progress     target.Progress
+	cachedTokens int
+	lost         bool
+	changed      <-chan struct{}
+}
+
+func (e *Engine) view(d *dispatch) view {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return view{emitted: d.emitted, progress: d.progress, cachedTokens: d.cachedTokens, lost: d.lost, changed: d.changed}
+}
+
+// stream writes the answer of d from a token offset on, until it ends or the
+// reader leaves. The dispatch goes on either way.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, d *dispatch, offset int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flush(w)
+	for {
+		v := e.view(d)
+		if v.lost {
+			panic(http.ErrAbortHandler)
+		}
+		if done := writeProgress(w, d, v, &offset); done {
+			return
+		}
+		flush(w)
+		select {
+		case <-v.changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// writeProgress writes what v has beyond offset and reports whether the
+// stream is over.
+func writeProgress(w http.ResponseWriter, d *dispatch, v view, offset *int) bool {
+	whole := v.progress == target.Completed
+	if v.emitted > *offset || (whole && *offset >= v.emitted) {
+		writeEvent(w, textEvent(d, v, *offset, whole))
+		*offset = max(v.emitted, *offset)
+	}
+	switch v.progress {
+	case target.InProgress:
+		return false
+	case target.Completed:
+		fmt.Fprintf(w, "data: %s\n\n", target.DoneMarker)
+	case target.Cancelled:
+		writeEvent(w, errorEvent(d, target.CodeCancelled))
+	default:
+		writeEvent(w, errorEvent(d, target.CodeFailed))
+	}
+	return true
+}
+
+func textEvent(d *dispatch, v view, offset int, whole bool) target.CompletionEvent {
+	choice := target.CompletionChoice{Text: answerText(d.seed, offset, v.emitted)}
+	if whole {
+		reason := finishLength
+		choice.FinishReason = &reason
+	}
+	ev := target.CompletionEvent{
+		ID:      d.generation.ID,
+		Choices: []target.CompletionChoice{choice},
+		Offset:  offset,
+		Tokens:  max(v.emitted-offset, 0),
+	}
+	if offset == 0 {
+		ev.CachedTokens = v.cachedTokens
+	}
+	return ev
+}
+
+func errorEvent(d *dispatch, code string) target.CompletionEvent {
+	return target.CompletionEvent{
+		ID:    d.generation.ID,
+		Error: &target.CompletionError{Code: code, Message: "dispatch " + string(d.generation.ID)},
+	}
+}
+
+func writeEvent(w http.ResponseWriter, e target.CompletionEvent) {
+	data, err := json.Marshal(e)
+	if err != nil {
+		panic(fmt.Sprintf("event of dispatch %q: %v", e.ID, err))
+	}
+	fmt.Fprintf(w, "data: %s\n\n", data)
+}
+
+func flush(w http.ResponseWriter) {
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
--- /dev/null
+++ b/internal/target/engine_client.go
@@ -0,0 +1,152 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/bluebellseam/bluebellseam/internal/httpcall"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+// EngineClient is an Engine over HTTP.
+type EngineClient struct {
+	conns connections
+}
+
+var _ Engine = (*EngineClient)(nil)
+
+// NewEngineClient returns a client of the engine at address, host:port.
+func NewEngineClient(address string) *EngineClient {
+	return &EngineClient{conns: newConnections(address)}
+}
+
+// Close drops idle connections.
+func (e *EngineClient) Close() { e.conns.close() }
+
+// Generate starts a generation. The stream lives until ctx ends. Errors wrap
+// ErrNotAdmitted or ErrUnknown.
+func (e *EngineClient) Generate(ctx context.Context, g Generation) (Stream, error) {
+	body, err := json.Marshal(CompletionRequest{Model: g.Model, Adapter: g.Adapter, Prompt: g.Prompt, MaxTokens: g.MaxTokens, Stream: true})
+	if err != nil {
+		return nil, fmt.Errorf("generate %q: %w: %w", g.ID, ErrNotAdmitted, err)
+	}
+	s, err := openStream(ctx, e.conns.pooled, httpcall.Request{
+		Method: http.MethodPost,
+		URL:    e.conns.base + "/v1/completions",
+		Header: http.Header{"Content-Type": {"application/json"}, DispatchHeader: {string(g.ID)}},
+		Body:   body,
+	}, g.ID, 0)
+	if err != nil {
+		return nil, fmt.Errorf("generate %q: %w", g.ID, err)
+	}
+	return s, nil
+}
+
+// Resume continues the stream of a dispatch from a token offset on a new
+// connection and starts nothing. Errors wrap ErrNotAdmitted when the engine
+// does not know the dispatch, or ErrUnknown.
+func (e *EngineClient) Resume(ctx context.Context, id tables.RequestID, offset int) (Stream, error) {
+	s, err := openStream(ctx, e.conns.fresh, httpcall.Request{
+		Method: http.MethodGet,
+		URL:    e.dispatchURL(id) + "/stream?offset=" + strconv.Itoa(offset),
+	}, id, offset)
+	if err != nil {
+		return nil, fmt.Errorf("resume %q at %d: %w", id, offset, err)
+	}
+	return s, nil
+}
+
+// Cancel stops a dispatch and leaves a tombstone, on a new connection. Errors
+// wrap ErrUnknown.
+func (e *EngineClient) Cancel(ctx context.Context, id tables.RequestID) (Progress, error) {
+	p, err := postCancel(ctx, e.conns, e.dispatchURL(id)+"/cancel")
+	if err != nil {
+		return "", fmt.Errorf("cancel %q: %w", id, err)
+	}
+	return p, nil
+}
+
+// Load returns the latest load report. Errors wrap ErrUnknown.
+func (e *EngineClient) Load(ctx context.Context) (tables.LoadReport, error) {
+	var a LoadAnswer
+	if err := e.get(ctx, "/v1/load", &a); err != nil {
+		return tables.LoadReport{}, fmt.Errorf("load report: %w", err)
+	}
+	return tables.LoadReport{At: a.At, Running: a.Running, Waiting: a.Waiting, CacheTokens: a.CacheTokens}, nil
+}
+
+// CacheEvents returns the events after a sequence number. Errors wrap
+// ErrUnknown.
+func (e *EngineClient) CacheEvents(ctx context.Context, after int64) ([]CacheEvent, error) {
+	var a CacheEventsAnswer
+	if err := e.get(ctx, "/v1/cache/events?after="+strconv.FormatInt(after, 10), &a); err != nil {
+		return nil, fmt.Errorf("cache events after %d: %w", after, err)
+	}
+	return a.Events, nil
+}
+
+// Apply sends an order on a new connection. Errors wrap ErrFenced,
+// ErrNotAdmitted or ErrUnknown.
+func (e *EngineClient) Apply(ctx context.Context, o Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return fmt.Errorf("apply order %d: %w: %w", o.Fence, ErrNotAdmitted, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	resp, err := httpcall.Do(ctx, e.conns.fresh, httpcall.Request{
+		Method: http.MethodPut,
+		URL:    e.conns.base + "/v1/order",
+		Header: http.Header{"Content-Type": {"application/json"}},
+		Body:   body,
+	}, maxControlBytes)
+	if err != nil {
+		return fmt.Errorf("apply order %d: %w", o.Fence, sendError(err))
+	}
+	if resp.Status != http.StatusOK {
+		return fmt.Errorf("apply order %d: %w", o.Fence, refusal(resp))
+	}
+	return nil
+}
+
+// State reads back what the engine holds. Errors wrap ErrUnknown.
+func (e *EngineClient) State(ctx context.Context) (OrderState, error) {
+	var s OrderState
+	if err := e.get(ctx, "/v1/order", &s); err != nil {
+		return OrderState{}, fmt.Errorf("order state: %w", err)
+	}
+	return s, nil
+}
+
+func (e *EngineClient) get(ctx context.Context, path string, v any) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	resp, err := httpcall.Do(ctx, e.conns.pooled, httpcall.Request{Method: http.MethodGet, URL: e.conns.base + path}, maxControlBytes)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	return decode(resp, v)
+}
+
+func (e *EngineClient) dispatchURL(id tables.RequestID) string {
+	return e.conns.base + "/v1/dispatches/" + url.PathEscape(string(id))
+}
+
+// postCancel posts a cancel on a new connection and returns the target's word.
+func postCancel(ctx context.Context, conns connections, target string) (Progress, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	resp, err := httpcall.Do(ctx, conns.fresh, httpcall.Request{Method: http.MethodPost, URL: target}, maxControlBytes)
+	if err != nil {
+		return "", fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	var a ProgressAnswer
+	if err := decode(resp, &a); err != nil {
+		return "", fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	return a.Progress, nil
+}
