--- /dev/null
+++ b/cmd/bluebell-standin/main.go
@@ -0,0 +1,65 @@
+// Command bluebell-standin serves stand-ins of the platform and of targets,
+// for development only.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/bluebellseam/bluebellseam/internal/settings"
+	"github.com/bluebellseam/bluebellseam/internal/standin/process"
+)
+
+const (
+	defaultRetention        = time.Hour
+	defaultAppendsPerSecond = 300
+	defaultLag              = time.Second
+)
+
+func main() {
+	running, err := process.Start(parse())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(settings.ExitBadSettings)
+	}
+	defer running.Close()
+	printAddresses(running)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	<-stop
+}
+
+func parse() process.Options {
+	o := process.Options{Retention: defaultRetention, AppendsPerSecond: defaultAppendsPerSecond, Lag: defaultLag}
+	flaggy.SetName("bluebell-standin")
+	flaggy.SetDescription("Serves stand-ins of the platform and of targets, for development only.")
+	flaggy.SetVersion(settings.Version())
+	flaggy.String(&o.LogAddress, "", "log", "IP:port of the log service")
+	flaggy.String(&o.HostListAddress, "", "host-list", "IP:port of the host list")
+	flaggy.String(&o.ListingFile, "", "listing", "JSON file with the host list")
+	flaggy.String(&o.WeightStoreAddress, "", "weight-store", "IP:port of the weight store")
+	flaggy.StringSlice(&o.Engines, "", "engine", "a model engine as name=IP:port; may be repeated")
+	flaggy.StringSlice(&o.Plains, "", "plain", "a plain service as name=IP:port; may be repeated")
+	flaggy.Duration(&o.Retention, "", "retention", "how long the log keeps records")
+	flaggy.Float64(&o.AppendsPerSecond, "", "appends-per-second", "limit of the log; 0 is none")
+	flaggy.Duration(&o.Lag, "", "lag", "lag of the host list, load reports and cache events")
+	flaggy.Parse()
+	return o
+}
+
+func printAddresses(r *process.Running) {
+	names := make([]string, 0, len(r.Addresses))
+	for name := range r.Addresses {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		fmt.Printf("%s %s\n", name, r.Addresses[name])
+	}
+}
--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -83,7 +83,7 @@
 	e.server = nil
 	e.mu.Unlock()
 	if server != nil {
-		server.Close()
+		_ = server.Close()
 	}
 }
 
