Add member reports to heartbeats and an event for ignored records

Cause: an exchange between two hosts tells nothing about the others, so the loss of a host would be known only where it was tried; and a log record that the fold ignores left no trace. Conclusion: old messages still decode; the fields are empty until used.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -22,6 +22,7 @@
 	LogTruncated     = Event{1104, zapcore.WarnLevel, "log truncated under reader", "Records before the reader's offset are gone; the state is loaded from a snapshot."}
 	LogReachable     = Event{1105, zapcore.InfoLevel, "log reachable", "Reading the log works again."}
 	SnapshotAppended = Event{1106, zapcore.InfoLevel, "snapshot appended", "A configuration snapshot was appended before retention drops the older one."}
+	RecordIgnored    = Event{1107, zapcore.WarnLevel, "record ignored", "A log record cannot be read or is a snapshot that disagrees with the records before it; every host ignores it alike."}
 )
 
 // Membership, ownership and leases: 1200 to 1299.
@@ -62,7 +63,7 @@
 func Catalogue() []Event {
 	return []Event{
 		ProcessStarted, SettingsInForce, StopRequested, StopBoundPassed, ProcessStopped, ListenerFailed,
-		ConfigInForce, PatchRejected, LogUnreachable, LogTruncated, LogReachable, SnapshotAppended,
+		ConfigInForce, PatchRejected, LogUnreachable, LogTruncated, LogReachable, SnapshotAppended, RecordIgnored,
 		PeerUp, PeerDown, TargetLeaving, TargetOwned, TargetLost, LeaseTaken, LeaseLost, OrderSent, OrderRefused,
 		RequestRefused, RequestFinished, RequestUnknown, StreamResumed, StreamSilent, DispatcherLost, ClaimLost,
 		QuarantineAdded, QuarantineLifted, InvariantFailed,
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -193,6 +193,12 @@
 	ConfigVersion uint64               `json:"config_version"`
 	ConfigDigest  uint64               `json:"config_digest"`
 	Pool          []tables.PoolSummary `json:"pool,omitempty"`
+	// Sequence is raised to refute reports that the sender is down.
+	Sequence uint32 `json:"sequence,omitempty"`
+	// Reports are news about hosts.
+	Reports []tables.MemberReport `json:"reports,omitempty"`
+	// WantAll asks for a report on every host in the answer.
+	WantAll bool `json:"want_all,omitempty"`
 }
 
 // ConfigRequest asks a peer for its configuration.
