--- /dev/null
+++ b/internal/config/snapshot.go
@@ -0,0 +1,129 @@
+package config
+
+import (
+	"fmt"
+
+	"github.com/bluebellseam/bluebellseam/internal/platform"
+)
+
+// Snapshot returns the record that carries s.
+func (s State) Snapshot() Snapshot {
+	return Snapshot{Next: s.Next, Version: s.Version, Digest: s.Digest, Document: s.canonical, Decided: s.Decided}
+}
+
+// Restore returns the state that a snapshot carries, or an error when its
+// digest or its document is wrong.
+func Restore(snap Snapshot) (State, error) {
+	s, err := RestoreDocument(snap.Version, snap.Digest, snap.Document)
+	if err != nil {
+		return State{}, err
+	}
+	s.Next = snap.Next
+	s.Decided = snap.Decided
+	return s, nil
+}
+
+// RestoreDocument returns the state of a version without its place in the
+// log, or an error when digest or document is wrong.
+func RestoreDocument(v Version, digest uint64, document []byte) (State, error) {
+	doc, err := Parse(document)
+	if err != nil {
+		return State{}, err
+	}
+	if err := Validate(doc); err != nil {
+		return State{}, err
+	}
+	s, err := Empty().with(v, doc)
+	if err != nil {
+		return State{}, err
+	}
+	if s.Digest != digest {
+		return State{}, fmt.Errorf("configuration version %d has digest %016x, its source states %016x", v, s.Digest, digest)
+	}
+	return s, nil
+}
+
+func (s State) foldSnapshot(snap Snapshot) (State, Step) {
+	step := Step{Snapshot: &snap}
+	if snap.Recovery && snap.Version > s.Version {
+		return s.recover(snap)
+	}
+	if snap.Version == s.Version && snap.Digest != s.Digest {
+		step.Err = fmt.Errorf("snapshot of version %d has digest %016x, the fold has %016x", s.Version, snap.Digest, s.Digest)
+	}
+	if snap.Version > s.Version {
+		step.Err = fmt.Errorf("snapshot of version %d is ahead of the fold at version %d", snap.Version, s.Version)
+	}
+	return s, step
+}
+
+func (s State) recover(snap Snapshot) (State, Step) {
+	restored, err := Restore(snap)
+	if err != nil {
+		return s, Step{Snapshot: &snap, Err: err}
+	}
+	restored.Next = s.Next
+	return restored, Step{Snapshot: &snap}
+}
+
+// Scan searches the records that the log keeps for the state to start from.
+type Scan struct {
+	first platform.Offset
+	next  platform.Offset
+	// digests holds the digests stated for each version.
+	digests map[Version]map[uint64]bool
+	usable  []Snapshot
+}
+
+// NewScan returns a search from first, the oldest offset that the log keeps.
+func NewScan(first platform.Offset) *Scan {
+	return &Scan{first: first, next: first, digests: make(map[Version]map[uint64]bool)}
+}
+
+// Next is the offset of the next record to add.
+func (c *Scan) Next() platform.Offset { return c.next }
+
+// Add examines records in offset order.
+func (c *Scan) Add(records []platform.Record) {
+	for _, rec := range records {
+		c.next = rec.Offset + 1
+		content, err := DecodeRecord(rec.Data)
+		if err == nil && content.Snapshot != nil {
+			c.addSnapshot(rec.Offset, *content.Snapshot)
+		}
+	}
+}
+
+func (c *Scan) addSnapshot(at platform.Offset, snap Snapshot) {
+	if _, err := Restore(snap); err != nil {
+		return
+	}
+	if c.digests[snap.Version] == nil {
+		c.digests[snap.Version] = make(map[uint64]bool)
+	}
+	c.digests[snap.Version][snap.Digest] = true
+	if snap.Next >= c.first && snap.Next <= at {
+		c.usable = append(c.usable, snap)
+	}
+}
+
+// Start returns the state to fold on from: that of the highest version of
+// which all snapshots agree, and of the latest place in the log. A stream
+// that has lost nothing can also be folded from its first record. The
+// second result is false when there is no place to start.
+func (c *Scan) Start() (State, bool) {
+	best, found := Snapshot{}, false
+	for _, snap := range c.usable {
+		if len(c.digests[snap.Version]) > 1 {
+			continue
+		}
+		if !found || snap.Version > best.Version || (snap.Version == best.Version && snap.Next > best.Next) {
+			best, found = snap, true
+		}
+	}
+	if found {
+		s, err := Restore(best)
+		return s, err == nil
+	}
+	return Empty(), c.first == 0
+}
