--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -36,6 +36,7 @@
 	LeaseLost     = Event{1207, zapcore.WarnLevel, "lease lost", "A lease expired or was taken over."}
 	OrderSent     = Event{1208, zapcore.InfoLevel, "order sent", "An order was accepted by an engine."}
 	OrderRefused  = Event{1209, zapcore.WarnLevel, "order refused", "An engine refused an order, for example for an old fencing number."}
+	PeerState     = Event{1210, zapcore.InfoLevel, "peer state changed", "A host is leaving, or is in the host list no longer or not yet."}
 )
 
 // Requests: 1300 to 1399.
@@ -64,7 +65,7 @@
 	return []Event{
 		ProcessStarted, SettingsInForce, StopRequested, StopBoundPassed, ProcessStopped, ListenerFailed,
 		ConfigInForce, PatchRejected, LogUnreachable, LogTruncated, LogReachable, SnapshotAppended, RecordIgnored,
-		PeerUp, PeerDown, TargetLeaving, TargetOwned, TargetLost, LeaseTaken, LeaseLost, OrderSent, OrderRefused,
+		PeerUp, PeerDown, TargetLeaving, TargetOwned, TargetLost, LeaseTaken, LeaseLost, OrderSent, OrderRefused, PeerState,
 		RequestRefused, RequestFinished, RequestUnknown, StreamResumed, StreamSilent, DispatcherLost, ClaimLost,
 		QuarantineAdded, QuarantineLifted, InvariantFailed,
 		TargetCrashed, TargetStraggles, TargetRecovered,
