--- /dev/null
+++ b/internal/members/list.go
@@ -0,0 +1,67 @@
+package members
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/event"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+const (
+	// listInterval is the time between two reads of the host list.
+	listInterval = 500 * time.Millisecond
+	// listTimeout bounds one read of the host list.
+	listTimeout = 1 * time.Second
+)
+
+func (m *Members) listLoop(ctx context.Context) error {
+	ticker := m.opts.Clock.NewTicker(listInterval)
+	defer ticker.Stop()
+	for {
+		m.readList(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.Chan():
+		}
+	}
+}
+
+// readList takes the platform's listing; while it cannot be read the last one
+// stays in force.
+func (m *Members) readList(ctx context.Context) {
+	ctx, cancel := clockwork.WithTimeout(ctx, m.opts.Clock, listTimeout)
+	defer cancel()
+	listing, err := m.opts.List.List(ctx)
+	now := m.opts.Clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err != nil {
+		m.settle(now, false)
+		return
+	}
+	before := m.leavingTargets()
+	changed := m.table.List(now, listing)
+	m.settle(now, changed)
+	for id := range m.leavingTargets() {
+		if !before[id] {
+			event.TargetLeaving.Log(m.opts.Logger, zap.String("target", string(id)))
+		}
+	}
+}
+
+// leavingTargets returns the targets that the listing in force marks as
+// leaving; m.mu is held.
+func (m *Members) leavingTargets() map[tables.TargetID]bool {
+	out := make(map[tables.TargetID]bool)
+	for id, state := range m.table.Targets() {
+		if state == tables.HostLeaving {
+			out[id] = true
+		}
+	}
+	return out
+}
