Serve the operators' API over small interfaces

Operators need configuration, status, the fate of a request and the quarantine from any host. The handler answers from the host's own views and asks peers only for a single request. A dispatcher's "not run" speaks for itself alone, so a lookup goes on until the outcome that saw the request get furthest is known; a request that waits counts as unknown. The first configuration needs an operator before one is configured: a bootstrap digest in the controller's settings counts while the configuration names no operator.

--- /dev/null
+++ b/internal/operators/lookup.go
@@ -0,0 +1,184 @@
+package operators
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	api "github.com/bluebellseam/bluebellseam/internal/api/operators"
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+// Bounds of one lookup.
+const (
+	// lookupTimeout bounds the answer of one host.
+	lookupTimeout = 2 * time.Second
+	// lookupsAtOnce bounds the hosts that are asked at the same time.
+	lookupsAtOnce = 32
+)
+
+// ShowRequest asks the home of the ID and, when that does not know that the
+// request ran to an end, every other host.
+func (h *Handler) ShowRequest(ctx context.Context, params api.ShowRequestParams) (*api.RequestView, error) {
+	id := tables.RequestID(params.ID)
+	home, err := id.Home()
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.MalformedRequest, "the request ID is malformed")
+	}
+	homes, others := split(h.Members.Hosts(), home)
+	found := h.ask(ctx, id, homes)
+	if !endedAfterRunning(found.best) {
+		found = found.merge(h.ask(ctx, id, others))
+	}
+	if !found.best.Known {
+		detail := fmt.Sprintf("%d of %d hosts answered and none knows request %q", found.answered, found.asked, params.ID)
+		return nil, errkind.New(errkind.UnknownRequest, detail)
+	}
+	return requestView(id, home, found.best), nil
+}
+
+func endedAfterRunning(o peer.Outcome) bool {
+	return o.Known && o.Done && o.Kind.Answer().Ran == errkind.RanYes
+}
+
+func split(hosts []tables.Host, home tables.HostID) (homes, others []tables.Host) {
+	for _, host := range hosts {
+		if host.ID == home {
+			homes = append(homes, host)
+			continue
+		}
+		others = append(others, host)
+	}
+	return homes, others
+}
+
+// findings collects the answers of hosts about one request.
+type findings struct {
+	asked    int
+	answered int
+	best     peer.Outcome
+}
+
+func (f findings) merge(other findings) findings {
+	return findings{
+		asked:    f.asked + other.asked,
+		answered: f.answered + other.answered,
+		best:     better(f.best, other.best),
+	}
+}
+
+// better prefers the outcome that saw the request get further. A dispatcher
+// that refused a request says "not run" of itself only: another one may have
+// run it since.
+func better(a, b peer.Outcome) peer.Outcome {
+	if progress(b) > progress(a) {
+		return b
+	}
+	return a
+}
+
+// progress orders outcomes by how far the request is known to have got.
+func progress(o peer.Outcome) int {
+	const (
+		neverHeardOf = iota
+		didNotRun
+		queued
+		running
+		mayHaveRun
+		didRun
+	)
+	switch {
+	case !o.Known:
+		return neverHeardOf
+	case !o.Done && o.Target == "":
+		return queued
+	case !o.Done:
+		return running
+	}
+	switch o.Kind.Answer().Ran {
+	case errkind.RanNo:
+		return didNotRun
+	case errkind.RanYes:
+		return didRun
+	default:
+		return mayHaveRun
+	}
+}
+
+func (h *Handler) ask(ctx context.Context, id tables.RequestID, hosts []tables.Host) findings {
+	answers := make([]*peer.Outcome, len(hosts))
+	var group errgroup.Group
+	group.SetLimit(lookupsAtOnce)
+	for i, host := range hosts {
+		group.Go(func() error {
+			answers[i] = h.askOne(ctx, id, host)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	found := findings{asked: len(hosts)}
+	for _, a := range answers {
+		if a == nil {
+			continue
+		}
+		found.answered++
+		found.best = better(found.best, *a)
+	}
+	return found
+}
+
+// askOne returns what a host knows, or nil when it does not answer.
+func (h *Handler) askOne(ctx context.Context, id tables.RequestID, host tables.Host) *peer.Outcome {
+	if host.PeerAddress == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	var o peer.Outcome
+	if err := h.Peers.Call(ctx, host.PeerAddress, peer.MethodLookup, peer.Lookup{ID: id}, &o); err != nil {
+		return nil
+	}
+	return &o
+}
+
+func requestView(id tables.RequestID, home tables.HostID, o peer.Outcome) *api.RequestView {
+	view := &api.RequestView{
+		ID:      string(id),
+		Known:   true,
+		State:   requestState(o),
+		Ran:     ran(o),
+		Kind:    optional(string(o.Kind)),
+		Detail:  optional(o.Detail),
+		Home:    optional(string(home)),
+		Target:  optional(string(o.Target)),
+		TraceID: optional(o.TraceID),
+	}
+	if o.Tokens > 0 {
+		view.Tokens = api.NewOptInt(o.Tokens)
+	}
+	return view
+}
+
+func requestState(o peer.Outcome) api.RequestViewState {
+	switch {
+	case o.Done:
+		return api.RequestViewStateFinished
+	case o.Target != "":
+		return api.RequestViewStateRunning
+	default:
+		return api.RequestViewStateQueued
+	}
+}
+
+// ran is unknown until the request has ended: a queued one may start at any
+// moment.
+func ran(o peer.Outcome) api.RequestViewRan {
+	if !o.Done {
+		return api.RequestViewRanUnknown
+	}
+	return api.RequestViewRan(o.Kind.Answer().Ran)
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -1,6 +1,8 @@
 package settings
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"net/netip"
 	"net/url"
@@ -117,6 +119,16 @@
 	return nil
 }
 
+func checkDigest(flag, text string) error {
+	if text == "" {
+		return nil
+	}
+	if raw, err := hex.DecodeString(text); err != nil || len(raw) != sha256.Size || strings.ToLower(text) != text {
+		return invalid("%s %q is no SHA-256 of %d lower-case hex digits", flag, text, hex.EncodedLen(sha256.Size))
+	}
+	return nil
+}
+
 func checkPositive(flag string, d time.Duration) error {
 	if d <= 0 {
 		return invalid("%s %s must be longer than zero", flag, d)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,6 +46,9 @@
 	Common
 	OperatorAddress string `env:"BLUEBELL_OPERATOR_ADDRESS" envDefault:"127.0.0.1:8090" flag:"operator-address" usage:"listener of the operators' API, as IP:port"`
 	PeerAddress     string `env:"BLUEBELL_CONTROLLER_PEER_ADDRESS" envDefault:"127.0.0.1:7071" flag:"peer-address" usage:"listener for peers, as IP:port"`
+	// BootstrapOperator lets the first operator publish: it counts only while
+	// the configuration names no operator.
+	BootstrapOperator string `env:"BLUEBELL_BOOTSTRAP_OPERATOR_SHA256" flag:"bootstrap-operator-sha256" usage:"hex SHA-256 of the key that publishes the first configuration"`
 }
 
 // LoadGate reads the settings of bluebell-gate. args excludes the program
@@ -78,5 +81,6 @@
 		checkURL("--weight-store-url", "BLUEBELL_WEIGHT_STORE_URL", s.WeightStoreURL),
 		checkListener("--operator-address", s.OperatorAddress),
 		checkListener("--peer-address", s.PeerAddress),
+		checkDigest("--bootstrap-operator-sha256", s.BootstrapOperator),
 	)
 }
