--- a/internal/tables/target.go
+++ b/internal/tables/target.go
@@ -26,6 +26,8 @@
 	RampUntil time.Time
 	// DownUntil keeps work off a target that refused connections.
 	DownUntil time.Time
+	// LastCrash is the start of the latest crash; zero without one.
+	LastCrash time.Time
 	// Isolate lets a suspect request run only while nothing else does.
 	Isolate RequestID
 
@@ -41,6 +43,9 @@
 	ProbeAt time.Time
 	// Window is the number of requests that the target may run at once.
 	Window float64
+	// Running counts the requests at the target; the scheduling system
+	// keeps it.
+	Running int
 }
 
 // Open reports whether the target may get new work at now.
@@ -63,6 +68,31 @@
 	StepPerSequence time.Duration
 }
 
+// Nominal speed of an engine whose generation is not configured.
+const (
+	defaultPrefillTokensPerSecond = 4000
+	defaultStep                   = 20 * time.Millisecond
+	defaultStepPerSequence        = time.Millisecond
+)
+
+// Prefill returns the nominal time to compute a prompt part.
+func (s Speed) Prefill(tokens int) time.Duration {
+	rate := s.PrefillTokensPerSecond
+	if rate <= 0 {
+		rate = defaultPrefillTokensPerSecond
+	}
+	return time.Duration(float64(max(tokens, 0)) / rate * float64(time.Second))
+}
+
+// Gap returns the nominal time between tokens of one sequence in a batch.
+func (s Speed) Gap(batch int) time.Duration {
+	step, each := s.Step, s.StepPerSequence
+	if step <= 0 {
+		step, each = defaultStep, defaultStepPerSequence
+	}
+	return step + time.Duration(max(batch-1, 0))*each
+}
+
 // Estimate is the measured speed of a target.
 type Estimate struct {
 	// TokenGap is the smoothed time between tokens of one sequence.
@@ -90,7 +120,8 @@
 
 // Targets is the target table.
 type Targets struct {
-	rows map[TargetID]*Target
+	rows    map[TargetID]*Target
+	version uint64
 }
 
 // NewTargets returns an empty table.
@@ -99,13 +130,23 @@
 }
 
 // Put adds t, or replaces the row of the same ID.
-func (t *Targets) Put(row *Target) { t.rows[row.ID] = row }
+func (t *Targets) Put(row *Target) {
+	t.rows[row.ID] = row
+	t.version++
+}
 
 // Get returns the row of id, or nil.
 func (t *Targets) Get(id TargetID) *Target { return t.rows[id] }
 
 // Delete removes the row of id.
-func (t *Targets) Delete(id TargetID) { delete(t.rows, id) }
+func (t *Targets) Delete(id TargetID) {
+	delete(t.rows, id)
+	t.version++
+}
+
+// Version changes with every Put and Delete, so that pointers to rows may be
+// kept until then.
+func (t *Targets) Version() uint64 { return t.version }
 
 // Len counts the rows.
 func (t *Targets) Len() int { return len(t.rows) }
