--- a/internal/dispatcher/recover.go
+++ b/internal/dispatcher/recover.go
@@ -147,7 +147,7 @@
 
 // adopt makes a job for a dispatch of another dispatcher.
 func (d *Dispatcher) adopt(conn *peer.Conn, q peer.Attach, plain bool) *job {
-	j := &job{msg: peer.Submit{ID: q.ID, Plain: plain}, target: q.Target, started: true}
+	j := &job{msg: peer.Submit{ID: q.ID, Customer: q.Customer, Service: q.Service, Plain: plain}, target: q.Target, started: true}
 	d.jobs[q.ID] = j
 	d.listen(j, conn, q.Offset)
 	return j
--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -49,7 +49,7 @@
 	d.jobs[msg.ID] = j
 	d.state.Requests.Put(row)
 	d.listen(j, conn, 0)
-	return peer.SubmitResult{}
+	return peer.SubmitResult{Pool: d.summary()}
 }
 
 func (d *Dispatcher) newRow(msg peer.Submit) *tables.Request {
--- a/internal/gate/begin.go
+++ b/internal/gate/begin.go
@@ -79,7 +79,7 @@
 }
 
 func (g *Gate) claimHome(ctx context.Context, msg peer.Submit) (*peer.Conn, error) {
-	shard := claim.ShardOf(msg.Customer, msg.Service, msg.Key, g.ClaimShards)
+	shard := shardOf(msg, g.ClaimShards)
 	home := g.Membership.ClaimHome(shard)
 	address, ok := g.address(home)
 	if !ok {
@@ -173,3 +173,12 @@
 	}
 	f.finish(peer.Finished{Kind: o.Kind, Detail: o.Detail, Target: o.Target, Status: o.Status, Body: o.Body})
 }
+
+// shardOf returns the claim shard of a key that admission has checked.
+func shardOf(msg peer.Submit, shards int) int {
+	key, err := claim.ParseKey(msg.Customer, msg.Service, msg.Key)
+	if err != nil {
+		return 0
+	}
+	return key.Shard(shards)
+}
--- a/internal/gate/settle.go
+++ b/internal/gate/settle.go
@@ -91,7 +91,10 @@
 	ctx, cancel := context.WithTimeout(g.ctx, askTimeout)
 	defer cancel()
 	var result peer.AttachResult
-	err := conn.Call(ctx, peer.MethodAttach, peer.Attach{ID: f.id, Target: at, Offset: f.since(0).tokens}, &result)
+	err := conn.Call(ctx, peer.MethodAttach, peer.Attach{
+		ID: f.id, Target: at, Offset: f.since(0).tokens,
+		Customer: f.msg.Customer, Service: f.msg.Service,
+	}, &result)
 	return result, err
 }
 
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -126,6 +126,9 @@
 	ID     tables.RequestID `json:"id"`
 	Target tables.TargetID  `json:"target"`
 	Offset int              `json:"offset"`
+	// Customer and Service describe the request for later look-ups.
+	Customer tables.CustomerID `json:"customer,omitempty"`
+	Service  tables.ServiceID  `json:"service,omitempty"`
 }
 
 // AttachResult answers Attach. When Known is set, the parts of the answer from
