--- /dev/null
+++ b/internal/claims/read.go
@@ -0,0 +1,115 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/event"
+	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/systems/claim"
+)
+
+// read fetches pages of the stream and hands them to the shard's goroutine.
+func (s *shard) read(ctx context.Context) {
+	from := platform.Offset(0)
+	for ctx.Err() == nil {
+		page, err := s.home.opts.Log.Read(ctx, s.stream, from, readWait)
+		if !s.hand(ctx, readResult{from: from, page: page, err: err}) {
+			return
+		}
+		switch {
+		case errors.Is(err, platform.ErrTruncated):
+			from = page.First
+		case err != nil:
+			s.sleep(ctx, readRetry)
+		default:
+			from += platform.Offset(len(page.Records))
+		}
+	}
+}
+
+func (s *shard) hand(ctx context.Context, r readResult) bool {
+	select {
+	case s.pages <- r:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *shard) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-s.home.opts.Clock.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// fold takes the result of one read into the table.
+func (s *shard) fold(r readResult) {
+	now := s.now()
+	switch {
+	case errors.Is(r.err, platform.ErrTruncated):
+		s.truncated(r.page)
+		return
+	case r.err != nil:
+		if !s.system.Paused(now) {
+			s.logUnreachable(r.err)
+		}
+		s.system.Down(now)
+		return
+	}
+	if r.from > 0 && !s.started {
+		s.system.Table().Truncated(oldestTime(r.page, now))
+	}
+	if !s.started {
+		s.started = true
+		s.target = r.page.Next
+	}
+	for _, record := range r.page.Records {
+		s.foldRecord(now, record)
+	}
+	s.system.Decide(now)
+	s.from = r.from + platform.Offset(len(r.page.Records))
+	if !s.ready && s.from >= s.target {
+		s.ready = true
+		s.markOpened()
+	}
+}
+
+func (s *shard) foldRecord(now time.Time, record platform.Record) {
+	batch, err := claim.Decode(record.Data)
+	if err != nil {
+		event.RecordIgnored.Log(s.home.opts.Logger, zap.String("stream", s.stream),
+			zap.Int64("offset", int64(record.Offset)), zap.Error(err))
+		return
+	}
+	s.system.ReadRecord(now, int64(record.Offset), record.Time, batch)
+}
+
+// truncated starts the table anew from the oldest record that is kept.
+func (s *shard) truncated(page platform.Page) {
+	if s.started {
+		event.LogTruncated.Log(s.home.opts.Logger, zap.String("stream", s.stream), zap.Int64("first", int64(page.First)))
+	}
+	s.system.Reset()
+	s.started, s.ready = false, false
+}
+
+// oldestTime bounds the time of the records that are gone.
+func oldestTime(page platform.Page, now time.Time) time.Time {
+	if len(page.Records) > 0 {
+		return page.Records[0].Time
+	}
+	return now
+}
+
+func (s *shard) markOpened() {
+	select {
+	case <-s.opened:
+	default:
+		close(s.opened)
+	}
+}
--- a/internal/systems/claim/flow.go
+++ b/internal/systems/claim/flow.go
@@ -7,7 +7,7 @@
 // NextBatch returns the next batch to append. There is at most one append in
 // flight, so batches grow with the latency of the log; AppendDone ends it.
 func (s *Shard) NextBatch(now time.Time) (Batch, bool) {
-	if s.inFlight != 0 || now.Before(s.downUntil) || !s.due(now) {
+	if !s.Due(now) {
 		return Batch{}, false
 	}
 	items := s.takeWaiting()
@@ -17,12 +17,24 @@
 	}
 	s.sent[b.Number] = &sentBatch{items: items}
 	s.inFlight = b.Number
+	if s.unread.IsZero() {
+		s.unread = now
+	}
 	return b, true
 }
 
+// Due reports whether NextBatch has a batch.
+func (s *Shard) Due(now time.Time) bool {
+	at, ok := s.NextDue()
+	return ok && !now.Before(at)
+}
+
 // NextDue returns when NextBatch will have a batch; ok is false when nothing
-// waits.
+// waits or an append is in flight.
 func (s *Shard) NextDue() (at time.Time, ok bool) {
+	if s.inFlight != 0 {
+		return time.Time{}, false
+	}
 	for _, it := range s.waiting {
 		due := it.queued
 		if it.entry.Outcome != nil {
@@ -38,11 +50,6 @@
 	return at, ok
 }
 
-func (s *Shard) due(now time.Time) bool {
-	at, ok := s.NextDue()
-	return ok && !now.Before(at)
-}
-
 // takeWaiting takes the entries of one batch out of the queue. Releases go
 // first, because a claim that replaces a released one follows in the batch.
 func (s *Shard) takeWaiting() []item {
@@ -81,10 +88,15 @@
 		return
 	}
 	switch r {
+	case Appended:
+		s.refusals = 0
 	case Refused:
 		delete(s.sent, number)
 		s.Down(now)
-		s.refuse(b)
+		s.refuse(now, b)
+		if len(s.sent) == 0 {
+			s.unread = time.Time{}
+		}
 	case Unknown:
 		b.unknownSince = now
 	}
@@ -92,38 +104,40 @@
 
 // refuse ends the claims of a batch that never got into the stream and keeps
 // its other entries.
-func (s *Shard) refuse(b *sentBatch) {
+func (s *Shard) refuse(now time.Time, b *sentBatch) {
 	for _, it := range b.items {
 		if it.entry.Claim == nil {
 			s.waiting = append(s.waiting, it)
 			continue
 		}
 		if _, waits := s.asks[it.ticket]; waits {
-			s.settle(it.ticket, unavailable("the log refused the claim"))
+			s.settle(it.ticket, s.unavailable(now, "the log refused the claim"))
 		}
 	}
 }
 
-// Down notes that the log cannot be reached. For a while asks for free keys
-// are refused at once and nothing is sent.
+// Down notes that the log refused a call or cannot be reached. During a pause
+// asks for free keys are refused at once and nothing is sent.
 func (s *Shard) Down(now time.Time) {
-	s.downUntil = now.Add(s.settings.Pause)
+	s.downUntil = now.Add(s.nextPause())
 	for t := range s.asks {
 		if s.queuedOnly(t) {
-			s.settle(t, unavailable("the log cannot be reached"))
+			s.settle(t, s.unavailable(now, "the log cannot be reached"))
 		}
 	}
 	s.dropSettledClaims()
 }
 
-// Up notes that the log answers.
-func (s *Shard) Up() {
-	s.downUntil = time.Time{}
+// nextPause doubles with every refusal in a row up to the setting.
+func (s *Shard) nextPause() time.Duration {
+	pause := s.settings.Pause / firstPauseShare << min(s.refusals, firstPauseShare)
+	s.refusals++
+	return min(pause, s.settings.Pause)
 }
 
-// RetryAfter returns the rest of the pause.
-func (s *Shard) RetryAfter(now time.Time) time.Duration {
-	return max(0, s.downUntil.Sub(now))
+// Paused reports whether the shard sends nothing for now.
+func (s *Shard) Paused(now time.Time) bool {
+	return now.Before(s.downUntil)
 }
 
 func (s *Shard) queuedOnly(t Ticket) bool {
@@ -158,6 +172,10 @@
 		return
 	}
 	delete(s.sent, b.Number)
+	s.unread = time.Time{}
+	if len(s.sent) > 0 {
+		s.unread = now
+	}
 	for _, it := range mine.items {
 		switch {
 		case it.entry.Claim != nil:
@@ -191,7 +209,7 @@
 	h, held := s.table.Holder(c.Key)
 	switch {
 	case !held:
-		s.settle(it.ticket, unavailable("the request was ended before its claim was read"))
+		s.settle(it.ticket, s.unavailable(now, "the request was ended before its claim was read"))
 	case h.attempt == newAttempt(s.settings.Host, s.settings.Incarnation, c.Sequence):
 		s.settle(it.ticket, Answer{Won: true})
 	default:
@@ -205,7 +223,7 @@
 	for t, ask := range s.asks {
 		if !now.Before(ask.Deadline) {
 			s.Abandon(now, t)
-			s.settle(t, unavailable("the log did not confirm the claim in time"))
+			s.settle(t, s.unavailable(now, "the log did not confirm the claim in time"))
 		}
 	}
 	for number, b := range s.sent {
--- a/internal/systems/claim/shard.go
+++ b/internal/systems/claim/shard.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
@@ -16,6 +18,12 @@
 	maxWaiting        = 8192
 )
 
+// minRetryAfter is the least advice with a refusal.
+const minRetryAfter = time.Second
+
+// firstPauseShare divides Pause for the first refusal; it doubles from there.
+const firstPauseShare = 8
+
 // Settings of a shard.
 type Settings struct {
 	Limits Limits
@@ -25,8 +33,12 @@
 	// Grace is the wait for a record whose append has an unknown outcome to
 	// show up in the stream, before its claims are released and made anew.
 	Grace time.Duration
-	// Pause is the time in which nothing new is sent to a log that refused.
+	// Pause is the longest time in which nothing new is sent to a log that
+	// refused; the first pause is a part of it.
 	Pause time.Duration
+	// Stall is the time without a record read back after which asks for
+	// free keys are refused at once.
+	Stall time.Duration
 	// OutcomeDelay is the time that outcomes wait for claims to go with.
 	OutcomeDelay time.Duration
 }
@@ -110,8 +122,11 @@
 	waiting   []item
 	sent      map[uint64]*sentBatch
 	// inFlight is the number of the batch being appended; zero for none.
-	inFlight  uint64
+	inFlight uint64
+	// unread is since when sent batches wait for the first to be read back.
+	unread    time.Time
 	downUntil time.Time
+	refusals  int
 	undecided []item
 	settled   []Settled
 }
@@ -147,8 +162,8 @@
 		s.settle(t, s.lost(ask, h))
 		return t
 	}
-	if now.Before(s.downUntil) || len(s.waiting) >= maxWaiting {
-		s.settle(t, unavailable("the log accepts no claims"))
+	if now.Before(s.downUntil) || s.stalled(now) || len(s.waiting) >= maxWaiting {
+		s.settle(t, s.unavailable(now, "the log accepts no claims"))
 		return t
 	}
 	s.asks[t] = ask
@@ -162,7 +177,7 @@
 func (s *Shard) Record(now time.Time, o Outcome) Ticket {
 	t := Ticket(s.sequences.next())
 	if len(s.waiting) >= maxWaiting {
-		s.settle(t, unavailable("too many outcomes wait for the log"))
+		s.settle(t, s.unavailable(now, "too many outcomes wait for the log"))
 		return t
 	}
 	if len(o.Body) > MaxBodyBytes {
@@ -216,8 +231,17 @@
 	return Answer{Holder: &h}
 }
 
-func unavailable(detail string) Answer {
-	return Answer{Err: errkind.New(errkind.ClaimsUnavailable, detail)}
+// unavailable is a refusal with the advice to send again after the pause.
+func (s *Shard) unavailable(now time.Time, detail string) Answer {
+	return Answer{Err: trace.Wrap(&errkind.Error{
+		Kind:       errkind.ClaimsUnavailable,
+		Detail:     detail,
+		RetryAfter: max(s.downUntil.Sub(now), minRetryAfter),
+	})}
+}
+
+func (s *Shard) stalled(now time.Time) bool {
+	return !s.unread.IsZero() && now.Sub(s.unread) >= s.settings.Stall
 }
 
 func (s *Shard) queueClaim(now time.Time, t Ticket, ask Ask) {
