--- a/internal/gate/admit.go
+++ b/internal/gate/admit.go
@@ -44,17 +44,15 @@
 
 // admitted is an ask that may run.
 type admitted struct {
-	msg      peer.Submit
-	choices  []route.Choice
+	msg peer.Submit
+	// pick chooses dispatchers by what is known at the time of the call.
+	pick     func() []route.Choice
 	lifetime time.Duration
 }
 
 // admit checks a against configuration and limits. Every error proves that the
 // request did not run.
 func (g *Gate) admit(ctx context.Context, a ask) (admitted, error) {
-	if g.leaving.Load() {
-		return admitted{}, errkind.New(errkind.ShuttingDown, fmt.Sprintf("host %s is stopping", g.Host))
-	}
 	doc := g.Document()
 	if doc == nil {
 		return admitted{}, errkind.New(errkind.NotConfigured, "no configuration has been read")
@@ -75,9 +73,12 @@
 		return admitted{}, err
 	}
 	msg := g.message(ctx, a, service, tier, customer)
-	choices := route.Pick(g.Clock.Now(), routeRequest(msg, g.Clock.Now()), g.views(doc, a.service))
+	pick := func() []route.Choice {
+		now := g.Clock.Now()
+		return route.Pick(now, routeRequest(msg, now), g.views(g.Document(), a.service))
+	}
 	lifetime := time.Duration(service.KeyLifetimeSeconds) * time.Second
-	return admitted{msg: msg, choices: choices, lifetime: lifetime}, nil
+	return admitted{msg: msg, pick: pick, lifetime: lifetime}, nil
 }
 
 func findService(doc *config.Document, a ask) (config.Service, error) {
--- a/internal/gate/begin.go
+++ b/internal/gate/begin.go
@@ -29,16 +29,16 @@
 		return nil, err
 	}
 	if a.key == "" {
-		return g.launch(adm.msg, adm.choices), nil
+		return g.launch(adm), nil
 	}
 	return g.beginKeyed(ctx, adm)
 }
 
 // launch opens a flight and drives it.
-func (g *Gate) launch(msg peer.Submit, choices []route.Choice) *flight {
-	f := newFlight(g, msg)
+func (g *Gate) launch(adm admitted) *flight {
+	f := newFlight(g, adm.msg)
 	g.register(f)
-	go g.drive(f, choices)
+	go g.drive(f, adm.pick)
 	return f
 }
 
@@ -67,9 +67,10 @@
 	defer cancel()
 	err = conn.Call(ctx, peer.MethodAcquire, peer.Acquire{
 		Customer: msg.Customer, Service: msg.Service, Key: msg.Key, Request: msg.ID,
-		Fingerprint: msg.Fingerprint, Lifetime: adm.lifetime, TargetsDigest: claim.TargetsDigest(targetsOf(adm.choices)),
+		Fingerprint: msg.Fingerprint, Lifetime: adm.lifetime, TargetsDigest: claim.TargetsDigest(targetsOf(adm.pick())),
 	}, &result)
 	if err != nil {
+		go g.release(msg, errkind.ClaimsUnavailable)
 		return result, errkind.Wrap(err, errkind.ClaimsUnavailable, "the home of the key did not answer")
 	}
 	if result.Kind != errkind.None {
@@ -102,7 +103,7 @@
 	f := newFlight(g, adm.msg)
 	g.register(f)
 	go func() {
-		g.drive(f, adm.choices)
+		g.drive(f, adm.pick)
 		g.recordRefusal(f)
 	}()
 	return f
@@ -110,18 +111,23 @@
 
 func (g *Gate) recordRefusal(f *flight) {
 	end := f.since(0).outcome
-	if end == nil || end.Kind.Answer().Ran != errkind.RanNo {
-		return
+	if end != nil && end.Kind.Answer().Ran == errkind.RanNo {
+		g.release(f.msg, end.Kind)
 	}
+}
+
+// release tells the home of a key that a request was not and will not be
+// dispatched, which frees the key if the request holds it.
+func (g *Gate) release(msg peer.Submit, kind errkind.Kind) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(g.ctx), recordTimeout)
 	defer cancel()
-	conn, err := g.claimHome(ctx, f.msg)
+	conn, err := g.claimHome(ctx, msg)
 	if err != nil {
 		return
 	}
 	_ = conn.Call(ctx, peer.MethodRecord, peer.Record{
-		Customer: f.msg.Customer, Service: f.msg.Service, Key: f.msg.Key,
-		Outcome: peer.Outcome{ID: f.id, Known: true, Done: true, Kind: end.Kind, Detail: end.Detail},
+		Customer: msg.Customer, Service: msg.Service, Key: msg.Key,
+		Outcome: peer.Outcome{ID: msg.ID, Known: true, Done: true, Kind: kind},
 	}, nil)
 }
 
--- a/internal/gate/drive.go
+++ b/internal/gate/drive.go
@@ -28,26 +28,58 @@
 	lost
 )
 
-// drive takes a flight to its outcome.
-func (g *Gate) drive(f *flight, choices []route.Choice) {
+// Bounds on trying again while targets change their owners.
+const (
+	rerouteFirst   = 50 * time.Millisecond
+	rerouteLongest = 500 * time.Millisecond
+	rerouteFor     = 5 * time.Second
+)
+
+// drive takes a flight to its outcome. pick chooses anew for every round, since
+// targets may have found another owner in between.
+func (g *Gate) drive(f *flight, pick func() []route.Choice) {
 	defer g.unregister(f)
-	refusal := peer.Finished{Kind: errkind.NoTarget, Detail: "no live target serves this service"}
 	var tried []tables.TargetID
+	deadline := g.Clock.Now().Add(min(rerouteFor, f.msg.DueIn))
+	pause := rerouteFirst
+	for {
+		refusal, done := g.round(f, pick(), &tried)
+		if done {
+			return
+		}
+		if !ownerless(refusal.Kind) || !g.Clock.Now().Add(pause).Before(deadline) || f.callerLeft() {
+			f.finish(refusal)
+			return
+		}
+		g.pauseUntil(g.Clock.Now().Add(pause))
+		pause = min(2*pause, rerouteLongest)
+	}
+}
+
+// ownerless reports whether a refusal is about a dispatcher that does not own
+// a target any more, so that another one soon will.
+func ownerless(k errkind.Kind) bool {
+	return k == errkind.ShuttingDown || k == errkind.NoTarget || k == errkind.NotAdmitted
+}
+
+// round tries each dispatcher once. It returns the refusal that says most, or
+// reports that the flight has its outcome.
+func (g *Gate) round(f *flight, choices []route.Choice, tried *[]tables.TargetID) (peer.Finished, bool) {
+	refusal := peer.Finished{Kind: errkind.NoTarget, Detail: "no live target serves this service"}
 	for _, c := range choices {
 		if f.callerLeft() {
-			refusal = peer.Finished{Kind: errkind.CancelledBeforeRun}
-			break
+			return peer.Finished{Kind: errkind.CancelledBeforeRun}, false
 		}
 		switch g.attempt(f, c, &refusal) {
 		case ended:
-			return
+			return refusal, true
 		case lost:
-			g.settle(f, c, append(tried, c.Targets...))
-			return
+			g.settle(f, c, append(*tried, c.Targets...))
+			return refusal, true
 		case notSent:
 		}
 	}
-	f.finish(refusal)
+	return refusal, false
 }
 
 // attempt hands f to one dispatcher and follows it there.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/expirable"
@@ -74,10 +73,9 @@
 // Gate serves callers.
 type Gate struct {
 	Options
-	ctx     context.Context
-	pools   *pools
-	open    sync.WaitGroup
-	leaving atomic.Bool
+	ctx   context.Context
+	pools *pools
+	open  sync.WaitGroup
 
 	mu       sync.Mutex
 	flights  map[tables.RequestID]*flight
@@ -137,13 +135,9 @@
 	g.pools.update(h.Host, h.Pool, g.Clock.Now())
 }
 
-// Leave refuses new requests from now on.
-func (g *Gate) Leave() { g.leaving.Store(true) }
-
 // Drain waits until every open request has ended, or for ctx. It returns the
 // number of requests still open.
 func (g *Gate) Drain(ctx context.Context) int {
-	g.Leave()
 	done := make(chan struct{})
 	go func() {
 		g.open.Wait()
--- /dev/null
+++ b/internal/node/env.go
@@ -0,0 +1,103 @@
+// Package node wires the servers of one host: gate, dispatcher and controller.
+// Each is a process of its own in production; tests and the demo start several
+// in one process.
+package node
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"sync"
+
+	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/observe"
+	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/settings"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+	"github.com/bluebellseam/bluebellseam/internal/target"
+)
+
+// Env is what a process gets from outside.
+type Env struct {
+	Clock   clockwork.Clock
+	Logger  *zap.Logger
+	Tracer  trace.TracerProvider
+	Log     platform.Log
+	List    platform.HostList
+	Weights platform.WeightStore
+	// Close writes out what is buffered; it is called last.
+	Close func(context.Context) error
+}
+
+// Connect returns the environment that the settings name.
+func Connect(program string, s settings.Common) (Env, error) {
+	logger := observe.NewLogger(os.Stderr, s.LogLevel)
+	tracer, closeTracer, err := observe.NewTracer(s.TraceFile, program, s.Host)
+	if err != nil {
+		return Env{}, err
+	}
+	client := &http.Client{}
+	return Env{
+		Clock:   clockwork.NewRealClock(),
+		Logger:  logger.With(zap.String("host", string(s.Host)), zap.String("program", program)),
+		Tracer:  tracer,
+		Log:     platform.NewLogClient(s.LogURL, client),
+		List:    platform.NewHostListClient(s.HostListURL, client),
+		Weights: platform.NewWeightClient(s.WeightStoreURL, client),
+		Close:   closeTracer,
+	}, nil
+}
+
+// clients keeps one client for each target address.
+type clients struct {
+	mu      sync.Mutex
+	engines map[string]*target.EngineClient
+	plains  map[string]*target.PlainClient
+}
+
+func newClients() *clients {
+	return &clients{
+		engines: make(map[string]*target.EngineClient),
+		plains:  make(map[string]*target.PlainClient),
+	}
+}
+
+// Engine returns the client of the model engine at address.
+func (c *clients) Engine(address string) target.Engine {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.engines[address]
+	if !ok {
+		e = target.NewEngineClient(address)
+		c.engines[address] = e
+	}
+	return e
+}
+
+// Plain returns the client of the plain service at address.
+func (c *clients) Plain(address string, service tables.ServiceID) target.Plain {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	name := address + "/" + string(service)
+	p, ok := c.plains[name]
+	if !ok {
+		p = target.NewPlainClient(address, service)
+		c.plains[name] = p
+	}
+	return p
+}
+
+// close drops the connections of every client.
+func (c *clients) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range c.engines {
+		e.Close()
+	}
+	for _, p := range c.plains {
+		p.Close()
+	}
+}
