--- a/internal/claims/home.go
+++ b/internal/claims/home.go
@@ -68,14 +68,9 @@
 	h.running.Wait()
 }
 
-// ShardOf returns the shard of a key. A key that is no UUID of version 7 has
-// shard 0, where Acquire refuses it.
+// ShardOf returns the shard of a key; see claim.ShardOf.
 func (h *Home) ShardOf(customer tables.CustomerID, service tables.ServiceID, key string) int {
-	k, err := claim.ParseKey(customer, service, key)
-	if err != nil {
-		return 0
-	}
-	return k.Shard(h.opts.Shards)
+	return claim.ShardOf(customer, service, key, h.opts.Shards)
 }
 
 // Warm opens a shard ahead of its first use, for example when this host
--- a/internal/claims/read.go
+++ b/internal/claims/read.go
@@ -12,11 +12,14 @@
 	"github.com/bluebellseam/bluebellseam/internal/systems/claim"
 )
 
-// read fetches pages of the stream and hands them to the shard's goroutine.
+// read fetches pages of the stream and hands them to the shard's goroutine. It
+// waits for new records only once it has reached the end of the stream.
 func (s *shard) read(ctx context.Context) {
 	from := platform.Offset(0)
+	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		page, err := s.home.opts.Log.Read(ctx, s.stream, from, readWait)
+		page, err := s.home.opts.Log.Read(ctx, s.stream, from, wait)
+		wait = 0
 		if !s.hand(ctx, readResult{from: from, page: page, err: err}) {
 			return
 		}
@@ -27,6 +30,9 @@
 			s.sleep(ctx, readRetry)
 		default:
 			from += platform.Offset(len(page.Records))
+			if from >= page.Next {
+				wait = readWait
+			}
 		}
 	}
 }
--- a/internal/systems/claim/key.go
+++ b/internal/systems/claim/key.go
@@ -75,3 +75,13 @@
 	}
 	return h.Sum64()
 }
+
+// ShardOf returns the shard of the key of an Idempotency-Key header. A text
+// that is no key has shard 0, where Acquire refuses it.
+func ShardOf(customer tables.CustomerID, service tables.ServiceID, text string, shards int) int {
+	k, err := ParseKey(customer, service, text)
+	if err != nil {
+		return 0
+	}
+	return k.Shard(shards)
+}
