--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -66,7 +66,9 @@
 	MaxTokens    int               `json:"max_tokens,omitempty"`
 	PromptTokens int               `json:"prompt_tokens,omitempty"`
 	Allowed      []tables.TargetID `json:"allowed"`
-	Trace        map[string]string `json:"trace,omitempty"`
+	// Key is the idempotency key, if the caller gave one.
+	Key   string            `json:"key,omitempty"`
+	Trace map[string]string `json:"trace,omitempty"`
 }
 
 // SubmitResult answers Submit.
@@ -95,12 +97,15 @@
 	Kind   errkind.Kind     `json:"kind,omitempty"`
 	Detail string           `json:"detail,omitempty"`
 	// RetryAfter is the advice of a refusal; zero means the default.
-	RetryAfter time.Duration        `json:"retry_after,omitempty"`
-	Target     tables.TargetID      `json:"target,omitempty"`
-	Tokens     int                  `json:"tokens,omitempty"`
-	Status     int                  `json:"status,omitempty"`
-	Body       []byte               `json:"body,omitempty"`
-	Pool       []tables.PoolSummary `json:"pool,omitempty"`
+	RetryAfter time.Duration   `json:"retry_after,omitempty"`
+	Target     tables.TargetID `json:"target,omitempty"`
+	Tokens     int             `json:"tokens,omitempty"`
+	Status     int             `json:"status,omitempty"`
+	Body       []byte          `json:"body,omitempty"`
+	// Sent is set when a byte may have reached a target; without it a refused
+	// request may be submitted elsewhere.
+	Sent bool                 `json:"sent,omitempty"`
+	Pool []tables.PoolSummary `json:"pool,omitempty"`
 }
 
 // CancelRequest stops a request at its dispatcher and target.
@@ -121,11 +126,25 @@
 	ID     tables.RequestID `json:"id"`
 	Target tables.TargetID  `json:"target"`
 	Offset int              `json:"offset"`
+	// Customer and Service describe the request for later look-ups.
+	Customer tables.CustomerID `json:"customer,omitempty"`
+	Service  tables.ServiceID  `json:"service,omitempty"`
+}
+
+// AttachResult answers Attach. When Known is set, the parts of the answer from
+// the offset on follow as notifications on the same connection.
+type AttachResult struct {
+	Known bool `json:"known"`
+	// Progress is the target's word when the dispatch is not known here.
+	Progress target.Progress `json:"progress,omitempty"`
 }
 
 // Lookup asks what a host knows of a request.
 type Lookup struct {
 	ID tables.RequestID `json:"id"`
+	// Customer limits the answer to requests of this customer; empty for an
+	// operator or a peer.
+	Customer tables.CustomerID `json:"customer,omitempty"`
 }
 
 // Outcome is what a host knows of a request.
@@ -153,6 +172,11 @@
 	Key         string             `json:"key"`
 	Request     tables.RequestID   `json:"request"`
 	Fingerprint tables.Fingerprint `json:"fingerprint"`
+	// Lifetime bounds the age of the key; zero means the home's maximum.
+	Lifetime time.Duration `json:"lifetime,omitempty"`
+	// TargetsDigest is claim.TargetsDigest of every target at which Request
+	// may be dispatched; zero when the gate does not state it.
+	TargetsDigest uint64 `json:"targets_digest,omitempty"`
 }
 
 // AcquireResult answers Acquire.
@@ -166,6 +190,12 @@
 	Holder tables.RequestID `json:"holder,omitempty"`
 	// Outcome is the recorded outcome of the holder, if there is one.
 	Outcome *Outcome `json:"outcome,omitempty"`
+	// RetryAfter goes with ClaimsUnavailable; zero means the default.
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
+	// TargetsDigest is the one that the holder claimed with.
+	TargetsDigest uint64 `json:"targets_digest,omitempty"`
+	// HeldSince is the log's time of the holder's claim; zero without one.
+	HeldSince time.Time `json:"held_since,omitzero"`
 }
 
 // Record writes the outcome of a key's holder. An outcome that proves "not
@@ -185,6 +215,12 @@
 	ConfigVersion uint64               `json:"config_version"`
 	ConfigDigest  uint64               `json:"config_digest"`
 	Pool          []tables.PoolSummary `json:"pool,omitempty"`
+	// Sequence is raised to refute reports that the sender is down.
+	Sequence uint32 `json:"sequence,omitempty"`
+	// Reports are news about hosts.
+	Reports []tables.MemberReport `json:"reports,omitempty"`
+	// WantAll asks for a report on every host in the answer.
+	WantAll bool `json:"want_all,omitempty"`
 }
 
 // ConfigRequest asks a peer for its configuration.
--- a/internal/systems/prefix/prefix.go
+++ b/internal/systems/prefix/prefix.go
@@ -4,6 +4,9 @@
 package prefix
 
 import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -23,6 +26,26 @@
 	agreement = 0.05
 )
 
+// bytesPerToken is the assumed length of a token in bytes.
+const bytesPerToken = 4
+
+// Chain returns one hash per whole block of a prompt. Each hash covers the
+// scope, which names what else a cache entry depends on, and the prompt up to
+// the end of its block.
+func Chain(scope string, prompt []byte) []uint64 {
+	const blockBytes = BlockTokens * bytesPerToken
+	chain := make([]uint64, 0, len(prompt)/blockBytes)
+	previous := xxhash.Sum64String(scope)
+	for start := 0; start+blockBytes <= len(prompt); start += blockBytes {
+		d := xxhash.NewWithSeed(0)
+		_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, previous))
+		_, _ = d.Write(prompt[start : start+blockBytes])
+		previous = d.Sum64()
+		chain = append(chain, previous)
+	}
+	return chain
+}
+
 // Index maps targets to the prefix blocks that they probably hold.
 type Index struct {
 	targets map[tables.TargetID]*held
