--- a/internal/bench/seam.go
+++ b/internal/bench/seam.go
@@ -27,6 +27,9 @@
 	// sweepAgain is the pause before owners that gave no answer are asked again.
 	sweepAgain = 200 * time.Millisecond
 	rampTime   = time.Second
+	// sweepValid is how long the refusals of a sweep hold: a gate refuses only
+	// when all owners have refused within this time.
+	sweepValid = 100 * time.Millisecond
 )
 
 // seam is bluebellseam: a gate and a dispatcher on every host.
@@ -157,7 +160,7 @@
 		}
 	}
 	r := request(j, nil)
-	j.incomplete = false
+	j.incomplete, j.swept = false, s.now
 	j.choices = route.Pick(s.clock(), route.Request{ID: j.id, Tier: j.tier, PromptTokens: j.prompt,
 		PredictedTokens: h.lengths.Predict(r), Prefix: j.chain, Due: r.Due}, views)
 	p.next(s, j)
@@ -169,6 +172,10 @@
 		return
 	}
 	if len(j.choices) == 0 {
+		if s.now-j.swept > sweepValid {
+			p.pick(s, j)
+			return
+		}
 		if j.incomplete {
 			s.after(sweepAgain, func() {
 				if !j.ended {
--- a/internal/bench/sim.go
+++ b/internal/bench/sim.go
@@ -47,10 +47,12 @@
 	recomputed int
 	ended      bool
 	// home is the host whose dispatcher holds the job; choices are those that
-	// the gate has not yet tried, and incomplete that one gave no answer.
+	// the gate has not yet tried, and incomplete that one gave no answer;
+	// swept is when the choices were made.
 	home       int
 	choices    []route.Choice
 	incomplete bool
+	swept      time.Duration
 }
 
 // ending says how a job ended.
--- a/internal/systems/schedule/index.go
+++ b/internal/systems/schedule/index.go
@@ -33,9 +33,8 @@
 	running []*tables.Request
 	// byTier counts the running requests by tier.
 	byTier []int
-	// floor is the tier below which nothing starts until floorUntil.
-	floor      int
-	floorUntil time.Time
+	// refused is, by tier, when a request was last refused here.
+	refused []time.Time
 }
 
 type groupKey struct {
@@ -254,9 +253,22 @@
 	return len(sl.running) < limit(sl.t, now) && !sl.floored(now, tier)
 }
 
-// floored reports whether a higher tier was refused here a moment ago.
+// refuse notes that a request of tier was refused here.
+func (sl *slot) refuse(now time.Time, tier int) {
+	for len(sl.refused) <= tier {
+		sl.refused = append(sl.refused, time.Time{})
+	}
+	sl.refused[tier] = now
+}
+
+// floored reports whether a tier above tier was refused here a moment ago.
 func (sl *slot) floored(now time.Time, tier int) bool {
-	return tier > sl.floor && now.Before(sl.floorUntil)
+	for i := 0; i < tier && i < len(sl.refused); i++ {
+		if now.Sub(sl.refused[i]) < floorHold {
+			return true
+		}
+	}
+	return false
 }
 
 func (g *group) grow(tier int) {
--- a/internal/systems/schedule/overload.go
+++ b/internal/systems/schedule/overload.go
@@ -13,9 +13,8 @@
 	// floorHold keeps lower tiers off the targets that refused a request,
 	// while its gate asks the other owners.
 	floorHold = 250 * time.Millisecond
-	// preemptAgain is the wait before a second request is cancelled for the
-	// same queued one.
-	preemptAgain = 2 * time.Second
+	// fastestFactor is the speed of the fastest over that of the mean target.
+	fastestFactor = 2
 	// rescueMargin is how long before its latest start a request gets a place
 	// by cancelling a lower tier.
 	rescueMargin = 300 * time.Millisecond
@@ -40,6 +39,11 @@
 	}
 	e.work = work
 	e.startBy = latestStart(now, e.r, work, first)
+	e.second = second(now, e.startBy)
+	e.hopeless = now.Add(noDeadline)
+	if !e.r.Due.IsZero() {
+		e.hopeless = e.r.Due.Add(-work / fastestFactor)
+	}
 }
 
 // noDeadline is the slack of a request without deadlines.
@@ -70,22 +74,25 @@
 	return work / time.Duration(g.capacity)
 }
 
-// lower reports whether a tier below tier runs or queues at a target of g.
-func (g *group) lower(tier int) bool {
-	return g.lowerQueued(tier) || g.lowerRunning(tier)
-}
-
-func (g *group) lowerQueued(tier int) bool {
+// waitOf returns the expected wait of e: for all queued work of higher tiers,
+// and for that of its own tier that must start no later.
+func (g *group) waitOf(now time.Time, e *entry) time.Duration {
+	if g.capacity == 0 {
+		return 0
+	}
+	var work time.Duration
 	for _, o := range g.overlaps {
-		for i := tier + 1; i < len(o.tiers); i++ {
-			if o.tiers[i].count > 0 {
-				return true
-			}
+		for i := 0; i < e.r.Tier && i < len(o.tiers); i++ {
+			work += o.tiers[i].work
+		}
+		if e.r.Tier < len(o.tiers) {
+			work += o.tiers[e.r.Tier].workBefore(now, e.startBy)
 		}
 	}
-	return false
+	return work / time.Duration(g.capacity)
 }
 
+// lowerRunning reports whether a tier below tier runs at a target of g.
 func (g *group) lowerRunning(tier int) bool {
 	for _, sl := range g.slots {
 		for i := tier + 1; i < len(sl.byTier); i++ {
@@ -97,21 +104,43 @@
 	return false
 }
 
-// admit refuses new requests that could not be finished in time, so that their
-// gates can ask other owners at once.
+// cancelling counts the running requests that are about to leave a target of g.
+func (g *group) cancelling() int {
+	n := 0
+	for _, sl := range g.slots {
+		for _, r := range sl.running {
+			if r.Cancelling {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// queuedAhead counts the queued requests of tier and above that share a target
+// with g.
+func (g *group) queuedAhead(tier int) int {
+	n := 0
+	for _, o := range g.overlaps {
+		n += o.queued(tier)
+	}
+	return n
+}
+
+// admit finds a place for new requests that would wait too long, or refuses
+// them at once, so that their gates can ask other owners in time.
 func (p *pass) admit() {
 	for _, e := range p.index.arrived {
-		if e.pos < 0 || e.r.State != tables.Queued {
+		if e.pos < 0 {
 			continue
 		}
 		if p.floored(e) {
-			p.shed(e, errkind.Overloaded)
+			p.refuse(e)
 			continue
 		}
-		if !e.startBy.Before(p.now.Add(e.group.wait(e.r.Tier))) {
-			continue
+		if p.pressed(e) {
+			p.relieve(e)
 		}
-		p.relieve(e)
 	}
 	clear(p.index.arrived)
 	p.index.arrived = p.index.arrived[:0]
@@ -127,7 +156,12 @@
 	return false
 }
 
-// rescue finds a place for queue heads whose latest start has come.
+// pressed reports whether e is expected to start later than it must.
+func (p *pass) pressed(e *entry) bool {
+	return e.startBy.Before(p.now.Add(max(rescueMargin, e.group.waitOf(p.now, e))))
+}
+
+// rescue finds a place for queue heads whose latest start is near.
 func (p *pass) rescue() {
 	for tier := range p.index.tiers {
 		for _, g := range p.index.groups {
@@ -143,32 +177,39 @@
 
 func (p *pass) rescueHead(q *customerQueue) {
 	for e := q.head(); e != nil; e = q.head() {
-		if e.startBy.After(p.now.Add(rescueMargin)) {
-			return
-		}
-		if !p.relieve(e) {
+		if e.startBy.After(p.now.Add(rescueMargin)) || !p.relieve(e) {
 			return
 		}
 	}
 }
 
-// relieve cancels or displaces a lower tier for e, or refuses e when there is
-// none. It reports whether e left the queue.
+// relieve cancels the work of a lower tier for e. When no lower tier runs, it
+// displaces those that queue and refuses e. It reports whether e left the queue.
 func (p *pass) relieve(e *entry) bool {
-	tier := e.r.Tier
-	if e.group.lower(tier) {
-		if p.now.Sub(e.preempted) >= preemptAgain {
+	if e.group.lowerRunning(e.r.Tier) {
+		if e.group.cancelling() < e.group.queuedAhead(e.r.Tier) {
 			p.preempt(e)
 		}
 		return false
 	}
-	if e.startBy.After(p.now) && e.group.wait(tier) < e.startBy.Sub(p.now) {
-		return false
-	}
+	p.displace(e)
 	p.refuse(e)
 	return true
 }
 
+// displace sheds the queued requests of lower tiers that share a target with e.
+func (p *pass) displace(e *entry) {
+	for _, g := range e.group.overlaps {
+		for tier := e.r.Tier + 1; tier < len(g.tiers); tier++ {
+			for _, q := range g.tiers[tier].customers {
+				for q.head() != nil {
+					p.shed(q.head(), errkind.Displaced)
+				}
+			}
+		}
+	}
+}
+
 // preempt cancels the running lower-tier request that loses the least work.
 func (p *pass) preempt(e *entry) {
 	var victim *tables.Request
@@ -188,7 +229,6 @@
 	if victim == nil {
 		return
 	}
-	e.preempted = p.now
 	victim.Cancelling = true
 	p.out = append(p.out, tables.Decision{Action: tables.Cancel, Request: victim.ID, Target: victim.Target, Kind: errkind.Preempted})
 }
@@ -208,10 +248,7 @@
 // refuse sheds e, below which no tier is left.
 func (p *pass) refuse(e *entry) {
 	for _, sl := range e.group.slots {
-		if !p.now.Before(sl.floorUntil) || e.r.Tier < sl.floor {
-			sl.floor = e.r.Tier
-		}
-		sl.floorUntil = p.now.Add(floorHold)
+		sl.refuse(p.now, e.r.Tier)
 	}
 	kind := errkind.Overloaded
 	switch {
--- a/internal/systems/schedule/queue.go
+++ b/internal/systems/schedule/queue.go
@@ -16,7 +16,11 @@
 	// expected time at a target.
 	startBy time.Time
 	work    time.Duration
-	pos     int
+	// hopeless is when even a fast target could not finish in time.
+	hopeless time.Time
+	pos      int
+	// second is the place in the ring of the tier queue.
+	second int64
 	// preempted is when a running request was last cancelled for this one.
 	preempted time.Time
 }
@@ -70,6 +74,30 @@
 	customers []*customerQueue
 	count     int
 	work      time.Duration
+	// bySecond sums the work by the second of startBy, in a ring.
+	bySecond [startSeconds]time.Duration
+}
+
+// startSeconds is the length of the ring, and lateSeconds how much of it is for
+// requests whose latest start has passed.
+const (
+	startSeconds = 128
+	lateSeconds  = 16
+)
+
+// second returns the second of startBy, at most what the ring holds at now.
+func second(now, startBy time.Time) int64 {
+	first := now.Unix() - lateSeconds
+	return min(max(startBy.Unix(), first), first+startSeconds-1)
+}
+
+// workBefore sums the work that must start no later than startBy.
+func (t *tierQueue) workBefore(now, startBy time.Time) time.Duration {
+	var sum time.Duration
+	for i := now.Unix() - lateSeconds; i <= second(now, startBy); i++ {
+		sum += t.bySecond[i%startSeconds]
+	}
+	return sum
 }
 
 func (t *tierQueue) customer(id tables.CustomerID) *customerQueue {
@@ -88,10 +116,12 @@
 	heap.Push(e.queue, e)
 	t.count++
 	t.work += e.work
+	t.bySecond[e.second%startSeconds] += e.work
 }
 
 func (t *tierQueue) remove(e *entry) {
 	heap.Remove(e.queue, e.pos)
 	t.count--
 	t.work -= e.work
+	t.bySecond[e.second%startSeconds] -= e.work
 }
--- a/internal/systems/schedule/schedule.go
+++ b/internal/systems/schedule/schedule.go
@@ -117,9 +117,9 @@
 // urgentSlack is the slack below which the deadline orders before fairness.
 const urgentSlack = 500 * time.Millisecond
 
+// urgent reports whether e must start soon and may still be in time.
 func (p *pass) urgent(e *entry) bool {
-	slack := e.startBy.Sub(p.now)
-	return slack >= 0 && slack < urgentSlack
+	return e.startBy.Sub(p.now) < urgentSlack && p.now.Before(e.hopeless)
 }
 
 // run starts e at the free target of g that finishes it first.
--- a/internal/systems/schedule/schedule_test.go
+++ b/internal/systems/schedule/schedule_test.go
@@ -120,6 +120,55 @@
 		Expect(ds[0].Kind).To(Equal(errkind.Overloaded))
 	})
 
+	It("keeps lower tiers off after each refusal in a row", func() {
+		s.Targets.Put(engine("e1", 1))
+		for i := range 3 {
+			s.Requests.Put(request(fmt.Sprintf("top%d", i), 0, 2*time.Second, "e1"))
+		}
+		Expect(ids(schedule.Tick(start, s), tables.Shed)).NotTo(BeEmpty())
+		s.Requests.Put(request("middle", 1, time.Hour, "e1"))
+		Expect(ids(schedule.Tick(start.Add(200*time.Millisecond), s), tables.Shed)).To(Equal([]string{"middle"}))
+		s.Requests.Put(request("low", 2, time.Hour, "e1"))
+		Expect(ids(schedule.Tick(start.Add(300*time.Millisecond), s), tables.Shed)).To(Equal([]string{"low"}))
+	})
+
+	It("makes enough room for a pressed request behind a higher tier", func() {
+		s.Targets.Put(engine("e1", 4))
+		for i := range 4 {
+			s.Requests.Put(request(fmt.Sprintf("low%d", i), 2, time.Hour, "e1"))
+		}
+		schedule.Tick(start, s)
+		for i := range 2 {
+			s.Requests.Put(request(fmt.Sprintf("top%d", i), 0, time.Hour, "e1"))
+		}
+		s.Requests.Put(request("pressed", 1, 2*time.Second, "e1"))
+		var started []string
+		for at := time.Duration(0); at < 2*time.Second; at += 10 * time.Millisecond {
+			ds := schedule.Tick(start.Add(at), s)
+			started = append(started, ids(ds, tables.Start)...)
+			for _, id := range ids(ds, tables.Cancel) {
+				s.Requests.Delete(tables.RequestID(id))
+			}
+		}
+		Expect(started).To(ContainElement("pressed"))
+	})
+
+	It("prefers a request past its comfortable start that can still be in time", func() {
+		s.Targets.Put(engine("e1", 1))
+		s.Requests.Put(request("busy", 0, time.Hour, "e1"))
+		schedule.Tick(start, s)
+		heavy := request("heavy", 1, 2*time.Hour, "e1")
+		heavy.Customer, heavy.PromptTokens = "other", 100_000
+		s.Requests.Put(heavy)
+		s.Requests.Put(request("tight", 1, 4*time.Second, "e1"))
+		light := request("light", 1, 2*time.Hour, "e1")
+		light.Customer = "light"
+		s.Requests.Put(light)
+		schedule.Tick(start.Add(time.Second), s)
+		s.Requests.Delete("busy")
+		Expect(ids(schedule.Tick(start.Add(2*time.Second+600*time.Millisecond), s), tables.Start)).To(Equal([]string{"tight"}))
+	})
+
 	It("shares a tier between customers by tokens", func() {
 		s.Targets.Put(engine("e1", 1))
 		for i := range 20 {
