--- a/internal/tables/decision.go
+++ b/internal/tables/decision.go
@@ -46,4 +46,7 @@
 	Straggler bool `json:"straggler,omitempty"`
 	// Slowdown is measured over nominal time between tokens.
 	Slowdown float64 `json:"slowdown,omitempty"`
+	// Held names shared prompt parts in the target's cache by the low half of
+	// the hash of their last block.
+	Held []uint32 `json:"held,omitempty"`
 }
