Route to the engine that holds the shared prompt part

Cause: wasted prefill was as high as that of least-outstanding, since each gate saw too little of the traffic and cache evictions were unknown. Change: dispatchers find the part that prompts have in common and name it in their summaries; gates weigh computing it again elsewhere; what nobody holds is placed by a rendezvous of the shared or first blocks, weighted by speed. Conclusion: kept with weight 12.

--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -21,6 +21,8 @@
 	waiting []*sequence
 	running []*sequence
 	cache   *simplelru.LRU[uint64, struct{}]
+	// evicted are the blocks dropped since the last cache event.
+	evicted []uint64
 	// slow multiplies every step; epoch changes with every crash.
 	slow     float64
 	epoch    int
@@ -55,7 +57,8 @@
 
 func (e *engine) reset() {
 	e.waiting, e.running, e.stepping = nil, nil, false
-	e.cache, _ = simplelru.NewLRU[uint64, struct{}](max(e.spec.cacheTokens/prefix.BlockTokens, 1), nil)
+	e.cache, _ = simplelru.NewLRU[uint64, struct{}](max(e.spec.cacheTokens/prefix.BlockTokens, 1),
+		func(block uint64, _ struct{}) { e.evicted = append(e.evicted, block) })
 }
 
 func (e *engine) fits(s tables.ServiceID) bool {
--- a/internal/bench/seam.go
+++ b/internal/bench/seam.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,6 +31,10 @@
 	// sweepValid is how long the refusals of a sweep hold: a gate refuses only
 	// when all owners have refused within this time.
 	sweepValid = 100 * time.Millisecond
+	// Cache events come at this period, and a part of them is lost.
+	eventPeriod = time.Second
+	eventLoss   = 0.1
+	eventSeed   = 99
 )
 
 // seam is bluebellseam: a gate and a dispatcher on every host.
@@ -40,18 +45,18 @@
 
 // seamHost is the gate and the dispatcher of one host with their own views.
 type seamHost struct {
-	index    int
-	state    *schedule.State
-	views    []route.View
-	prefixes *prefix.Index
-	lengths  *predict.Lengths
-	dead     [hosts]bool
+	index   int
+	state   *schedule.State
+	views   []route.View
+	shared  *prefix.Shared
+	lengths *predict.Lengths
+	dead    [hosts]bool
 }
 
 func newSeam(s *sim, previous bool) *seam {
 	p := &seam{jobs: make(map[tables.RequestID]*job)}
 	for i := range hosts {
-		h := &seamHost{index: i, state: schedule.NewState(), prefixes: prefix.NewIndex(), lengths: predict.NewLengths()}
+		h := &seamHost{index: i, state: schedule.NewState(), shared: prefix.NewShared(prefix.DefaultSharedBlocks), lengths: predict.NewLengths()}
 		if previous {
 			h.state.Policy = schedule.PreviousPolicy()
 		}
@@ -66,9 +71,32 @@
 		s.every(time.Duration(i)*time.Millisecond, tickPeriod, func() { p.tick(s, h) })
 		s.every(time.Duration(i)*time.Millisecond, measurePeriod, func() { measure.Tick(s.clock(), h.state.Targets) })
 	}
+	p.cacheEvents(s)
 	return p
 }
 
+// cacheEvents passes on what engines evicted, late and with gaps.
+func (p *seam) cacheEvents(s *sim) {
+	rng := rand.New(rand.NewPCG(s.seed, eventSeed))
+	s.every(eventPeriod, eventPeriod, func() {
+		for _, e := range s.engines {
+			blocks, lost := e.evicted, rng.Float64() < eventLoss
+			e.evicted = nil
+			owner := p.hosts[p.hosts[hosts-1].owner(e.id)]
+			if len(blocks) == 0 {
+				continue
+			}
+			s.after(eventPeriod/2, func() {
+				if lost {
+					owner.state.Prefixes.Gap(e.id)
+					return
+				}
+				owner.state.Prefixes.Evicted(e.id, blocks)
+			})
+		}
+	})
+}
+
 func row(e *engine) *tables.Target {
 	t := &tables.Target{ID: e.id, Domain: e.spec.domain, Generation: e.spec.generation, Plain: e.spec.plain,
 		Services: make(map[tables.ServiceID]bool), WindowMin: 1, WindowMax: e.spec.window, Speed: e.spec.speed}
@@ -155,14 +183,17 @@
 	var views []route.View
 	for i, v := range h.views {
 		if s.engines[i].fits(j.class.service) {
-			v.Cached = h.prefixes.Match(v.Target, j.chain)
 			views = append(views, v)
 		}
 	}
 	r := request(j, nil)
+	if root := j.root(); !root.known {
+		root.known = true
+		root.shared, root.sharedTokens = h.shared.Find(j.chain)
+	}
 	j.incomplete, j.swept = false, s.now
 	j.choices = route.Pick(s.clock(), route.Request{ID: j.id, Tier: j.tier, PromptTokens: j.prompt,
-		PredictedTokens: h.lengths.Predict(r), Prefix: j.chain, Due: r.Due}, views)
+		PredictedTokens: h.lengths.Predict(r), Prefix: j.chain, Due: r.Due, Shared: j.root().shared, SharedTokens: j.root().sharedTokens}, views)
 	p.next(s, j)
 }
 
@@ -246,7 +277,6 @@
 		j := p.jobs[d.Request]
 		switch d.Action {
 		case tables.Start:
-			p.hosts[j.gate].prefixes.Stored(d.Target, j.chain)
 			s.start(j, s.engine(d.Target))
 		case tables.Shed:
 			h.state.Requests.Delete(d.Request)
--- a/internal/bench/sim.go
+++ b/internal/bench/sim.go
@@ -49,10 +49,13 @@
 	// home is the host whose dispatcher holds the job; choices are those that
 	// the gate has not yet tried, and incomplete that one gave no answer;
 	// swept is when the choices were made.
-	home       int
-	choices    []route.Choice
-	incomplete bool
-	swept      time.Duration
+	home         int
+	choices      []route.Choice
+	incomplete   bool
+	swept        time.Duration
+	known        bool
+	shared       uint64
+	sharedTokens int
 }
 
 // ending says how a job ended.
--- a/internal/systems/prefix/prefix.go
+++ b/internal/systems/prefix/prefix.go
@@ -24,6 +24,8 @@
 	// events, and agreement moves it back towards one.
 	gapFactor = 0.8
 	agreement = 0.05
+	// maxShared bounds the shared prompt parts that are named of one target.
+	maxShared = 32
 )
 
 // bytesPerToken is the assumed length of a token in bytes.
@@ -55,6 +57,7 @@
 
 type held struct {
 	blocks     *simplelru.LRU[uint64, struct{}]
+	shared     *simplelru.LRU[uint64, struct{}]
 	confidence float64
 }
 
@@ -69,17 +72,24 @@
 func (x *Index) target(id tables.TargetID) *held {
 	h := x.targets[id]
 	if h == nil {
-		size := max(x.cacheTokens/(BlockTokens*stride), 1)
-		blocks, err := simplelru.NewLRU[uint64, struct{}](size, nil)
-		if err != nil {
-			panic("prefix: LRU of positive size refused: " + err.Error())
+		h = &held{
+			blocks:     newLRU(x.cacheTokens / (BlockTokens * stride)),
+			shared:     newLRU(maxShared),
+			confidence: 1,
 		}
-		h = &held{blocks: blocks, confidence: 1}
 		x.targets[id] = h
 	}
 	return h
 }
 
+func newLRU(size int) *simplelru.LRU[uint64, struct{}] {
+	l, err := simplelru.NewLRU[uint64, struct{}](max(size, 1), nil)
+	if err != nil {
+		panic("prefix: LRU of positive size refused: " + err.Error())
+	}
+	return l
+}
+
 // Stored records that a target computed a prompt with this chain of blocks.
 func (x *Index) Stored(id tables.TargetID, chain []uint64) {
 	if len(chain) == 0 {
@@ -120,6 +130,30 @@
 // Forget drops all that is known of a target, for example after its restart.
 func (x *Index) Forget(id tables.TargetID) { delete(x.targets, id) }
 
+// StoredShared records that a target holds a shared prompt part that ends in
+// block.
+func (x *Index) StoredShared(id tables.TargetID, block uint64) {
+	if block != 0 {
+		x.target(id).shared.Add(block, struct{}{})
+	}
+}
+
+// Shared names the shared prompt parts that the target probably holds, by the
+// low half of the hash of their last block.
+func (x *Index) Shared(id tables.TargetID) []uint32 {
+	h := x.targets[id]
+	if h == nil {
+		return nil
+	}
+	var out []uint32
+	for _, block := range h.shared.Keys() {
+		if h.blocks.Contains(block) {
+			out = append(out, uint32(block))
+		}
+	}
+	return out
+}
+
 // Match returns the tokens of chain that the target probably holds.
 func (x *Index) Match(id tables.TargetID, chain []uint64) int {
 	h := x.targets[id]
--- a/internal/systems/route/route.go
+++ b/internal/systems/route/route.go
@@ -4,11 +4,13 @@
 package route
 
 import (
+	"math"
 	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/bluebellseam/bluebellseam/internal/systems/prefix"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -39,6 +41,10 @@
 	Prefix []uint64
 	// Due is the deadline of the whole answer.
 	Due time.Time
+	// Shared is the hash of the prompt part that other prompts have in common
+	// with it, and SharedTokens its length; both are zero when none is known.
+	Shared       uint64
+	SharedTokens int
 }
 
 // Choice is one dispatcher and the targets it may use, best first.
@@ -57,7 +63,12 @@
 	placeTime = time.Second
 	// spread is the share of the finish time by which choices of equal views
 	// differ between requests, so that gates do not all choose alike.
-	spread = 0.1
+	spread = 0.03
+	// recomputeWeight weighs the time of computing again what another target
+	// holds, for each place at the target.
+	recomputeWeight = 12
+	// coldBlocks is the prompt part, in blocks, that places an unknown prompt.
+	coldBlocks = 32
 	// plainTime is the expected time of a call of a plain service.
 	plainTime = 100 * time.Millisecond
 )
@@ -72,6 +83,7 @@
 // have refused. Views hold only targets that fit and are open. An owner is as
 // good as its best target.
 func Pick(_ time.Time, r Request, views []View) []Choice {
+	credit(&r, views)
 	ranked := make([]scored, len(views))
 	for i := range views {
 		v := &views[i]
@@ -86,6 +98,65 @@
 	return byOwner(ranked)
 }
 
+// credit sets the prompt part that each target probably holds: what its
+// summary names, or else the part that all gates keep at the first target in a
+// rendezvous of its hash, weighted by speed.
+func credit(r *Request, views []View) {
+	held := 0
+	for i := range views {
+		v := &views[i]
+		v.Cached = max(v.Cached, prefix.Held(r.Prefix, v.Summary.Held))
+		held = max(held, v.Cached)
+	}
+	if key, tokens := placement(r); key != 0 && held < tokens {
+		first := rendezvous(key, views)
+		first.Cached = max(first.Cached, tokens)
+		held = tokens
+	}
+	r.SharedTokens = held
+}
+
+// placement returns what decides where a prompt that no target holds is kept:
+// its shared part or, as long as none is known, its first blocks.
+func placement(r *Request) (key uint64, tokens int) {
+	if r.Shared != 0 {
+		return r.Shared, r.SharedTokens
+	}
+	if n := min(len(r.Prefix), coldBlocks); n > 0 {
+		return r.Prefix[n-1], n * prefix.BlockTokens
+	}
+	return 0, 0
+}
+
+func rendezvous(key uint64, views []View) *View {
+	var best *View
+	bestScore := 0.0
+	for i := range views {
+		v := &views[i]
+		h := mix(xxhash.Sum64String(string(v.Target)) ^ key)
+		u := (float64(h>>11) + 0.5) / (1 << 53)
+		if score := -weight(v) / math.Log(u); best == nil || score > bestScore {
+			best, bestScore = v, score
+		}
+	}
+	return best
+}
+
+// weight is the prompt throughput of a target.
+func weight(v *View) float64 {
+	if v.Summary.Straggler {
+		return 1
+	}
+	return max(v.Speed.PrefillTokensPerSecond, 1)
+}
+
+// mix spreads the bits of h (the finalizer of SplitMix64).
+func mix(h uint64) uint64 {
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
 func byOwner(ranked []scored) []Choice {
 	var out []Choice
 	at := make(map[tables.HostID]int)
@@ -115,10 +186,18 @@
 	if v.Plain {
 		return plainTime * time.Duration(batch)
 	}
-	d := v.Speed.Prefill(r.PromptTokens-v.Cached) + time.Duration(r.PredictedTokens)*v.Speed.Gap(batch)
+	// A prompt holds up the whole batch, so its time counts once for each.
+	d := time.Duration(batch)*v.Speed.Prefill(r.PromptTokens-v.Cached) + time.Duration(r.PredictedTokens)*v.Speed.Gap(batch)
+	// What another target holds is not to be computed again.
+	d += recomputeWeight * time.Duration(window(v)) * v.Speed.Prefill(r.SharedTokens-v.Cached)
 	return time.Duration(float64(d) * max(v.Summary.Slowdown, 1))
 }
 
+// window is the number of places at the target, at least what it runs.
+func window(v *View) int {
+	return max(running(v)+1, v.Summary.Free+running(v)-v.Sent)
+}
+
 // running is the expected batch of the target when the request arrives.
 func running(v *View) int {
 	n := v.Sent
--- a/internal/systems/schedule/queue.go
+++ b/internal/systems/schedule/queue.go
@@ -21,8 +21,6 @@
 	pos      int
 	// second is the place in the ring of the tier queue.
 	second int64
-	// preempted is when a running request was last cancelled for this one.
-	preempted time.Time
 }
 
 func (e *entry) before(o *entry) bool {
--- a/internal/systems/schedule/schedule.go
+++ b/internal/systems/schedule/schedule.go
@@ -20,6 +20,8 @@
 	Targets  *tables.Targets
 	Prefixes *prefix.Index
 	Lengths  *predict.Lengths
+	// Shared finds the prompt parts that requests have in common.
+	Shared *prefix.Shared
 	// MaxQueuedPerTarget bounds the queue in front of one owned target; zero
 	// means DefaultMaxQueuedPerTarget.
 	MaxQueuedPerTarget int
@@ -36,6 +38,7 @@
 		Targets:  tables.NewTargets(),
 		Prefixes: prefix.NewIndex(),
 		Lengths:  predict.NewLengths(),
+		Shared:   prefix.NewShared(prefix.DefaultSharedBlocks),
 		Policy:   CurrentPolicy(),
 		index:    newIndex(),
 	}
@@ -146,5 +149,7 @@
 	}
 	best.add(r)
 	p.state.Prefixes.Stored(best.id, r.Prefix)
+	shared, _ := p.state.Shared.Find(r.Prefix)
+	p.state.Prefixes.StoredShared(best.id, shared)
 	p.out = append(p.out, tables.Decision{Action: tables.Start, Request: r.ID, Target: best.id})
 }
--- a/internal/systems/schedule/summary.go
+++ b/internal/systems/schedule/summary.go
@@ -26,6 +26,7 @@
 		RunningByTier: append([]int(nil), sl.byTier...),
 		Straggler:     t.Straggler,
 		Slowdown:      slowdown(t),
+		Held:          s.Prefixes.Shared(t.ID),
 	}
 	for _, g := range x.groups {
 		if !g.has(sl) {
