Run suspect requests alone

Cause: Request.Alone was not heeded by the scheduling system. Change: such a request starts only at a target that runs nothing, nothing starts beside it, and an urgent one gets a target emptied for it; higher tiers still start there. Conclusion: tested in virtual time.

--- a/internal/systems/schedule/index.go
+++ b/internal/systems/schedule/index.go
@@ -31,6 +31,10 @@
 	id      tables.TargetID
 	t       *tables.Target
 	running []*tables.Request
+	// alone counts the running requests that bear no other, and isolated is a
+	// queued one that the slot is emptied for.
+	alone    int
+	isolated *entry
 	// byTier counts the running requests by tier.
 	byTier []int
 	// refused is, by tier, when a request was last refused here.
@@ -225,6 +229,9 @@
 		sl.byTier = append(sl.byTier, 0)
 	}
 	sl.byTier[r.Tier]++
+	if r.Alone {
+		sl.alone++
+	}
 	sl.count()
 }
 
@@ -236,6 +243,9 @@
 			sl.running[last] = nil
 			sl.running = sl.running[:last]
 			sl.byTier[r.Tier]--
+			if r.Alone {
+				sl.alone--
+			}
 			sl.count()
 			return
 		}
@@ -250,7 +260,15 @@
 
 // room reports whether a request of tier may start at the slot.
 func (sl *slot) room(now time.Time, tier int) bool {
-	return len(sl.running) < limit(sl.t, now) && !sl.floored(now, tier)
+	return len(sl.running) < limit(sl.t, now) && !sl.floored(now, tier) && !sl.reserved(tier)
+}
+
+// reserved reports whether the slot is kept for a request that runs alone.
+func (sl *slot) reserved(tier int) bool {
+	if sl.isolated != nil && sl.isolated.pos < 0 {
+		sl.isolated = nil
+	}
+	return sl.alone > 0 || sl.isolated != nil && tier >= sl.isolated.r.Tier && len(sl.running) > 0
 }
 
 // refuse notes that a request of tier was refused here.
--- a/internal/systems/schedule/queue.go
+++ b/internal/systems/schedule/queue.go
@@ -33,7 +33,9 @@
 // customerQueue holds the requests of one customer, tier and group by startBy.
 type customerQueue struct {
 	customer tables.CustomerID
-	entries  []*entry
+	// alone marks the queue of requests that run only at an empty target.
+	alone   bool
+	entries []*entry
 }
 
 func (q *customerQueue) head() *entry {
@@ -98,19 +100,19 @@
 	return sum
 }
 
-func (t *tierQueue) customer(id tables.CustomerID) *customerQueue {
+func (t *tierQueue) customer(id tables.CustomerID, alone bool) *customerQueue {
 	for _, q := range t.customers {
-		if q.customer == id {
+		if q.customer == id && q.alone == alone {
 			return q
 		}
 	}
-	q := &customerQueue{customer: id}
+	q := &customerQueue{customer: id, alone: alone}
 	t.customers = append(t.customers, q)
 	return q
 }
 
 func (t *tierQueue) push(e *entry) {
-	e.queue = t.customer(e.r.Customer)
+	e.queue = t.customer(e.r.Customer, e.r.Alone)
 	heap.Push(e.queue, e)
 	t.count++
 	t.work += e.work
--- a/internal/systems/schedule/schedule.go
+++ b/internal/systems/schedule/schedule.go
@@ -92,7 +92,10 @@
 			continue
 		}
 		for _, q := range g.tiers[tier].customers {
-			if q.head() != nil && (best == nil || p.before(tier, q, best)) {
+			if q.head() == nil || q.alone && !p.isolate(g, q.head()) {
+				continue
+			}
+			if best == nil || p.before(tier, q, best) {
 				bestGroup, best = g, q
 			}
 		}
@@ -125,19 +128,48 @@
 	return e.startBy.Sub(p.now) < urgentSlack && p.now.Before(e.hopeless)
 }
 
-// run starts e at the free target of g that finishes it first.
-func (p *pass) run(g *group, e *entry) {
-	r := e.r
-	best := g.free[0]
-	cached := 0
+// best returns the free slot of g that finishes r first, and the part of the
+// prompt that it holds in tokens.
+func (p *pass) best(g *group, r *tables.Request) (best *slot, cached int) {
 	var bestCost time.Duration
-	for i, sl := range g.free {
+	for _, sl := range g.free {
+		if r.Alone && len(sl.running) > 0 {
+			continue
+		}
 		held := p.state.Prefixes.Match(sl.id, r.Prefix)
 		cost := finishTime(sl.t, r, held, len(sl.running)+1)
-		if i == 0 || cost < bestCost {
+		if best == nil || cost < bestCost {
 			best, bestCost, cached = sl, cost, held
 		}
 	}
+	return best, cached
+}
+
+// isolate reports whether a slot of g is empty for e, which runs alone. When e
+// is urgent and none is, the slot with the least work is emptied.
+func (p *pass) isolate(g *group, e *entry) bool {
+	var least *slot
+	for _, sl := range g.free {
+		if len(sl.running) == 0 {
+			return true
+		}
+		if sl.isolated == e {
+			return false
+		}
+		if least == nil || len(sl.running) < len(least.running) {
+			least = sl
+		}
+	}
+	if least != nil && p.urgent(e) {
+		least.isolated = e
+	}
+	return false
+}
+
+// run starts e at the free target of g that finishes it first.
+func (p *pass) run(g *group, e *entry) {
+	r := e.r
+	best, cached := p.best(g, r)
 	p.index.dequeue(e)
 	p.index.charge(r)
 	r.State = tables.Running
--- a/internal/systems/schedule/schedule_test.go
+++ b/internal/systems/schedule/schedule_test.go
@@ -169,6 +169,40 @@
 		Expect(ids(schedule.Tick(start.Add(2*time.Second+600*time.Millisecond), s), tables.Start)).To(Equal([]string{"tight"}))
 	})
 
+	It("runs a suspect request only at an empty target, and nothing beside it", func() {
+		s.Targets.Put(engine("e1", 4))
+		s.Requests.Put(request("first", 1, time.Hour, "e1"))
+		schedule.Tick(start, s)
+		suspect := request("suspect", 1, time.Hour, "e1")
+		suspect.Alone = true
+		s.Requests.Put(suspect)
+		Expect(schedule.Tick(start, s)).To(BeEmpty())
+		s.Requests.Delete("first")
+		Expect(ids(schedule.Tick(start, s), tables.Start)).To(Equal([]string{"suspect"}))
+		s.Requests.Put(request("next", 1, time.Hour, "e1"))
+		Expect(schedule.Tick(start, s)).To(BeEmpty())
+		s.Requests.Delete("suspect")
+		Expect(ids(schedule.Tick(start, s), tables.Start)).To(Equal([]string{"next"}))
+	})
+
+	It("empties a target for an urgent suspect", func() {
+		s.Targets.Put(engine("e1", 4))
+		s.Requests.Put(request("first", 1, time.Hour, "e1"))
+		schedule.Tick(start, s)
+		suspect := request("suspect", 1, 2*time.Second, "e1")
+		suspect.Alone = true
+		s.Requests.Put(suspect)
+		now := start.Add(200 * time.Millisecond)
+		schedule.Tick(now, s)
+		s.Requests.Put(request("same", 1, time.Hour, "e1"))
+		Expect(ids(schedule.Tick(now, s), tables.Start)).To(BeEmpty())
+		s.Requests.Put(request("higher", 0, time.Hour, "e1"))
+		Expect(ids(schedule.Tick(now, s), tables.Start)).To(Equal([]string{"higher"}))
+		s.Requests.Delete("higher")
+		s.Requests.Delete("first")
+		Expect(ids(schedule.Tick(now, s), tables.Start)).To(Equal([]string{"suspect"}))
+	})
+
 	It("shares a tier between customers by tokens", func() {
 		s.Targets.Put(engine("e1", 1))
 		for i := range 20 {
