Hold places back from lower tiers

Cause: each owner has few places, so every burst of a higher tier cancelled lower work and lost its prefill. Change: the second tier leaves one place of a window free, the third two, never more than a quarter; a pressed request may take the last but one.

--- a/internal/systems/schedule/index.go
+++ b/internal/systems/schedule/index.go
@@ -258,9 +258,23 @@
 	}
 }
 
-// room reports whether a request of tier may start at the slot.
+// room reports whether a request of tier may start at the slot. Places are held
+// back from lower tiers, so that a burst of higher ones cancels less.
 func (sl *slot) room(now time.Time, tier int) bool {
-	return len(sl.running) < limit(sl.t, now) && !sl.floored(now, tier) && !sl.reserved(tier)
+	n := limit(sl.t, now)
+	return len(sl.running)+min(tier, n/heldBackPart) < n && sl.admits(now, tier)
+}
+
+// lastRoom reports whether a request that can wait no longer may start at the
+// slot, if need be at a place held back; the last one is left to the highest
+// tier.
+func (sl *slot) lastRoom(now time.Time, tier int) bool {
+	n := limit(sl.t, now)
+	return len(sl.running)+min(tier, n/heldBackPart, 1) < n && sl.admits(now, tier)
+}
+
+func (sl *slot) admits(now time.Time, tier int) bool {
+	return !sl.floored(now, tier) && !sl.reserved(tier)
 }
 
 // reserved reports whether the slot is kept for a request that runs alone.
--- a/internal/systems/schedule/overload.go
+++ b/internal/systems/schedule/overload.go
@@ -183,9 +183,12 @@
 	}
 }
 
-// relieve cancels the work of a lower tier for e. When no lower tier runs, it
-// displaces those that queue and refuses e. It reports whether e left the queue.
+// relieve starts e at a place held back or cancels the work of a lower tier for
+// it. When no lower tier runs, it displaces those that queue and refuses e. It reports whether e left the queue.
 func (p *pass) relieve(e *entry) bool {
+	if p.squeeze(e) {
+		return true
+	}
 	if e.group.lowerRunning(e.r.Tier) {
 		if e.group.cancelling() < e.group.queuedAhead(e.r.Tier) {
 			p.preempt(e)
@@ -197,6 +200,22 @@
 	return true
 }
 
+// squeeze starts e at a place that was held back, if there is one.
+func (p *pass) squeeze(e *entry) bool {
+	g := e.group
+	g.free = g.free[:0]
+	for _, sl := range g.slots {
+		if sl.t != nil && sl.t.Fits(e.r) && sl.lastRoom(p.now, e.r.Tier) {
+			g.free = append(g.free, sl)
+		}
+	}
+	if best, _ := p.best(g, e.r); best == nil {
+		return false
+	}
+	p.run(g, e)
+	return true
+}
+
 // displace sheds the queued requests of lower tiers that share a target with e.
 func (p *pass) displace(e *entry) {
 	for _, g := range e.group.overlaps {
