--- a/internal/systems/schedule/index.go
+++ b/internal/systems/schedule/index.go
@@ -37,6 +37,8 @@
 	isolated *entry
 	// byTier counts the running requests by tier.
 	byTier []int
+	// preempted is, by tier, when a running request was last cancelled here.
+	preempted []time.Time
 	// refused is, by tier, when a request was last refused here.
 	refused []time.Time
 }
@@ -260,17 +262,17 @@
 
 // room reports whether a request of tier may start at the slot. Places are held
 // back from lower tiers, so that a burst of higher ones cancels less.
-func (sl *slot) room(now time.Time, tier int) bool {
-	n := limit(sl.t, now)
-	return len(sl.running)+min(tier, n/heldBackPart) < n && sl.admits(now, tier)
+func (sl *slot) room(p *pass, tier int) bool {
+	n := limit(sl.t, p.now)
+	return len(sl.running)+min(tier, n/p.state.Policy.HeldBackPart) < n && sl.admits(p.now, tier) && !sl.cooling(p, tier)
 }
 
 // lastRoom reports whether a request that can wait no longer may start at the
 // slot, if need be at a place held back; the last one is left to the highest
 // tier.
-func (sl *slot) lastRoom(now time.Time, tier int) bool {
-	n := limit(sl.t, now)
-	return len(sl.running)+min(tier, n/heldBackPart, 1) < n && sl.admits(now, tier)
+func (sl *slot) lastRoom(p *pass, tier int) bool {
+	n := limit(sl.t, p.now)
+	return len(sl.running)+min(tier, n/p.state.Policy.HeldBackPart, 1) < n && sl.admits(p.now, tier)
 }
 
 func (sl *slot) admits(now time.Time, tier int) bool {
@@ -287,10 +289,27 @@
 
 // refuse notes that a request of tier was refused here.
 func (sl *slot) refuse(now time.Time, tier int) {
-	for len(sl.refused) <= tier {
-		sl.refused = append(sl.refused, time.Time{})
+	sl.refused = stamp(sl.refused, tier, now)
+}
+
+// stamp sets the time of a tier in a list that grows as needed.
+func stamp(times []time.Time, tier int, now time.Time) []time.Time {
+	for len(times) <= tier {
+		times = append(times, time.Time{})
+	}
+	times[tier] = now
+	return times
+}
+
+// cooling reports whether a request of tier or above was cancelled here lately,
+// so that another one of tier would likely share its fate.
+func (sl *slot) cooling(p *pass, tier int) bool {
+	for i := 0; i <= tier && i < len(sl.preempted); i++ {
+		if p.now.Sub(sl.preempted[i]) < p.state.Policy.PreemptCooldown {
+			return true
+		}
 	}
-	sl.refused[tier] = now
+	return false
 }
 
 // floored reports whether a tier above tier was refused here a moment ago.
@@ -341,10 +360,10 @@
 
 // hasFree drops the slots that filled up and reports whether one is left for
 // tier.
-func (g *group) hasFree(now time.Time, tier int) bool {
+func (g *group) hasFree(p *pass, tier int) bool {
 	kept := g.free[:0]
 	for _, sl := range g.free {
-		if sl.room(now, tier) {
+		if sl.room(p, tier) {
 			kept = append(kept, sl)
 		}
 	}
--- a/internal/systems/schedule/overload.go
+++ b/internal/systems/schedule/overload.go
@@ -205,7 +205,7 @@
 	g := e.group
 	g.free = g.free[:0]
 	for _, sl := range g.slots {
-		if sl.t != nil && sl.t.Fits(e.r) && sl.lastRoom(p.now, e.r.Tier) {
+		if sl.t != nil && sl.t.Fits(e.r) && sl.lastRoom(p, e.r.Tier) {
 			g.free = append(g.free, sl)
 		}
 	}
@@ -249,6 +249,8 @@
 		return
 	}
 	victim.Cancelling = true
+	sl := p.index.slots[victim.Target]
+	sl.preempted = stamp(sl.preempted, victim.Tier, p.now)
 	p.out = append(p.out, tables.Decision{Action: tables.Cancel, Request: victim.ID, Target: victim.Target, Kind: errkind.Preempted})
 }
 
--- a/internal/systems/schedule/schedule.go
+++ b/internal/systems/schedule/schedule.go
@@ -88,7 +88,7 @@
 	var bestGroup *group
 	var best *customerQueue
 	for _, g := range p.index.groups {
-		if tier >= len(g.tiers) || g.tiers[tier].count == 0 || !g.hasFree(p.now, tier) {
+		if tier >= len(g.tiers) || g.tiers[tier].count == 0 || !g.hasFree(p, tier) {
 			continue
 		}
 		for _, q := range g.tiers[tier].customers {
--- a/internal/systems/schedule/speed.go
+++ b/internal/systems/schedule/speed.go
@@ -11,9 +11,6 @@
 	plainServiceTime = 100 * time.Millisecond
 	// defaultWindow bounds a target whose window is not configured.
 	defaultWindow = 8
-	// heldBackPart is the part of a window that is held back from lower tiers
-	// at most: one place from the second tier, two from the third.
-	heldBackPart = 4
 	// probeInterval is the time between two requests to a straggler.
 	probeInterval = 5 * time.Second
 )
