--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -108,13 +108,13 @@
 	leaving    bool
 	measured   time.Time
 	running    sync.WaitGroup
-	wake       clockwork.Timer
 }
 
-// New returns a Dispatcher that does nothing before Run.
-func New(o Options) *Dispatcher {
+// New returns a Dispatcher that does nothing before Run; its work ends with ctx.
+func New(ctx context.Context, o Options) *Dispatcher {
 	return &Dispatcher{
 		Options:    o,
+		ctx:        ctx,
 		posts:      make(chan func(), postLength),
 		state:      schedule.NewState(),
 		jobs:       make(map[tables.RequestID]*job),
@@ -123,16 +123,15 @@
 	}
 }
 
-// Run owns the tables until ctx ends. Requests that run at that moment are
-// abandoned; Drain comes first in a planned stop.
-func (d *Dispatcher) Run(ctx context.Context) {
-	d.ctx = ctx
+// Run owns the tables until the context of New ends. Requests that run at that
+// moment are abandoned; Drain comes first in a planned stop.
+func (d *Dispatcher) Run() {
 	d.Sync()
 	ticker := d.Clock.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-ctx.Done():
+		case <-d.ctx.Done():
 			d.running.Wait()
 			return
 		case f := <-d.posts:
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
@@ -35,6 +36,10 @@
 	// orphaned is when the last listener's connection broke; zero otherwise.
 	orphaned time.Time
 	traceID  string
+	// ctx and span belong to the trace of the request; nil for a job that was
+	// taken over.
+	ctx  context.Context
+	span trace.Span
 }
 
 // listen sends the answer from a token offset on to conn.
@@ -160,6 +165,7 @@
 	}
 	j.row.State = tables.Finished
 	d.state.Requests.Delete(j.msg.ID)
+	d.endTrace(j, f.Kind)
 	d.Observer.Ended(j.row, f, now)
 }
 
--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -8,13 +8,13 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"go.opentelemetry.io/otel"
-	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/event"
+	"github.com/bluebellseam/bluebellseam/internal/observe"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/systems/settle"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -54,12 +54,16 @@
 	}
 	d.Observer.Dispatched(j.row.Service, j.row.Tier, d.Clock.Now().Sub(j.row.Arrived))
 	j.notify(peer.NotifyStarted, peer.Started{ID: j.msg.ID, Target: id})
-	ctx, span := d.span(j, id)
+	ctx, span := d.Tracer.Start(j.ctx, "target", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(observe.AttributeTarget.String(string(id))))
+	run := d.runModel
 	if j.msg.Plain {
-		d.spawn(func() { defer span.End(); d.runPlain(ctx, j, at) })
-		return
+		run = d.runPlain
 	}
-	d.spawn(func() { defer span.End(); d.runModel(ctx, j, at) })
+	d.spawn(func() {
+		defer span.End()
+		run(ctx, j, at)
+	})
 }
 
 // abandoned reports whether the gate may already have settled j as not run,
@@ -77,16 +81,25 @@
 	}()
 }
 
-func (d *Dispatcher) span(j *job, id tables.TargetID) (context.Context, trace.Span) {
+// trace starts the span of j in the trace of its gate.
+func (d *Dispatcher) trace(j *job) {
 	ctx := otel.GetTextMapPropagator().Extract(d.ctx, propagation.MapCarrier(j.msg.Trace))
-	ctx, span := d.Tracer.Start(ctx, "dispatch", trace.WithAttributes(
-		attribute.String("bluebell.request", string(j.msg.ID)),
-		attribute.String("bluebell.target", string(id)),
-		attribute.Int("bluebell.tier", j.msg.Tier),
-		attribute.Int64("bluebell.queued_us", d.Clock.Now().Sub(j.row.Arrived).Microseconds()),
+	j.ctx, j.span = d.Tracer.Start(ctx, "dispatch", trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(
+		observe.AttributeRequest.String(string(j.msg.ID)),
+		observe.AttributeTier.Int(j.msg.Tier),
 	))
-	j.traceID = span.SpanContext().TraceID().String()
-	return ctx, span
+	j.traceID = j.span.SpanContext().TraceID().String()
+}
+
+// endTrace ends the span of j with its outcome.
+func (d *Dispatcher) endTrace(j *job, kind errkind.Kind) {
+	if j.row.Started.IsZero() {
+		j.span.SetAttributes(observe.AttributeQueueMillis.Int64(d.Clock.Now().Sub(j.row.Arrived).Milliseconds()))
+	} else {
+		j.span.SetAttributes(observe.AttributeQueueMillis.Int64(j.row.Started.Sub(j.row.Arrived).Milliseconds()))
+	}
+	j.span.SetAttributes(observe.AttributeKind.String(string(kind)))
+	j.span.End()
 }
 
 // runModel sends a generation once and follows its answer.
--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -46,6 +46,7 @@
 		return refuse(errkind.NoTarget, fmt.Sprintf("host %s owns none of the allowed targets", d.Host))
 	}
 	j := &job{msg: msg, row: row}
+	d.trace(j)
 	d.jobs[msg.ID] = j
 	d.state.Requests.Put(row)
 	d.listen(j, conn, 0)
--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -119,9 +119,8 @@
 		return
 	}
 	_, _ = fmt.Fprintf(a.w, "event: %s\ndata: %s\n\n", name, raw)
-	if flusher, ok := a.w.(http.Flusher); ok {
-		flusher.Flush()
-	}
+	// A failed flush means that the caller left, which ends the context.
+	_ = http.NewResponseController(a.w).Flush()
 }
 
 func (a *answer) begin() {
--- a/internal/gate/begin.go
+++ b/internal/gate/begin.go
@@ -44,6 +44,7 @@
 
 func (g *Gate) beginKeyed(ctx context.Context, adm admitted) (*flight, error) {
 	result, err := g.acquire(ctx, adm)
+	g.Observer.Claimed(result.Won, errkind.Of(err))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -42,6 +42,9 @@
 type Observer interface {
 	// Answered is called when a caller got the end of an answer.
 	Answered(a Answered)
+	// Claimed is called after an attempt to claim a key; kind is None when
+	// the key is held by this or another request.
+	Claimed(won bool, kind errkind.Kind)
 }
 
 // Answered describes one ended request.
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -17,6 +17,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/api/callers"
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/event"
+	"github.com/bluebellseam/bluebellseam/internal/observe"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
@@ -85,7 +86,7 @@
 		Service: a.service, Tier: out.tier, Kind: errkind.Of(err), Tokens: out.tokens,
 		FirstToken: out.firstToken, Whole: g.Clock.Now().Sub(arrived),
 	})
-	span.SetAttributes(attribute.String("bluebell.kind", string(errkind.Of(err))))
+	span.SetAttributes(observe.AttributeKind.String(string(errkind.Of(err))))
 	if err == nil || out.begun {
 		return nil
 	}
@@ -101,7 +102,7 @@
 	defer f.join()()
 	out.tier = f.msg.Tier
 	out.announce(f.id)
-	span.SetAttributes(attribute.String("bluebell.request", string(f.id)))
+	span.SetAttributes(observe.AttributeRequest.String(string(f.id)))
 	if a.plain {
 		return out.writeCall(ctx, f)
 	}
--- /dev/null
+++ b/internal/node/dispatcher.go
@@ -0,0 +1,180 @@
+package node
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/claims"
+	"github.com/bluebellseam/bluebellseam/internal/dispatcher"
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/event"
+	"github.com/bluebellseam/bluebellseam/internal/observe"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/settings"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+// Dispatcher is a running dispatcher process.
+type Dispatcher struct {
+	proc       *process
+	dispatcher *dispatcher.Dispatcher
+	home       *claims.Home
+	clients    *clients
+	listener   net.Listener
+}
+
+// StartDispatcher starts a dispatcher on the peer listener of the settings.
+// The error is that of a listener.
+func StartDispatcher(s settings.Dispatcher, env Env) (*Dispatcher, error) {
+	l, err := net.Listen("tcp", s.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	return StartDispatcherOn(l, s, env)
+}
+
+// StartDispatcherOn starts a dispatcher on an open peer listener.
+func StartDispatcherOn(l net.Listener, s settings.Dispatcher, env Env) (*Dispatcher, error) {
+	n := &Dispatcher{listener: l, clients: newClients()}
+	n.proc = newProcess("dispatcher", s.Common, env, part{
+		self: tables.Host{
+			ID: s.Host, Domain: s.FailureDomain, PeerAddress: l.Addr().String(),
+			Incarnation: env.Clock.Now().UnixNano(),
+		},
+		pool: func() []tables.PoolSummary { return n.dispatcher.Summary(n.proc.ctx) },
+	})
+	p := n.proc
+	n.home = claims.NewHome(claims.Options{Log: env.Log, Clock: env.Clock, Logger: env.Logger, Host: s.Host})
+	n.dispatcher = dispatcher.New(p.ctx, dispatcher.Options{
+		Host: s.Host, Clock: env.Clock, Logger: env.Logger, Tracer: env.Tracer.Tracer("bluebell-dispatcher"),
+		Document: p.document, Membership: p.members, Quarantine: newQuarantine(p),
+		Outcomes: recorder{n}, Targets: n.clients, Observer: dispatcherMetrics{p.metrics},
+	})
+	n.register()
+	if err := p.serveMetrics(); err != nil {
+		p.kill()
+		return nil, err
+	}
+	n.start()
+	event.ProcessStarted.Log(env.Logger, zap.String("peers", l.Addr().String()))
+	return n, nil
+}
+
+func (n *Dispatcher) register() {
+	n.proc.registerCommon()
+	n.dispatcher.Register(n.proc.mux)
+	peer.Handle(n.proc.mux, peer.MethodAcquire, func(ctx context.Context, _ *peer.Conn, a peer.Acquire) (peer.AcquireResult, error) {
+		return n.home.Acquire(ctx, a)
+	})
+	peer.Handle(n.proc.mux, peer.MethodRecord, func(ctx context.Context, _ *peer.Conn, r peer.Record) (struct{}, error) {
+		return struct{}{}, n.home.Record(ctx, r)
+	})
+}
+
+func (n *Dispatcher) start() {
+	p := n.proc
+	p.spawn(func() { n.dispatcher.Run() })
+	p.spawn(func() { n.home.Run(p.ctx) })
+	p.start()
+	p.onChange(n.dispatcher.Sync)
+	p.servePeers(n.listener)
+}
+
+// Address returns host:port of the peer listener.
+func (n *Dispatcher) Address() string { return n.listener.Addr().String() }
+
+// Ready reports whether the dispatcher can serve.
+func (n *Dispatcher) Ready() bool { return n.proc.ready() == nil }
+
+// Version returns the configuration version in force.
+func (n *Dispatcher) Version() uint64 { return uint64(n.proc.follower.Current().Version) }
+
+// Stop ends the dispatcher gracefully: it gives queued requests back, waits
+// for running ones and writes out the outcomes of keys, at most until ctx
+// ends.
+func (n *Dispatcher) Stop(ctx context.Context) {
+	n.proc.leave()
+	if left, err := n.dispatcher.Drain(ctx); err != nil {
+		event.StopBoundPassed.Log(n.proc.Logger, zap.Int("running", left))
+	}
+	n.proc.waitForBalancer(ctx)
+	_ = n.home.Flush(ctx)
+	n.Kill()
+	event.ProcessStopped.Log(n.proc.Logger)
+}
+
+// Kill ends the dispatcher at once.
+func (n *Dispatcher) Kill() {
+	n.proc.kill()
+	n.clients.close()
+}
+
+// recorder sends the outcome of a keyed request to the home of its key.
+type recorder struct {
+	n *Dispatcher
+}
+
+const (
+	recordTries = 5
+	recordPause = 500 * time.Millisecond
+)
+
+// Record implements dispatcher.Outcomes. It tries the home anew when the
+// first one is out of reach.
+func (r recorder) Record(ctx context.Context, rec peer.Record) error {
+	var err error
+	for range recordTries {
+		if err = r.once(ctx, rec); err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.n.proc.Clock.After(recordPause):
+		}
+	}
+	return err
+}
+
+func (r recorder) once(ctx context.Context, rec peer.Record) error {
+	p := r.n.proc
+	shard := r.n.home.ShardOf(rec.Customer, rec.Service, rec.Key)
+	home := p.members.ClaimHome(shard)
+	if home == p.settings.Host || home == "" {
+		return r.n.home.Record(ctx, rec)
+	}
+	for _, h := range p.members.Live() {
+		if h.ID == home {
+			return p.pool.Call(ctx, h.PeerAddress, peer.MethodRecord, rec, nil)
+		}
+	}
+	return errkind.New(errkind.ClaimsUnavailable, "the home of the key has no address")
+}
+
+// dispatcherMetrics feeds what the dispatcher does into the metrics.
+type dispatcherMetrics struct {
+	metrics *observe.Metrics
+}
+
+// Dispatched implements dispatcher.Observer.
+func (m dispatcherMetrics) Dispatched(service tables.ServiceID, tier int, queued time.Duration) {
+	m.metrics.Dispatched(service)
+	m.metrics.Queued(strconv.Itoa(tier), queued)
+}
+
+// Ended implements dispatcher.Observer.
+func (m dispatcherMetrics) Ended(r *tables.Request, f peer.Finished, _ time.Time) {
+	computed := r.PromptTokens - r.CachedTokens
+	switch f.Kind {
+	case errkind.Preempted, errkind.CancelledWhileRun:
+		m.metrics.Cancelled(f.Kind)
+		m.metrics.WastedPrefill(observe.WasteCancelled, computed)
+	case errkind.RanFailed, errkind.OutcomeUnknown:
+		m.metrics.WastedPrefill(observe.WasteLost, computed)
+	default:
+	}
+}
--- /dev/null
+++ b/internal/node/gate.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/claims"
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/event"
+	"github.com/bluebellseam/bluebellseam/internal/gate"
+	"github.com/bluebellseam/bluebellseam/internal/observe"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/settings"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+// Gate is a running gate process.
+type Gate struct {
+	proc    *process
+	gate    *gate.Gate
+	server  *http.Server
+	address string
+}
+
+// StartGate starts a gate. The error is that of a listener.
+func StartGate(s settings.Gate, env Env) (*Gate, error) {
+	n := &Gate{}
+	n.proc = newProcess("gate", s.Common, env, part{
+		self:     tables.Host{ID: s.Host, Domain: s.FailureDomain},
+		observer: true,
+		heard:    func(h peer.Heartbeat) { n.gate.Heard(h) },
+	})
+	p := n.proc
+	n.gate = gate.New(p.ctx, gate.Options{
+		Host: s.Host, Clock: env.Clock, Logger: env.Logger, Tracer: env.Tracer.Tracer("bluebell-gate"),
+		Document: p.document, Membership: p.members, Peers: p.pool,
+		Observer: gateMetrics{p.metrics}, ClaimShards: claims.DefaultShards,
+	})
+	n.gate.Register(p.mux)
+	if err := n.listen(s); err != nil {
+		p.kill()
+		return nil, err
+	}
+	p.start()
+	event.ProcessStarted.Log(env.Logger, zap.String("callers", n.address))
+	return n, nil
+}
+
+func (n *Gate) listen(s settings.Gate) error {
+	handler, err := n.gate.Handler()
+	if err != nil {
+		return err
+	}
+	if n.address, n.server, err = n.proc.serveHTTP(s.CallerAddress, handler); err != nil {
+		return err
+	}
+	return n.proc.serveMetrics()
+}
+
+// Address returns host:port of the callers' API.
+func (n *Gate) Address() string { return n.address }
+
+// Ready reports whether the gate can serve.
+func (n *Gate) Ready() bool { return n.proc.ready() == nil }
+
+// Version returns the configuration version in force.
+func (n *Gate) Version() uint64 { return uint64(n.proc.follower.Current().Version) }
+
+// Stop ends the gate gracefully: it goes on serving until the balancer has
+// taken the host out, then closes its listener and waits for open requests, at
+// most until ctx ends.
+func (n *Gate) Stop(ctx context.Context) {
+	n.proc.leave()
+	n.proc.waitForBalancer(ctx)
+	if err := n.server.Shutdown(ctx); err != nil {
+		event.StopBoundPassed.Log(n.proc.Logger, zap.Int("open", n.gate.OpenRequests()))
+	}
+	n.gate.Drain(ctx)
+	n.proc.kill()
+	event.ProcessStopped.Log(n.proc.Logger)
+}
+
+// Kill ends the gate at once.
+func (n *Gate) Kill() { n.proc.kill() }
+
+// gateMetrics feeds what the gate does into the metrics.
+type gateMetrics struct {
+	metrics *observe.Metrics
+}
+
+// Answered implements gate.Observer.
+func (m gateMetrics) Answered(a gate.Answered) {
+	tier := strconv.Itoa(a.Tier)
+	m.metrics.RequestEnded(tables.ServiceID(a.Service), tier, a.Kind)
+	if a.FirstToken > 0 {
+		m.metrics.FirstToken(tier, a.FirstToken)
+	}
+	m.metrics.TokensRelayed(tier, a.Tokens)
+}
+
+// Claimed implements gate.Observer.
+func (m gateMetrics) Claimed(won bool, kind errkind.Kind) {
+	switch {
+	case won:
+		m.metrics.Claimed(observe.ClaimWon)
+	case kind == errkind.None:
+		m.metrics.Claimed(observe.ClaimJoined)
+	case kind == errkind.ClaimsUnavailable:
+		m.metrics.Claimed(observe.ClaimUnavailable)
+	default:
+		m.metrics.Claimed(observe.ClaimRefused)
+	}
+}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebellseam/bluebellseam/internal/config"
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/follow"
 	"github.com/bluebellseam/bluebellseam/internal/members"
@@ -139,9 +140,9 @@
 	for p.ctx.Err() == nil {
 		configured := p.follower.Changed()
 		joined := p.members.Changed()
-		p.metrics.ConfigVersion(uint64(p.follower.Current().Version))
-		p.metrics.PeersUp(len(p.members.Live()))
-		p.metrics.LogReachable(p.follower.LogReachable())
+		p.metrics.SetConfigVersion(uint64(p.follower.Current().Version))
+		p.metrics.SetPeersUp(len(p.members.Live()))
+		p.metrics.SetLogReachable(p.follower.LogReachable())
 		select {
 		case <-configured:
 		case <-joined:
@@ -150,10 +151,19 @@
 	}
 }
 
-// ready reports whether the process can serve: it knows a configuration and
-// the hosts, and is not leaving.
-func (p *process) ready() bool {
-	return !p.leaving.Load() && p.document() != nil && p.members.Ready()
+// ready returns nil when the process can serve: it knows a configuration and
+// the hosts, and is not leaving. The error is of kind ShuttingDown or
+// NotConfigured.
+func (p *process) ready() error {
+	switch {
+	case p.leaving.Load():
+		return errkind.New(errkind.ShuttingDown, "the process is stopping")
+	case p.document() == nil:
+		return errkind.New(errkind.NotConfigured, "no configuration has been read")
+	case !p.members.Ready():
+		return errkind.New(errkind.NotConfigured, "no host list has been read")
+	}
+	return nil
 }
 
 // serveHTTP serves h on address and returns the address in use.
@@ -212,7 +222,7 @@
 	p.members.Announce()
 }
 
-// sleep waits for the balancer to take the host out, or for ctx.
+// waitForBalancer waits for the balancer to take the host out, or for ctx.
 func (p *process) waitForBalancer(ctx context.Context) {
 	select {
 	case <-p.Clock.After(p.settings.BalancerWait):
