Name the crashes in a quarantine entry

Cause: two hosts that each saw one crash of the same content must come to two crashes when they merge; counts alone cannot tell one crash from two. Change: an optional list of crashes on peer.QuarantineEntry, appended only.

--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -247,6 +247,14 @@
 	Expires time.Time `json:"expires"`
 	// Released is when an operator lifted it; zero otherwise.
 	Released time.Time `json:"released,omitzero"`
+	// CrashedAt lists the latest of the crashes.
+	CrashedAt []TargetCrash `json:"crashed_at,omitempty"`
+}
+
+// TargetCrash is one crash of a target.
+type TargetCrash struct {
+	Target tables.TargetID `json:"target"`
+	Time   time.Time       `json:"time"`
 }
 
 // Share spreads quarantine entries between peers.
