--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -93,6 +93,13 @@
 	WindowMax int `json:"window_max,omitempty"`
 	// Drained keeps new work off the target.
 	Drained bool `json:"drained,omitempty"`
+	// ModelSlots bounds the models that a model engine holds at once; zero
+	// means that it holds those of all its services.
+	ModelSlots int `json:"model_slots,omitempty"`
+	// ModelVersion is the version of the models that the engine shall hold.
+	ModelVersion string `json:"model_version,omitempty"`
+	// Role is "mixed", "prefill" or "decode"; empty means "mixed".
+	Role string `json:"role,omitempty"`
 }
 
 // Generation is a class of accelerators of like speed.
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -22,6 +22,9 @@
 	maxKeyLifetime    = 7 * 24 * 60 * 60
 )
 
+// roles are the roles of engines; empty stands for mixed.
+var roles = []string{"", "mixed", "prefill", "decode"}
+
 // Validate returns nil when doc is whole and consistent, or an error of kind
 // errkind.InvalidConfig that names the path of the first fault and the reason.
 func Validate(doc *Document) error {
@@ -128,6 +131,8 @@
 		v.check(t.WindowMin >= 0 && t.WindowMin <= maxWindow, path+".window_min", "%d is not between 0 and %d", t.WindowMin, maxWindow)
 		v.check(t.WindowMax >= 0 && t.WindowMax <= maxWindow, path+".window_max", "%d is not between 0 and %d", t.WindowMax, maxWindow)
 		v.check(t.WindowMax == 0 || t.WindowMin <= t.WindowMax, path+".window_min", "%d exceeds window_max %d", t.WindowMin, t.WindowMax)
+		v.check(t.ModelSlots >= 0, path+".model_slots", "%d is negative", t.ModelSlots)
+		v.check(slices.Contains(roles, t.Role), path+".role", "%q is none of mixed, prefill and decode", t.Role)
 		v.targetServices(path, t)
 	}
 }
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -141,7 +141,7 @@
 
 // attach finds the state to start from.
 func (f *Follower) attach(ctx context.Context) error {
-	first, err := f.firstOffset(ctx)
+	first, err := platform.FirstOffset(ctx, f.opts.Log, platform.ConfigStream)
 	if err != nil {
 		return err
 	}
@@ -169,16 +169,3 @@
 	f.announceFold()
 	return nil
 }
-
-// firstOffset returns the oldest offset that the stream keeps.
-func (f *Follower) firstOffset(ctx context.Context) (platform.Offset, error) {
-	for probe := platform.Offset(0); ; probe = 2*probe + 1 {
-		page, err := f.read(ctx, probe, 0)
-		if err == nil || (errors.Is(err, platform.ErrTruncated) && page.First > probe) {
-			return page.First, nil
-		}
-		if !errors.Is(err, platform.ErrTruncated) || probe > 1<<61 {
-			return 0, err
-		}
-	}
-}
--- /dev/null
+++ b/internal/systems/lease/lease.go
@@ -0,0 +1,214 @@
+// Package lease folds the lease stream of the log into the leases in force and
+// tells their holders how long they may act. Time is the local monotonic clock
+// of the process, given as an argument; the fold itself reads no clock.
+package lease
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+const (
+	// TTL is how long a lease must go without a record, as each reader
+	// measures it, before another host may acquire it.
+	TTL = 15 * time.Second
+	// ActFor is how long the holder may act, from before its append.
+	ActFor = 10 * time.Second
+	// RenewEvery is the time between two renewals.
+	RenewEvery = 3 * time.Second
+	// OrderTimeout bounds one order to an engine.
+	OrderTimeout = 3 * time.Second
+	// SettleTime is how long a new holder waits for orders of the last one.
+	SettleTime = 2 * OrderTimeout
+	// VoidAfter is the age, in the log's own time, at which a lease is void. It
+	// is far below the retention of the log, so that a reader who starts at
+	// the oldest record comes to the same leases as the others.
+	VoidAfter = 10 * time.Minute
+)
+
+// None is the offset of no record.
+const None platform.Offset = -1
+
+// Kind is what a lease record asks for.
+type Kind string
+
+// The kinds of lease records.
+const (
+	Acquire Kind = "acquire"
+	Renew   Kind = "renew"
+	Release Kind = "release"
+)
+
+// Record is the content of one record of the lease stream.
+type Record struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+	// ID is unique to the record.
+	ID          string        `json:"id"`
+	Holder      tables.HostID `json:"holder"`
+	Incarnation int64         `json:"incarnation"`
+	// After is the latest record of the lease that the writer has read, or
+	// None. The record counts only when that is still so.
+	After platform.Offset `json:"after"`
+	// Fence is the fencing number of a lease that is renewed or released.
+	Fence platform.Offset `json:"fence"`
+}
+
+// Encode returns the log data of r.
+func (r Record) Encode() ([]byte, error) {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode record of lease %q: %w", r.Name, err)
+	}
+	return data, nil
+}
+
+// Lease is one lease in force.
+type Lease struct {
+	Name string
+	// Fence is the offset of the record that acquired the lease.
+	Fence platform.Offset
+	// Last is the offset of the latest record of the lease.
+	Last        platform.Offset
+	Holder      tables.HostID
+	Incarnation int64
+	Released    bool
+	// Seen is when this process read the latest record.
+	Seen time.Time
+	// logTime is the log's time of the latest record.
+	logTime time.Time
+	// verified is false while the lease's earlier records are unknown.
+	verified bool
+}
+
+// Step is what one record did.
+type Step struct {
+	Record Record
+	// Accepted states that the record counts.
+	Accepted bool
+	// Before is the lease that an accepted acquisition replaced, if any.
+	Before *Lease
+	// Err says that the record cannot be read.
+	Err error
+}
+
+// Table holds the leases in force. One goroutine owns it.
+type Table struct {
+	start  platform.Offset
+	next   platform.Offset
+	leases map[string]Lease
+}
+
+// NewTable returns the table of a reader that starts at an offset.
+func NewTable(start platform.Offset) *Table {
+	return &Table{start: start, next: start, leases: make(map[string]Lease)}
+}
+
+// Next is the offset of the next record to fold.
+func (t *Table) Next() platform.Offset { return t.next }
+
+// Get returns the lease of a name.
+func (t *Table) Get(name string) (Lease, bool) {
+	l, ok := t.leases[name]
+	return l, ok
+}
+
+// Free reports whether a host may try to acquire a lease at now, and the
+// value for Record.After.
+func (t *Table) Free(now time.Time, name string) (after platform.Offset, free bool) {
+	l, ok := t.leases[name]
+	if !ok {
+		return None, true
+	}
+	return l.Last, l.Released || now.Sub(l.Seen) >= TTL
+}
+
+// Fold applies the record at Next, read at now.
+func (t *Table) Fold(now time.Time, rec platform.Record) Step {
+	t.next = rec.Offset + 1
+	var r Record
+	if err := json.Unmarshal(rec.Data, &r); err != nil {
+		return Step{Err: fmt.Errorf("decode lease record %d: %w", rec.Offset, err)}
+	}
+	if r.Name == "" || r.ID == "" {
+		return Step{Record: r, Err: fmt.Errorf("lease record %d lacks a name or an ID", rec.Offset)}
+	}
+	step := Step{Record: r}
+	current, held := t.leases[r.Name]
+	if held && rec.Time.Sub(current.logTime) >= VoidAfter {
+		held = false
+	}
+	next, ok := t.apply(current, held, r, rec.Offset)
+	if !ok {
+		return step
+	}
+	next.Last = rec.Offset
+	next.Seen = now
+	next.logTime = rec.Time
+	t.leases[r.Name] = next
+	step.Accepted = true
+	if held {
+		step.Before = &current
+	}
+	return step
+}
+
+// apply returns the lease after r, and whether r counts.
+func (t *Table) apply(current Lease, held bool, r Record, at platform.Offset) (Lease, bool) {
+	follows := held && r.After == current.Last
+	unknown := r.After >= 0 && r.After < t.start && (!held || !current.verified)
+	next := Lease{Name: r.Name, Holder: r.Holder, Incarnation: r.Incarnation, verified: !unknown}
+	switch r.Kind {
+	case Acquire:
+		next.Fence = at
+		return next, follows || unknown || !held
+	case Renew, Release:
+		next.Fence = r.Fence
+		next.Released = r.Kind == Release
+		next.verified = follows && current.verified
+		mine := follows && current.Fence == r.Fence && !current.Released
+		return next, mine || unknown
+	default:
+		return Lease{}, false
+	}
+}
+
+// Hold is a lease that this process has acquired.
+type Hold struct {
+	Name  string
+	Fence platform.Offset
+	// From is when orders of the last holder have ended.
+	From time.Time
+	// Until is when this process stops acting on the lease.
+	Until time.Time
+}
+
+// NewHold returns the hold of an accepted acquisition that this process began
+// to append at began and read back at now.
+func NewHold(now, began time.Time, at platform.Offset, step Step) Hold {
+	h := Hold{Name: step.Record.Name, Fence: at, From: now, Until: began.Add(ActFor)}
+	if step.Before == nil || !step.Before.Released {
+		h.From = now.Add(SettleTime)
+	}
+	return h
+}
+
+// Renewed returns h after an accepted renewal that began to append at began.
+func (h Hold) Renewed(began time.Time) Hold {
+	if until := began.Add(ActFor); until.After(h.Until) {
+		h.Until = until
+	}
+	return h
+}
+
+// Held reports whether the lease is this process's at now.
+func (h Hold) Held(now time.Time) bool { return now.Before(h.Until) }
+
+// MayOrder reports whether an order that is sent at now ends within the hold.
+func (h Hold) MayOrder(now time.Time) bool {
+	return !now.Before(h.From) && now.Add(OrderTimeout).Before(h.Until)
+}
