Add bluebellctl, the operators' command line

Operators need one tool to publish, watch, drain, find a request and explain a refusal. It speaks the generated client, prints tables or JSON and has an exit code for each thing that an operator or a script does next.

--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,301 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-faster/jx"
+	"github.com/google/uuid"
+	"github.com/integrii/flaggy"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	api "github.com/bluebellseam/bluebellseam/internal/api/operators"
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+)
+
+func TestCtl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	flaggy.PanicInsteadOfExit = true
+	RunSpecs(t, "ctl")
+}
+
+// host is a scripted operators' API.
+type host struct {
+	api.UnimplementedHandler
+	config  api.ConfigVersion
+	status  func() *api.Status
+	publish func(*api.Patch) (*api.PatchResult, error)
+	dryRuns int
+	patches []api.Patch
+}
+
+func (h *host) GetConfig(context.Context) (*api.ConfigVersion, error) { return &h.config, nil }
+func (h *host) GetStatus(context.Context) (*api.Status, error)        { return h.status(), nil }
+func (h *host) GetConfigHistory(context.Context) ([]api.PatchResult, error) {
+	return []api.PatchResult{{PatchID: "p2", Base: 6, Version: 7, Reason: api.NewOptString("stale"), Operator: api.NewOptString("eva")}}, nil
+}
+func (h *host) ListQuarantine(context.Context) ([]api.QuarantineEntry, error) {
+	return []api.QuarantineEntry{{Fingerprint: "00000000000000ab", Customer: "museum", Service: "report", Crashes: 2}}, nil
+}
+func (h *host) ReleaseQuarantine(_ context.Context, p api.ReleaseQuarantineParams) error {
+	return errkind.New(errkind.UnknownQuarantine, "no entry "+p.Fingerprint)
+}
+func (h *host) ShowRequest(_ context.Context, p api.ShowRequestParams) (*api.RequestView, error) {
+	return &api.RequestView{ID: p.ID, Known: true, State: api.RequestViewStateFinished, Ran: api.RequestViewRanRan, Target: api.NewOptString("engine-1")}, nil
+}
+func (h *host) PublishPatch(_ context.Context, p *api.Patch, params api.PublishPatchParams) (*api.PatchResult, error) {
+	if params.DryRun.Value {
+		h.dryRuns++
+		return &api.PatchResult{PatchID: p.PatchID.String(), Accepted: true, Base: p.Base, Version: p.Base + 1}, nil
+	}
+	h.patches = append(h.patches, *p)
+	return h.publish(p)
+}
+func (h *host) NewError(_ context.Context, err error) *api.ProblemStatusCode {
+	k := errkind.Of(err)
+	return &api.ProblemStatusCode{StatusCode: k.Answer().Status, Response: api.Problem{Kind: string(k), Ran: api.ProblemRan(k.Answer().Ran), Detail: errkind.DetailOf(err)}}
+}
+func (h *host) HandleOperatorKey(ctx context.Context, _ api.OperationName, t api.OperatorKey) (context.Context, error) {
+	if t.Token != "eva-key" {
+		return ctx, errkind.New(errkind.Unauthenticated, "the key belongs to no operator")
+	}
+	return ctx, nil
+}
+
+var _ = Describe("bluebellctl", func() {
+	var (
+		h              *host
+		url            string
+		drop           int
+		stdin          string
+		stdout, stderr bytes.Buffer
+		clock          *clockwork.FakeClock
+	)
+	start := func(args ...string) int {
+		stdout.Reset()
+		stderr.Reset()
+		a := &app{IO: IO{strings.NewReader(stdin), &stdout, &stderr}, clock: clock, pause: backoff.NewConstantBackOff(time.Millisecond)}
+		return run(context.Background(), args, []string{"BLUEBELLCTL_ADDRESS=" + url, "BLUEBELLCTL_KEY=eva-key"}, a)
+	}
+	accept := func(p *api.Patch) (*api.PatchResult, error) {
+		return &api.PatchResult{PatchID: p.PatchID.String(), Accepted: true, Base: p.Base, Version: p.Base + 1}, nil
+	}
+	hosts := func(version int64, state api.HostStatusState) *api.Status {
+		return &api.Status{Host: "a", Version: 8, Hosts: []api.HostStatus{
+			{ID: "a", State: api.HostStatusStateLive, Version: 8},
+			{ID: "b", State: state, Version: version},
+			{ID: "gone", State: api.HostStatusStateUnlisted, Version: 1},
+		}, Targets: []api.TargetStatus{{ID: "engine-1", Owner: "a", Window: 4, Queued: []int{0, 2}, Straggler: api.NewOptBool(true)}}}
+	}
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		drop, stdin = 0, ""
+		h = &host{publish: accept, status: func() *api.Status { return hosts(8, api.HostStatusStateLive) }}
+		h.config = api.ConfigVersion{Version: 7, Digest: "00", Document: map[string]jx.Raw{"targets": jx.Raw(`{"engine-1":{"drained":false,"window_max":4}}`)}}
+		server, err := api.NewServer(h, h)
+		Expect(err).NotTo(HaveOccurred())
+		front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if drop > 0 && r.Method == http.MethodPost {
+				drop--
+				server.ServeHTTP(httptest.NewRecorder(), r)
+				panic(http.ErrAbortHandler)
+			}
+			server.ServeHTTP(w, r)
+		}))
+		DeferCleanup(front.Close)
+		url = front.URL
+	})
+
+	Describe("publish", func() {
+		It("sends the patch of a file or of standard input against its base", func() {
+			file := filepath.Join(GinkgoT().TempDir(), "patch.json")
+			Expect(os.WriteFile(file, []byte(`{"targets":{"engine-1":null}}`), 0o600)).To(Succeed())
+			Expect(start("publish", file, "--base", "7")).To(Equal(ExitOK), stderr.String())
+			Expect(stdout.String()).To(Equal("version 8 accepted\n"))
+			stdin = `{"limits":{"max_queued_per_target":9}}`
+			Expect(start("publish", "-b", "7", "-o", "json")).To(Equal(ExitOK), stderr.String())
+			var result api.PatchResult
+			Expect(json.Unmarshal(stdout.Bytes(), &result)).To(Succeed())
+			Expect(h.patches).To(HaveLen(2))
+			Expect(h.patches[0].Base).To(BeEquivalentTo(7))
+			Expect(string(h.patches[1].Merge["limits"])).To(MatchJSON(`{"max_queued_per_target":9}`))
+			Expect(result.PatchID).To(Equal(h.patches[1].PatchID.String()))
+		})
+		It("repeats a publication whose answer is lost under the same patch ID", func() {
+			drop, stdin = 2, "{}"
+			id := uuid.NewString()
+			Expect(start("publish", "--base", "7", "--patch-id", id)).To(Equal(ExitOK), stderr.String())
+			Expect(h.patches).To(HaveLen(3))
+			for _, p := range h.patches {
+				Expect(p.PatchID.String()).To(Equal(id))
+			}
+		})
+		It("repeats an undecided publication until it is decided", func() {
+			kinds := []errkind.Kind{errkind.PatchUndecided, errkind.LogUnavailable, errkind.VersionConflict}
+			h.publish = func(*api.Patch) (*api.PatchResult, error) {
+				return nil, errkind.New(kinds[len(h.patches)-1], "scripted")
+			}
+			stdin = "{}"
+			Expect(start("publish", "--base", "7")).To(Equal(ExitConflict))
+			Expect(h.patches).To(HaveLen(3))
+		})
+		DescribeTable("gives each refusal its exit code and one line",
+			func(kind errkind.Kind, code int) {
+				h.publish = func(*api.Patch) (*api.PatchResult, error) { return nil, errkind.New(kind, "scripted") }
+				stdin = "{}"
+				Expect(start("publish", "--base", "7")).To(Equal(code))
+				Expect(h.patches).To(HaveLen(1))
+				lines := strings.Split(strings.TrimSpace(stderr.String()), "\n")
+				Expect(lines[len(lines)-1]).To(ContainSubstring(string(kind) + ": scripted"))
+			},
+			Entry(nil, errkind.VersionConflict, ExitConflict),
+			Entry(nil, errkind.InvalidConfig, ExitRefused),
+			Entry(nil, errkind.LogUnavailable, ExitUnavailable),
+		)
+		It("publishes nothing for a dry run and prints what would change", func() {
+			stdin = `{"targets":{"engine-1":{"drained":true},"engine-2":{"window_max":2}}}`
+			Expect(start("publish", "--base", "7", "--dry-run")).To(Equal(ExitOK), stderr.String())
+			Expect(stdout.String()).To(Equal("dry run: would become version 8\n" +
+				"- targets.engine-1.drained: false\n+ targets.engine-1.drained: true\n+ targets.engine-2.window_max: 2\n"))
+			Expect(h.patches).To(BeEmpty())
+			Expect(h.dryRuns).To(Equal(1))
+		})
+		DescribeTable("refuses bad input before it calls a host",
+			func(input string, args []string, want string) {
+				stdin = input
+				Expect(start(append([]string{"publish"}, args...)...)).To(Equal(ExitUsage))
+				Expect(stderr.String()).To(ContainSubstring(want))
+				Expect(h.patches).To(BeEmpty())
+			},
+			Entry("no base", "{}", nil, "--base"),
+			Entry("negative base", "{}", []string{"--base", "-3"}, "--base"),
+			Entry("no object", "[]", []string{"--base", "1"}, "standard input is no JSON object"),
+			Entry("null", "null", []string{"--base", "1"}, "no JSON object"),
+			Entry("too large", `{"a":"`+strings.Repeat("x", 1<<20)+`"}`, []string{"--base", "1"}, "larger than"),
+			Entry("missing file", "", []string{"no-such-file", "--base", "1"}, "no-such-file"),
+			Entry("bad patch ID", "{}", []string{"--base", "1", "--patch-id", "x"}, "--patch-id"),
+			Entry("bad output", "{}", []string{"--base", "1", "--output", "xml"}, "--output"),
+			Entry("host by name", "{}", []string{"--base", "1", "--address", "http://localhost:1"}, "IP number"),
+		)
+	})
+
+	Describe("--wait", func() {
+		It("ends once every listed host has the version", func() {
+			calls := 0
+			h.status = func() *api.Status {
+				calls++
+				return hosts(int64(5+calls), api.HostStatusStateLive)
+			}
+			stdin = "{}"
+			done := make(chan int)
+			go func() { done <- start("publish", "--base", "7", "--wait") }()
+			for range 2 {
+				Expect(clock.BlockUntilContext(context.Background(), 1)).To(Succeed())
+				clock.Advance(pollInterval)
+			}
+			Eventually(done).Should(Receive(Equal(ExitOK)))
+			Expect(calls).To(Equal(3))
+			Expect(stderr.String()).To(ContainSubstring("version 8 is in force on every host"))
+		})
+		DescribeTable("names the hosts that are not confirmed in time",
+			func(state api.HostStatusState, version int64) {
+				h.status = func() *api.Status { return hosts(version, state) }
+				stdin = "{}"
+				Expect(start("publish", "--base", "7", "--wait", "--wait-timeout", "0s")).To(Equal(ExitNotEverywhere))
+				Expect(stderr.String()).To(ContainSubstring("b (" + string(state)))
+				Expect(stderr.String()).NotTo(ContainSubstring("gone"))
+			},
+			Entry("behind", api.HostStatusStateLive, int64(7)),
+			Entry("leaving and behind", api.HostStatusStateLeaving, int64(7)),
+			Entry("listed but silent", api.HostStatusStateDown, int64(8)),
+		)
+		It("waits for the last request at a drained target", func() {
+			running := hosts(8, api.HostStatusStateLive)
+			running.Targets[0].Running = 3
+			h.status = func() *api.Status { return running }
+			Expect(start("targets", "drain", "engine-1", "--wait", "--wait-timeout", "0s")).To(Equal(ExitNotEverywhere))
+			Expect(stderr.String()).To(ContainSubstring("3 requests run at engine-1"))
+		})
+	})
+
+	It("marks a target and writes the mark anew after a conflict", func() {
+		h.publish = func(p *api.Patch) (*api.PatchResult, error) {
+			if p.Base == 7 {
+				h.config.Version = 9
+				return nil, errkind.New(errkind.VersionConflict, "base 7 is not 9")
+			}
+			return accept(p)
+		}
+		Expect(start("targets", "drain", "engine-1")).To(Equal(ExitOK), stderr.String())
+		Expect(h.patches).To(HaveLen(2))
+		Expect(h.patches[1].Base).To(BeEquivalentTo(9))
+		Expect(h.patches[1].PatchID).NotTo(Equal(h.patches[0].PatchID))
+		Expect(string(h.patches[1].Merge["targets"])).To(MatchJSON(`{"engine-1":{"drained":true}}`))
+		Expect(start("targets", "undrain", "nobody")).To(Equal(ExitRefused))
+		Expect(stderr.String()).To(ContainSubstring(`no target "nobody"`))
+	})
+	It("prints tables for people", func() {
+		for _, c := range []struct{ args, want string }{
+			{"status", `(?s)seen from a: version 8.*b +- +live +8.*engine-1 +- +a +4 +0 +0/2 +straggler`},
+			{"config get", `version 7, digest 00\n\{`},
+			{"config history", `- +7 +6 +rejected +eva +p2 +stale`},
+			{"request show a.1", `state +finished\nran +ran`},
+			{"quarantine list", `00000000000000ab +museum +report +2`},
+			{"explain outcome_unknown", `outcome_unknown +504 +unknown +no +The request may have run`},
+			{"version", `\S`},
+		} {
+			Expect(start(strings.Fields(c.args)...)).To(Equal(ExitOK), stderr.String())
+			Expect(stdout.String()).To(MatchRegexp(c.want))
+			Expect(start(append(strings.Fields(c.args), "--output", "json")...)).To(Equal(ExitOK))
+			Expect(json.Valid(stdout.Bytes())).To(BeTrue(), c.args)
+		}
+	})
+	It("prints a diff that can be published", func() {
+		stdin = `{"targets":{"engine-1":{"drained":true,"window_max":4}}}`
+		Expect(start("config", "diff")).To(Equal(ExitOK), stderr.String())
+		Expect(stdout.String()).To(ContainSubstring("+ targets.engine-1.drained: true"))
+		Expect(start("config", "diff", "-o", "json")).To(Equal(ExitOK))
+		Expect(stdout.String()).To(MatchJSON(`{"targets":{"engine-1":{"drained":true}}}`))
+	})
+	It("makes keys whose digest it can find again", func() {
+		Expect(start("key", "new", "-o", "json")).To(Equal(ExitOK))
+		var pair keyPair
+		Expect(json.Unmarshal(stdout.Bytes(), &pair)).To(Succeed())
+		Expect(len(pair.Key)).To(BeNumerically(">=", 26))
+		stdin = pair.Key + "\n"
+		Expect(start("key", "digest")).To(Equal(ExitOK))
+		Expect(strings.TrimSpace(stdout.String())).To(Equal(pair.SHA256))
+	})
+	It("tells a missing key, a wrong key and a missing host apart", func() {
+		a := func(environ ...string) int {
+			stderr.Reset()
+			return Run(context.Background(), []string{"publish", "--base", "7"}, environ, IO{strings.NewReader("{}"), &stdout, &stderr})
+		}
+		Expect(a("BLUEBELLCTL_ADDRESS=" + url)).To(Equal(ExitUsage))
+		Expect(a("BLUEBELLCTL_ADDRESS="+url, "BLUEBELLCTL_KEY=other-key")).To(Equal(ExitRefused))
+		Expect(stderr.String()).NotTo(ContainSubstring("other-key"))
+		gone := httptest.NewServer(nil)
+		gone.Close()
+		Expect(a("BLUEBELLCTL_ADDRESS="+gone.URL, "BLUEBELLCTL_KEY=eva-key")).To(Equal(ExitUnavailable))
+		Expect(stderr.String()).To(ContainSubstring("connection refused"))
+	})
+	It("exits 2 for a command that does not exist", func() {
+		Expect(func() { start("publsh") }).To(PanicWith(ContainSubstring("code: 2")))
+	})
+	It("lists every exit code in its help", func() {
+		for code := ExitOK; code <= ExitUnavailable; code++ {
+			Expect(exitCodesHelp).To(MatchRegexp(`(?m)^  %d  \S`, code))
+		}
+	})
+})
--- /dev/null
+++ b/internal/ctl/wait.go
@@ -0,0 +1,73 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	api "github.com/bluebellseam/bluebellseam/internal/api/operators"
+)
+
+// pollInterval is the time between two looks at the status.
+const pollInterval = 500 * time.Millisecond
+
+// maxNamed bounds the hosts that one line names.
+const maxNamed = 5
+
+// awaitEverywhere waits until every listed host reports version or a later
+// one.
+func (a *app) awaitEverywhere(ctx context.Context, version int64, timeout time.Duration) error {
+	err := a.await(ctx, timeout, func(s *api.Status) string { return behind(s, version) })
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(a.Stderr, "version %d is in force on every host\n", version)
+	return nil
+}
+
+// await polls the status until missing returns nothing. At the timeout it
+// returns what was missing, with the code ExitNotEverywhere.
+func (a *app) await(ctx context.Context, timeout time.Duration, missing func(*api.Status) string) error {
+	deadline := a.clock.Now().Add(timeout)
+	for {
+		lacking := ""
+		s, err := a.client.GetStatus(ctx)
+		if err != nil {
+			lacking = fromAPI(err).text
+		} else {
+			lacking = missing(s)
+		}
+		if lacking == "" {
+			return nil
+		}
+		if !a.clock.Now().Before(deadline) {
+			return exit(ExitNotEverywhere, "not confirmed within %s: %s", timeout, lacking)
+		}
+		select {
+		case <-ctx.Done():
+			return exit(ExitNotEverywhere, "interrupted: %s", lacking)
+		case <-a.clock.After(pollInterval):
+		}
+	}
+}
+
+// behind names the hosts that are not known to have version in force. A host
+// that is listed and not heard counts as behind; one that is no longer
+// listed does not count.
+func behind(s *api.Status, version int64) string {
+	var names []string
+	if s.Version < version {
+		names = append(names, fmt.Sprintf("%s (this host, version %d)", s.Host, s.Version))
+	}
+	for _, h := range s.Hosts {
+		if h.State == api.HostStatusStateUnlisted || h.Version >= version && h.State != api.HostStatusStateDown {
+			continue
+		}
+		names = append(names, fmt.Sprintf("%s (%s, version %d)", h.ID, h.State, h.Version))
+	}
+	if len(names) > maxNamed {
+		names = append(names[:maxNamed], fmt.Sprintf("and %d more", len(names)-maxNamed))
+	}
+	return strings.Join(names, ", ")
+}
