--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -22,6 +22,7 @@
 	LogTruncated     = Event{1104, zapcore.WarnLevel, "log truncated under reader", "Records before the reader's offset are gone; the state is loaded from a snapshot."}
 	LogReachable     = Event{1105, zapcore.InfoLevel, "log reachable", "Reading the log works again."}
 	SnapshotAppended = Event{1106, zapcore.InfoLevel, "snapshot appended", "A configuration snapshot was appended before retention drops the older one."}
+	RecordIgnored    = Event{1107, zapcore.WarnLevel, "record ignored", "A log record cannot be read or is a snapshot that disagrees with the records before it; every host ignores it alike."}
 )
 
 // Membership, ownership and leases: 1200 to 1299.
@@ -35,6 +36,7 @@
 	LeaseLost     = Event{1207, zapcore.WarnLevel, "lease lost", "A lease expired or was taken over."}
 	OrderSent     = Event{1208, zapcore.InfoLevel, "order sent", "An order was accepted by an engine."}
 	OrderRefused  = Event{1209, zapcore.WarnLevel, "order refused", "An engine refused an order, for example for an old fencing number."}
+	PeerState     = Event{1210, zapcore.InfoLevel, "peer state changed", "A host is leaving, or is in the host list no longer or not yet."}
 )
 
 // Requests: 1300 to 1399.
@@ -62,8 +64,8 @@
 func Catalogue() []Event {
 	return []Event{
 		ProcessStarted, SettingsInForce, StopRequested, StopBoundPassed, ProcessStopped, ListenerFailed,
-		ConfigInForce, PatchRejected, LogUnreachable, LogTruncated, LogReachable, SnapshotAppended,
-		PeerUp, PeerDown, TargetLeaving, TargetOwned, TargetLost, LeaseTaken, LeaseLost, OrderSent, OrderRefused,
+		ConfigInForce, PatchRejected, LogUnreachable, LogTruncated, LogReachable, SnapshotAppended, RecordIgnored,
+		PeerUp, PeerDown, TargetLeaving, TargetOwned, TargetLost, LeaseTaken, LeaseLost, OrderSent, OrderRefused, PeerState,
 		RequestRefused, RequestFinished, RequestUnknown, StreamResumed, StreamSilent, DispatcherLost, ClaimLost,
 		QuarantineAdded, QuarantineLifted, InvariantFailed,
 		TargetCrashed, TargetStraggles, TargetRecovered,
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -67,8 +67,8 @@
 	PromptTokens int               `json:"prompt_tokens,omitempty"`
 	Allowed      []tables.TargetID `json:"allowed"`
 	// Key is the idempotency key, if the caller gave one.
-	Key string `json:"key,omitempty"`
-	Trace        map[string]string `json:"trace,omitempty"`
+	Key   string            `json:"key,omitempty"`
+	Trace map[string]string `json:"trace,omitempty"`
 }
 
 // SubmitResult answers Submit.
@@ -126,6 +126,9 @@
 	ID     tables.RequestID `json:"id"`
 	Target tables.TargetID  `json:"target"`
 	Offset int              `json:"offset"`
+	// Customer and Service describe the request for later look-ups.
+	Customer tables.CustomerID `json:"customer,omitempty"`
+	Service  tables.ServiceID  `json:"service,omitempty"`
 }
 
 // AttachResult answers Attach. When Known is set, the parts of the answer from
@@ -139,6 +142,9 @@
 // Lookup asks what a host knows of a request.
 type Lookup struct {
 	ID tables.RequestID `json:"id"`
+	// Customer limits the answer to requests of this customer; empty for an
+	// operator or a peer.
+	Customer tables.CustomerID `json:"customer,omitempty"`
 }
 
 // Outcome is what a host knows of a request.
@@ -209,6 +215,12 @@
 	ConfigVersion uint64               `json:"config_version"`
 	ConfigDigest  uint64               `json:"config_digest"`
 	Pool          []tables.PoolSummary `json:"pool,omitempty"`
+	// Sequence is raised to refute reports that the sender is down.
+	Sequence uint32 `json:"sequence,omitempty"`
+	// Reports are news about hosts.
+	Reports []tables.MemberReport `json:"reports,omitempty"`
+	// WantAll asks for a report on every host in the answer.
+	WantAll bool `json:"want_all,omitempty"`
 }
 
 // ConfigRequest asks a peer for its configuration.
