Ask every host for its version and targets in a status

Cause: heartbeats go to one host at a time in rounds over all hosts, so a membership table names versions that are a whole round old, and a wait for "in force everywhere" would outlast the 10 s in which a version spreads. Change: a status sends each host one heartbeat without a sender, at most 32 at a time, and takes version, leaving mark and pool summaries from the answers; the handler now uses the types of config and follow as they are. Conclusion: a listed host without an answer counts as down and keeps its last known version.

--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -104,7 +104,7 @@
 		if err != nil {
 			return nil, usage("%s", err)
 		}
-		defer file.Close()
+		defer func() { _ = file.Close() }()
 		in = file
 	}
 	data, err := io.ReadAll(io.LimitReader(in, maxPatchFileBytes+1))
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -10,7 +10,7 @@
 )
 
 // pollInterval is the time between two looks at the status.
-const pollInterval = 500 * time.Millisecond
+const pollInterval = 1 * time.Second
 
 // maxNamed bounds the hosts that one line names.
 const maxNamed = 5
--- a/internal/operators/handler.go
+++ b/internal/operators/handler.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"sort"
 	"strconv"
-	"time"
 
 	"github.com/go-faster/jx"
 	"github.com/jonboulle/clockwork"
@@ -27,10 +26,8 @@
 	Members       Members
 	Peers         Caller
 	Quarantine    Quarantine
-	// Clock tells the age of heartbeats.
+	// Clock tells how long ago a silent host was heard.
 	Clock clockwork.Clock
-	// DownAfter is the silence after which a host counts as down.
-	DownAfter time.Duration
 }
 
 var _ api.Handler = (*Handler)(nil)
@@ -50,7 +47,7 @@
 }
 
 // rawFields encodes the top level of a document field by field.
-func rawFields(d config.Document) (map[string]jx.Raw, error) {
+func rawFields(d *config.Document) (map[string]jx.Raw, error) {
 	data, err := json.Marshal(d)
 	if err != nil {
 		return nil, err
@@ -82,17 +79,13 @@
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.MalformedRequest, "the merge patch is no JSON object")
 	}
-	p := Patch{
+	p := config.Patch{
 		Base:     config.Version(req.Base),
 		ID:       req.PatchID.String(),
 		Operator: operatorOf(ctx),
 		Merge:    merge,
 	}
-	publish := h.Configuration.Publish
-	if params.DryRun.Value {
-		publish = h.Configuration.DryRun
-	}
-	result, err := publish(ctx, p)
+	result, err := h.decide(ctx, p, params.DryRun.Value)
 	if err != nil {
 		return nil, err
 	}
@@ -100,6 +93,13 @@
 	return &out, nil
 }
 
+func (h *Handler) decide(ctx context.Context, p config.Patch, dryRun bool) (config.Result, error) {
+	if dryRun {
+		return h.Configuration.DryRun(p)
+	}
+	return h.Configuration.Publish(ctx, p)
+}
+
 func rawMessages(fields map[string]jx.Raw) map[string]json.RawMessage {
 	out := make(map[string]json.RawMessage, len(fields))
 	for name, value := range fields {
@@ -108,7 +108,7 @@
 	return out
 }
 
-func patchResult(r Result) api.PatchResult {
+func patchResult(r config.Result) api.PatchResult {
 	out := api.PatchResult{
 		PatchID:  r.PatchID,
 		Accepted: r.Accepted,
--- a/internal/operators/lookup.go
+++ b/internal/operators/lookup.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"time"
-
-	"golang.org/x/sync/errgroup"
 
 	api "github.com/bluebellseam/bluebellseam/internal/api/operators"
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
@@ -13,14 +10,6 @@
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
-// Bounds of one lookup.
-const (
-	// lookupTimeout bounds the answer of one host.
-	lookupTimeout = 2 * time.Second
-	// lookupsAtOnce bounds the hosts that are asked at the same time.
-	lookupsAtOnce = 32
-)
-
 // ShowRequest asks the home of the ID and, when that does not know that the
 // request ran to an end, every other host.
 func (h *Handler) ShowRequest(ctx context.Context, params api.ShowRequestParams) (*api.RequestView, error) {
@@ -110,41 +99,17 @@
 }
 
 func (h *Handler) ask(ctx context.Context, id tables.RequestID, hosts []tables.Host) findings {
-	answers := make([]*peer.Outcome, len(hosts))
-	var group errgroup.Group
-	group.SetLimit(lookupsAtOnce)
-	for i, host := range hosts {
-		group.Go(func() error {
-			answers[i] = h.askOne(ctx, id, host)
-			return nil
-		})
-	}
-	_ = group.Wait()
 	found := findings{asked: len(hosts)}
-	for _, a := range answers {
-		if a == nil {
+	for _, o := range askHosts[peer.Outcome](ctx, h.Peers, hosts, peer.MethodLookup, peer.Lookup{ID: id}) {
+		if o == nil {
 			continue
 		}
 		found.answered++
-		found.best = better(found.best, *a)
+		found.best = better(found.best, *o)
 	}
 	return found
 }
 
-// askOne returns what a host knows, or nil when it does not answer.
-func (h *Handler) askOne(ctx context.Context, id tables.RequestID, host tables.Host) *peer.Outcome {
-	if host.PeerAddress == "" {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
-	defer cancel()
-	var o peer.Outcome
-	if err := h.Peers.Call(ctx, host.PeerAddress, peer.MethodLookup, peer.Lookup{ID: id}, &o); err != nil {
-		return nil
-	}
-	return &o
-}
-
 func requestView(id tables.RequestID, home tables.HostID, o peer.Outcome) *api.RequestView {
 	view := &api.RequestView{
 		ID:      string(id),
--- a/internal/operators/operators_test.go
+++ b/internal/operators/operators_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 	api "github.com/bluebellseam/bluebellseam/internal/api/operators"
 	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/follow"
 	"github.com/bluebellseam/bluebellseam/internal/operators"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -40,30 +42,30 @@
 
 // site is the handler's surroundings, scripted by a spec.
 type site struct {
-	current   operators.Snapshot
-	published []operators.Patch
+	mu        sync.Mutex
+	current   follow.Snapshot
+	published []config.Patch
 	err       error
 	hosts     []tables.Host
-	pools     []operators.Pool
+	beats     map[string]peer.Heartbeat
 	outcomes  map[string]peer.Outcome
 	asked     []string
 	released  []tables.Fingerprint
 }
 
-func (s *site) Current() operators.Snapshot { return s.current }
-func (s *site) Publish(_ context.Context, p operators.Patch) (operators.Result, error) {
+func (s *site) Current() follow.Snapshot { return s.current }
+func (s *site) Publish(_ context.Context, p config.Patch) (config.Result, error) {
 	s.published = append(s.published, p)
-	return operators.Result{PatchID: p.ID, Accepted: true, Base: p.Base, Version: p.Base + 1, Operator: p.Operator}, s.err
+	return config.Result{PatchID: p.ID, Accepted: true, Base: p.Base, Version: p.Base + 1, Operator: p.Operator}, s.err
 }
-func (s *site) DryRun(_ context.Context, p operators.Patch) (operators.Result, error) {
-	return operators.Result{PatchID: p.ID, Accepted: true, Base: p.Base, Version: p.Base + 1, Diff: "+x"}, s.err
+func (s *site) DryRun(p config.Patch) (config.Result, error) {
+	return config.Result{PatchID: p.ID, Accepted: true, Base: p.Base, Version: p.Base + 1, Diff: "+x"}, s.err
 }
-func (s *site) History() []operators.Result {
-	return []operators.Result{{PatchID: "b", Reason: "stale", Base: 1, Version: 2}, {PatchID: "a", Accepted: true, Version: 2}}
+func (s *site) History() []config.Result {
+	return []config.Result{{PatchID: "b", Reason: "stale", Base: 1, Version: 2}, {PatchID: "a", Accepted: true, Version: 2}}
 }
-func (s *site) LogReachable() bool      { return true }
-func (s *site) Hosts() []tables.Host    { return s.hosts }
-func (s *site) Pools() []operators.Pool { return s.pools }
+func (s *site) LogReachable() bool   { return true }
+func (s *site) Hosts() []tables.Host { return s.hosts }
 func (s *site) List() []peer.QuarantineEntry {
 	return []peer.QuarantineEntry{{Fingerprint: 0xab, Customer: "workshop", Service: "report", Crashes: 2, Expires: time.Unix(9, 0)}}
 }
@@ -81,12 +83,19 @@
 	return nil
 }
 func (s *site) Call(_ context.Context, address, method string, _, result any) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.asked = append(s.asked, address)
-	o, ok := s.outcomes[address]
-	if !ok || method != peer.MethodLookup {
+	o, found := s.outcomes[address]
+	b, beats := s.beats[address]
+	switch {
+	case method == peer.MethodLookup && found:
+		*result.(*peer.Outcome) = o
+	case method == peer.MethodHeartbeat && beats:
+		*result.(*peer.Heartbeat) = b
+	default:
 		return errors.New("connection refused")
 	}
-	*result.(*peer.Outcome) = o
 	return nil
 }
 
@@ -114,23 +123,23 @@
 		return p.Response.Kind
 	}
 	BeforeEach(func() {
-		s = &site{current: operators.Snapshot{Version: 7, Digest: 0xfeed, Document: config.Document{
+		s = &site{current: follow.Snapshot{Version: 7, Digest: 0xfeed, Document: &config.Document{
 			Operators: map[string]config.Operator{"eva": {KeySHA256: map[string]string{"a": digest("eva-key")}}},
 			Targets:   map[string]config.Target{"engine-1": {Drained: true}, "engine-2": {}},
 		}}}
 		clock := clockwork.NewFakeClock()
 		now := clock.Now()
 		s.hosts = []tables.Host{
-			{ID: "c", PeerAddress: "3", Listed: tables.HostLive, LastHeard: now.Add(-time.Minute)},
-			{ID: "a", PeerAddress: "1", Listed: tables.HostLive, LastHeard: now, ConfigVersion: 7},
-			{ID: "b", PeerAddress: "2", Listed: tables.HostLive, LastHeard: now, Leaving: true, ConfigVersion: 6},
-			{ID: "d", LastHeard: now},
+			{ID: "c", PeerAddress: "3", Listed: tables.HostLive, LastHeard: now.Add(-time.Minute), ConfigVersion: 5},
+			{ID: "a", PeerAddress: "1", Listed: tables.HostLive, ConfigVersion: 6},
+			{ID: "b", PeerAddress: "2", Listed: tables.HostLive},
+			{ID: "d"},
 		}
-		s.pools = []operators.Pool{
-			{Owner: "b", Summary: tables.PoolSummary{Target: "engine-2", Free: 1}},
-			{Owner: "a", Summary: tables.PoolSummary{Target: "engine-2", Free: 2, RunningByTier: []int{1, 1}, QueuedByTier: []int{0, 3}, Straggler: true}},
+		s.beats = map[string]peer.Heartbeat{
+			"1": {ConfigVersion: 7, Pool: []tables.PoolSummary{{Target: "engine-2", Free: 2, RunningByTier: []int{1, 1}, QueuedByTier: []int{0, 3}, Straggler: true}}},
+			"2": {ConfigVersion: 6, Leaving: true, Pool: []tables.PoolSummary{{Target: "engine-2", Free: 1}}},
 		}
-		h := &operators.Handler{Host: "a", Configuration: s, Members: s, Peers: s, Quarantine: s, Clock: clock, DownAfter: 5 * time.Second}
+		h := &operators.Handler{Host: "a", Configuration: s, Members: s, Peers: s, Quarantine: s, Clock: clock}
 		handler, err := operators.NewServer(h, operators.NewKeys(s, digest("first-key")), noop.NewTracerProvider())
 		Expect(err).NotTo(HaveOccurred())
 		server = httptest.NewServer(handler)
@@ -149,7 +158,7 @@
 		Expect(c.Document).To(HaveKey("targets"))
 	})
 	It("takes the bootstrap key while no operator is configured", func() {
-		s.current = operators.Snapshot{}
+		s.current = follow.Snapshot{Document: &config.Document{}}
 		_, err := client("first-key").PublishPatch(ctx, &api.Patch{PatchID: uuid.New(), Merge: api.PatchMerge{}}, api.PublishPatchParams{})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.published[0].Operator).To(Equal(operators.BootstrapOperator))
@@ -206,11 +215,11 @@
 	It("shows states of hosts and every owner of a target", func() {
 		st, err := client("eva-key").GetStatus(ctx)
 		Expect(err).NotTo(HaveOccurred())
-		states := map[string]string{}
+		rows := map[string]string{}
 		for _, h := range st.Hosts {
-			states[h.ID] = string(h.State)
+			rows[h.ID] = fmt.Sprintf("%s %d %d", h.State, h.Version, h.HeardMsAgo.Value)
 		}
-		Expect(states).To(Equal(map[string]string{"a": "live", "b": "leaving", "c": "down", "d": "unlisted"}))
+		Expect(rows).To(Equal(map[string]string{"a": "live 7 0", "b": "leaving 6 0", "c": "down 5 60000", "d": "unlisted 0 0"}))
 		Expect(st.Targets).To(HaveLen(3))
 		Expect(st.Targets[0].Owner).To(BeEmpty())
 		Expect(st.Targets[0].Drained.Value && st.Targets[0].Leaving.Value).To(BeTrue())
--- a/internal/operators/status.go
+++ b/internal/operators/status.go
@@ -7,67 +7,94 @@
 
 	api "github.com/bluebellseam/bluebellseam/internal/api/operators"
 	"github.com/bluebellseam/bluebellseam/internal/config"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
-// GetStatus returns hosts and targets as this host sees them.
-func (h *Handler) GetStatus(context.Context) (*api.Status, error) {
+// pool is one dispatcher's account of one target.
+type pool struct {
+	owner   tables.HostID
+	summary tables.PoolSummary
+}
+
+// GetStatus asks every host for its version and targets. A host that does not
+// answer is shown as this host last knew it.
+func (h *Handler) GetStatus(ctx context.Context) (*api.Status, error) {
+	hosts := h.Members.Hosts()
+	sort.Slice(hosts, func(i, j int) bool { return hosts[i].ID < hosts[j].ID })
+	answers := h.survey(ctx, hosts)
 	current := h.Configuration.Current()
 	return &api.Status{
 		Host:         string(h.Host),
 		Version:      int64(current.Version),
 		LogReachable: h.Configuration.LogReachable(),
-		Hosts:        h.hosts(h.Clock.Now()),
-		Targets:      h.targets(current.Document),
+		Hosts:        h.hosts(h.Clock.Now(), hosts, answers),
+		Targets:      h.targets(current.Document, pools(hosts, answers)),
 	}, nil
 }
 
-func (h *Handler) hosts(now time.Time) []api.HostStatus {
-	rows := h.Members.Hosts()
-	sort.Slice(rows, func(i, j int) bool { return rows[i].ID < rows[j].ID })
-	out := make([]api.HostStatus, 0, len(rows))
-	for _, row := range rows {
-		s := api.HostStatus{
-			ID:            string(row.ID),
-			FailureDomain: string(row.Domain),
-			State:         h.hostState(now, row),
-			Version:       int64(row.ConfigVersion),
-		}
-		if !row.LastHeard.IsZero() {
-			s.HeardMsAgo = api.NewOptInt(int(now.Sub(row.LastHeard).Milliseconds()))
-		}
-		out = append(out, s)
+func (h *Handler) hosts(now time.Time, hosts []tables.Host, answers []*peer.Heartbeat) []api.HostStatus {
+	out := make([]api.HostStatus, 0, len(hosts))
+	for i, host := range hosts {
+		out = append(out, hostStatus(now, host, answers[i]))
 	}
 	return out
 }
 
-func (h *Handler) hostState(now time.Time, row tables.Host) api.HostStatusState {
-	heard := !row.LastHeard.IsZero() && now.Sub(row.LastHeard) < h.DownAfter
+func hostStatus(now time.Time, host tables.Host, answer *peer.Heartbeat) api.HostStatus {
+	s := api.HostStatus{
+		ID:            string(host.ID),
+		FailureDomain: string(host.Domain),
+		State:         hostState(host, answer),
+		Version:       int64(host.ConfigVersion),
+	}
 	switch {
-	case row.Leaving || row.Listed == tables.HostLeaving:
-		return api.HostStatusStateLeaving
-	case row.Listed == "":
+	case answer != nil:
+		s.Version = int64(answer.ConfigVersion)
+		s.HeardMsAgo = api.NewOptInt(0)
+	case !host.LastHeard.IsZero():
+		s.HeardMsAgo = api.NewOptInt(int(now.Sub(host.LastHeard).Milliseconds()))
+	}
+	return s
+}
+
+func hostState(host tables.Host, answer *peer.Heartbeat) api.HostStatusState {
+	leaving := host.Leaving || host.Listed == tables.HostLeaving || answer != nil && answer.Leaving
+	switch {
+	case host.Listed == "":
 		return api.HostStatusStateUnlisted
-	case heard:
-		return api.HostStatusStateLive
-	default:
+	case answer == nil:
 		return api.HostStatusStateDown
+	case leaving:
+		return api.HostStatusStateLeaving
+	default:
+		return api.HostStatusStateLive
 	}
 }
 
+// pools groups the summaries of all dispatchers by target.
+func pools(hosts []tables.Host, answers []*peer.Heartbeat) map[string][]pool {
+	out := make(map[string][]pool)
+	for i, answer := range answers {
+		if answer == nil {
+			continue
+		}
+		for _, summary := range answer.Pool {
+			id := string(summary.Target)
+			out[id] = append(out[id], pool{owner: hosts[i].ID, summary: summary})
+		}
+	}
+	return out
+}
+
 // targets lists every configured target. One that no dispatcher owns has an
 // empty owner; one with several owners has a row for each.
-func (h *Handler) targets(d config.Document) []api.TargetStatus {
-	pools := make(map[string][]Pool)
-	for _, p := range h.Members.Pools() {
-		id := string(p.Summary.Target)
-		pools[id] = append(pools[id], p)
-	}
+func (h *Handler) targets(d *config.Document, pools map[string][]pool) []api.TargetStatus {
 	out := make([]api.TargetStatus, 0, len(d.Targets))
 	for id, t := range d.Targets {
 		owners := pools[id]
 		if len(owners) == 0 {
-			owners = []Pool{{}}
+			owners = []pool{{}}
 		}
 		for _, p := range owners {
 			out = append(out, h.targetStatus(id, t, p))
@@ -80,21 +107,21 @@
 	return out
 }
 
-func (h *Handler) targetStatus(id string, t config.Target, p Pool) api.TargetStatus {
-	running := sum(p.Summary.RunningByTier)
+func (h *Handler) targetStatus(id string, t config.Target, p pool) api.TargetStatus {
+	running := sum(p.summary.RunningByTier)
 	leaving := h.Members.TargetState(tables.TargetID(id)) == tables.HostLeaving
-	queued := p.Summary.QueuedByTier
+	queued := p.summary.QueuedByTier
 	if queued == nil {
 		queued = []int{}
 	}
 	return api.TargetStatus{
 		ID:            id,
-		Owner:         string(p.Owner),
+		Owner:         string(p.owner),
 		FailureDomain: optional(t.FailureDomain),
-		Window:        p.Summary.Free + running,
+		Window:        p.summary.Free + running,
 		Running:       running,
 		Queued:        queued,
-		Straggler:     api.NewOptBool(p.Summary.Straggler),
+		Straggler:     api.NewOptBool(p.summary.Straggler),
 		Leaving:       api.NewOptBool(leaving),
 		Drained:       api.NewOptBool(t.Drained),
 	}
