Let any listener be silenced and keep the body of a plain call

Cause: connections between the system's own processes can go silent too, and a checker must count the runs of one content. Change: endpoint.Listener; Body in the plain service's record. Conclusion: no behaviour of the stand-ins changes; their tests pass.

--- a/internal/standin/endpoint/conn.go
+++ b/internal/standin/endpoint/conn.go
@@ -5,28 +5,52 @@
 	"sync"
 )
 
-type listener struct {
+// Listener is a listener whose open connections can be silenced.
+type Listener struct {
 	net.Listener
-	endpoint *Endpoint
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// NewListener wraps inner.
+func NewListener(inner net.Listener) *Listener {
+	return &Listener{Listener: inner, conns: make(map[*conn]struct{})}
 }
 
-// Accept wraps the next connection so that it can be silenced.
-func (l *listener) Accept() (net.Conn, error) {
+// Accept returns the next connection, wrapped so that it can be silenced.
+func (l *Listener) Accept() (net.Conn, error) {
 	inner, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: inner, endpoint: l.endpoint, silenced: make(chan struct{}), closed: make(chan struct{})}
-	l.endpoint.mu.Lock()
-	defer l.endpoint.mu.Unlock()
-	l.endpoint.conns[c] = struct{}{}
+	c := &conn{Conn: inner, listener: l, silenced: make(chan struct{}), closed: make(chan struct{})}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = struct{}{}
 	return c, nil
 }
 
+// Silence makes every connection that is open now stay open and deliver
+// nothing more in either direction. New connections work.
+func (l *Listener) Silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.silence()
+	}
+}
+
+func (l *Listener) forget(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
 // conn is a connection that can stop delivering while it stays open.
 type conn struct {
 	net.Conn
-	endpoint  *Endpoint
+	listener  *Listener
 	once      sync.Once
 	closeOnce sync.Once
 	silenced  chan struct{}
@@ -68,6 +92,6 @@
 // Close closes the connection, also a silent one.
 func (c *conn) Close() error {
 	c.closeOnce.Do(func() { close(c.closed) })
-	c.endpoint.forget(c)
+	c.listener.forget(c)
 	return c.Conn.Close()
 }
--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -25,15 +25,15 @@
 type Endpoint struct {
 	handler http.Handler
 
-	mu      sync.Mutex
-	address string
-	server  *http.Server
-	conns   map[*conn]struct{}
+	mu       sync.Mutex
+	address  string
+	server   *http.Server
+	listener *Listener
 }
 
 // Listen serves handler on address; port 0 takes a free port.
 func Listen(address string, handler http.Handler) (*Endpoint, error) {
-	e := &Endpoint{handler: handler, address: address, conns: make(map[*conn]struct{})}
+	e := &Endpoint{handler: handler, address: address}
 	if err := e.Up(); err != nil {
 		return nil, err
 	}
@@ -66,7 +66,8 @@
 	}
 	e.address = l.Addr().String()
 	e.server = &http.Server{Handler: e.handler, ReadHeaderTimeout: readHeaderTimeout}
-	go serve(e.server, &listener{Listener: l, endpoint: e})
+	e.listener = NewListener(l)
+	go serve(e.server, e.listener)
 	return nil
 }
 
@@ -92,20 +93,5 @@
 func (e *Endpoint) Silence() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for c := range e.conns {
-		c.silence()
-	}
-}
-
-// Connections counts the open connections.
-func (e *Endpoint) Connections() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.conns)
-}
-
-func (e *Endpoint) forget(c *conn) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	delete(e.conns, c)
+	e.listener.Silence()
 }
--- a/internal/standin/plain/handler.go
+++ b/internal/standin/plain/handler.go
@@ -46,7 +46,7 @@
 		return
 	}
 	operation := r.PathValue("operation")
-	c, code := s.admit(id, operation)
+	c, code := s.admit(id, operation, body)
 	if code != "" {
 		httpcall.WriteProblem(w, refusalStatus[code], code, "dispatch "+string(id))
 		return
--- a/internal/standin/plain/records.go
+++ b/internal/standin/plain/records.go
@@ -25,6 +25,7 @@
 	// Tombstones counts the cancels that came before a send.
 	Tombstones int
 	Operation  string
+	Body       []byte
 	Progress   target.Progress
 	Ended      time.Time
 }
--- a/internal/standin/plain/service.go
+++ b/internal/standin/plain/service.go
@@ -94,7 +94,7 @@
 }
 
 // admit starts a call, or refuses it with a code.
-func (s *Service) admit(id tables.RequestID, operation string) (*call, string) {
+func (s *Service) admit(id tables.RequestID, operation string, body []byte) (*call, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	rec := s.record(id)
@@ -111,6 +111,7 @@
 	s.calls[id] = c
 	rec.Runs++
 	rec.Operation = operation
+	rec.Body = body
 	rec.Progress = target.InProgress
 	return c, ""
 }
