Settle sends in the dispatcher through the settle system; check a permit before the first byte

Cause: two places decided about unknown sends; a dispatcher that was paused between its decision and its send could write to a target that had lost its tombstone after the gate had told not_run. Change: pursuit drives settle.Next for streams and calls alike; a send asks after its connection is made and before its first byte whether the gate was heard within the send lease (httpcall.WithPermit). A generation that was in progress and is forgotten by its target is ran_failed, not outcome_unknown.

--- a/internal/dispatcher/plain.go
+++ b/internal/dispatcher/plain.go
@@ -3,16 +3,12 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
 
-// outcomePoll is the time between questions about a call that still runs.
-const outcomePoll = 200 * time.Millisecond
-
 // runPlain sends a call once and waits for its answer.
 func (d *Dispatcher) runPlain(ctx context.Context, j *job, at place) {
 	service := d.Targets.Plain(at.address, j.msg.Service)
@@ -28,7 +24,9 @@
 	case errors.Is(err, target.ErrFailed):
 		d.failed(j, err)
 	default:
-		d.settleCall(j, service, err)
+		p := d.newPursuit(j, at)
+		p.cause = err
+		p.run()
 	}
 }
 
@@ -38,65 +36,14 @@
 	})
 }
 
-// settleCall finds out what became of a call whose answer was lost. It leaves
-// a tombstone first, so that "never started" stays true, and then waits for
-// the outcome of a call that runs.
-func (d *Dispatcher) settleCall(j *job, service target.Plain, cause error) {
-	progress := d.tombstone(j, service)
-	for progress == target.InProgress {
-		select {
-		case <-d.ctx.Done():
-			return
-		case <-d.Clock.After(outcomePoll):
-		}
-		progress = d.peekCall(j, service)
-	}
-	if progress == target.Completed && d.fetchAnswer(j, service) {
-		return
-	}
+// failed ends j by the target's own word that it ran and failed, or was
+// cancelled.
+func (d *Dispatcher) failed(j *job, cause error) {
 	d.post(func() {
-		if progress == target.NotKnown {
-			d.crashed(j.target)
+		kind := errkind.RanFailed
+		if j.reason != errkind.None {
+			kind = j.reason
 		}
-		d.finish(j, peer.Finished{Kind: settledCallKind(progress), Detail: cause.Error(), Sent: true})
+		d.finish(j, peer.Finished{Kind: kind, Detail: cause.Error(), Sent: true})
 	})
 }
-
-func settledCallKind(p target.Progress) errkind.Kind {
-	if p == target.Completed {
-		return errkind.AnswerNotKept
-	}
-	return settledKind(p)
-}
-
-func (d *Dispatcher) tombstone(j *job, service target.Plain) target.Progress {
-	ctx, cancel := context.WithTimeout(d.ctx, targetTimeout)
-	defer cancel()
-	progress, err := service.Cancel(ctx, j.msg.ID)
-	if err != nil {
-		return target.NotKnown
-	}
-	return progress
-}
-
-func (d *Dispatcher) peekCall(j *job, service target.Plain) target.Progress {
-	ctx, cancel := context.WithTimeout(d.ctx, targetTimeout)
-	defer cancel()
-	_, progress, err := service.Outcome(ctx, j.msg.ID)
-	if err != nil {
-		return target.NotKnown
-	}
-	return progress
-}
-
-// fetchAnswer ends j with the answer that the service kept, if it kept one.
-func (d *Dispatcher) fetchAnswer(j *job, service target.Plain) bool {
-	ctx, cancel := context.WithTimeout(d.ctx, targetTimeout)
-	defer cancel()
-	answer, progress, err := service.Outcome(ctx, j.msg.ID)
-	if err != nil || progress != target.Completed || answer.Status == 0 {
-		return false
-	}
-	d.answered(j, answer)
-	return true
-}
--- a/internal/dispatcher/recover.go
+++ b/internal/dispatcher/recover.go
@@ -120,8 +120,11 @@
 		return peer.AttachResult{Progress: target.NotKnown}, nil
 	}
 	_, err = ask(ctx, d, func() bool {
-		j := d.adopt(conn, q, false)
-		d.follow(j, at, stream)
+		p := d.newPursuit(d.adopt(conn, q, false), at)
+		d.spawn(func() {
+			p.read(stream)
+			p.run()
+		})
 		return true
 	})
 	return peer.AttachResult{Known: true}, err
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -50,11 +50,15 @@
 // of type *Error.
 func Start(ctx context.Context, c *http.Client, r Request) (*http.Response, error) {
 	var sent atomic.Bool
-	hooks := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	hooks := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(permitOf(ctx) == nil) }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, hooks), r.Method, r.URL, bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, &Error{cause: err}
 	}
+	permit := permitOf(ctx)
+	if permit != nil {
+		guard(req, r.Body, permit, &sent)
+	}
 	for name, values := range r.Header {
 		req.Header[name] = values
 	}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -95,6 +95,9 @@
 	return Hello{}
 }
 
+// LastHeard returns when the last message of the peer arrived.
+func (c *Conn) LastHeard() time.Time { return time.Unix(0, c.lastHeard.Load()) }
+
 // Done is closed when the connection is gone.
 func (c *Conn) Done() <-chan struct{} { return c.rpc.DisconnectNotify() }
 
@@ -198,7 +201,7 @@
 }
 
 func (c *Conn) probe(ctx context.Context) {
-	silent := c.clock.Now().Sub(time.Unix(0, c.lastHeard.Load()))
+	silent := c.clock.Now().Sub(c.LastHeard())
 	if c.busy.Load() == 0 {
 		if silent > idleAfter {
 			_ = c.rpc.Close()
--- a/internal/systems/settle/settle.go
+++ b/internal/systems/settle/settle.go
@@ -84,7 +84,10 @@
 		return finish(errkind.AnswerNotKept)
 	case a.Failures >= MaxFailures && a.Progress == target.Completed:
 		return finish(errkind.AnswerNotKept)
-	case a.Failures >= MaxFailures, a.NoStream:
+	case !f.Plain && (a.NoStream || a.Failures >= MaxFailures):
+		// A generation in progress has run; the rest of its answer is lost.
+		return finish(errkind.RanFailed)
+	case a.NoStream, a.Failures >= MaxFailures:
 		return finish(errkind.OutcomeUnknown)
 	case f.Plain:
 		return Step{Action: Fetch, Targets: []tables.TargetID{id}}
