Quarantine content that crashes targets, shared by peers and the log

Cause: a request that crashes each target that runs it comes back from its caller, possibly through another host. Fault found on the way: entries of one crash expired earlier than those of two, so the merge depended on its order (rapid); a crash now counts for one duration, and only the alone rule lapses earlier.

--- /dev/null
+++ b/internal/systems/quarantine/quarantine_test.go
@@ -0,0 +1,104 @@
+package quarantine_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/systems/quarantine"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+func TestQuarantine(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "quarantine system")
+}
+
+var (
+	start  = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	limits = quarantine.Limits{SuspectFor: 10 * time.Minute, QuarantineFor: time.Hour, SameCrash: 10 * time.Second}
+	poison = quarantine.Suspect{Fingerprint: 7, Customer: "c", Service: "s"}
+)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+var _ = Describe("Table", func() {
+	var t *quarantine.Table
+	crash := func(d time.Duration, id tables.TargetID) {
+		t.Crashed(at(d), id, []quarantine.Suspect{poison})
+	}
+	BeforeEach(func() { t = quarantine.NewTable(limits) })
+
+	It("lets content run alone after one crash and refuses it after two", func() {
+		Expect(t.Check(at(0), 7)).To(Equal(quarantine.Allowed))
+		crash(0, "a")
+		Expect(t.Check(at(time.Minute), 7)).To(Equal(quarantine.Alone))
+		crash(time.Minute, "b")
+		Expect(t.Check(at(time.Minute), 7)).To(Equal(quarantine.Refused))
+		Expect(t.Refused(at(time.Minute))).To(HaveLen(1))
+		Expect(t.Check(at(time.Minute), 8)).To(Equal(quarantine.Allowed))
+	})
+	It("counts a crash of one target once, whoever reports it", func() {
+		crash(0, "a")
+		crash(time.Second, "a")
+		Expect(t.Check(at(time.Minute), 7)).To(Equal(quarantine.Alone))
+	})
+	It("expires", func() {
+		crash(0, "a")
+		Expect(t.Check(at(limits.SuspectFor), 7)).To(Equal(quarantine.Allowed))
+		crash(time.Minute, "b")
+		Expect(t.Check(at(limits.SuspectFor), 7)).To(Equal(quarantine.Refused))
+		Expect(t.Check(at(time.Minute+limits.QuarantineFor), 7)).To(Equal(quarantine.Allowed))
+		Expect(t.Tick(at(time.Minute + limits.QuarantineFor))).To(HaveLen(1))
+		Expect(t.All()).To(BeEmpty())
+	})
+	It("releases, and a late report of the old crashes changes nothing", func() {
+		crash(0, "a")
+		crash(time.Minute, "b")
+		old := t.All()
+		_, err := t.Release(at(2*time.Minute), 7)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(t.Merge(at(3*time.Minute), old)).To(BeEmpty())
+		Expect(t.Check(at(3*time.Minute), 7)).To(Equal(quarantine.Allowed))
+		crash(4*time.Minute, "c")
+		Expect(t.Check(at(4*time.Minute), 7)).To(Equal(quarantine.Alone))
+	})
+	It("knows what it does not hold", func() {
+		_, err := t.Release(start, 7)
+		Expect(errkind.Of(err)).To(Equal(errkind.UnknownQuarantine))
+	})
+})
+
+func TestMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := at(30 * time.Minute)
+		var reports [][]peer.QuarantineEntry
+		for i := range rapid.IntRange(2, 6).Draw(t, "reports") {
+			from := quarantine.NewTable(limits)
+			for range rapid.IntRange(1, 3).Draw(t, "crashes") {
+				id := rapid.SampledFrom([]tables.TargetID{"a", "b", "c"}).Draw(t, "target")
+				from.Crashed(at(time.Duration(rapid.IntRange(0, 1500).Draw(t, "second"))*time.Second), id, []quarantine.Suspect{poison})
+			}
+			if rapid.Bool().Draw(t, "released") {
+				_, _ = from.Release(at(time.Duration(i)*time.Minute), 7)
+			}
+			reports = append(reports, from.All())
+		}
+		first, second := quarantine.NewTable(limits), quarantine.NewTable(limits)
+		for _, r := range reports {
+			first.Merge(now, r)
+		}
+		for _, r := range rapid.Permutation(reports).Draw(t, "order") {
+			second.Merge(now, r)
+			second.Merge(now, r)
+		}
+		if first.Check(now, 7) != second.Check(now, 7) {
+			t.Fatalf("%v became %v in one order and %v in another", reports, first.All(), second.All())
+		}
+	})
+}
