--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -10,7 +10,7 @@
 	DefaultKeyLifetime = time.Hour
 	// DefaultWindowMin and DefaultWindowMax bound the requests at a target.
 	DefaultWindowMin = 1
-	DefaultWindowMax = 16
+	DefaultWindowMax = 64
 	// DefaultMaxQueuedPerTarget bounds the queue in front of one target.
 	DefaultMaxQueuedPerTarget = 256
 	// DefaultWeightLoadsAtOnce bounds concurrent loads from the weight store.
--- /dev/null
+++ b/internal/config/fold_property_test.go
@@ -0,0 +1,121 @@
+package config_test
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/google/uuid"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/bluebellseam/bluebellseam/internal/config"
+	"github.com/bluebellseam/bluebellseam/internal/platform"
+)
+
+// drawStream returns a stream as racing operators write it: stale, early,
+// invalid and repeated patches, garbage, and snapshots by hosts that lag.
+func drawStream(t *rapid.T) []platform.Record {
+	var out []platform.Record
+	var patches []config.Patch
+	states := []config.State{config.Empty()}
+	for i := range rapid.IntRange(1, 60).Draw(t, "records") {
+		last := states[len(states)-1]
+		var content config.LogRecord
+		switch rapid.IntRange(0, 9).Draw(t, "kind") {
+		case 0:
+			snap := states[rapid.IntRange(0, len(states)-1).Draw(t, "lag")].Snapshot()
+			content.Snapshot = &snap
+		case 1:
+			if len(patches) > 0 {
+				content.Patch = &patches[rapid.IntRange(0, len(patches)-1).Draw(t, "repeated")]
+			}
+		default:
+			p := drawPatch(t, i, last.Version)
+			patches = append(patches, p)
+			content.Patch = &p
+		}
+		rec := record(platform.Offset(i), content)
+		next, _ := last.Fold(rec)
+		out = append(out, rec)
+		states = append(states, next)
+	}
+	return out
+}
+
+func drawPatch(t *rapid.T, i int, version config.Version) config.Patch {
+	base := max(0, int(version)+rapid.SampledFrom([]int{0, 0, 0, 0, -1, 1}).Draw(t, "base"))
+	share := rapid.SampledFrom([]float64{1, 1, 1, -1}).Draw(t, "share")
+	return config.Patch{
+		ID:    uuid.NewSHA1(uuid.NameSpaceOID, fmt.Append(nil, i)).String(),
+		Base:  config.Version(base),
+		Merge: json.RawMessage(fmt.Sprintf(`{"customers":{"c%d":{"share":%v}}}`, i, share)),
+	}
+}
+
+func fold(s config.State, records []platform.Record) config.State {
+	for _, rec := range records {
+		if rec.Offset >= s.Next {
+			s, _ = s.Fold(rec)
+		}
+	}
+	return s
+}
+
+var _ = Describe("Fold of random streams", func() {
+	It("comes to the same state from any snapshot that the log still keeps", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			g := NewWithT(t)
+			stream := drawStream(t)
+			whole := fold(config.Empty(), stream)
+			first := rapid.IntRange(0, len(stream)).Draw(t, "first")
+			scan := config.NewScan(platform.Offset(first))
+			scan.Add(stream[first:])
+			start, ok := scan.Start()
+			if !ok {
+				return
+			}
+			late := fold(start, stream)
+			g.Expect(late.Version).To(Equal(whole.Version))
+			g.Expect(late.Digest).To(Equal(whole.Digest))
+			g.Expect(late.Canonical()).To(Equal(whole.Canonical()))
+			g.Expect(ids(late)).To(Equal(ids(whole)))
+		})
+	})
+	It("accepts a patch exactly when its base is in force, its ID is new and the result is valid", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			g := NewWithT(t)
+			s, version, seen := config.Empty(), config.Version(0), map[string]bool{}
+			want := map[string]bool{}
+			for _, rec := range drawStream(t) {
+				content, err := config.DecodeRecord(rec.Data)
+				if err == nil && content.Patch != nil && !seen[content.Patch.ID] {
+					p := content.Patch
+					seen[p.ID] = true
+					var merge struct{ Customers map[string]config.Customer }
+					g.Expect(json.Unmarshal(p.Merge, &merge)).To(Succeed())
+					for name, c := range merge.Customers {
+						if p.Base == version && c.Share > 0 {
+							version++
+							want[name] = true
+						}
+					}
+				}
+				s, _ = s.Fold(rec)
+				g.Expect(s.Version).To(Equal(version))
+				g.Expect(s.Document.Customers).To(HaveLen(len(want)))
+				for name := range want {
+					g.Expect(s.Document.Customers).To(HaveKey(name))
+				}
+			}
+		})
+	})
+})
+
+func ids(s config.State) []string {
+	var out []string
+	for _, r := range s.Decided {
+		out = append(out, fmt.Sprint(r.PatchID, r.Accepted, r.Version, r.Kind))
+	}
+	return out
+}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -55,8 +55,6 @@
 	mu sync.Mutex
 	// domains are the plans of the failure domains whose lease is held.
 	domains map[tables.DomainID]*domain
-	// weights are the weight-store leases in use.
-	weights map[string]bool
 }
 
 // domain is the work under one lease.
@@ -97,7 +95,6 @@
 		opts:    opts,
 		leases:  newKeeper(opts),
 		domains: make(map[tables.DomainID]*domain),
-		weights: make(map[string]bool),
 	}
 }
 
@@ -136,8 +133,8 @@
 	if doc == nil {
 		return
 	}
-	c.leases.keep(ctx, c.wantedLeases(doc))
 	c.plan(doc)
+	c.leases.keep(ctx, c.wantedLeases(doc))
 	for _, job := range c.due() {
 		started := work.TryGo(func() error {
 			c.reconcile(ctx, job)
--- a/internal/orders/plan.go
+++ b/internal/orders/plan.go
@@ -4,10 +4,11 @@
 	"maps"
 	"reflect"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/config"
+	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/systems/lease"
 	"github.com/bluebellseam/bluebellseam/internal/systems/owner"
 	"github.com/bluebellseam/bluebellseam/internal/systems/placement"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -17,9 +18,6 @@
 // maxEnginesAtOnce bounds the engines that are read or ordered at once.
 const maxEnginesAtOnce = 16
 
-// weightLeasePrefix is followed by the number of a weight-store slot.
-const weightLeasePrefix = "weights/"
-
 // wantedLeases returns the leases of the failure domains with engines, and the
 // weight-store leases in use.
 func (c *Controller) wantedLeases(doc *config.Document) []wish {
@@ -34,7 +32,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, name := range slices.Sorted(maps.Keys(c.weights)) {
+	for _, name := range slices.Sorted(maps.Keys(c.weightsInUse())) {
 		out = append(out, wish{name: name, preferred: true})
 	}
 	return out
@@ -56,6 +54,7 @@
 	demand := c.demand(doc)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.dropDomains()
 	for _, id := range domainsOf(doc) {
 		hold, ok := c.leases.hold(orderLeasePrefix + string(id))
 		d := c.domains[id]
@@ -70,6 +69,17 @@
 	}
 }
 
+// dropDomains forgets the failure domains whose lease is no longer held; c.mu
+// is held.
+func (c *Controller) dropDomains() {
+	held := c.leases.names()
+	for id := range c.domains {
+		if !slices.Contains(held, orderLeasePrefix+string(id)) {
+			delete(c.domains, id)
+		}
+	}
+}
+
 // demand returns the demand by service; equal for all while it is unknown.
 func (c *Controller) demand(doc *config.Document) map[tables.ServiceID]float64 {
 	if c.opts.Demand != nil {
@@ -134,6 +144,8 @@
 // job is one engine to look at, under the lease of its failure domain.
 type job struct {
 	domain tables.DomainID
+	// fence is the fencing number under which wanted was planned.
+	fence  platform.Offset
 	id     tables.TargetID
 	engine *engine
 	wanted target.Order
@@ -146,7 +158,7 @@
 	defer c.mu.Unlock()
 	var out []job
 	for id, d := range c.domains {
-		if _, ok := c.leases.hold(orderLeasePrefix + string(id)); !ok {
+		if _, ok := c.hold(id, d.fence); !ok {
 			continue
 		}
 		for target, e := range d.engines {
@@ -154,18 +166,22 @@
 				continue
 			}
 			e.busy = true
-			out = append(out, job{domain: id, id: target, engine: e, wanted: e.wanted})
+			out = append(out, job{domain: id, fence: d.fence, id: target, engine: e, wanted: e.wanted})
 		}
 	}
 	return out
 }
 
+// hold returns the hold of a failure domain while orders may be sent under a
+// fencing number.
+func (c *Controller) hold(id tables.DomainID, fence platform.Offset) (lease.Hold, bool) {
+	hold, ok := c.leases.hold(orderLeasePrefix + string(id))
+	return hold, ok && hold.Fence == fence
+}
+
 // idle gives a job back that was not started.
 func (c *Controller) idle(j job) {
 	c.mu.Lock()
 	j.engine.busy = false
 	c.mu.Unlock()
 }
-
-// weightName names the lease of one weight-store slot.
-func weightName(slot int) string { return weightLeasePrefix + strconv.Itoa(slot) }
--- a/internal/orders/reconcile.go
+++ b/internal/orders/reconcile.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebellseam/bluebellseam/internal/event"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
 	"github.com/bluebellseam/bluebellseam/internal/systems/lease"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
@@ -40,6 +39,7 @@
 	state, err := c.state(ctx, client)
 	if err != nil {
 		c.adopt(j, target.OrderState{})
+		c.freeWeight(j)
 		return retryInterval
 	}
 	if c.adopt(j, state) {
@@ -48,11 +48,10 @@
 	if state.Loading {
 		return loadCheckInterval
 	}
-	hold, ok := c.leases.hold(orderLeasePrefix + string(j.domain))
-	if !ok || len(j.wanted.Role) == 0 {
+	if planned := j.wanted.Role != ""; !planned || state.Order.Fence > int64(j.fence) {
 		return retryInterval
 	}
-	if Same(state.Order, j.wanted) && j.engine.ordered && state.Order.Fence <= int64(hold.Fence) {
+	if Same(state.Order, j.wanted) && c.ordered(j) {
 		c.freeWeight(j)
 		return checkInterval
 	}
@@ -91,7 +90,7 @@
 func (c *Controller) order(ctx context.Context, j job, client target.Engine) bool {
 	ctx, cancel := clockwork.WithTimeout(ctx, c.opts.Clock, lease.OrderTimeout)
 	defer cancel()
-	hold, ok := c.leases.hold(orderLeasePrefix + string(j.domain))
+	hold, ok := c.hold(j.domain, j.fence)
 	if !ok {
 		return false
 	}
@@ -112,6 +111,13 @@
 	return true
 }
 
+// ordered reports whether the engine took an order under the current fence.
+func (c *Controller) ordered(j job) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return j.engine.ordered
+}
+
 // Same reports whether two orders ask for the same state; fences aside.
 func Same(a, b target.Order) bool {
 	return a.Role == b.Role && a.Version == b.Version && sameSet(a.Models, b.Models) && sameSet(a.Adapters, b.Adapters)
@@ -146,9 +152,9 @@
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, c.opts.Clock, stateTimeout)
 	defer cancel()
-	_, err := c.opts.Weights.Acquire(ctx, string(j.id), int64(hold.Fence))
-	if err != nil && !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := c.opts.Weights.Acquire(ctx, string(j.id), int64(hold.Fence)); err != nil {
 		c.opts.Logger.Debug("weight store gave no permit", zap.String("target", string(j.id)), zap.Error(err))
+		return false
 	}
-	return err == nil
+	return true
 }
--- a/internal/systems/owner/owner.go
+++ b/internal/systems/owner/owner.go
@@ -5,17 +5,12 @@
 
 import (
 	"encoding/binary"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
-// Ramp is how long the window of a new owner stays limited, so that requests
-// that the old owner still has at the target are not doubled.
-const Ramp = 3 * time.Second
-
 // Of returns the owner of a target among the live hosts of its failure domain,
 // or among all when its domain has none. It is empty when no host is live.
 func Of(target tables.TargetID, domain tables.DomainID, live []tables.Host) tables.HostID {
@@ -54,27 +49,3 @@
 	binary.LittleEndian.PutUint64(pair[8:], xxhash.Sum64String(string(host)))
 	return xxhash.Sum64(pair[:])
 }
-
-// Change is a target that this host gained or lost.
-type Change struct {
-	Target tables.TargetID
-	Gained bool
-}
-
-// Tick sets Owned on every target by the live hosts. A gained target ramps up
-// until Ramp has passed. It returns the targets that changed hands.
-func Tick(now time.Time, self tables.HostID, live []tables.Host, targets *tables.Targets) []Change {
-	var out []Change
-	targets.All(func(t *tables.Target) {
-		owned := Of(t.ID, t.Domain, live) == self
-		if owned == t.Owned {
-			return
-		}
-		t.Owned = owned
-		if owned {
-			t.RampUntil = now.Add(Ramp)
-		}
-		out = append(out, Change{Target: t.ID, Gained: owned})
-	})
-	return out
-}
