Add the harness and the scenario language (in progress)

Change: harness (hosts, stand-ins, callers, audit) and testscript commands; the scripts have not been run yet. Conclusion: to be run as soon as the processes of a host build.

--- /dev/null
+++ b/internal/harness/publish.go
@@ -0,0 +1,159 @@
+package harness
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/google/uuid"
+
+	"github.com/bluebellseam/bluebellseam/internal/config"
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/httpcall"
+)
+
+// Keys of the standard configuration.
+const (
+	OperatorKey = "operator-key"
+	MuseumKey   = "museum-key"
+	WorkshopKey = "workshop-key"
+)
+
+// Names in the standard configuration.
+const (
+	ModelService        = "report"
+	PlainService        = "desk"
+	OperationConfirm    = "confirm"
+	OperationStatus     = "status"
+	TierUrgent          = "urgent"
+	TierNormal          = "normal"
+	TierBulk            = "bulk"
+	standardGeneration  = "small"
+	standardFirstToken  = 20_000
+	standardDeadline    = 60_000
+	standardStepMillis  = 5
+	standardPrefillRate = 20_000
+)
+
+func digestOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// StandardDocument returns a configuration with the targets of h, a model
+// service, a plain service with one non-idempotent operation, three tiers, two
+// customers and an operator.
+func (h *Harness) StandardDocument() config.Document {
+	return config.Document{
+		Tiers: map[string]config.Tier{
+			TierUrgent: {Rank: 0, FirstTokenMillis: standardFirstToken, DeadlineMillis: standardDeadline},
+			TierNormal: {Rank: 1, FirstTokenMillis: standardFirstToken, DeadlineMillis: standardDeadline},
+			TierBulk:   {Rank: 2, FirstTokenMillis: standardFirstToken, DeadlineMillis: standardDeadline},
+		},
+		Customers: map[string]config.Customer{
+			"museum":   {KeySHA256: map[string]string{"first": digestOf(MuseumKey)}, Share: 1},
+			"workshop": {KeySHA256: map[string]string{"first": digestOf(WorkshopKey)}, Share: 1},
+		},
+		Services: map[string]config.Service{
+			ModelService: {Kind: config.ModelService, Model: "m", Tier: TierNormal},
+			PlainService: {Kind: config.PlainService, Tier: TierNormal, Operations: map[string]config.Operation{
+				OperationConfirm: {NonIdempotent: true}, OperationStatus: {},
+			}},
+		},
+		Targets: h.targetEntries(),
+		Generations: map[string]config.Generation{
+			standardGeneration: {PrefillTokensPerSecond: standardPrefillRate, StepMillis: standardStepMillis},
+		},
+		Operators: map[string]config.Operator{"ops": {KeySHA256: map[string]string{"first": digestOf(OperatorKey)}}},
+	}
+}
+
+func (h *Harness) targetEntries() map[string]config.Target {
+	entries := make(map[string]config.Target)
+	for _, t := range h.Targets() {
+		e := config.Target{Address: t.Address, FailureDomain: t.Domain, Services: []string{PlainService}}
+		if t.Engine != nil {
+			e.Services = []string{ModelService}
+			e.Generation = standardGeneration
+			e.ChecksFencing = t.ChecksFencing
+		}
+		entries[string(t.ID)] = e
+	}
+	return entries
+}
+
+// Publication is the answer to a published patch.
+type Publication struct {
+	Version uint64
+	// Kind and Detail tell of a refusal.
+	Kind   errkind.Kind
+	Detail string
+}
+
+// publishBody is the JSON body of a patch.
+type publishBody struct {
+	Base    uint64          `json:"base"`
+	PatchID string          `json:"patch_id"`
+	Merge   json.RawMessage `json:"merge"`
+}
+
+// publishAnswer holds the fields of both a result and a problem.
+type publishAnswer struct {
+	Version uint64       `json:"version"`
+	Kind    errkind.Kind `json:"kind"`
+	Detail  string       `json:"detail"`
+}
+
+// Publish publishes a merge patch at a host. An empty id mints one.
+func (h *Harness) Publish(ctx context.Context, host string, base uint64, id string, merge []byte) (Publication, error) {
+	at, err := h.Host(host)
+	if err != nil {
+		return Publication{}, err
+	}
+	if id == "" {
+		id = uuid.Must(uuid.NewV7()).String()
+	}
+	body, err := json.Marshal(publishBody{Base: base, PatchID: id, Merge: merge})
+	if err != nil {
+		return Publication{}, fmt.Errorf("merge patch: %w", err)
+	}
+	resp, err := httpcall.Do(ctx, h.callers, httpcall.Request{
+		Method: http.MethodPost,
+		URL:    "http://" + at.OperatorAddress() + "/v1/config/patches",
+		Header: http.Header{"Content-Type": {"application/json"}, "Authorization": {"Bearer " + OperatorKey}},
+		Body:   body,
+	}, maxAnswerBytes)
+	if err != nil {
+		return Publication{}, fmt.Errorf("publish at %q: %w", host, err)
+	}
+	var a publishAnswer
+	if err := json.Unmarshal(resp.Body, &a); err != nil {
+		return Publication{}, fmt.Errorf("publish at %q: status %d: %w", host, resp.Status, err)
+	}
+	return Publication{Version: a.Version, Kind: a.Kind, Detail: a.Detail}, nil
+}
+
+// Configure publishes the standard configuration at a host and waits until it
+// is in force everywhere. Later changes of it are published as patches against
+// the version in force there.
+func (h *Harness) Configure(ctx context.Context, host string) error {
+	merge, err := json.Marshal(h.StandardDocument())
+	if err != nil {
+		return fmt.Errorf("standard configuration: %w", err)
+	}
+	at, err := h.Host(host)
+	if err != nil {
+		return err
+	}
+	p, err := h.Publish(ctx, host, at.Version(), "", merge)
+	if err != nil {
+		return err
+	}
+	if p.Kind != errkind.None {
+		return fmt.Errorf("standard configuration refused as %s: %s", p.Kind, p.Detail)
+	}
+	return h.AwaitVersion(ctx, p.Version)
+}
--- /dev/null
+++ b/internal/scenario/checks.go
@@ -0,0 +1,133 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/bluebellseam/bluebellseam/internal/harness"
+	"github.com/bluebellseam/bluebellseam/internal/target"
+)
+
+// checkRuns compares the runs of a request's content at all targets.
+func checkRuns(_ context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
+	c, text, err := s.callAndWord(a, "count")
+	if err != nil {
+		return err
+	}
+	expected, err := parseSpan(text)
+	if err != nil {
+		return err
+	}
+	if n := s.countRuns(c.Request.Content()); !expected.contains(n) {
+		return fmt.Errorf("request %q ran %d times and not %s", c.Request.Name, n, text)
+	}
+	return nil
+}
+
+// checkRanAt checks which target ran a request: "ran-at NAME TARGET".
+func checkRanAt(_ context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
+	c, expected, err := s.callAndWord(a, "target")
+	if err != nil {
+		return err
+	}
+	run := s.h.Runs()[c.Result().ID]
+	if len(run.Targets) != 1 || string(run.Targets[0]) != expected {
+		return fmt.Errorf("request %q ran at %v and not at %s", c.Request.Name, run.Targets, expected)
+	}
+	return nil
+}
+
+// awaitEnded waits until the target of a request records an end: "ended NAME
+// cancelled".
+func awaitEnded(ctx context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
+	c, expected, err := s.callAndWord(a, "progress")
+	if err != nil {
+		return err
+	}
+	progress := func() target.Progress { return s.h.Runs()[c.Result().ID].Progress }
+	if !harness.Await(ctx, func() bool { return string(progress()) == expected }) {
+		return fmt.Errorf("request %q is %q at its target and not %s", c.Request.Name, progress(), expected)
+	}
+	return nil
+}
+
+func (s *state) callAndWord(a *arguments, what string) (*harness.Call, string, error) {
+	name, err := a.word("request")
+	if err != nil {
+		return nil, "", err
+	}
+	c, err := s.call(name)
+	if err != nil {
+		return nil, "", err
+	}
+	word, err := a.word(what)
+	return c, word, err
+}
+
+// awaitLeaving waits until every host shows a target as leaving.
+func awaitLeaving(ctx context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
+	name, err := a.word("target")
+	if err != nil {
+		return err
+	}
+	for _, host := range s.h.Hosts() {
+		var last error
+		seen := harness.Await(ctx, func() bool {
+			leaving, err := s.h.TargetLeaving(ctx, string(host.ID), name)
+			last = err
+			return err == nil && leaving
+		})
+		if !seen {
+			return fmt.Errorf("host %q does not show target %q as leaving: %v", host.ID, name, last)
+		}
+	}
+	return nil
+}
+
+// checkAppends compares the records that the log has taken.
+func checkAppends(_ context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
+	text, err := a.word("count")
+	if err != nil {
+		return err
+	}
+	expected, err := parseSpan(text)
+	if err != nil {
+		return err
+	}
+	if n := s.h.Log.Appends(); !expected.contains(n) {
+		return fmt.Errorf("the log took %d records and not %s", n, text)
+	}
+	return nil
+}
+
+// audit waits until every request has ended and no target runs anything, and
+// then checks the promises against the targets' records.
+func audit(ctx context.Context, s *state, ts *testscript.TestScript, _ *arguments) error {
+	for name, c := range s.calls {
+		select {
+		case <-c.Done():
+		case <-ctx.Done():
+			return fmt.Errorf("request %q has not ended: %s", name, describe(c.Result()))
+		}
+	}
+	if !harness.Await(ctx, func() bool { return s.inProgress() == 0 }) {
+		return fmt.Errorf("%d requests still run at targets", s.inProgress())
+	}
+	violations := s.h.Audit()
+	for _, v := range violations {
+		ts.Logf("VIOLATION %s", v)
+	}
+	runs := s.h.Runs()
+	dispatches, total := 0, 0
+	for _, run := range runs {
+		dispatches += run.Dispatches
+		total += run.Runs
+	}
+	ts.Logf("requests=%d identities=%d dispatches=%d runs=%d violations=%d", len(s.calls), len(runs), dispatches, total, len(violations))
+	if len(violations) > 0 {
+		return fmt.Errorf("%d promises were broken", len(violations))
+	}
+	return nil
+}
