Read load reports and cache events; wire the quarantine

Cause: the prefix index had no events of engines, and crashes reached no quarantine. Change: Dispatcher.Watch, Observed on the first chunk, Forget on a crash; quarantine served by dispatchers and read by controllers; a gate names a dispatcher that it lost to its membership table.

--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -123,7 +123,8 @@
 	j.chunks = append(j.chunks, c)
 	j.tokens += c.Tokens
 	if j.row != nil {
-		if c.CachedTokens > 0 {
+		if c.Offset == 0 {
+			d.state.Prefixes.Observed(j.target, j.row.CachedTokens, c.CachedTokens)
 			j.row.CachedTokens = c.CachedTokens
 		}
 		if t := d.state.Targets.Get(j.target); t != nil {
--- a/internal/dispatcher/targets.go
+++ b/internal/dispatcher/targets.go
@@ -116,6 +116,7 @@
 	})
 	for _, id := range gone {
 		d.state.Targets.Delete(id)
+		d.state.Prefixes.Forget(id)
 	}
 }
 
@@ -150,6 +151,7 @@
 		return
 	}
 	t.LastCrash = now
+	d.state.Prefixes.Forget(id)
 	suspects := d.inFlight(id)
 	event.TargetCrashed.Log(d.Logger, zap.String("target", string(id)), zap.Int("in_flight", len(suspects)))
 	d.Quarantine.Crashed(id, suspects)
--- a/internal/gate/drive.go
+++ b/internal/gate/drive.go
@@ -90,6 +90,7 @@
 	}
 	conn, err := g.Peers.Get(g.ctx, address)
 	if err != nil {
+		g.Membership.Suspect(c.Owner)
 		return notSent
 	}
 	msg := f.aged(g.Clock.Now())
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -34,6 +34,8 @@
 	ClaimHome(shard int) tables.HostID
 	// Live returns the hosts that can be reached.
 	Live() []tables.Host
+	// Suspect says that a host did not answer, so that it is asked next.
+	Suspect(id tables.HostID)
 	// TargetState returns the host list's word; empty when not listed.
 	TargetState(id tables.TargetID) tables.HostState
 }
--- a/internal/gate/settle.go
+++ b/internal/gate/settle.go
@@ -24,6 +24,7 @@
 // request is never submitted again.
 func (g *Gate) settle(f *flight, c route.Choice, allowed []tables.TargetID) {
 	lostAt := g.Clock.Now()
+	g.Membership.Suspect(c.Owner)
 	if g.reattach(f, c.Owner) {
 		return
 	}
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -43,9 +43,11 @@
 		return err
 	}
 	n.proc.servePeers(l)
+	q := n.proc.newQuarantine()
+	n.proc.spawn(func() { _ = q.Run(n.proc.ctx) })
 	handler := &operators.Handler{
 		Host: s.Host, Configuration: n.proc.follower, Clock: n.proc.Clock,
-		Members: n.proc.members, Peers: n.proc.pool, Quarantine: newQuarantine(n.proc),
+		Members: n.proc.members, Peers: n.proc.pool, Quarantine: q,
 	}
 	server, err := operators.NewServer(handler, operators.NewKeys(n.proc.follower, s.BootstrapOperator), n.proc.Tracer)
 	if err != nil {
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -14,6 +14,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/observe"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/quarantine"
 	"github.com/bluebellseam/bluebellseam/internal/settings"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
@@ -23,6 +24,7 @@
 	proc       *process
 	dispatcher *dispatcher.Dispatcher
 	home       *claims.Home
+	quarantine *quarantine.Quarantine
 	clients    *clients
 	listener   net.Listener
 }
@@ -48,10 +50,11 @@
 		pool: func() []tables.PoolSummary { return n.dispatcher.Summary(n.proc.ctx) },
 	})
 	p := n.proc
+	n.quarantine = p.newQuarantine()
 	n.home = claims.NewHome(claims.Options{Log: env.Log, Clock: env.Clock, Logger: env.Logger, Host: s.Host})
 	n.dispatcher = dispatcher.New(p.ctx, dispatcher.Options{
 		Host: s.Host, Clock: env.Clock, Logger: env.Logger, Tracer: env.Tracer.Tracer("bluebell-dispatcher"),
-		Document: p.document, Membership: p.members, Quarantine: newQuarantine(p),
+		Document: p.document, Membership: p.members, Quarantine: n.quarantine,
 		Outcomes: recorder{n}, Targets: n.clients, Observer: dispatcherMetrics{p.metrics},
 	})
 	n.register()
@@ -67,6 +70,9 @@
 func (n *Dispatcher) register() {
 	n.proc.registerCommon()
 	n.dispatcher.Register(n.proc.mux)
+	peer.Handle(n.proc.mux, peer.MethodShare, func(ctx context.Context, _ *peer.Conn, s peer.Share) (peer.Share, error) {
+		return n.quarantine.Share(ctx, s)
+	})
 	peer.Handle(n.proc.mux, peer.MethodAcquire, func(ctx context.Context, _ *peer.Conn, a peer.Acquire) (peer.AcquireResult, error) {
 		return n.home.Acquire(ctx, a)
 	})
@@ -78,7 +84,9 @@
 func (n *Dispatcher) start() {
 	p := n.proc
 	p.spawn(func() { n.dispatcher.Run() })
+	p.spawn(n.dispatcher.Watch)
 	p.spawn(func() { n.home.Run(p.ctx) })
+	p.spawn(func() { _ = n.quarantine.Run(p.ctx) })
 	p.start()
 	p.onChange(n.dispatcher.Sync)
 	p.servePeers(n.listener)
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -1,29 +1,25 @@
 package node
 
 import (
-	"context"
-	"fmt"
-
-	"github.com/bluebellseam/bluebellseam/internal/dispatcher"
-	"github.com/bluebellseam/bluebellseam/internal/errkind"
-	"github.com/bluebellseam/bluebellseam/internal/peer"
-	"github.com/bluebellseam/bluebellseam/internal/tables"
+	"github.com/bluebellseam/bluebellseam/internal/quarantine"
 )
 
-type quarantine struct{}
-
-func newQuarantine(*process) quarantine { return quarantine{} }
-
-// Crashed implements dispatcher.Quarantine.
-func (quarantine) Crashed(tables.TargetID, []dispatcher.Suspect) {}
-
-// Check implements dispatcher.Quarantine.
-func (quarantine) Check(tables.Fingerprint) (refused, alone bool) { return false, false }
-
-// List implements operators.Quarantine.
-func (quarantine) List() []peer.QuarantineEntry { return nil }
+// newQuarantine returns the process's table of refused content. Its entries
+// come from the log and from peers.
+func (p *process) newQuarantine() *quarantine.Quarantine {
+	return quarantine.New(quarantine.Options{
+		Host: p.settings.Host, Log: p.Log, Clock: p.Clock, Logger: p.Logger,
+		Caller: p.pool, Peers: p.peerAddresses,
+	})
+}
 
-// Release implements operators.Quarantine.
-func (quarantine) Release(_ context.Context, f tables.Fingerprint) error {
-	return errkind.New(errkind.UnknownQuarantine, fmt.Sprintf("fingerprint %016x", uint64(f)))
+// peerAddresses returns the dispatchers of the other live hosts.
+func (p *process) peerAddresses() []string {
+	var out []string
+	for _, h := range p.members.Live() {
+		if h.PeerAddress != "" && (h.ID != p.settings.Host || p.role != "dispatcher") {
+			out = append(out, h.PeerAddress)
+		}
+	}
+	return out
 }
