--- a/internal/scenario/cluster.go
+++ b/internal/scenario/cluster.go
@@ -39,8 +39,8 @@
 	return err
 }
 
-// killHost ends a host, or the named processes of it, at once.
-func killHost(_ context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
+// crashHost ends a host, or the named processes of it, at once.
+func crashHost(_ context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
 	name, err := a.word("host")
 	if err != nil {
 		return err
@@ -53,8 +53,8 @@
 	return nil
 }
 
-// stopHost starts a graceful shutdown.
-func stopHost(_ context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
+// shutDownHost starts a graceful shutdown.
+func shutDownHost(_ context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
 	name, err := a.word("host")
 	if err != nil {
 		return err
--- a/internal/scenario/requests.go
+++ b/internal/scenario/requests.go
@@ -186,8 +186,8 @@
 	return fmt.Sprintf("%s, ran=%s, %d tokens, status %d, %q", end, r.Ran, r.Tokens, r.Status, r.Detail)
 }
 
-// awaitResult waits for the end of a request: "wait NAME whole" or
-// "wait NAME KIND,KIND ran=not_run".
+// awaitResult waits for the end of a request: "result NAME whole" or
+// "result NAME KIND,KIND ran=not_run".
 func awaitResult(ctx context.Context, s *state, ts *testscript.TestScript, a *arguments) error {
 	c, text, err := s.callAndWord(a, "expected end")
 	if err != nil {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -66,11 +66,11 @@
 // commands returns all commands by name.
 func commands() map[string]func(*testscript.TestScript, bool, []string) {
 	table := map[string]command{
-		"hosts": startHosts, "restart": restartHost, "kill": killHost, "stop": stopHost, "stopped": awaitStopped,
+		"hosts": startHosts, "restart": restartHost, "crash": crashHost, "shutdown": shutDownHost, "stopped": awaitStopped,
 		"engine": addEngine, "plain": addPlain, "list": markListed,
 		"configure": configure, "publish": publish, "version": awaitVersion,
 		"send": send, "resend": resend, "leave": leave,
-		"tokens": awaitTokens, "running": awaitRunning, "wait": awaitResult, "lookup": lookUp,
+		"tokens": awaitTokens, "running": awaitRunning, "result": awaitResult, "lookup": lookUp,
 		"fault": fault,
 		"runs":  checkRuns, "ran-at": checkRanAt, "ended": awaitEnded, "leaving-seen": awaitLeaving,
 		"appends": checkAppends, "audit": audit,
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/standin/endpoint"
+	"github.com/bluebellseam/bluebellseam/internal/systems/prefix"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
@@ -241,7 +242,7 @@
 	}
 	d.prefilled = true
 	g := d.generation
-	hit := e.cache.use(e.opts.Clock.Now(), target.PrefixChain(g.Model, g.Adapter, g.Prompt))
+	hit := e.cache.use(e.opts.Clock.Now(), prefix.Chain(g.Model+"/"+g.Adapter, []byte(g.Prompt)))
 	d.cachedTokens = hit.cachedTokens
 	computed := d.promptTokens - d.cachedTokens
 	e.records.prefilled(d, computed, hit.recomputedTokens)
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/bluebellseam/bluebellseam/internal/standin/engine"
+	"github.com/bluebellseam/bluebellseam/internal/systems/prefix"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
@@ -164,7 +165,7 @@
 		events, err := c.CacheEvents(ctx, 0)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(events).To(HaveLen(2))
-		Expect(events[0].Stored).To(ContainElement(target.PrefixChain("m", "", g.Prompt)[0]))
+		Expect(events[0].Stored).To(ContainElement(prefix.Chain("m/", []byte(g.Prompt))[0]))
 		Expect(events[1].Sequence).To(Equal(int64(3)))
 	}, NodeTimeout(10*time.Second))
 
