--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -26,8 +26,11 @@
 	target  tables.TargetID
 	started bool
 	// reason is why a cancel was sent; empty without one.
-	reason  errkind.Kind
-	chunks  []target.Chunk
+	reason errkind.Kind
+	chunks []target.Chunk
+	// from is the token offset of the first chunk; above zero when the answer
+	// was taken over in its middle.
+	from    int
 	tokens  int
 	outcome *peer.Finished
 	// listeners are the connections that get the answer, with the function
@@ -212,7 +215,7 @@
 	o.Kind = j.outcome.Kind
 	o.Detail = j.outcome.Detail
 	o.Status = j.outcome.Status
-	if j.outcome.Kind == errkind.None {
+	if j.outcome.Kind == errkind.None && j.from == 0 {
 		o.Body = j.answer()
 		o.BodyKept = true
 	}
--- a/internal/dispatcher/recover.go
+++ b/internal/dispatcher/recover.go
@@ -98,15 +98,16 @@
 
 func (d *Dispatcher) attachKnown(conn *peer.Conn, q peer.Attach) bool {
 	j := d.known(q.ID)
-	if j == nil {
+	if j == nil || j.from > q.Offset {
 		return false
 	}
 	d.listen(j, conn, q.Offset)
 	return true
 }
 
-// takeOver resumes the answer of a dispatch at its target from the start, so
-// that the whole answer can be looked up here as well.
+// takeOver resumes the answer of a dispatch at its target from the token offset
+// that the gate has. Parts from elsewhere may be cut at other tokens, so that
+// an earlier start would overlap.
 func (d *Dispatcher) takeOver(ctx context.Context, conn *peer.Conn, q peer.Attach) (peer.AttachResult, error) {
 	at, ok := d.locate(q.Target)
 	if !ok {
@@ -115,7 +116,7 @@
 	if at.plain {
 		return d.takeOverPlain(ctx, conn, q, at)
 	}
-	stream, err := d.resume(d.Targets.Engine(at.address), q.ID, 0)
+	stream, err := d.resume(d.Targets.Engine(at.address), q.ID, q.Offset)
 	if err != nil {
 		return peer.AttachResult{Progress: target.NotKnown}, nil
 	}
@@ -150,7 +151,7 @@
 
 // adopt makes a job for a dispatch of another dispatcher.
 func (d *Dispatcher) adopt(conn *peer.Conn, q peer.Attach, plain bool) *job {
-	j := &job{msg: peer.Submit{ID: q.ID, Customer: q.Customer, Service: q.Service, Plain: plain}, target: q.Target, started: true}
+	j := &job{msg: peer.Submit{ID: q.ID, Customer: q.Customer, Service: q.Service, Plain: plain}, target: q.Target, started: true, from: q.Offset, tokens: q.Offset}
 	d.jobs[q.ID] = j
 	d.listen(j, conn, q.Offset)
 	return j
--- a/internal/gate/begin.go
+++ b/internal/gate/begin.go
@@ -5,13 +5,15 @@
 	"fmt"
 	"time"
 
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/systems/claim"
 	"github.com/bluebellseam/bluebellseam/internal/systems/route"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
-	"go.uber.org/zap"
 )
 
 const (
@@ -42,17 +44,35 @@
 	return f
 }
 
+// Bounds on joining a request that holds a key and is not found yet.
+const (
+	joinPause = 100 * time.Millisecond
+	// joinFor covers the time from a claim to the arrival of its request at a
+	// dispatcher.
+	joinFor = 3 * time.Second
+)
+
+// beginKeyed claims the key of a request, or joins the request that holds it.
+// A holder that no host knows may still be on its way to a dispatcher, or its
+// outcome to the log, so that both are asked again for a while.
 func (g *Gate) beginKeyed(ctx context.Context, adm admitted) (*flight, error) {
-	result, err := g.acquire(ctx, adm)
-	g.Observer.Claimed(result.Won, errkind.Of(err))
-	if err != nil {
-		return nil, err
-	}
-	if result.Won {
-		return g.launchKeyed(adm), nil
+	deadline := g.Clock.Now().Add(joinFor)
+	for {
+		result, err := g.acquire(ctx, adm)
+		g.Observer.Claimed(result.Won, errkind.Of(err))
+		if err != nil {
+			return nil, err
+		}
+		if result.Won {
+			return g.launchKeyed(adm), nil
+		}
+		f, err := g.joinHolder(ctx, adm.msg, result)
+		if err == nil || !g.Clock.Now().Before(deadline) || ctx.Err() != nil {
+			return f, err
+		}
+		g.pauseUntil(g.Clock.Now().Add(joinPause))
+		adm.msg.ID = tables.NewRequestID(g.Host, uuid.Must(uuid.NewV7()))
 	}
-	event.ClaimLost.Log(g.Logger, zap.String("request", string(adm.msg.ID)), zap.String("holder", string(result.Holder)))
-	return g.joinHolder(ctx, adm.msg, result)
 }
 
 // acquire asks the home of the key for the right to dispatch. No error of it
@@ -135,6 +155,7 @@
 // joinHolder returns the flight of the request that holds the key: the one of
 // this gate, the recorded outcome, or the stream of its dispatcher.
 func (g *Gate) joinHolder(ctx context.Context, msg peer.Submit, result peer.AcquireResult) (*flight, error) {
+	event.ClaimLost.Log(g.Logger, zap.String("request", string(msg.ID)), zap.String("holder", string(result.Holder)))
 	if f := g.find(result.Holder); f != nil {
 		return f, nil
 	}
--- a/internal/gate/flight.go
+++ b/internal/gate/flight.go
@@ -80,8 +80,12 @@
 	f.update(func() { f.verdict = &end })
 }
 
-// finish sets the outcome; the first one stands.
+// finish sets the outcome; the first one stands. A gate that was killed tells
+// no more outcomes, since it can no longer find out any.
 func (f *flight) finish(end peer.Finished) {
+	if f.g.ctx.Err() != nil {
+		return
+	}
 	end.ID = f.id
 	f.update(func() {
 		if f.outcome == nil {
--- a/internal/gate/settle.go
+++ b/internal/gate/settle.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/systems/route"
 	"github.com/bluebellseam/bluebellseam/internal/systems/settle"
@@ -44,7 +43,6 @@
 		}
 		facts.Offset = f.since(0).tokens
 	}
-	f.finish(peer.Finished{Kind: errkind.OutcomeUnknown, Detail: "the gate stopped", Sent: true})
 }
 
 // reattach asks the same dispatcher on new connections, since it may be only
@@ -68,10 +66,6 @@
 
 // attachAndFollow reports whether the flight got its outcome over conn.
 func (g *Gate) attachAndFollow(f *flight, conn *peer.Conn, at tables.TargetID) bool {
-	f.update(func() {
-		f.verdict = nil
-		f.gap = false
-	})
 	result, err := g.attach(f, conn, at)
 	if err != nil || !result.Known {
 		return false
@@ -88,7 +82,13 @@
 	return false
 }
 
+// attach asks for the answer from where it broke off. The end that a lost
+// connection told no longer counts.
 func (g *Gate) attach(f *flight, conn *peer.Conn, at tables.TargetID) (peer.AttachResult, error) {
+	f.update(func() {
+		f.verdict = nil
+		f.gap = false
+	})
 	ctx, cancel := context.WithTimeout(g.ctx, askTimeout)
 	defer cancel()
 	var result peer.AttachResult
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -206,7 +206,8 @@
 	return err
 }
 
-// kill ends the process at once, as a crash does.
+// kill ends the process at once, as a crash does: nothing more is answered and
+// callers see their connections break.
 func (p *process) kill() {
 	p.cancel()
 	for _, s := range p.servers {
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -40,6 +40,8 @@
 	lastHeard atomic.Int64
 	busy      atomic.Int64
 	outbox    chan posted
+	// ready is closed once rpc is set; its reader starts before that.
+	ready chan struct{}
 }
 
 // outboxLength bounds the notifications that wait for a slow peer.
@@ -53,11 +55,12 @@
 // newConn starts a connection on socket. A connection that was accepted
 // serves no method before a Hello with the right key.
 func newConn(ctx context.Context, socket net.Conn, mux *Mux, key string, clock clockwork.Clock, greeted bool) *Conn {
-	c := &Conn{clock: clock, mux: mux, key: key, outbox: make(chan posted, outboxLength)}
+	c := &Conn{clock: clock, mux: mux, key: key, outbox: make(chan posted, outboxLength), ready: make(chan struct{})}
 	c.greeted.Store(greeted)
 	c.lastHeard.Store(clock.Now().UnixNano())
 	stream := jsonrpc2.NewBufferedStream(&deadlineSocket{socket}, jsonrpc2.VarintObjectCodec{})
 	c.rpc = jsonrpc2.NewConn(ctx, stream, c, jsonrpc2.OnRecv(c.heard), jsonrpc2.SetLogger(silentLogger{}))
+	close(c.ready)
 	go c.watch(ctx)
 	go c.drain(ctx)
 	return c
@@ -136,6 +139,7 @@
 
 // Handle serves one message of the peer. It implements jsonrpc2.Handler.
 func (c *Conn) Handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	<-c.ready
 	if req.Notif {
 		_, _ = c.serve(ctx, req)
 		return
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -98,3 +98,20 @@
 		Expect(again).NotTo(BeIdenticalTo(conn))
 	})
 })
+
+var _ = Describe("Conn", func() {
+	// A message can arrive while the connection is still being set up; it once
+	// met a connection that could not answer yet.
+	It("answers messages that arrive at once on many new connections", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		mux := peer.NewMux()
+		address := serve(ctx, mux, clockwork.NewRealClock())
+		for range 300 {
+			p := pool(ctx, key, peer.NewMux())
+			conn, err := p.Get(ctx, address)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(conn.Close()).To(Succeed())
+		}
+	})
+})
