--- a/internal/systems/settle/facts.go
+++ b/internal/systems/settle/facts.go
@@ -108,3 +108,11 @@
 	}
 	return a.NotKept
 }
+
+// HolderStopped reports whether nobody can send a request any more that won its
+// key at since, by the log's clock, and whose gate cannot be asked. sendWithin
+// bounds the time from the gate's acquire call to the last possible send: gates
+// and dispatchers drop what is older. skew bounds how far clocks differ.
+func HolderStopped(now, since time.Time, sendWithin, skew time.Duration) bool {
+	return now.Sub(since) > sendWithin+SendLease+2*skew
+}
