Measure slopes; see peer.newConn race, listing and outbox costs

Cause: CAPACITY.md may hold no number without its slope. Fault found: peer.newConn starts the reader before it sets Conn.rpc, so that a Hello that comes at once ends the process with a nil pointer (jsonrpc2 Reply); seen once while 64 connections were opened on a busy machine.

--- /dev/null
+++ b/internal/capacity/members.go
@@ -0,0 +1,99 @@
+package capacity
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/systems/membership"
+	"github.com/bluebellseam/bluebellseam/internal/systems/owner"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+// reportsInHeartbeat is the bound of reports that one heartbeat carries.
+const reportsInHeartbeat = 8
+
+// memberSlopes measures what knowing the other hosts costs a process.
+func memberSlopes(s Size) ([]Slope, error) {
+	now := time.Unix(1_800_000_000, 0)
+	listing := s.listing()
+	data, err := json.Marshal(listing)
+	if err != nil {
+		return nil, err
+	}
+	table := s.memberTable(now)
+	memory := memoryOf(func() any { return s.memberTable(now) })
+	heartbeat := s.heartbeat()
+	hosts := table.Live(now)
+	targets := s.targets()
+	m := &meter{}
+	m.add("members.listing_bytes", float64(len(data)), Bytes, "read of the host list", "JSON at the target size")
+	m.add("members.table_memory", memory, Bytes, "process", "heap of the table at the target size")
+	m.time("members.take_listing", "read of the host list", "decoding, Table.List and Table.Tick", func() {
+		var l platform.Listing
+		_ = json.Unmarshal(data, &l)
+		table.List(now, l)
+		table.Tick(now)
+	})
+	m.time("members.take_heartbeat", "heartbeat", "Table.Heard, Merge of 8 reports and Tick", func() {
+		table.Heard(now, membership.Contact{Host: "entry-007", Incarnation: 1, Sequence: 1})
+		table.Merge(now, heartbeat.Reports)
+		table.Tick(now)
+	})
+	m.time("members.assign_targets", "change of hosts", "owner.Of for every engine", func() {
+		for i := range s.Engines {
+			owner.Of(targets[i].ID, targets[i].Domain, hosts)
+		}
+	})
+	return m.result()
+}
+
+func (s Size) memberTable(now time.Time) *membership.Table {
+	t := membership.New(now, s.host(0), false)
+	t.List(now, s.listing())
+	for i := range s.Nodes {
+		t.Heard(now, membership.Contact{Host: tables.HostID(hostName(i)), Incarnation: 1, Sequence: 1, ConfigVersion: 1})
+	}
+	t.Tick(now)
+	return t
+}
+
+func (s Size) targets() []*tables.Target {
+	out := make([]*tables.Target, s.Engines)
+	for i := range out {
+		out[i] = s.target(i)
+	}
+	return out
+}
+
+func (s Size) target(i int) *tables.Target {
+	return &tables.Target{
+		ID:       tables.TargetID(engineName(i)),
+		Domain:   tables.DomainID(domainName(i % s.FailureDomains)),
+		Services: map[tables.ServiceID]bool{tables.ServiceID(serviceName(i % s.Models)): true},
+		Speed:    tables.Speed{PrefillTokensPerSecond: 8000, Step: 12 * time.Millisecond, StepPerSequence: 400 * time.Microsecond},
+		Window:   32, WindowMin: 1, WindowMax: 32,
+	}
+}
+
+// heartbeat returns a full heartbeat of a dispatcher.
+func (s Size) heartbeat() peer.Heartbeat {
+	hb := peer.Heartbeat{Host: "entry-007", Incarnation: time.Unix(1_800_000_000, 0).UnixNano(), ConfigVersion: 123_456, ConfigDigest: 1 << 63, Sequence: 3}
+	for i := range s.enginesOfNode() {
+		hb.Pool = append(hb.Pool, tables.PoolSummary{
+			Target: tables.TargetID(engineName(i)), Free: 11, WaitMillis: 420, Slowdown: 1.125,
+			QueuedByTier: make([]int, s.Tiers), RunningByTier: make([]int, s.Tiers),
+		})
+	}
+	for i := range reportsInHeartbeat {
+		h := s.host(i)
+		hb.Reports = append(hb.Reports, tables.MemberReport{
+			Host: h.ID, Incarnation: h.Incarnation, Sequence: 2, Domain: h.Domain, Address: h.PeerAddress, Listed: h.Listed,
+		})
+	}
+	return hb
+}
+
+// enginesOfNode is the number of engines that one dispatcher owns, rounded up.
+func (s Size) enginesOfNode() int { return (s.Engines + s.Nodes - 1) / s.Nodes }
--- /dev/null
+++ b/internal/capacity/wire.go
@@ -0,0 +1,225 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/target"
+)
+
+// Numbers of messages and connections in the measurements of the wire.
+const (
+	wireCalls       = 2000
+	wireChunks      = 50_000
+	wireConnections = 64
+	wireTimeout     = time.Minute
+	wireKey         = "key of the capacity measurement"
+)
+
+// link is two ends of peer connections over loopback with a byte counter
+// between them.
+type link struct {
+	address string
+	pool    *peer.Pool
+	bytes   *atomic.Int64
+	chunks  atomic.Int64
+	close   context.CancelFunc
+}
+
+// openLink serves heartbeats and streams of chunks on loopback.
+func openLink(s Size) (*link, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &link{bytes: new(atomic.Int64), close: cancel}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		cancel()
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	counted := &countingListener{Listener: listener, bytes: l.bytes}
+	clock := clockwork.NewRealClock()
+	mux := peer.NewMux()
+	peer.Handle(mux, peer.MethodHeartbeat, func(context.Context, *peer.Conn, peer.Heartbeat) (peer.Heartbeat, error) {
+		return s.heartbeat(), nil
+	})
+	peer.Handle(mux, peer.MethodAttach, func(ctx context.Context, c *peer.Conn, a peer.Attach) (struct{}, error) {
+		return struct{}{}, streamChunks(ctx, c, a)
+	})
+	go func() { _ = peer.Serve(ctx, counted, mux, wireKey, clock) }()
+	own := peer.NewMux()
+	peer.Handle(own, peer.NotifyChunk, func(context.Context, *peer.Conn, peer.Chunk) (struct{}, error) {
+		l.chunks.Add(1)
+		return struct{}{}, nil
+	})
+	l.address = listener.Addr().String()
+	l.pool = peer.NewPool(ctx, peer.Hello{Host: "entry-001", Role: "gate", Key: wireKey}, own, clock)
+	return l, nil
+}
+
+func streamChunks(ctx context.Context, c *peer.Conn, a peer.Attach) error {
+	for i := range wireChunks {
+		chunk := peer.Chunk{ID: a.ID, Chunk: target.Chunk{Offset: i, Text: " word", Tokens: 1}}
+		if err := c.Notify(ctx, peer.NotifyChunk, chunk); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// wireSlopes measures messages between two processes over loopback. The
+// processor time is that of both ends.
+func wireSlopes(s Size) ([]Slope, error) {
+	l, err := openLink(s)
+	if err != nil {
+		return nil, err
+	}
+	defer l.close()
+	ctx, cancel := context.WithTimeout(context.Background(), wireTimeout)
+	defer cancel()
+	heartbeat, err := l.measure(wireCalls, func() error { return l.callHeartbeats(ctx, s) })
+	if err != nil {
+		return nil, err
+	}
+	chunk, err := l.measure(wireChunks, func() error { return l.receiveChunks(ctx) })
+	if err != nil {
+		return nil, err
+	}
+	memory, err := connectionMemory(s)
+	if err != nil {
+		return nil, err
+	}
+	return []Slope{
+		{"wire.heartbeat_bytes", heartbeat.bytes, Bytes, "heartbeat with its answer, both ways", "2000 calls over loopback"},
+		{"wire.heartbeat_time", heartbeat.seconds, Seconds, "heartbeat with its answer, both ends", "processor time of 2000 calls over loopback"},
+		{"wire.chunk_bytes", chunk.bytes, Bytes, "chunk of one token", "50000 notifications over loopback"},
+		{"wire.chunk_time", chunk.seconds, Seconds, "chunk of one token, both ends", "processor time of 50000 notifications over loopback"},
+		{"wire.connection_memory", memory, Bytes, "connection, one end", "heap and stacks of 64 idle connections, halved"},
+	}, nil
+}
+
+// perMessage is the cost of one message.
+type perMessage struct{ bytes, seconds float64 }
+
+func (l *link) measure(messages int, run func() error) (perMessage, error) {
+	bytesBefore := l.bytes.Load()
+	before, err := processorTime()
+	if err != nil {
+		return perMessage{}, err
+	}
+	if err := run(); err != nil {
+		return perMessage{}, err
+	}
+	after, err := processorTime()
+	if err != nil {
+		return perMessage{}, err
+	}
+	return perMessage{
+		bytes:   float64(l.bytes.Load()-bytesBefore) / float64(messages),
+		seconds: (after - before).Seconds() / float64(messages),
+	}, nil
+}
+
+func (l *link) callHeartbeats(ctx context.Context, s Size) error {
+	own := s.heartbeat()
+	for range wireCalls {
+		var answer peer.Heartbeat
+		if err := l.pool.Call(ctx, l.address, peer.MethodHeartbeat, own, &answer); err != nil {
+			return fmt.Errorf("heartbeat: %w", err)
+		}
+	}
+	return nil
+}
+
+func (l *link) receiveChunks(ctx context.Context) error {
+	request := requestOf(1, time.Unix(1_800_000_000, 0))
+	if err := l.pool.Call(ctx, l.address, peer.MethodAttach, peer.Attach{ID: request}, nil); err != nil {
+		return fmt.Errorf("stream: %w", err)
+	}
+	for l.chunks.Load() < wireChunks {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%d of %d chunks arrived: %w", l.chunks.Load(), wireChunks, ctx.Err())
+		case <-time.After(time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// connectionMemory returns the memory of one end of an idle connection.
+func connectionMemory(s Size) (float64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), wireTimeout)
+	defer cancel()
+	links := make([]*link, 0, wireConnections)
+	defer func() {
+		for _, l := range links {
+			l.close()
+		}
+	}()
+	var failed error
+	idle := memoryOf(func() any {
+		for range wireConnections {
+			l, err := openLink(s)
+			if err != nil {
+				failed = err
+				return nil
+			}
+			links = append(links, l)
+		}
+		return links
+	})
+	connected := memoryOf(func() any {
+		for _, l := range links {
+			if _, err := l.pool.Get(ctx, l.address); err != nil {
+				failed = err
+			}
+		}
+		return links
+	})
+	if failed != nil {
+		return 0, fmt.Errorf("connections: %w", failed)
+	}
+	_ = idle
+	return connected / wireConnections / 2, nil
+}
+
+// countingListener counts the bytes of the connections that it accepts.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+// Accept returns the next connection.
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: c, bytes: l.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read and Write count what passes.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write counts what it sends.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+var _ io.ReadWriter = (*countingConn)(nil)
