--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -26,10 +26,10 @@
 	value    reflect.Value
 }
 
-// fieldsOf lists the settings of the struct that settings points to, embedded
-// structs first.
+// fieldsOf lists the settings of a struct, or of one that settings points to,
+// embedded structs first.
 func fieldsOf(settings any) []field {
-	return appendFields(nil, reflect.ValueOf(settings).Elem())
+	return appendFields(nil, reflect.Indirect(reflect.ValueOf(settings)))
 }
 
 func appendFields(out []field, v reflect.Value) []field {
@@ -81,8 +81,8 @@
 	return b.String()
 }
 
-// Fields returns the settings that settings points to as log fields. Secrets
-// are left out.
+// Fields returns a settings struct, or one that settings points to, as log
+// fields. Secrets are left out.
 func Fields(settings any) []zap.Field {
 	var out []zap.Field
 	for _, f := range fieldsOf(settings) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -103,11 +104,20 @@
 	It("leaves the secrets out of the printed settings", func() {
 		s, err := LoadGate(nil, environ())
 		Expect(err).NotTo(HaveOccurred())
-		enc := zapcore.NewMapObjectEncoder()
-		for _, f := range Fields(&s) {
-			f.AddTo(enc)
+		for _, given := range []any{s, &s} {
+			enc := zapcore.NewMapObjectEncoder()
+			for _, f := range Fields(given) {
+				f.AddTo(enc)
+			}
+			Expect(enc.Fields).To(HaveKeyWithValue("BLUEBELL_CALLER_ADDRESS", "127.0.0.1:8080"))
+			Expect(fmt.Sprint(enc.Fields)).NotTo(ContainSubstring(testKey))
 		}
-		Expect(enc.Fields).To(HaveKeyWithValue("BLUEBELL_CALLER_ADDRESS", "127.0.0.1:8080"))
-		Expect(fmt.Sprint(enc.Fields)).NotTo(ContainSubstring(testKey))
+	})
+	It("exits 0 after a planned stop and 1 after a failure while running", func() {
+		var stdout, stderr bytes.Buffer
+		Expect(report(nil, &stdout, &stderr)).To(Equal(ExitOK))
+		Expect(report(errors.New("listen on 127.0.0.1:1:\n in use"), &stdout, &stderr)).To(Equal(ExitFailed))
+		Expect(stdout.String()).To(BeEmpty())
+		Expect(stderr.String()).To(Equal("listen on 127.0.0.1:1: in use\n"))
 	})
 })
