--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -36,6 +36,7 @@
 	config  api.ConfigVersion
 	status  func() *api.Status
 	publish func(*api.Patch) (*api.PatchResult, error)
+	key     string
 	dryRuns int
 	patches []api.Patch
 }
@@ -67,7 +68,7 @@
 	return &api.ProblemStatusCode{StatusCode: k.Answer().Status, Response: api.Problem{Kind: string(k), Ran: api.ProblemRan(k.Answer().Ran), Detail: errkind.DetailOf(err)}}
 }
 func (h *host) HandleOperatorKey(ctx context.Context, _ api.OperationName, t api.OperatorKey) (context.Context, error) {
-	if t.Token != "eva-key" {
+	if t.Token != h.key {
 		return ctx, errkind.New(errkind.Unauthenticated, "the key belongs to no operator")
 	}
 	return ctx, nil
@@ -101,7 +102,7 @@
 	BeforeEach(func() {
 		clock = clockwork.NewFakeClock()
 		drop, stdin = 0, ""
-		h = &host{publish: accept, status: func() *api.Status { return hosts(8, api.HostStatusStateLive) }}
+		h = &host{key: "eva-key", publish: accept, status: func() *api.Status { return hosts(8, api.HostStatusStateLive) }}
 		h.config = api.ConfigVersion{Version: 7, Digest: "00", Document: map[string]jx.Raw{"targets": jx.Raw(`{"engine-1":{"drained":false,"window_max":4}}`)}}
 		server, err := api.NewServer(h, h)
 		Expect(err).NotTo(HaveOccurred())
@@ -220,6 +221,16 @@
 			Entry("leaving and behind", api.HostStatusStateLeaving, int64(7)),
 			Entry("listed but silent", api.HostStatusStateDown, int64(8)),
 		)
+		It("ends at once when the key loses its force, as the bootstrap key does", func() {
+			h.publish = func(p *api.Patch) (*api.PatchResult, error) {
+				h.key = "new-key"
+				return accept(p)
+			}
+			stdin = "{}"
+			Expect(start("publish", "--base", "0", "--wait")).To(Equal(ExitNotEverywhere))
+			Expect(stdout.String()).To(ContainSubstring("version 1 accepted"))
+			Expect(stderr.String()).To(ContainSubstring("not confirmed: unauthenticated"))
+		})
 		It("waits for the last request at a drained target", func() {
 			running := hosts(8, api.HostStatusStateLive)
 			running.Targets[0].Running = 3
@@ -261,6 +272,12 @@
 			Expect(json.Valid(stdout.Bytes())).To(BeTrue(), c.args)
 		}
 	})
+	It("shows a first document without a line for the empty one", func() {
+		h.config = api.ConfigVersion{Document: map[string]jx.Raw{}}
+		stdin = `{"limits":{"max_queued_per_target":9}}`
+		Expect(start("config", "diff")).To(Equal(ExitOK), stderr.String())
+		Expect(stdout.String()).To(Equal("against version 0\n+ limits.max_queued_per_target: 9\n"))
+	})
 	It("prints a diff that can be published", func() {
 		stdin = `{"targets":{"engine-1":{"drained":true,"window_max":4}}}`
 		Expect(start("config", "diff")).To(Equal(ExitOK), stderr.String())
--- a/internal/ctl/diff.go
+++ b/internal/ctl/diff.go
@@ -65,7 +65,9 @@
 		return nil, usage("the document is no JSON: %s", err)
 	}
 	out := make(map[string]string)
-	return out, addLeaves(out, "", root)
+	err := addLeaves(out, "", root)
+	delete(out, "")
+	return out, err
 }
 
 func addLeaves(out map[string]string, path string, value any) error {
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -65,9 +65,6 @@
 	}
 	kind := errkind.Kind(p.Response.Kind)
 	text := fmt.Sprintf("%s: %s", kind, p.Response.Detail)
-	if p.Response.Version.Set {
-		text += fmt.Sprintf(" (version %d is in force)", p.Response.Version.Value)
-	}
 	return &exitError{code: codeOf(kind), text: text + "; see: bluebellctl explain " + string(kind)}
 }
 
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -7,6 +7,7 @@
 	"time"
 
 	api "github.com/bluebellseam/bluebellseam/internal/api/operators"
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
 )
 
 // pollInterval is the time between two looks at the status.
@@ -35,6 +36,9 @@
 		s, err := a.client.GetStatus(ctx)
 		if err != nil {
 			lacking = fromAPI(err).text
+			if codeOf(kindOf(err)) == ExitRefused && kindOf(err) != errkind.None {
+				return exit(ExitNotEverywhere, "not confirmed: %s", lacking)
+			}
 		} else {
 			lacking = missing(s)
 		}
--- a/internal/operators/lookup.go
+++ b/internal/operators/lookup.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 
+	"go.opentelemetry.io/otel/trace"
+
 	api "github.com/bluebellseam/bluebellseam/internal/api/operators"
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
@@ -112,15 +114,17 @@
 
 func requestView(id tables.RequestID, home tables.HostID, o peer.Outcome) *api.RequestView {
 	view := &api.RequestView{
-		ID:      string(id),
-		Known:   true,
-		State:   requestState(o),
-		Ran:     ran(o),
-		Kind:    optional(string(o.Kind)),
-		Detail:  optional(o.Detail),
-		Home:    optional(string(home)),
-		Target:  optional(string(o.Target)),
-		TraceID: optional(o.TraceID),
+		ID:     string(id),
+		Known:  true,
+		State:  requestState(o),
+		Ran:    ran(o),
+		Kind:   optional(string(o.Kind)),
+		Detail: optional(o.Detail),
+		Home:   optional(string(home)),
+		Target: optional(string(o.Target)),
+	}
+	if id, err := trace.TraceIDFromHex(o.TraceID); err == nil && id.IsValid() {
+		view.TraceID = api.NewOptString(o.TraceID)
 	}
 	if o.Tokens > 0 {
 		view.Tokens = api.NewOptInt(o.Tokens)
--- a/internal/operators/operators_test.go
+++ b/internal/operators/operators_test.go
@@ -245,12 +245,19 @@
 			return client("eva-key").ShowRequest(ctx, api.ShowRequestParams{ID: id})
 		}
 		It("is shown from its home alone when that knows its end", func() {
-			s.outcomes = map[string]peer.Outcome{"1": {Known: true, Done: true, Target: "engine-1", Tokens: 9, TraceID: "t"}}
+			s.outcomes = map[string]peer.Outcome{"1": {Known: true, Done: true, Target: "engine-1", Tokens: 9, TraceID: strings.Repeat("0a", 16)}}
 			v, err := show()
 			Expect(err).NotTo(HaveOccurred())
 			Expect(s.asked).To(Equal([]string{"1"}))
 			Expect(v.State).To(Equal(api.RequestViewStateFinished))
 			Expect(v.Ran).To(Equal(api.RequestViewRanRan))
+			Expect(v.TraceID.Value).To(Equal(strings.Repeat("0a", 16)))
+		})
+		It("has no trace when none was recorded", func() {
+			s.outcomes = map[string]peer.Outcome{"1": {Known: true, Done: true, TraceID: strings.Repeat("0", 32)}}
+			v, err := show()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(v.TraceID.Set).To(BeFalse())
 		})
 		It("is searched everywhere when its home is gone", func() {
 			s.outcomes = map[string]peer.Outcome{"2": {Known: true, Done: true, Kind: errkind.Displaced}}
