--- a/internal/standin/endpoint/faults.go
+++ b/internal/standin/endpoint/faults.go
@@ -12,6 +12,15 @@
 	mu          sync.Mutex
 	loseSends   int
 	loseAnswers int
+	lostSends   int
+	lostAnswers int
+}
+
+// Lost returns how many calls and how many answers were lost.
+func (f *Faults) Lost() (sends, answers int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lostSends, f.lostAnswers
 }
 
 // LoseSends makes the next n wrapped calls vanish: the stand-in never sees
@@ -33,26 +42,27 @@
 // Wrap returns next under these faults.
 func (f *Faults) Wrap(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		if f.take(&f.loseSends) {
+		if f.take(&f.loseSends, &f.lostSends) {
 			// The server notices a closed connection only after the body.
 			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
-		if f.take(&f.loseAnswers) {
+		if f.take(&f.loseAnswers, &f.lostAnswers) {
 			w = &abortingWriter{ResponseWriter: w}
 		}
 		next(w, r)
 	}
 }
 
-func (f *Faults) take(counter *int) bool {
+func (f *Faults) take(counter, lost *int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if *counter <= 0 {
 		return false
 	}
 	*counter--
+	*lost++
 	return true
 }
 
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -87,3 +87,6 @@
 
 // LoseAnswers makes the next n generations run while their connection is cut.
 func (e *Engine) LoseAnswers(n int) { e.faults.LoseAnswers(n) }
+
+// Lost returns how many sends and how many answers were lost.
+func (e *Engine) Lost() (sends, answers int) { return e.faults.Lost() }
--- a/internal/standin/plain/faults.go
+++ b/internal/standin/plain/faults.go
@@ -86,3 +86,6 @@
 
 // LoseAnswers makes the next n calls run while their connection is cut.
 func (s *Service) LoseAnswers(n int) { s.faults.LoseAnswers(n) }
+
+// Lost returns how many sends and how many answers were lost.
+func (s *Service) Lost() (sends, answers int) { return s.faults.Lost() }
