Name a crash by the request that the target ran

Change: a crash is named by target and request, which is dispatched once; the latest report of a crash stands for it, which keeps merging commutative (the property found the counterexample with the earliest). The dispatcher joins a failure to a crash only if its request had started before it. The scenario leaving-target waits until gate and dispatcher of each host act on the list, not only until the controller shows it.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -58,6 +58,8 @@
 	Fingerprint tables.Fingerprint
 	Customer    tables.CustomerID
 	Service     tables.ServiceID
+	// Request is one request with the content.
+	Request tables.RequestID
 }
 
 // Outcomes records the outcomes of keyed requests.
--- a/internal/dispatcher/pursuit.go
+++ b/internal/dispatcher/pursuit.go
@@ -185,7 +185,7 @@
 			return
 		}
 		if p.crash {
-			p.d.crashed(p.j.target)
+			p.d.crashed(p.j)
 		}
 		if p.j.reason != errkind.None && kind == errkind.RanFailed {
 			kind = p.j.reason
--- a/internal/dispatcher/targets.go
+++ b/internal/dispatcher/targets.go
@@ -1,8 +1,11 @@
 package dispatcher
 
 import (
+	"context"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -18,8 +21,6 @@
 const (
 	// downFor keeps work off a target that refused a connection.
 	downFor = 1 * time.Second
-	// crashWindow joins the failures of one crash.
-	crashWindow = 5 * time.Second
 	// rampTime limits the window of a target that just changed its owner.
 	rampTime = 2 * time.Second
 
@@ -137,37 +138,53 @@
 	}
 }
 
-// crashed records that a target went down with requests in flight. Failures
-// within crashWindow are one crash.
-func (d *Dispatcher) crashed(id tables.TargetID) {
-	t := d.state.Targets.Get(id)
-	if t == nil {
+// crashed records that the target of j went down while it ran j. Failures of
+// requests that had started before the latest crash belong to that crash.
+func (d *Dispatcher) crashed(j *job) {
+	t := d.state.Targets.Get(j.target)
+	if t == nil || j.row == nil {
 		return
 	}
 	now := d.Clock.Now()
-	recent := now.Sub(t.LastCrash) < crashWindow
 	t.DownUntil = now.Add(downFor)
-	if recent {
+	if !t.LastCrash.IsZero() && !j.row.Started.After(t.LastCrash) {
 		return
 	}
 	t.LastCrash = now
-	d.state.Prefixes.Forget(id)
-	suspects := d.inFlight(id)
-	event.TargetCrashed.Log(d.Logger, zap.String("target", string(id)), zap.Int("in_flight", len(suspects)))
-	d.Quarantine.Crashed(id, suspects)
+	d.state.Prefixes.Forget(t.ID)
+	suspects := d.inFlight(t.ID)
+	event.TargetCrashed.Log(d.Logger, zap.String("target", string(t.ID)), zap.Int("in_flight", len(suspects)))
+	d.Quarantine.Crashed(t.ID, suspects)
 }
 
+// inFlight returns the content that a target runs, each once.
 func (d *Dispatcher) inFlight(id tables.TargetID) []Suspect {
-	var out []Suspect
+	found := make(map[tables.Fingerprint]Suspect)
 	for _, j := range d.jobs {
-		if j.started && j.target == id && j.row != nil {
-			out = append(out, Suspect{Fingerprint: j.row.Fingerprint, Customer: j.row.Customer, Service: j.row.Service})
+		if !j.started || j.target != id || j.row == nil {
+			continue
+		}
+		old, ok := found[j.row.Fingerprint]
+		if ok && old.Request < j.row.ID {
+			continue
+		}
+		found[j.row.Fingerprint] = Suspect{
+			Fingerprint: j.row.Fingerprint, Customer: j.row.Customer, Service: j.row.Service, Request: j.row.ID,
 		}
 	}
-	return out
+	return slices.Collect(maps.Values(found))
 }
 
 func isRefusedDial(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && errors.Is(err, syscall.ECONNREFUSED)
 }
+
+// Closed reports whether a target gets no new work from this dispatcher.
+func (d *Dispatcher) Closed(ctx context.Context, id tables.TargetID) bool {
+	closed, err := ask(ctx, d, func() bool {
+		t := d.state.Targets.Get(id)
+		return t == nil || t.Drained || t.Leaving
+	})
+	return closed && err == nil
+}
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -186,3 +186,8 @@
 	default:
 	}
 }
+
+// TargetClosed reports whether the dispatcher sends no new work to a target.
+func (n *Dispatcher) TargetClosed(id tables.TargetID) bool {
+	return n.dispatcher.Closed(n.proc.ctx, id)
+}
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -114,3 +114,8 @@
 		m.metrics.Claimed(observe.ClaimRefused)
 	}
 }
+
+// TargetClosed reports whether the gate offers a target for no new work.
+func (n *Gate) TargetClosed(id tables.TargetID) bool {
+	return n.proc.members.TargetState(id) == tables.HostLeaving
+}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -255,6 +255,9 @@
 type TargetCrash struct {
 	Target tables.TargetID `json:"target"`
 	Time   time.Time       `json:"time"`
+	// Request is the request with the content that the target ran; a request
+	// is dispatched once, so that it names the crash.
+	Request tables.RequestID `json:"request"`
 }
 
 // Share spreads quarantine entries between peers.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -29,7 +29,6 @@
 )
 
 const (
-	sameCrash     = 10 * time.Second
 	expiryTick    = 10 * time.Second
 	exchangeEvery = 10 * time.Second
 	peerTimeout   = 2 * time.Second
@@ -94,7 +93,7 @@
 	if opts.QuarantineFor == 0 {
 		opts.QuarantineFor = DefaultQuarantineFor
 	}
-	limits := system.Limits{SuspectFor: opts.SuspectFor, QuarantineFor: opts.QuarantineFor, SameCrash: sameCrash}
+	limits := system.Limits{SuspectFor: opts.SuspectFor, QuarantineFor: opts.QuarantineFor}
 	return &Quarantine{
 		opts:    opts,
 		rand:    rand.New(rand.NewPCG(xxhash.Sum64String(string(opts.Host)), uint64(opts.Clock.Now().UnixNano()))),
--- a/internal/systems/quarantine/quarantine.go
+++ b/internal/systems/quarantine/quarantine.go
@@ -41,9 +41,6 @@
 	// QuarantineFor is how long a crash counts, and how long content is
 	// refused after its last crash.
 	QuarantineFor time.Duration
-	// SameCrash divides time: reports of crashes of one target in the same
-	// slice of time are the same crash.
-	SameCrash time.Duration
 }
 
 // Suspect is content that was in flight at a crash.
@@ -51,6 +48,8 @@
 	Fingerprint tables.Fingerprint
 	Customer    tables.CustomerID
 	Service     tables.ServiceID
+	// Request is one request with the content; it names the crash.
+	Request tables.RequestID
 }
 
 // Table holds the suspected and refused content of one host.
@@ -66,14 +65,13 @@
 
 // Crashed notes a crash of a target and returns the entries that it changed.
 func (t *Table) Crashed(now time.Time, id tables.TargetID, inFlight []Suspect) []peer.QuarantineEntry {
-	crash := peer.TargetCrash{Target: id, Time: now.Truncate(t.limits.SameCrash)}
 	var reported []peer.QuarantineEntry
 	for _, s := range inFlight {
 		reported = append(reported, peer.QuarantineEntry{
 			Fingerprint: s.Fingerprint,
 			Customer:    s.Customer,
 			Service:     s.Service,
-			CrashedAt:   []peer.TargetCrash{crash},
+			CrashedAt:   []peer.TargetCrash{{Target: id, Time: now, Request: s.Request}},
 		})
 	}
 	return t.Merge(now, reported)
@@ -179,8 +177,9 @@
 
 // crashes returns the latest distinct crashes after a release, oldest first.
 func crashes(all []peer.TargetCrash, released time.Time) []peer.TargetCrash {
-	slices.SortFunc(all, compare)
+	slices.SortFunc(all, byIdentity)
 	all = slices.CompactFunc(all, equal)
+	slices.SortFunc(all, byTime)
 	all = slices.DeleteFunc(all, func(c peer.TargetCrash) bool { return !c.Time.After(released) })
 	return all[max(0, len(all)-keptCrashes):]
 }
--- a/internal/systems/quarantine/quarantine_test.go
+++ b/internal/systems/quarantine/quarantine_test.go
@@ -21,7 +21,7 @@
 
 var (
 	start  = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	limits = quarantine.Limits{SuspectFor: 10 * time.Minute, QuarantineFor: time.Hour, SameCrash: 10 * time.Second}
+	limits = quarantine.Limits{SuspectFor: 10 * time.Minute, QuarantineFor: time.Hour}
 	poison = quarantine.Suspect{Fingerprint: 7, Customer: "c", Service: "s"}
 )
 
@@ -48,6 +48,13 @@
 		crash(time.Second, "a")
 		Expect(t.Check(at(time.Minute), 7)).To(Equal(quarantine.Alone))
 	})
+	It("counts crashes of one target by two requests, however soon", func() {
+		again := poison
+		again.Request = "r2"
+		crash(0, "a")
+		t.Crashed(at(300*time.Millisecond), "a", []quarantine.Suspect{again})
+		Expect(t.Check(at(time.Second), 7)).To(Equal(quarantine.Refused))
+	})
 	It("expires", func() {
 		crash(0, "a")
 		Expect(t.Check(at(limits.SuspectFor), 7)).To(Equal(quarantine.Allowed))
@@ -82,7 +89,9 @@
 			from := quarantine.NewTable(limits)
 			for range rapid.IntRange(1, 3).Draw(t, "crashes") {
 				id := rapid.SampledFrom([]tables.TargetID{"a", "b", "c"}).Draw(t, "target")
-				from.Crashed(at(time.Duration(rapid.IntRange(0, 1500).Draw(t, "second"))*time.Second), id, []quarantine.Suspect{poison})
+				suspect := poison
+				suspect.Request = rapid.SampledFrom([]tables.RequestID{"r1", "r2", "r3"}).Draw(t, "request")
+				from.Crashed(at(time.Duration(rapid.IntRange(0, 1500).Draw(t, "second"))*time.Second), id, []quarantine.Suspect{suspect})
 			}
 			if rapid.Bool().Draw(t, "released") {
 				_, _ = from.Release(at(time.Duration(i)*time.Minute), 7)
