Encode claim records in fixed fields and keep rows in slabs

Cause: a claim took 187 bytes in JSON (250 in the log's own JSON), above the budget of a home at the target size, and a row 164 bytes of heap. Change: names once per record and fixed fields by encoding/binary; rows hold numbers in place of names and live in chunks.

--- a/internal/claims/outcome.go
+++ b/internal/claims/outcome.go
@@ -34,9 +34,9 @@
 	if err != nil {
 		return peer.Outcome{}, false
 	}
-	for _, e := range batch.Entries {
-		if o := e.Outcome; o != nil && o.Key == id.key && o.Request == id.request {
-			return fromRecord(*o), true
+	for _, o := range batch.Outcomes {
+		if o.Key == id.key && o.Request == id.request {
+			return fromRecord(o), true
 		}
 	}
 	return peer.Outcome{}, false
--- a/internal/model/gate.go
+++ b/internal/model/gate.go
@@ -44,7 +44,6 @@
 	// the gate stopped answering its heartbeats.
 	submitted time.Time
 	lostAt    time.Time
-	allowed   []*modelTarget
 }
 
 // request is a caller's send of a key to a gate.
--- a/internal/model/log.go
+++ b/internal/model/log.go
@@ -116,9 +116,9 @@
 	if err != nil {
 		return claim.Outcome{}, false
 	}
-	for _, e := range b.Entries {
-		if o := e.Outcome; o != nil && o.Key == key && o.Request == h.Request {
-			return *o, true
+	for _, o := range b.Outcomes {
+		if o.Key == key && o.Request == h.Request {
+			return o, true
 		}
 	}
 	return claim.Outcome{}, false
--- a/internal/systems/claim/flow.go
+++ b/internal/systems/claim/flow.go
@@ -13,7 +13,14 @@
 	items := s.takeWaiting()
 	b := Batch{Writer: s.settings.Host, Incarnation: s.settings.Incarnation, Number: s.sequences.next()}
 	for _, it := range items {
-		b.Entries = append(b.Entries, it.entry)
+		switch {
+		case it.release != nil:
+			b.Releases = append(b.Releases, *it.release)
+		case it.claim != nil:
+			b.Claims = append(b.Claims, *it.claim)
+		default:
+			b.Outcomes = append(b.Outcomes, *it.outcome)
+		}
 	}
 	s.sent[b.Number] = &sentBatch{items: items}
 	s.inFlight = b.Number
@@ -37,7 +44,7 @@
 	}
 	for _, it := range s.waiting {
 		due := it.queued
-		if it.entry.Outcome != nil {
+		if it.outcome != nil {
 			due = due.Add(s.settings.OutcomeDelay)
 		}
 		if !ok || due.Before(at) {
@@ -55,9 +62,9 @@
 func (s *Shard) takeWaiting() []item {
 	var taken, left []item
 	bytes := 0
-	for _, wanted := range []func(Entry) bool{isRelease, isClaim, isOutcome} {
+	for _, wanted := range []func(item) bool{isRelease, isClaim, isOutcome} {
 		for _, it := range s.waiting {
-			if !wanted(it.entry) {
+			if !wanted(it) {
 				continue
 			}
 			if len(taken) == maxBatchEntries || bytes > maxBatchBodyBytes {
@@ -65,8 +72,8 @@
 				continue
 			}
 			taken = append(taken, it)
-			if it.entry.Outcome != nil {
-				bytes += len(it.entry.Outcome.Body)
+			if it.outcome != nil {
+				bytes += len(it.outcome.Body)
 			}
 		}
 	}
@@ -74,9 +81,9 @@
 	return taken
 }
 
-func isRelease(e Entry) bool { return e.Release != nil }
-func isClaim(e Entry) bool   { return e.Claim != nil }
-func isOutcome(e Entry) bool { return e.Outcome != nil }
+func isRelease(it item) bool { return it.release != nil }
+func isClaim(it item) bool   { return it.claim != nil }
+func isOutcome(it item) bool { return it.outcome != nil }
 
 // AppendDone reports the end of the append of a batch.
 func (s *Shard) AppendDone(now time.Time, number uint64, r AppendResult) {
@@ -106,7 +113,7 @@
 // its other entries.
 func (s *Shard) refuse(now time.Time, b *sentBatch) {
 	for _, it := range b.items {
-		if it.entry.Claim == nil {
+		if it.claim == nil {
 			s.waiting = append(s.waiting, it)
 			continue
 		}
@@ -142,7 +149,7 @@
 
 func (s *Shard) queuedOnly(t Ticket) bool {
 	for _, it := range s.waiting {
-		if it.ticket == t && it.entry.Claim != nil {
+		if it.ticket == t && it.claim != nil {
 			return true
 		}
 	}
@@ -153,7 +160,7 @@
 	kept := s.waiting[:0]
 	for _, it := range s.waiting {
 		_, waits := s.asks[it.ticket]
-		if it.entry.Claim == nil || waits {
+		if it.claim == nil || waits {
 			kept = append(kept, it)
 		}
 	}
@@ -178,9 +185,9 @@
 	}
 	for _, it := range mine.items {
 		switch {
-		case it.entry.Claim != nil:
+		case it.claim != nil:
 			s.undecided = append(s.undecided, it)
-		case it.entry.Outcome != nil:
+		case it.outcome != nil:
 			s.settle(it.ticket, Answer{})
 		}
 	}
@@ -200,7 +207,7 @@
 	if !waits {
 		return
 	}
-	c := it.entry.Claim
+	c := it.claim
 	if err := s.table.Check(now, c.Key, ask.Lifetime); err != nil {
 		s.queueRelease(now, c.Key, c.Sequence)
 		s.settle(it.ticket, Answer{Err: err})
@@ -240,7 +247,7 @@
 // attempt is released and the ask gets a new one.
 func (s *Shard) resend(now time.Time, b *sentBatch) {
 	for _, it := range b.items {
-		if it.entry.Claim == nil {
+		if it.claim == nil {
 			s.waiting = append(s.waiting, it)
 			continue
 		}
@@ -248,7 +255,7 @@
 		if !waits {
 			continue
 		}
-		s.queueRelease(now, ask.Key, it.entry.Claim.Sequence)
+		s.queueRelease(now, ask.Key, it.claim.Sequence)
 		s.queueClaim(now, it.ticket, ask)
 	}
 }
--- a/internal/systems/claim/key.go
+++ b/internal/systems/claim/key.go
@@ -22,9 +22,9 @@
 
 // Key is an idempotency key in the scope of its customer and service.
 type Key struct {
-	Customer tables.CustomerID `json:"customer"`
-	Service  tables.ServiceID  `json:"service"`
-	ID       uuid.UUID         `json:"id"`
+	Customer tables.CustomerID
+	Service  tables.ServiceID
+	ID       uuid.UUID
 }
 
 // ParseKey returns the key of an Idempotency-Key header. Errors are of kind
--- a/internal/systems/claim/shard.go
+++ b/internal/systems/claim/shard.go
@@ -97,11 +97,14 @@
 	return s.last.Add(1)
 }
 
-// item is an entry on its way into the stream.
+// item is an entry on its way into the stream; one of claim, release and
+// outcome is set.
 type item struct {
-	entry  Entry
-	ticket Ticket
-	queued time.Time
+	claim   *Claim
+	release *Release
+	outcome *Outcome
+	ticket  Ticket
+	queued  time.Time
 }
 
 // sentBatch is a batch that has not been read back.
@@ -183,7 +186,7 @@
 	if len(o.Body) > MaxBodyBytes {
 		o.Body, o.BodyKept = nil, false
 	}
-	s.waiting = append(s.waiting, item{entry: Entry{Outcome: &o}, ticket: t, queued: now})
+	s.waiting = append(s.waiting, item{outcome: &o, ticket: t, queued: now})
 	return t
 }
 
@@ -196,15 +199,15 @@
 	}
 	delete(s.asks, t)
 	for i, it := range s.waiting {
-		if it.ticket == t && it.entry.Claim != nil {
+		if it.ticket == t && it.claim != nil {
 			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
 			return
 		}
 	}
 	for _, b := range s.sent {
 		for _, it := range b.items {
-			if it.ticket == t && it.entry.Claim != nil {
-				s.queueRelease(now, ask.Key, it.entry.Claim.Sequence)
+			if it.ticket == t && it.claim != nil {
+				s.queueRelease(now, ask.Key, it.claim.Sequence)
 			}
 		}
 	}
@@ -252,10 +255,10 @@
 		Sequence:      s.sequences.next(),
 		TargetsDigest: ask.TargetsDigest,
 	}
-	s.waiting = append(s.waiting, item{entry: Entry{Claim: c}, ticket: t, queued: now})
+	s.waiting = append(s.waiting, item{claim: c, ticket: t, queued: now})
 }
 
 func (s *Shard) queueRelease(now time.Time, k Key, sequence uint64) {
 	r := &Release{Key: k, Sequence: sequence}
-	s.waiting = append(s.waiting, item{entry: Entry{Release: r}, queued: now})
+	s.waiting = append(s.waiting, item{release: r, queued: now})
 }
--- /dev/null
+++ b/internal/systems/claim/shard_test.go
@@ -0,0 +1,308 @@
+package claim_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/systems/claim"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+func TestClaim(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "claim system")
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// numbered returns the nth UUID of version 7 that was made at start.
+func numbered(n uint64) uuid.UUID {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[8:], n)
+	for i := range 6 {
+		id[i] = byte(start.UnixMilli() >> (40 - 8*i))
+	}
+	id[6], id[8] = 0x70, 0x80
+	return id
+}
+
+func key(n uint64) claim.Key { return claim.Key{Customer: "c", Service: "s", ID: numbered(n)} }
+
+func request(n uint64) tables.RequestID { return tables.NewRequestID("g", numbered(n)) }
+
+func newShard(host tables.HostID) *claim.Shard {
+	return claim.NewShard(claim.Settings{
+		Limits:       claim.Limits{Window: time.Hour, Skew: time.Second},
+		Host:         host,
+		Incarnation:  1,
+		Grace:        time.Second,
+		Pause:        time.Second,
+		Stall:        3 * time.Second,
+		OutcomeDelay: 100 * time.Millisecond,
+	}, &claim.Sequences{})
+}
+
+// stream is the log as a list of batches, read by every shard.
+type stream struct {
+	now     time.Duration
+	offset  int64
+	readers []*claim.Shard
+}
+
+func (s *stream) add(b claim.Batch) {
+	for _, r := range s.readers {
+		r.ReadRecord(at(s.now), s.offset, at(s.now), b)
+		r.Decide(at(s.now))
+	}
+	s.offset++
+}
+
+func next(s *claim.Shard, d time.Duration) claim.Batch {
+	b, ok := s.NextBatch(at(d))
+	Expect(ok).To(BeTrue())
+	return b
+}
+
+func ask(n, r uint64) claim.Ask {
+	return claim.Ask{Key: key(n), Request: request(r), Fingerprint: 1, Deadline: at(2500 * time.Millisecond)}
+}
+
+var _ = Describe("Shard", func() {
+	var (
+		a, b *claim.Shard
+		log  *stream
+	)
+	BeforeEach(func() {
+		a, b = newShard("a"), newShard("b")
+		log = &stream{readers: []*claim.Shard{a, b}}
+	})
+
+	It("makes a late claim of a given-up attempt void and frees the key", func() {
+		t := a.Acquire(at(0), ask(1, 1))
+		late := next(a, 0)
+		a.AppendDone(at(0), late.Number, claim.Unknown)
+		log.now = 4 * time.Second
+		a.Tick(at(log.now))
+		Expect(a.Take()).To(ConsistOf(HaveField("Ticket", t)))
+		log.add(next(a, log.now))
+		log.add(late)
+		_, held := b.Table().Holder(key(1))
+		Expect(held).To(BeFalse())
+		again := ask(1, 2)
+		again.Deadline = at(time.Minute)
+		b.Acquire(at(log.now), again)
+		log.add(next(b, log.now))
+		Expect(b.Take()).To(ConsistOf(HaveField("Answer.Won", true)))
+	})
+	It("replaces an attempt whose append is unknown by a released and a new one", func() {
+		a.Acquire(at(0), ask(1, 1))
+		first := next(a, 0)
+		a.AppendDone(at(0), first.Number, claim.Unknown)
+		log.now = 2 * time.Second
+		a.Tick(at(log.now))
+		second := next(a, log.now)
+		log.add(first)
+		Expect(a.Take()).To(BeEmpty(), "the attempt is released in the batch that is under way")
+		log.add(second)
+		Expect(a.Take()).To(ConsistOf(HaveField("Answer.Won", true)))
+	})
+	It("never grants a key to a request that another attempt of it holds", func() {
+		a.Acquire(at(0), ask(1, 1))
+		log.add(next(a, 0))
+		a.Take()
+		b.Acquire(at(0), ask(1, 1))
+		Expect(b.Take()).To(ConsistOf(And(HaveField("Answer.Won", false), HaveField("Answer.Holder.Request", request(1)))))
+	})
+	It("makes a claim void that comes after its request was recorded as not run", func() {
+		a.Acquire(at(0), ask(1, 1))
+		late := next(a, 0)
+		b.Record(at(0), claim.Outcome{Key: key(1), Request: request(1), Kind: errkind.ClaimsUnavailable})
+		log.add(next(b, time.Second))
+		log.add(late)
+		Expect(a.Take()).To(ConsistOf(HaveField("Answer.Won", false)))
+		_, held := a.Table().Holder(key(1))
+		Expect(held).To(BeFalse())
+	})
+	It("keeps a known outcome against a later one and replaces an unknown one", func() {
+		outcome := func(k errkind.Kind) {
+			b.Record(at(log.now), claim.Outcome{Key: key(1), Request: request(1), Kind: k})
+			log.now += time.Second
+			recorded := next(b, log.now)
+			b.AppendDone(at(log.now), recorded.Number, claim.Appended)
+			log.add(recorded)
+		}
+		a.Acquire(at(0), ask(1, 1))
+		log.add(next(a, 0))
+		outcome(errkind.OutcomeUnknown)
+		outcome(errkind.RanFailed)
+		outcome(errkind.NotAdmitted)
+		h, held := a.Table().Holder(key(1))
+		Expect(held).To(BeTrue())
+		Expect(h.Kind).To(Equal(errkind.RanFailed))
+	})
+	It("does not grant a key that expires while its claim is under way", func() {
+		late := ask(1, 1)
+		late.Lifetime = time.Minute
+		late.Deadline = at(time.Hour)
+		a.Acquire(at(59*time.Second), late)
+		claimed := next(a, 59*time.Second)
+		log.now = time.Minute
+		log.add(claimed)
+		Expect(errkind.Of(a.Take()[0].Answer.Err)).To(Equal(errkind.KeyExpired))
+	})
+	It("refuses at once while nothing of its own comes back from the log", func() {
+		a.Acquire(at(0), ask(1, 1))
+		next(a, 0)
+		a.Acquire(at(4*time.Second), ask(2, 2))
+		Expect(errkind.Of(a.Take()[0].Answer.Err)).To(Equal(errkind.ClaimsUnavailable))
+	})
+	It("puts all that waits for an append into the next one", func() {
+		a.Acquire(at(0), ask(1, 1))
+		first := next(a, 0)
+		for n := range uint64(10) {
+			a.Acquire(at(0), ask(10+n, 10+n))
+		}
+		_, ok := a.NextBatch(at(0))
+		Expect(ok).To(BeFalse())
+		a.AppendDone(at(time.Second), first.Number, claim.Appended)
+		Expect(next(a, time.Second).Claims).To(HaveLen(10))
+	})
+})
+
+var _ = Describe("Records", func() {
+	It("survive encoding", func() {
+		in := claim.Batch{
+			Writer: "a", Incarnation: 2, Number: 3,
+			Releases: []claim.Release{{Key: key(1), Sequence: 4}},
+			Claims:   []claim.Claim{{Key: key(1), Request: request(1), Fingerprint: 1 << 63, Sequence: 4, TargetsDigest: 5}},
+			Outcomes: []claim.Outcome{
+				{Key: key(1), Request: request(1), Kind: errkind.RanFailed, Detail: "d", Target: "t", Status: 502, Tokens: 9, Body: []byte("b"), BodyKept: true},
+				{Key: key(2), Request: request(2)},
+			},
+		}
+		data, err := in.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(claim.Decode(data)).To(Equal(in))
+		for n := range data {
+			_, err = claim.Decode(data[:n])
+			Expect(err).To(HaveOccurred())
+		}
+	})
+	It("spread over all shards", func() {
+		seen := make(map[int]int)
+		for n := range uint64(64_000) {
+			seen[key(n).Shard(64)]++
+		}
+		Expect(seen).To(HaveLen(64))
+		for _, n := range seen {
+			Expect(n).To(BeNumerically("~", 1000, 200))
+		}
+	})
+})
+
+const batchSize = 64
+
+// encodedClaims returns records with n claims in all.
+func encodedClaims(b *testing.B, n int) [][]byte {
+	var records [][]byte
+	for i := 0; i < n; i += batchSize {
+		batch := claim.Batch{Writer: "host-a", Incarnation: 1, Number: uint64(i)}
+		for j := range batchSize {
+			k := uint64(i + j)
+			batch.Claims = append(batch.Claims, claim.Claim{
+				Key: key(k), Request: request(k), Fingerprint: tables.Fingerprint(k * 0x9e3779b97f4a7c15), Sequence: k, TargetsDigest: 1 << 60,
+			})
+		}
+		data, err := batch.Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+		records = append(records, data)
+	}
+	return records
+}
+
+// BenchmarkClaims decodes and folds claims of distinct keys on one core.
+func BenchmarkClaims(b *testing.B) {
+	runtime.GOMAXPROCS(1)
+	records := encodedClaims(b, b.N)
+	table := claim.NewTable(claim.Limits{Window: time.Hour, Skew: time.Second})
+	b.ResetTimer()
+	for i, data := range records {
+		batch, err := claim.Decode(data)
+		if err != nil {
+			b.Fatal(err)
+		}
+		table.Apply(start, int64(i), start, batch)
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
+	b.ReportMetric(float64(len(records[0]))/batchSize, "record-bytes/claim")
+}
+
+// BenchmarkAcquire takes claims through the whole system of one host: ask,
+// batch, encode, decode, fold and answer.
+func BenchmarkAcquire(b *testing.B) {
+	runtime.GOMAXPROCS(1)
+	s := newShard("host-a")
+	won := 0
+	for i := 0; i < b.N; i += batchSize {
+		for j := range batchSize {
+			k := uint64(i + j)
+			s.Acquire(start, claim.Ask{Key: key(k), Request: request(k), Fingerprint: 1, Deadline: at(time.Second)})
+		}
+		batch, _ := s.NextBatch(start)
+		data, err := batch.Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+		s.AppendDone(start, batch.Number, claim.Appended)
+		read, err := claim.Decode(data)
+		if err != nil {
+			b.Fatal(err)
+		}
+		s.ReadRecord(start, int64(i), start, read)
+		s.Decide(start)
+		for _, settled := range s.Take() {
+			if settled.Answer.Won {
+				won++
+			}
+		}
+	}
+	if won < b.N {
+		b.Fatalf("%d of %d claims won", won, b.N)
+	}
+	b.ReportMetric(float64(won)/b.Elapsed().Seconds(), "claims/s")
+}
+
+// BenchmarkTableMemory measures the heap of a table by the number of its keys.
+func BenchmarkTableMemory(b *testing.B) {
+	for _, keys := range []int{33_188, 165_938, 331_875} {
+		b.Run(fmt.Sprint(keys), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			table := claim.NewTable(claim.Limits{Window: time.Hour, Skew: time.Second})
+			for n := range uint64(keys) {
+				table.Apply(start, int64(n), start, claim.Batch{Writer: "a", Claims: []claim.Claim{{Key: key(n), Request: request(n)}}})
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			heap := float64(after.HeapAlloc - before.HeapAlloc)
+			b.ReportMetric(heap/float64(keys), "B/key")
+			b.ReportMetric(heap/(1<<20), "MiB")
+			if table.Len() != keys {
+				b.Fatalf("table holds %d keys", table.Len())
+			}
+		})
+	}
+}
--- a/internal/systems/claim/table.go
+++ b/internal/systems/claim/table.go
@@ -31,7 +31,9 @@
 	scopes   index[scope]
 	hosts    index[tables.HostID]
 	kinds    index[errkind.Kind]
-	rows     map[rowKey]row
+	digests  index[uint64]
+	byKey    map[rowKey]uint32
+	rows     slab
 	voided   map[attempt]time.Time
 	finished map[requestRef]time.Time
 }
@@ -51,8 +53,8 @@
 	host uint32
 }
 
-// row is the holder of a key. Millions of rows are kept, so it holds numbers
-// in place of names.
+// row is the holder of a key. Many rows are kept, so it holds numbers in place
+// of names.
 type row struct {
 	request     requestRef
 	status      uint16
@@ -60,11 +62,11 @@
 	hasOutcome  bool
 	fingerprint tables.Fingerprint
 	attempt     attempt
-	// claimedAt and outcomeAt are record offsets.
-	claimedAt int64
+	// outcomeAt is the offset of the record with the outcome.
 	outcomeAt int64
-	digest    uint64
-	claimed   int64
+	// claimed is the log's time of the claim in Unix seconds.
+	claimed uint32
+	digest  uint32
 }
 
 // Holder is what the table knows of the request that holds a key.
@@ -92,14 +94,15 @@
 		scopes:   newIndex[scope](),
 		hosts:    newIndex[tables.HostID](),
 		kinds:    newIndex[errkind.Kind](),
-		rows:     make(map[rowKey]row),
+		digests:  newIndex[uint64](),
+		byKey:    make(map[rowKey]uint32),
 		voided:   make(map[attempt]time.Time),
 		finished: make(map[requestRef]time.Time),
 	}
 }
 
 // Len counts the held keys.
-func (t *Table) Len() int { return len(t.rows) }
+func (t *Table) Len() int { return len(t.byKey) }
 
 // Truncated notes that records up to a log time were dropped unread. Keys
 // that may have been claimed in them are refused.
@@ -136,15 +139,16 @@
 	if !ok {
 		return Holder{}, false
 	}
-	r, ok := t.rows[rk]
+	n, ok := t.byKey[rk]
 	if !ok {
 		return Holder{}, false
 	}
+	r := t.rows.at(n)
 	h := Holder{
 		Request:       tables.NewRequestID(t.hosts.at(r.request.host), r.request.id),
 		Fingerprint:   r.fingerprint,
-		TargetsDigest: r.digest,
-		Since:         time.Unix(r.claimed, 0),
+		TargetsDigest: t.digests.at(r.digest),
+		Since:         time.Unix(int64(r.claimed), 0),
 		HasOutcome:    r.hasOutcome,
 		OutcomeAt:     r.outcomeAt,
 		Status:        int(r.status),
@@ -159,21 +163,20 @@
 // Apply folds the batch at an offset, whose record has the log's time at.
 func (t *Table) Apply(now time.Time, offset int64, at time.Time, b Batch) {
 	t.advance(now)
-	for _, e := range b.Entries {
-		switch {
-		case e.Claim != nil:
-			t.claim(offset, at, b, e.Claim)
-		case e.Release != nil:
-			t.release(b, e.Release)
-		case e.Outcome != nil:
-			t.outcome(offset, e.Outcome)
-		}
+	for _, r := range b.Releases {
+		t.release(b, r)
+	}
+	for _, c := range b.Claims {
+		t.claim(at, b, c)
+	}
+	for _, o := range b.Outcomes {
+		t.outcome(offset, o)
 	}
 }
 
 // claim gives a free key to its first claim. A claim that meets a held key is
 // void for good, also when the key is freed later.
-func (t *Table) claim(offset int64, at time.Time, b Batch, c *Claim) {
+func (t *Table) claim(at time.Time, b Batch, c Claim) {
 	ref, ok := t.requestRef(c.Request)
 	if !ok || t.expired(c.Key) {
 		return
@@ -186,66 +189,76 @@
 		return
 	}
 	rk := t.addKey(c.Key)
-	if _, held := t.rows[rk]; held {
+	if _, held := t.byKey[rk]; held {
 		return
 	}
-	t.rows[rk] = row{
+	t.byKey[rk] = t.rows.add(row{
 		request:     ref,
 		fingerprint: c.Fingerprint,
 		attempt:     a,
-		claimedAt:   offset,
-		digest:      c.TargetsDigest,
-		claimed:     at.Unix(),
-	}
+		digest:      t.digests.add(c.TargetsDigest),
+		claimed:     uint32(at.Unix()),
+	})
 }
 
 // release frees the key when the released attempt holds it.
-func (t *Table) release(b Batch, r *Release) {
+func (t *Table) release(b Batch, r Release) {
 	a := newAttempt(b.Writer, b.Incarnation, r.Sequence)
 	t.voided[a] = t.until(r.Key)
 	rk := t.addKey(r.Key)
-	if held, ok := t.rows[rk]; ok && held.attempt == a {
-		delete(t.rows, rk)
+	if n, held := t.byKey[rk]; held && t.rows.at(n).attempt == a {
+		t.drop(rk, n)
 	}
 }
 
+func (t *Table) drop(k rowKey, n uint32) {
+	delete(t.byKey, k)
+	t.rows.remove(n)
+}
+
 // outcome notes the end of a request. "Not run" frees the key; any other
 // outcome holds it. Only an unknown outcome gives way to a later one.
-func (t *Table) outcome(offset int64, o *Outcome) {
+func (t *Table) outcome(offset int64, o Outcome) {
 	ref, ok := t.requestRef(o.Request)
 	if !ok || t.expired(o.Key) {
 		return
 	}
 	rk := t.addKey(o.Key)
-	held, ok := t.rows[rk]
-	holds := ok && held.request == ref
-	if holds && held.hasOutcome && t.kinds.at(uint32(held.kind)).Answer().Ran != errkind.RanUnknown {
+	n, holds := t.byKey[rk]
+	holds = holds && t.rows.at(n).request == ref
+	if holds && t.settled(n) {
 		return
 	}
 	if o.Kind.Answer().Ran == errkind.RanNo {
 		t.finished[ref] = t.until(o.Key)
 		if holds {
-			delete(t.rows, rk)
+			t.drop(rk, n)
 		}
 		return
 	}
 	if !holds {
 		return
 	}
-	held.hasOutcome = true
-	held.kind = uint8(t.kinds.add(o.Kind))
-	held.status = uint16(o.Status)
-	held.outcomeAt = offset
-	t.rows[rk] = held
+	r := t.rows.at(n)
+	r.hasOutcome = true
+	r.kind = uint8(t.kinds.add(o.Kind))
+	r.status = uint16(o.Status)
+	r.outcomeAt = offset
+}
+
+// settled reports whether a row has an outcome that is not unknown.
+func (t *Table) settled(n uint32) bool {
+	r := t.rows.at(n)
+	return r.hasOutcome && t.kinds.at(uint32(r.kind)).Answer().Ran != errkind.RanUnknown
 }
 
 // Tick drops what has expired at now.
 func (t *Table) Tick(now time.Time) {
 	t.advance(now)
 	oldest := t.now.Add(-t.limits.Window).UnixMilli()
-	for k := range t.rows {
+	for k, n := range t.byKey {
 		if createdMillis(k.id) <= oldest {
-			delete(t.rows, k)
+			t.drop(k, n)
 		}
 	}
 	for a, until := range t.voided {
@@ -276,11 +289,7 @@
 }
 
 func (t *Table) requestRef(id tables.RequestID) (requestRef, bool) {
-	host, err := id.Home()
-	if err != nil {
-		return requestRef{}, false
-	}
-	parsed, err := uuid.Parse(string(id)[len(host)+1:])
+	host, parsed, err := splitRequest(id)
 	if err != nil {
 		return requestRef{}, false
 	}
