Share one append budget between all hosts by their open shards

Cause: a budget per host of 20 appends/s allows 64 homes at the target size 1280/s, above the several hundred that the log takes. Change: AppendsPerSecond is the budget of all hosts; a host takes the part of its open shards and its shards share it. Conclusion: the sum is bounded by the budget however the shards lie.

--- a/internal/claims/home.go
+++ b/internal/claims/home.go
@@ -47,7 +47,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Home{
 		opts:     o,
-		limiter:  rate.NewLimiter(rate.Limit(o.AppendsPerSecond), max(1, int(o.AppendsPerSecond))),
+		limiter:  rate.NewLimiter(rate.Limit(o.AppendsPerSecond/float64(o.Shards)), 1),
 		outcomes: cache,
 		ctx:      ctx,
 		cancel:   cancel,
@@ -165,6 +165,7 @@
 	}
 	s := newShard(h, number)
 	h.shards[number] = s
+	h.shareBudget()
 	if h.ctx.Err() != nil {
 		close(s.closed)
 		return s
@@ -182,6 +183,16 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.shards, s.number)
+	h.shareBudget()
+}
+
+// shareBudget takes the part of the open shards in the append budget of all
+// hosts; h.mu is held.
+func (h *Home) shareBudget() {
+	open := max(1, len(h.shards))
+	now := h.opts.Clock.Now()
+	h.limiter.SetLimitAt(now, rate.Limit(h.opts.AppendsPerSecond*float64(open)/float64(h.opts.Shards)))
+	h.limiter.SetBurstAt(now, open)
 }
 
 // awaitOpen waits a little for a shard to be read up to its end.
--- a/internal/claims/options.go
+++ b/internal/claims/options.go
@@ -24,8 +24,8 @@
 	DefaultOutcomeDelay   = 250 * time.Millisecond
 	DefaultOpenWait       = 500 * time.Millisecond
 	DefaultIdle           = 10 * time.Minute
-	// DefaultAppendsPerSecond bounds the appends of one host.
-	DefaultAppendsPerSecond = 20
+	// DefaultAppendsPerSecond bounds the appends of all hosts together.
+	DefaultAppendsPerSecond = 256
 )
 
 // Bounds of single calls to the log.
@@ -68,7 +68,8 @@
 	OpenWait time.Duration
 	// Idle is the time of disuse after which a shard is closed.
 	Idle time.Duration
-	// AppendsPerSecond bounds the appends of the host over all its shards.
+	// AppendsPerSecond bounds the appends of all hosts together. Each host
+	// takes the part of its open shards, and its shards share that part.
 	AppendsPerSecond float64
 }
 
