--- a/internal/claims/home_test.go
+++ b/internal/claims/home_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,8 +74,22 @@
 	}
 }
 
-func (w *world) home(host tables.HostID) *claims.Home {
-	h := claims.NewHome(claims.Options{Log: w.log, Host: host})
+// countingLog counts the records that are read from a log.
+type countingLog struct {
+	platform.Log
+	records atomic.Int64
+}
+
+func (l *countingLog) Read(ctx context.Context, stream string, from platform.Offset, wait time.Duration) (platform.Page, error) {
+	p, err := l.Log.Read(ctx, stream, from, wait)
+	l.records.Add(int64(len(p.Records)))
+	return p, err
+}
+
+func (w *world) home(host tables.HostID) *claims.Home { return w.homeOn(host, w.log) }
+
+func (w *world) homeOn(host tables.HostID, log platform.Log) *claims.Home {
+	h := claims.NewHome(claims.Options{Log: log, Host: host})
 	ctx, cancel := context.WithCancel(context.Background())
 	w.cancels = append(w.cancels, cancel)
 	go h.Run(ctx)
@@ -169,6 +184,24 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(r.Kind).To(Equal(errkind.KeyReused))
 	}))
+	It("skips records that are older than any key", inWorld(func(w *world) {
+		stream := platform.ClaimStreamPrefix + "5"
+		for range 40_000 {
+			_, err := w.log.Append(context.Background(), stream, []byte("old"))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		time.Sleep(2 * time.Hour)
+		key := keyAt(time.Now())
+		for w.a.ShardOf("c", "s", key) != 5 {
+			key = keyAt(time.Now())
+		}
+		first := request("g")
+		Expect(acquire(w.a, key, first).Won).To(BeTrue())
+		counted := &countingLog{Log: w.log}
+		b := w.homeOn("b", counted)
+		Expect(acquire(b, key, request("g")).Holder).To(Equal(first))
+		Expect(counted.records.Load()).To(BeNumerically("<", 20_000))
+	}))
 	It("refuses keys whose claims the log may have dropped", inWorld(func(w *world) {
 		key := keyAt(time.Now())
 		acquire(w.a, key, request("g"))
--- a/internal/claims/options.go
+++ b/internal/claims/options.go
@@ -30,11 +30,16 @@
 
 // Bounds of single calls to the log.
 const (
-	appendTimeout   = 5 * time.Second
-	readWait        = 5 * time.Second
-	readRetry       = 250 * time.Millisecond
-	fetchTimeout    = time.Second
-	cachedOutcomes  = 1024
+	appendTimeout  = 5 * time.Second
+	readWait       = 5 * time.Second
+	readRetry      = 250 * time.Millisecond
+	fetchTimeout   = time.Second
+	cachedOutcomes = 1024
+	// searchStop is the number of records that are read rather than searched.
+	searchStop = 1024
+	// searchMargin is the number of skews by which the search for the oldest
+	// record that matters stays on the safe side.
+	searchMargin    = 4
 	expiryInterval  = time.Minute
 	minTickInterval = 100 * time.Microsecond
 	maxTickInterval = 100 * time.Millisecond
--- a/internal/claims/read.go
+++ b/internal/claims/read.go
@@ -15,7 +15,7 @@
 // read fetches pages of the stream and hands them to the shard's goroutine. It
 // waits for new records only once it has reached the end of the stream.
 func (s *shard) read(ctx context.Context) {
-	from := platform.Offset(0)
+	from := s.findStart(ctx)
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
 		page, err := s.home.opts.Log.Read(ctx, s.stream, from, wait)
@@ -37,6 +37,33 @@
 	}
 }
 
+// findStart returns an offset before which no record matters: all of them are
+// older than any key that can be claimed. It searches by the log's times, which
+// may go back by the skew at most. A log that cannot be read is read from its
+// beginning later.
+func (s *shard) findStart(ctx context.Context) platform.Offset {
+	opts := s.home.opts
+	oldest := s.now().Add(-opts.Window - searchMargin*opts.Skew)
+	page, err := opts.Log.Read(ctx, s.stream, 0, 0)
+	if err != nil && !errors.Is(err, platform.ErrTruncated) {
+		return 0
+	}
+	low, high := page.First, page.Next
+	for high-low > searchStop {
+		middle := low + (high-low)/2
+		page, err := opts.Log.Read(ctx, s.stream, middle, 0)
+		if err != nil {
+			return low
+		}
+		if len(page.Records) > 0 && page.Records[0].Time.Before(oldest) {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
 func (s *shard) hand(ctx context.Context, r readResult) bool {
 	select {
 	case s.pages <- r:
--- a/internal/systems/claim/shard_test.go
+++ b/internal/systems/claim/shard_test.go
@@ -87,6 +87,15 @@
 		log = &stream{readers: []*claim.Shard{a, b}}
 	})
 
+	It("gives a key to the first claim in log order", func() {
+		a.Acquire(at(0), ask(1, 1))
+		b.Acquire(at(0), ask(1, 2))
+		first, second := next(b, 0), next(a, 0)
+		log.add(first)
+		log.add(second)
+		Expect(b.Take()).To(ConsistOf(HaveField("Answer.Won", true)))
+		Expect(a.Take()).To(ConsistOf(And(HaveField("Answer.Won", false), HaveField("Answer.Holder.Request", request(2)))))
+	})
 	It("makes a late claim of a given-up attempt void and frees the key", func() {
 		t := a.Acquire(at(0), ask(1, 1))
 		late := next(a, 0)
