Follow the typed lists of claim batches in the capacity measurements

Cause: a claim batch now has typed lists in place of entries, and the append budget is one for all hosts. Change: only the use of claim.Batch in internal/capacity, and the duplicate simulation at the former budget per host is gone.

--- a/internal/capacity/claims.go
+++ b/internal/capacity/claims.go
@@ -27,17 +27,17 @@
 // claimSlopes measures what a keyed request costs the home of its key and the
 // log.
 func claimSlopes(s Size) ([]Slope, error) {
-	batch := claim.Batch{Writer: "entry-001", Incarnation: 1, Entries: []claim.Entry{claimEntry(0, time.Unix(0, 0))}}
+	batch := claim.Batch{Writer: "entry-001", Incarnation: 1, Claims: []claim.Claim{claimEntry(0, time.Unix(0, 0))}}
 	one, err := batch.Encode()
 	if err != nil {
 		return nil, err
 	}
-	batch.Entries = append(batch.Entries, claimEntry(1, time.Unix(0, 0)))
+	batch.Claims = append(batch.Claims, claimEntry(1, time.Unix(0, 0)))
 	two, err := batch.Encode()
 	if err != nil {
 		return nil, err
 	}
-	batch.Entries = append(batch.Entries, outcomeEntry(0, time.Unix(0, 0)))
+	batch.Outcomes = append(batch.Outcomes, outcomeEntry(0, time.Unix(0, 0)))
 	three, err := batch.Encode()
 	if err != nil {
 		return nil, err
@@ -49,7 +49,7 @@
 	m.add("claims.batch_bytes", float64(2*len(one)-len(two)), Bytes, "append", "encoded batch without entries")
 	m.add("claims.key_memory", memory, Bytes, "held key", "heap of a table of 20000 keys")
 	m.time("claims.fold_keys", "20000 claims", "Table.Apply over 20000 keys, with building them", func() { foldedTable() })
-	for _, perHome := range []float64{claims.DefaultAppendsPerSecond, sharedAppends(s)} {
+	for _, perHome := range []float64{sharedAppends(s)} {
 		addSimulation(m, s, perHome)
 	}
 	return m.result()
@@ -81,21 +81,21 @@
 	at := time.Unix(1_800_000_000, 0)
 	t := claim.NewTable(claim.Limits{Window: time.Hour, Skew: 30 * time.Second})
 	for i := range foldedKeys {
-		t.Apply(at, int64(i), at, claim.Batch{Writer: "entry-001", Incarnation: 1, Number: uint64(i + 1), Entries: []claim.Entry{claimEntry(i, at)}})
+		t.Apply(at, int64(i), at, claim.Batch{Writer: "entry-001", Incarnation: 1, Number: uint64(i + 1), Claims: []claim.Claim{claimEntry(i, at)}})
 	}
 	return t
 }
 
-func claimEntry(i int, at time.Time) claim.Entry {
-	return claim.Entry{Claim: &claim.Claim{
+func claimEntry(i int, at time.Time) claim.Claim {
+	return claim.Claim{
 		Key: keyOf(i, at), Request: requestOf(i, at), Fingerprint: tables.Fingerprint(i) << 40, Sequence: uint64(i), TargetsDigest: 1 << 60,
-	}}
+	}
 }
 
-func outcomeEntry(i int, at time.Time) claim.Entry {
-	return claim.Entry{Outcome: &claim.Outcome{
+func outcomeEntry(i int, at time.Time) claim.Outcome {
+	return claim.Outcome{
 		Key: keyOf(i, at), Request: requestOf(i, at), Target: "engine-0001", Status: 200, Tokens: 373, Body: make([]byte, answerBytes), BodyKept: true,
-	}}
+	}
 }
 
 func keyOf(i int, at time.Time) claim.Key {
@@ -147,7 +147,7 @@
 	for i := 0; next.Before(start.Add(simulatedTime)); i++ {
 		sim.runUntil(next)
 		sim.acquire(i)
-		sim.schedule(next.Add(answerTime), func() { sim.shard.Record(sim.now, *outcomeEntry(i, sim.now.Add(-answerTime)).Outcome) })
+		sim.schedule(next.Add(answerTime), func() { sim.shard.Record(sim.now, outcomeEntry(i, sim.now.Add(-answerTime))) })
 		next = next.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
 	}
 	sim.runUntil(next)
