Kill the mutations of the follower that survived

Cause: two mutations passed the tests: following a log that skips records without an error, and calling an accepted patch a conflict while the log reader lags behind a version taken from peers. Change: a test for each; a condition that made no difference is gone.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -40,6 +41,8 @@
 	refused
 	// silent calls get no answer; an append may take effect.
 	silent
+	// skipping reads continue at the oldest record when theirs are gone.
+	skipping
 )
 
 // access is one host's way to the log.
@@ -87,7 +90,11 @@
 		<-ctx.Done()
 		return platform.Page{}, fmt.Errorf("read: %w", platform.ErrUnavailable)
 	}
-	return log.Read(ctx, stream, from, wait)
+	page, err := log.Read(ctx, stream, from, wait)
+	if reach == skipping && from > 0 && errors.Is(err, platform.ErrTruncated) {
+		return log.Read(ctx, stream, page.First, wait)
+	}
+	return page, err
 }
 
 // host is one host; its follower is replaced at each restart.
@@ -383,6 +390,41 @@
 		time.Sleep(10 * time.Second)
 		Expect(late.f.Current()).To(Equal(w.hosts[0].f.Current()))
 	}))
+	It("notices records that the log skips in silence", spec(2, func(w *world) {
+		time.Sleep(time.Second)
+		late := w.hosts[1]
+		_, err := publish(w.hosts[0], patch(0, "a"))
+		Expect(err).NotTo(HaveOccurred())
+		late.log.set(refused)
+		late.isolate(true)
+		time.Sleep(10 * time.Second)
+		_, err = publish(w.hosts[0], patch(1, "b"))
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(2 * retention)
+		late.log.set(skipping)
+		time.Sleep(10 * time.Second)
+		_, err = publish(w.hosts[0], patch(2, "c"))
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(time.Second)
+		Expect(late.f.Current()).To(Equal(w.hosts[0].f.Current()))
+		Expect(late.f.Current().Document.Customers).To(HaveLen(3))
+	}))
+	It("never calls an accepted patch a conflict while its log reader lags", spec(2, func(w *world) {
+		time.Sleep(time.Second)
+		late := w.hosts[1]
+		late.log.set(silent)
+		time.Sleep(10 * time.Second)
+		p := patch(0, "a")
+		_, err := publish(w.hosts[0], p)
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(10 * time.Second)
+		Expect(late.f.Current().Version).To(BeEquivalentTo(1))
+		_, err = publish(late, p)
+		Expect(errkind.Of(err)).To(Equal(errkind.PatchUndecided))
+		late.log.set(whole)
+		_, err = publish(late, p)
+		Expect(err).NotTo(HaveOccurred())
+	}))
 	It("writes the version in force to a log that has lost every record", spec(3, func(w *world) {
 		time.Sleep(time.Second)
 		_, err := publish(w.hosts[0], patch(0, "a"))
--- a/internal/follow/publish.go
+++ b/internal/follow/publish.go
@@ -69,15 +69,15 @@
 	return result, result.Err()
 }
 
-// decision returns what is already certain about p.
+// decision returns what is already certain about p. A version that came from a
+// peer decides nothing: p itself may have made it.
 func (f *Follower) decision(p config.Patch) (config.Result, bool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if earlier, ok := f.fold.Find(p.ID); ok {
 		return f.repeated(p, earlier)
 	}
-	settled := f.attached && f.fold.Version == f.inForce.Version
-	if settled && p.Base <= f.fold.Version {
+	if p.Base <= f.fold.Version {
 		_, result := f.fold.Decide(p)
 		return result, !result.Accepted, result.Err()
 	}
