--- a/internal/harness/audit.go
+++ b/internal/harness/audit.go
@@ -39,6 +39,17 @@
 	return runs
 }
 
+// InProgress counts the requests that run at targets.
+func (h *Harness) InProgress() int {
+	total := 0
+	for _, run := range h.Runs() {
+		if run.Progress == target.InProgress {
+			total++
+		}
+	}
+	return total
+}
+
 func addEngineRuns(runs map[tables.RequestID]Run, at tables.TargetID, r engine.Records) {
 	for id, rec := range r.Requests {
 		run := runs[id]
@@ -161,7 +172,7 @@
 		a.add(PromiseOwnAnswer, "%s (%s) ran as %q", name, r.ID, run.Content)
 		return
 	}
-	expected := c.expected(r.ID, run)
+	expected := c.Expected(run)
 	if r.Whole && r.Text != expected {
 		a.add(PromiseOwnAnswer, "%s (%s) got %d bytes of %d as its whole answer: %.60q", name, r.ID, len(r.Text), len(expected), r.Text)
 	}
@@ -170,11 +181,13 @@
 	}
 }
 
-func (c *Call) expected(id tables.RequestID, run Run) string {
+// Expected returns the whole answer to the request by its ID and its run.
+func (c *Call) Expected(run Run) string {
+	id := c.Result().ID
 	if c.Request.Operation != "" {
 		return string(plain.ExpectedAnswer(id, c.Request.Operation, []byte(c.Request.Body)))
 	}
-	return engine.ExpectedAnswer(id, run.Content, run.MaxTokens)
+	return engine.ExpectedAnswer(id, c.Request.Body, run.MaxTokens)
 }
 
 // checkContent checks the calls that asked for the same content. Runs may not
--- a/internal/harness/caller.go
+++ b/internal/harness/caller.go
@@ -57,6 +57,7 @@
 
 	mu     sync.Mutex
 	result Result
+	left   bool
 }
 
 // Result is what a caller has seen.
@@ -118,7 +119,19 @@
 func (c *Call) Done() <-chan struct{} { return c.done }
 
 // Leave closes the caller's connection.
-func (c *Call) Leave() { c.cancel() }
+func (c *Call) Leave() {
+	c.mu.Lock()
+	c.left = true
+	c.mu.Unlock()
+	c.cancel()
+}
+
+// Left reports whether the caller closed its connection itself.
+func (c *Call) Left() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.left
+}
 
 func (c *Call) update(edit func(*Result)) {
 	c.mu.Lock()
--- a/internal/scenario/checks.go
+++ b/internal/scenario/checks.go
@@ -112,8 +112,8 @@
 			return fmt.Errorf("request %q has not ended: %s", name, describe(c.Result()))
 		}
 	}
-	if !harness.Await(ctx, func() bool { return s.inProgress() == 0 }) {
-		return fmt.Errorf("%d requests still run at targets", s.inProgress())
+	if !harness.Await(ctx, func() bool { return s.h.InProgress() == 0 }) {
+		return fmt.Errorf("%d requests still run at targets", s.h.InProgress())
 	}
 	violations := s.h.Audit()
 	for _, v := range violations {
--- a/internal/scenario/requests.go
+++ b/internal/scenario/requests.go
@@ -12,9 +12,6 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/harness"
-	"github.com/bluebellseam/bluebellseam/internal/standin/engine"
-	"github.com/bluebellseam/bluebellseam/internal/standin/plain"
-	"github.com/bluebellseam/bluebellseam/internal/target"
 )
 
 // defaultTokens is the answer length of a request that names none.
@@ -322,20 +319,12 @@
 		}
 		return string(status.Kind), nil
 	}
-	if expected := expectedAnswer(c, s.h.Runs()[id].MaxTokens); *status.Answer != expected {
+	if expected := c.Expected(s.h.Runs()[id]); *status.Answer != expected {
 		return "", fmt.Errorf("request %q has an answer that is not its own: %.60q", c.Request.Name, *status.Answer)
 	}
 	return endWhole, nil
 }
 
-func expectedAnswer(c *harness.Call, maxTokens int) string {
-	id := c.Result().ID
-	if c.Request.Operation != "" {
-		return string(plain.ExpectedAnswer(id, c.Request.Operation, []byte(c.Request.Body)))
-	}
-	return engine.ExpectedAnswer(id, c.Request.Body, maxTokens)
-}
-
 func (s *state) countRuns(content string) int {
 	total := 0
 	for _, run := range s.h.Runs() {
@@ -345,14 +334,3 @@
 	}
 	return total
 }
-
-// inProgress counts the requests that run at targets.
-func (s *state) inProgress() int {
-	total := 0
-	for _, run := range s.h.Runs() {
-		if run.Progress == target.InProgress {
-			total++
-		}
-	}
-	return total
-}
--- /dev/null
+++ b/internal/soak/report.go
@@ -0,0 +1,145 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/harness"
+)
+
+// Report is the outcome of a soak.
+type Report struct {
+	Elapsed time.Duration
+	// Tiers and Kinds count calls.
+	Tiers []TierCount
+	Kinds map[errkind.Kind]int
+	// Dispatches, Runs and Identities are the targets' own counts.
+	Identities int
+	Dispatches int
+	Runs       int
+	Appends    int
+	Stops      int
+	// Violations are the broken promises.
+	Violations []harness.Violation
+}
+
+// TierCount counts the calls of one tier.
+type TierCount struct {
+	Tier   string
+	Sent   int
+	Whole  int
+	NotRun int
+	// FirstByte is the histogram of times to the first byte in microseconds.
+	FirstByte *hdrhistogram.Histogram
+}
+
+const (
+	maxFirstByteMicros = int64(10 * time.Minute / time.Microsecond)
+	significantFigures = 3
+)
+
+// promises are the rows of the table.
+var promises = []string{
+	harness.PromiseOneDispatch, harness.PromiseOneRun, harness.PromiseNotRun, harness.PromiseRan, harness.PromiseOwnAnswer,
+	PromiseLookup, PromiseTiers, PromiseVersions, PromiseLeaving, PromiseStops, PromisePoison,
+}
+
+func (r *run) report() *Report {
+	r.checkTiers()
+	r.checkLeaving()
+	r.checkPoison()
+	out := &Report{
+		Elapsed:    time.Since(r.start),
+		Kinds:      make(map[errkind.Kind]int),
+		Appends:    r.h.Log.Appends(),
+		Stops:      r.plannedStops,
+		Violations: append(r.h.Audit(), r.violations...),
+	}
+	for _, run := range r.h.Runs() {
+		out.Identities++
+		out.Dispatches += run.Dispatches
+		out.Runs += run.Runs
+	}
+	out.countCalls(r.h.Calls())
+	return out
+}
+
+func (p *Report) countCalls(calls []*harness.Call) {
+	byTier := make(map[string]*TierCount)
+	for _, t := range tiers {
+		byTier[t.name] = &TierCount{Tier: t.name, FirstByte: hdrhistogram.New(1, maxFirstByteMicros, significantFigures)}
+	}
+	for _, c := range calls {
+		result := c.Result()
+		if !result.Whole {
+			p.Kinds[result.Kind]++
+		}
+		byTier[c.Request.Tier].count(result)
+	}
+	for _, t := range tiers {
+		p.Tiers = append(p.Tiers, *byTier[t.name])
+	}
+}
+
+func (t *TierCount) count(r harness.Result) {
+	t.Sent++
+	if r.Whole {
+		t.Whole++
+	}
+	if r.Ran == errkind.RanNo {
+		t.NotRun++
+	}
+	if !r.FirstByte.IsZero() {
+		_ = t.FirstByte.RecordValue(r.FirstByte.Sub(r.Sent).Microseconds())
+	}
+}
+
+// OK reports whether every promise held.
+func (p *Report) OK() bool { return len(p.Violations) == 0 }
+
+// Write writes the report as tables.
+func (p *Report) Write(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "tier\tsent\twhole\tnot run\tfirst byte p50\tp99\n")
+	for _, t := range p.Tiers {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%v\t%v\n", t.Tier, t.Sent, t.Whole, t.NotRun, quantile(t.FirstByte, 50), quantile(t.FirstByte, 99))
+	}
+	fmt.Fprintf(table, "\nend without a whole answer\tcalls\n")
+	for _, k := range slices.Sorted(maps.Keys(p.Kinds)) {
+		fmt.Fprintf(table, "%s\t%d\n", k, p.Kinds[k])
+	}
+	fmt.Fprintf(table, "\npromise\tviolations\n")
+	for _, promise := range promises {
+		fmt.Fprintf(table, "%s\t%d\n", promise, p.count(promise))
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	for _, v := range p.Violations {
+		fmt.Fprintf(w, "VIOLATION %s\n", v)
+	}
+	_, err := fmt.Fprintf(w, "\nelapsed=%v identities=%d dispatches=%d runs=%d appends=%d planned_stops=%d violations=%d\n",
+		p.Elapsed.Round(time.Millisecond), p.Identities, p.Dispatches, p.Runs, p.Appends, p.Stops, len(p.Violations))
+	return err
+}
+
+func (p *Report) count(promise string) int {
+	n := 0
+	for _, v := range p.Violations {
+		if v.Promise == promise {
+			n++
+		}
+	}
+	return n
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) time.Duration {
+	return (time.Duration(h.ValueAtQuantile(q)) * time.Microsecond).Round(100 * time.Microsecond)
+}
