Run suspect content alone

Cause: after one crash content was to run only alone; the scheduler knew nothing of it. Change: such requests form groups of their own and reserve a target, which starts nothing else, falls idle and runs the one request.

--- a/internal/systems/schedule/index.go
+++ b/internal/systems/schedule/index.go
@@ -31,6 +31,8 @@
 	id      tables.TargetID
 	t       *tables.Target
 	running []*tables.Request
+	// isolated is the request that the target is reserved for, if any.
+	isolated tables.RequestID
 	// byTier counts the running requests by tier.
 	byTier []int
 	// refused is, by tier, when a request was last refused here.
@@ -41,6 +43,8 @@
 	service tables.ServiceID
 	targets uint64
 	count   int
+	// alone groups hold requests that run only while nothing else does.
+	alone bool
 }
 
 // group holds the queued requests that may run at the same targets.
@@ -113,6 +117,9 @@
 	if sl := x.slots[r.Target]; sl != nil {
 		sl.drop(r)
 	}
+	if r.Alone {
+		x.release(r.ID)
+	}
 }
 
 func (x *index) dequeue(e *entry) {
@@ -160,7 +167,7 @@
 
 // group returns the group of r: its service and the set of its targets.
 func (x *index) group(s *State, r *tables.Request) *group {
-	key := groupKey{service: r.Service, count: len(r.Allowed)}
+	key := groupKey{service: r.Service, count: len(r.Allowed), alone: r.Alone}
 	for _, id := range r.Allowed {
 		key.targets += xxhash.Sum64String(string(id))
 	}
@@ -298,7 +305,7 @@
 		if sl.t == nil || !sl.t.Services[g.key.service] {
 			continue
 		}
-		n := limit(sl.t, now)
+		n := g.places(sl, limit(sl.t, now))
 		g.capacity += n
 		g.running += len(sl.running)
 		if len(sl.running) < n {
@@ -312,7 +319,7 @@
 func (g *group) hasFree(now time.Time, tier int) bool {
 	kept := g.free[:0]
 	for _, sl := range g.free {
-		if sl.room(now, tier) {
+		if sl.room(now, tier) && g.places(sl, 1) > 0 {
 			kept = append(kept, sl)
 		}
 	}
--- a/internal/systems/schedule/schedule.go
+++ b/internal/systems/schedule/schedule.go
@@ -48,6 +48,7 @@
 	x := s.index
 	x.sync(now, s)
 	p := &pass{now: now, state: s, index: x, out: x.decisions[:0]}
+	p.isolate()
 	p.start()
 	p.admit()
 	p.rescue()
