Place models from the controller; let no killed process write to the log

Cause: leases and orders ran nowhere; a process killed in a shared address space still recorded outcomes and released leases, which made tests kinder than a crash. Change: the controller runs internal/orders and gives its leases back in a planned stop; every process sees the log through a wrapper that ends with it.

--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -9,20 +9,25 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/operators"
+	"github.com/bluebellseam/bluebellseam/internal/orders"
 	"github.com/bluebellseam/bluebellseam/internal/settings"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
+	"github.com/bluebellseam/bluebellseam/internal/target"
 )
 
 // Controller is a running controller process.
 type Controller struct {
 	proc    *process
-	server  *http.Server
-	address string
+	clients *clients
+	// stopOrders gives the leases back and waits for that.
+	stopOrders func()
+	server     *http.Server
+	address    string
 }
 
 // StartController starts a controller. The error is that of a listener.
 func StartController(s settings.Controller, env Env) (*Controller, error) {
-	n := &Controller{}
+	n := &Controller{clients: newClients()}
 	n.proc = newProcess("controller", s.Common, env, part{
 		self:     tables.Host{ID: s.Host, Domain: s.FailureDomain},
 		observer: true,
@@ -33,10 +38,36 @@
 		return nil, err
 	}
 	n.proc.start()
+	n.startOrders(s)
 	event.ProcessStarted.Log(env.Logger, zap.String("operators", n.address))
 	return n, nil
 }
 
+// startOrders runs the orders until stopOrders or the end of the process.
+func (n *Controller) startOrders(s settings.Controller) {
+	ctx, cancel := context.WithCancel(n.proc.ctx)
+	done := make(chan struct{})
+	n.stopOrders = func() {
+		cancel()
+		<-done
+	}
+	n.proc.spawn(func() {
+		defer close(done)
+		_ = n.orders(s).Run(ctx)
+	})
+}
+
+// orders returns the part that holds leases and keeps engines as placed.
+func (n *Controller) orders(s settings.Controller) *orders.Controller {
+	p := n.proc
+	return orders.New(orders.Options{
+		Self: tables.Host{ID: s.Host, Domain: s.FailureDomain},
+		Log:  p.Log, Clock: p.Clock, Logger: p.Logger, Config: p.document, Live: p.members.Live,
+		Engine:  func(_ tables.TargetID, address string) target.Engine { return n.clients.Engine(address) },
+		Weights: p.Weights,
+	})
+}
+
 func (n *Controller) listen(s settings.Controller) error {
 	l, err := net.Listen("tcp", s.PeerAddress)
 	if err != nil {
@@ -68,12 +99,16 @@
 // Stop ends the controller gracefully, at most until ctx ends.
 func (n *Controller) Stop(ctx context.Context) {
 	n.proc.leave()
+	n.stopOrders()
 	if err := n.server.Shutdown(ctx); err != nil {
 		event.StopBoundPassed.Log(n.proc.Logger)
 	}
-	n.proc.kill()
+	n.Kill()
 	event.ProcessStopped.Log(n.proc.Logger)
 }
 
 // Kill ends the controller at once.
-func (n *Controller) Kill() { n.proc.kill() }
+func (n *Controller) Kill() {
+	n.proc.kill()
+	n.clients.close()
+}
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -51,7 +51,7 @@
 	})
 	p := n.proc
 	n.quarantine = p.newQuarantine()
-	n.home = claims.NewHome(claims.Options{Log: env.Log, Clock: env.Clock, Logger: env.Logger, Host: s.Host})
+	n.home = claims.NewHome(claims.Options{Log: p.Log, Clock: env.Clock, Logger: env.Logger, Host: s.Host})
 	n.dispatcher = dispatcher.New(p.ctx, dispatcher.Options{
 		Host: s.Host, Clock: env.Clock, Logger: env.Logger, Tracer: env.Tracer.Tracer("bluebell-dispatcher"),
 		Document: p.document, Membership: p.members, Quarantine: n.quarantine,
