--- a/internal/systems/schedule/index.go
+++ b/internal/systems/schedule/index.go
@@ -31,8 +31,10 @@
 	id      tables.TargetID
 	t       *tables.Target
 	running []*tables.Request
-	// isolated is the request that the target is reserved for, if any.
-	isolated tables.RequestID
+	// alone counts the running requests that bear no other, and isolated is a
+	// queued one that the slot is emptied for.
+	alone    int
+	isolated *entry
 	// byTier counts the running requests by tier.
 	byTier []int
 	// refused is, by tier, when a request was last refused here.
@@ -43,8 +45,6 @@
 	service tables.ServiceID
 	targets uint64
 	count   int
-	// alone groups hold requests that run only while nothing else does.
-	alone bool
 }
 
 // group holds the queued requests that may run at the same targets.
@@ -117,9 +117,6 @@
 	if sl := x.slots[r.Target]; sl != nil {
 		sl.drop(r)
 	}
-	if r.Alone {
-		x.release(r.ID)
-	}
 }
 
 func (x *index) dequeue(e *entry) {
@@ -167,7 +164,7 @@
 
 // group returns the group of r: its service and the set of its targets.
 func (x *index) group(s *State, r *tables.Request) *group {
-	key := groupKey{service: r.Service, count: len(r.Allowed), alone: r.Alone}
+	key := groupKey{service: r.Service, count: len(r.Allowed)}
 	for _, id := range r.Allowed {
 		key.targets += xxhash.Sum64String(string(id))
 	}
@@ -232,6 +229,9 @@
 		sl.byTier = append(sl.byTier, 0)
 	}
 	sl.byTier[r.Tier]++
+	if r.Alone {
+		sl.alone++
+	}
 	sl.count()
 }
 
@@ -243,6 +243,9 @@
 			sl.running[last] = nil
 			sl.running = sl.running[:last]
 			sl.byTier[r.Tier]--
+			if r.Alone {
+				sl.alone--
+			}
 			sl.count()
 			return
 		}
@@ -257,7 +260,15 @@
 
 // room reports whether a request of tier may start at the slot.
 func (sl *slot) room(now time.Time, tier int) bool {
-	return len(sl.running) < limit(sl.t, now) && !sl.floored(now, tier)
+	return len(sl.running) < limit(sl.t, now) && !sl.floored(now, tier) && !sl.reserved(tier)
+}
+
+// reserved reports whether the slot is kept for a request that runs alone.
+func (sl *slot) reserved(tier int) bool {
+	if sl.isolated != nil && sl.isolated.pos < 0 {
+		sl.isolated = nil
+	}
+	return sl.alone > 0 || sl.isolated != nil && tier >= sl.isolated.r.Tier && len(sl.running) > 0
 }
 
 // refuse notes that a request of tier was refused here.
@@ -305,7 +316,7 @@
 		if sl.t == nil || !sl.t.Services[g.key.service] {
 			continue
 		}
-		n := g.places(sl, limit(sl.t, now))
+		n := limit(sl.t, now)
 		g.capacity += n
 		g.running += len(sl.running)
 		if len(sl.running) < n {
@@ -319,7 +330,7 @@
 func (g *group) hasFree(now time.Time, tier int) bool {
 	kept := g.free[:0]
 	for _, sl := range g.free {
-		if sl.room(now, tier) && g.places(sl, 1) > 0 {
+		if sl.room(now, tier) {
 			kept = append(kept, sl)
 		}
 	}
