--- a/internal/systems/membership/votes.go
+++ b/internal/systems/membership/votes.go
@@ -70,16 +70,16 @@
 		r = t.row(now, m.Host)
 	}
 	t.introduce(r, m)
-	if older(m.Incarnation, m.Sequence, r) {
-		return
-	}
 	if newer(m.Incarnation, m.Sequence, r) {
 		t.renew(r, m.Incarnation, m.Sequence)
 	}
-	if m.Leaving && !r.Leaving {
+	if m.Leaving && !r.Leaving && m.Incarnation == r.Incarnation {
 		r.Leaving = true
 		t.tell(t.reportOn(r))
 	}
+	if older(m.Incarnation, m.Sequence, r) {
+		return
+	}
 	if m.DownBy != "" {
 		t.vote(now, r, m.DownBy)
 	}
