Join a key's holder once, also at its target

Cause: two repeats at one gate could open two flights of one request, of which only the later got the answer; a repeat whose holder's hosts were all gone got outcome_unknown although the target kept the answer. Metrics for open requests and token gaps are fed.

--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -24,6 +24,7 @@
 	tier       int
 	tokens     int
 	firstToken time.Duration
+	lastToken  time.Time
 }
 
 // tokenEvent is the data of a "token" event.
@@ -86,6 +87,7 @@
 		for _, c := range p.chunks {
 			next++
 			a.tokens += c.Tokens
+			a.countGap()
 			a.event("token", tokenEvent{Offset: c.Offset, Text: c.Text, Tokens: c.Tokens})
 		}
 		if p.outcome != nil {
@@ -99,6 +101,15 @@
 	}
 }
 
+// countGap reports the time since the last part of the answer.
+func (a *answer) countGap() {
+	now := a.g.Clock.Now()
+	if !a.lastToken.IsZero() {
+		a.g.Observer.TokenGap(a.tier, now.Sub(a.lastToken))
+	}
+	a.lastToken = now
+}
+
 // finish ends a stream. A refusal before the first event is returned, so that
 // it becomes a status of its own.
 func (a *answer) finish(end peer.Finished) error {
--- a/internal/gate/begin.go
+++ b/internal/gate/begin.go
@@ -168,25 +168,61 @@
 	return g.joinStream(ctx, f)
 }
 
-// joinStream attaches to the dispatcher that runs, or ran, the holder.
+// joinStream attaches to the dispatcher that runs, or ran, the holder, or else
+// to the holder's answer at a target.
 func (g *Gate) joinStream(ctx context.Context, f *flight) (*flight, error) {
-	for _, h := range g.Membership.Live() {
-		conn, err := g.Peers.Get(ctx, h.PeerAddress)
-		if err != nil {
-			continue
-		}
-		var o peer.Outcome
-		if err := conn.Call(ctx, peer.MethodLookup, peer.Lookup{ID: f.id}, &o); err != nil || !o.Known {
-			continue
+	f.msg.ID = f.id
+	if known := g.ask(ctx, peer.Lookup{ID: f.id}); known != nil {
+		if conn, err := g.Peers.Get(ctx, known.host.PeerAddress); err == nil {
+			return g.join(f, func() { g.driveJoined(f, conn) }), nil
 		}
-		f.msg.ID = f.id
-		g.register(f)
-		go g.driveJoined(f, conn)
-		return f, nil
+	}
+	if joined := g.joinAtTarget(f); joined != nil {
+		return joined, nil
 	}
 	return nil, errkind.New(errkind.OutcomeUnknown, fmt.Sprintf("request %s holds the key and no host knows its outcome", f.id))
 }
 
+// join drives f, unless another reader of the same request drives one already.
+func (g *Gate) join(f *flight, drive func()) *flight {
+	open := g.register(f)
+	if open == f {
+		go drive()
+	}
+	return open
+}
+
+// joinAtTarget asks the targets of the service for the holder's answer, for
+// when every host that knew it is gone. It changes nothing at the targets and
+// returns nil when none has the answer.
+func (g *Gate) joinAtTarget(f *flight) *flight {
+	if open := g.register(f); open != f {
+		return open
+	}
+	for _, v := range g.views(g.Document(), string(f.msg.Service)) {
+		conn := g.helper("", f.id, 0)
+		if conn == nil {
+			break
+		}
+		result, err := g.attach(f, conn, v.Target)
+		if err == nil && result.Known {
+			go g.driveAttached(f, conn)
+			return f
+		}
+	}
+	g.forget(f)
+	f.finish(peer.Finished{Kind: errkind.OutcomeUnknown, Detail: "no target has the answer", Sent: true})
+	return nil
+}
+
+func (g *Gate) driveAttached(f *flight, conn *peer.Conn) {
+	defer g.unregister(f)
+	var refusal peer.Finished
+	if g.follow(f, conn, &refusal) != ended {
+		f.finish(peer.Finished{Kind: errkind.OutcomeUnknown, Detail: "the answer of the request broke off", Sent: true})
+	}
+}
+
 func (g *Gate) driveJoined(f *flight, conn *peer.Conn) {
 	defer g.unregister(f)
 	if !g.attachAndFollow(f, conn, "") {
--- a/internal/gate/flight.go
+++ b/internal/gate/flight.go
@@ -185,16 +185,31 @@
 	return &errkind.Error{Kind: end.Kind, Detail: end.Detail, RetryAfter: end.RetryAfter}
 }
 
-// register makes f reachable for notifications and counts it as open.
-func (g *Gate) register(f *flight) {
+// register makes f reachable for notifications and counts it as open. When an
+// open flight has the same request already, that one is returned instead.
+func (g *Gate) register(f *flight) *flight {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if open := g.flights[f.id]; open != nil {
+		return open
+	}
 	g.flights[f.id] = f
 	g.inFlight[f.msg.Customer]++
 	g.open.Add(1)
+	g.Observer.Opened()
+	return f
 }
 
+// unregister ends f and keeps it for look-up.
 func (g *Gate) unregister(f *flight) {
+	g.forget(f)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.kept.Add(f.id, f)
+}
+
+// forget takes f back out of the open requests.
+func (g *Gate) forget(f *flight) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.flights, f.id)
@@ -202,8 +217,8 @@
 	if g.inFlight[f.msg.Customer] == 0 {
 		delete(g.inFlight, f.msg.Customer)
 	}
-	g.kept.Add(f.id, f)
 	g.open.Done()
+	g.Observer.Closed()
 }
 
 // find returns the flight of id, open or kept, or nil.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -44,6 +44,11 @@
 type Observer interface {
 	// Answered is called when a caller got the end of an answer.
 	Answered(a Answered)
+	// Opened and Closed are called when a request gets open and ends.
+	Opened()
+	Closed()
+	// TokenGap is called with the time between two parts of an answer.
+	TokenGap(tier int, gap time.Duration)
 	// Claimed is called after an attempt to claim a key; kind is None when
 	// the key is held by this or another request.
 	Claimed(won bool, kind errkind.Kind)
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -126,25 +126,6 @@
 	return statusOf(o), nil
 }
 
-// lookup asks every live host for a request of a customer.
-func (g *Gate) lookup(ctx context.Context, id tables.RequestID, customer tables.CustomerID) (peer.Outcome, error) {
-	best := peer.Outcome{}
-	for _, h := range g.Membership.Live() {
-		var o peer.Outcome
-		err := g.Peers.Call(ctx, h.PeerAddress, peer.MethodLookup, peer.Lookup{ID: id, Customer: customer}, &o)
-		if err != nil || !o.Known {
-			continue
-		}
-		if !best.Known || o.Done {
-			best = o
-		}
-	}
-	if !best.Known {
-		return best, errkind.New(errkind.UnknownRequest, fmt.Sprintf("request %q", id))
-	}
-	return best, nil
-}
-
 // known describes a flight of this gate.
 func (f *flight) known() peer.Outcome {
 	p := f.since(0)
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -101,6 +102,17 @@
 	m.metrics.TokensRelayed(tier, a.Tokens)
 }
 
+// Opened implements gate.Observer.
+func (m gateMetrics) Opened() { m.metrics.AddInFlight(1) }
+
+// Closed implements gate.Observer.
+func (m gateMetrics) Closed() { m.metrics.AddInFlight(-1) }
+
+// TokenGap implements gate.Observer.
+func (m gateMetrics) TokenGap(tier int, gap time.Duration) {
+	m.metrics.TokenGap(strconv.Itoa(tier), gap)
+}
+
 // Claimed implements gate.Observer.
 func (m gateMetrics) Claimed(won bool, kind errkind.Kind) {
 	switch {
