Show that a lease must count from the sending of a heartbeat

Cause: a dispatcher that was paused reads, when it wakes, what its gate sent before it gave up, and takes its lease for fresh. Change: the model has the rule LeaseFromSend, and lets requests wait up to 20 s at a dispatcher; before, the deadline of 5 s hid the fault. Conclusion: peer.Conn.LastHeard is the time of the notice and does not do.

--- a/internal/model/dispatch.go
+++ b/internal/model/dispatch.go
@@ -52,7 +52,7 @@
 	connected := t.incarnation
 	h.maybePause()
 	h.post(func() {
-		if !f.maySend() {
+		if !f.maySend(h) {
 			h.call(f.gate, func() { f.end(errkind.DeadlineUnmeetable, "") })
 			return
 		}
@@ -72,11 +72,15 @@
 // maySend is the dispatcher's check of its lease from the gate and of the
 // deadline. The lease counts from a heartbeat that the gate has answered, and
 // so from before the gate lost the dispatcher.
-func (f *flight) maySend() bool {
+func (f *flight) maySend(dispatcher *host) bool {
 	if !f.w.rules.SendLease {
 		return true
 	}
-	leased := f.lostAt.IsZero() || f.w.sim.time.Before(f.lostAt.Add(settle.SendLease))
+	heard := f.lostAt
+	if !f.w.rules.LeaseFromSend {
+		heard = later(heard, dispatcher.pausedUntil)
+	}
+	leased := f.lostAt.IsZero() || f.w.sim.time.Before(heard.Add(settle.SendLease))
 	return leased && f.w.sim.time.Before(f.submitted.Add(dueWithin))
 }
 
--- a/internal/model/gate.go
+++ b/internal/model/gate.go
@@ -14,7 +14,7 @@
 	// submitWithin bounds the time from the acquire call to the submit.
 	submitWithin = 5 * time.Second
 	// dueWithin bounds the time from the submit to the send.
-	dueWithin = 5 * time.Second
+	dueWithin = 20 * time.Second
 	joinPolls = 40
 	joinPause = 300 * time.Millisecond
 )
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -50,6 +50,7 @@
 			Expect(model.FirstBroken(1, ruleHistories, rules)).NotTo(BeEmpty())
 		},
 		Entry("lease of the dispatcher", func(r *model.Rules) { r.SendLease = false }),
+		Entry("lease from the sending of a heartbeat", func(r *model.Rules) { r.LeaseFromSend = false }),
 		Entry("connection before the check", func(r *model.Rules) { r.ConnectFirst = false }),
 		Entry("wait before a dead gate's request is settled", func(r *model.Rules) { r.HolderLapse = false }),
 	)
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -16,6 +16,9 @@
 type Rules struct {
 	// SendLease: a dispatcher sends only under its lease and before the due.
 	SendLease bool
+	// LeaseFromSend: the lease counts from the sending of an answered heartbeat,
+	// not from when the dispatcher notices a message.
+	LeaseFromSend bool
 	// ConnectFirst: the connection is picked before the lease is checked.
 	ConnectFirst bool
 	// SubmitWithin: a gate does not submit long after its acquire call.
@@ -27,7 +30,7 @@
 
 // AllRules are the rules in force.
 func AllRules() Rules {
-	return Rules{SendLease: true, ConnectFirst: true, SubmitWithin: true, HolderLapse: true}
+	return Rules{SendLease: true, LeaseFromSend: true, ConnectFirst: true, SubmitWithin: true, HolderLapse: true}
 }
 
 // Count tells what happened in a history.
