--- a/internal/claims/home_test.go
+++ b/internal/claims/home_test.go
@@ -184,6 +184,29 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(r.Kind).To(Equal(errkind.KeyReused))
 	}))
+	It("closes a shard after disuse and opens it again", inWorld(func(w *world) {
+		key, first := keyAt(time.Now()), request("g")
+		counted := &countingLog{Log: w.log}
+		home := w.homeOn("c", counted)
+		Expect(acquire(home, key, first).Won).To(BeTrue())
+		time.Sleep(claims.DefaultIdle + time.Minute)
+		before := counted.records.Load()
+		Expect(acquire(home, key, request("g")).Holder).To(Equal(first))
+		Expect(counted.records.Load()).To(BeNumerically(">", before), "an open shard reads nothing twice")
+	}))
+	It("keeps outcomes through an outage and flushes them", inWorld(func(w *world) {
+		key, first := keyAt(time.Now()), request("g")
+		acquire(w.a, key, first)
+		w.log.SetDown(true)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		o := peer.Outcome{ID: first, Kind: errkind.RanFailed}
+		Expect(w.a.Record(ctx, peer.Record{Customer: "c", Service: "s", Key: key, Outcome: o})).NotTo(Succeed())
+		Expect(w.a.Flush(ctx)).NotTo(Succeed())
+		time.AfterFunc(time.Minute, func() { w.log.SetDown(false) })
+		Expect(w.a.Flush(context.Background())).To(Succeed())
+		Expect(acquire(w.b, key, request("g")).Outcome).To(HaveField("Kind", errkind.RanFailed))
+	}))
 	It("skips records that are older than any key", inWorld(func(w *world) {
 		stream := platform.ClaimStreamPrefix + "5"
 		for range 40_000 {
