Test that an announcement goes to eight peers at once

Cause: the mutation that announces nothing passed, as gossip alone spreads a leaving host's word in 5 s among 13 hosts. Change: the spec counts who knows after 100 ms.

--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -210,6 +210,14 @@
 		n.leaving = true
 		w.mu.Unlock()
 		n.m.Announce()
+		time.Sleep(100 * time.Millisecond)
+		told := 0
+		for _, state := range w.states("h4") {
+			if state == membership.Leaving {
+				told++
+			}
+		}
+		Expect(told).To(BeNumerically(">", 8), "itself and eight peers")
 		time.Sleep(5 * time.Second)
 		Expect(w.states("h4")).To(HaveEach(membership.Leaving))
 		w.agree("h4")
