--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
@@ -25,8 +26,11 @@
 	target  tables.TargetID
 	started bool
 	// reason is why a cancel was sent; empty without one.
-	reason  errkind.Kind
-	chunks  []target.Chunk
+	reason errkind.Kind
+	chunks []target.Chunk
+	// from is the token offset of the first chunk; above zero when the answer
+	// was taken over in its middle.
+	from    int
 	tokens  int
 	outcome *peer.Finished
 	// listeners are the connections that get the answer, with the function
@@ -35,6 +39,10 @@
 	// orphaned is when the last listener's connection broke; zero otherwise.
 	orphaned time.Time
 	traceID  string
+	// ctx and span belong to the trace of the request; nil for a job that was
+	// taken over.
+	ctx  context.Context
+	span trace.Span
 }
 
 // listen sends the answer from a token offset on to conn.
@@ -118,7 +126,8 @@
 	j.chunks = append(j.chunks, c)
 	j.tokens += c.Tokens
 	if j.row != nil {
-		if c.CachedTokens > 0 {
+		if c.Offset == 0 {
+			d.state.Prefixes.Observed(j.target, j.row.CachedTokens, c.CachedTokens)
 			j.row.CachedTokens = c.CachedTokens
 		}
 		if t := d.state.Targets.Get(j.target); t != nil {
@@ -160,6 +169,7 @@
 	}
 	j.row.State = tables.Finished
 	d.state.Requests.Delete(j.msg.ID)
+	d.endTrace(j, f.Kind)
 	d.Observer.Ended(j.row, f, now)
 }
 
@@ -205,7 +215,7 @@
 	o.Kind = j.outcome.Kind
 	o.Detail = j.outcome.Detail
 	o.Status = j.outcome.Status
-	if j.outcome.Kind == errkind.None {
+	if j.outcome.Kind == errkind.None && j.from == 0 {
 		o.Body = j.answer()
 		o.BodyKept = true
 	}
--- /dev/null
+++ b/internal/node/quarantine.go
@@ -0,0 +1,25 @@
+package node
+
+import (
+	"github.com/bluebellseam/bluebellseam/internal/quarantine"
+)
+
+// newQuarantine returns the process's table of refused content. Its entries
+// come from the log and from peers.
+func (p *process) newQuarantine() *quarantine.Quarantine {
+	return quarantine.New(quarantine.Options{
+		Host: p.settings.Host, Log: p.Log, Clock: p.Clock, Logger: p.Logger,
+		Caller: p.pool, Peers: p.peerAddresses,
+	})
+}
+
+// peerAddresses returns the dispatchers of the other live hosts.
+func (p *process) peerAddresses() []string {
+	var out []string
+	for _, h := range p.members.Live() {
+		if h.PeerAddress != "" && (h.ID != p.settings.Host || p.role != "dispatcher") {
+			out = append(out, h.PeerAddress)
+		}
+	}
+	return out
+}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -40,6 +40,8 @@
 	lastHeard atomic.Int64
 	busy      atomic.Int64
 	outbox    chan posted
+	// ready is closed once rpc is set; its reader starts before that.
+	ready chan struct{}
 }
 
 // outboxLength bounds the notifications that wait for a slow peer.
@@ -53,11 +55,12 @@
 // newConn starts a connection on socket. A connection that was accepted
 // serves no method before a Hello with the right key.
 func newConn(ctx context.Context, socket net.Conn, mux *Mux, key string, clock clockwork.Clock, greeted bool) *Conn {
-	c := &Conn{clock: clock, mux: mux, key: key, outbox: make(chan posted, outboxLength)}
+	c := &Conn{clock: clock, mux: mux, key: key, outbox: make(chan posted, outboxLength), ready: make(chan struct{})}
 	c.greeted.Store(greeted)
 	c.lastHeard.Store(clock.Now().UnixNano())
 	stream := jsonrpc2.NewBufferedStream(&deadlineSocket{socket}, jsonrpc2.VarintObjectCodec{})
 	c.rpc = jsonrpc2.NewConn(ctx, stream, c, jsonrpc2.OnRecv(c.heard), jsonrpc2.SetLogger(silentLogger{}))
+	close(c.ready)
 	go c.watch(ctx)
 	go c.drain(ctx)
 	return c
@@ -95,6 +98,9 @@
 	return Hello{}
 }
 
+// LastHeard returns when the last message of the peer arrived.
+func (c *Conn) LastHeard() time.Time { return time.Unix(0, c.lastHeard.Load()) }
+
 // Done is closed when the connection is gone.
 func (c *Conn) Done() <-chan struct{} { return c.rpc.DisconnectNotify() }
 
@@ -133,6 +139,7 @@
 
 // Handle serves one message of the peer. It implements jsonrpc2.Handler.
 func (c *Conn) Handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	<-c.ready
 	if req.Notif {
 		_, _ = c.serve(ctx, req)
 		return
@@ -198,7 +205,7 @@
 }
 
 func (c *Conn) probe(ctx context.Context) {
-	silent := c.clock.Now().Sub(time.Unix(0, c.lastHeard.Load()))
+	silent := c.clock.Now().Sub(c.LastHeard())
 	if c.busy.Load() == 0 {
 		if silent > idleAfter {
 			_ = c.rpc.Close()
--- a/internal/systems/schedule/index.go
+++ b/internal/systems/schedule/index.go
@@ -31,11 +31,14 @@
 	id      tables.TargetID
 	t       *tables.Target
 	running []*tables.Request
+	// alone counts the running requests that bear no other, and isolated is a
+	// queued one that the slot is emptied for.
+	alone    int
+	isolated *entry
 	// byTier counts the running requests by tier.
 	byTier []int
-	// floor is the tier below which nothing starts until floorUntil.
-	floor      int
-	floorUntil time.Time
+	// refused is, by tier, when a request was last refused here.
+	refused []time.Time
 }
 
 type groupKey struct {
@@ -56,8 +59,6 @@
 	// capacity is the sum of the windows, running that of running requests.
 	capacity int
 	running  int
-	// serviceTime is the smoothed expected time of started requests.
-	serviceTime time.Duration
 }
 
 func newIndex() *index {
@@ -87,6 +88,9 @@
 	x.grow(r.Tier)
 	switch r.State {
 	case tables.Queued:
+		if r.PredictedTokens == 0 && !r.Plain {
+			r.PredictedTokens = s.Lengths.Predict(r)
+		}
 		e := &entry{r: r, group: x.group(s, r)}
 		e.estimate(now)
 		x.entries[r] = e
@@ -225,6 +229,9 @@
 		sl.byTier = append(sl.byTier, 0)
 	}
 	sl.byTier[r.Tier]++
+	if r.Alone {
+		sl.alone++
+	}
 	sl.count()
 }
 
@@ -236,6 +243,9 @@
 			sl.running[last] = nil
 			sl.running = sl.running[:last]
 			sl.byTier[r.Tier]--
+			if r.Alone {
+				sl.alone--
+			}
 			sl.count()
 			return
 		}
@@ -250,12 +260,33 @@
 
 // room reports whether a request of tier may start at the slot.
 func (sl *slot) room(now time.Time, tier int) bool {
-	return len(sl.running) < limit(sl.t, now) && !sl.floored(now, tier)
+	return len(sl.running) < limit(sl.t, now) && !sl.floored(now, tier) && !sl.reserved(tier)
+}
+
+// reserved reports whether the slot is kept for a request that runs alone.
+func (sl *slot) reserved(tier int) bool {
+	if sl.isolated != nil && sl.isolated.pos < 0 {
+		sl.isolated = nil
+	}
+	return sl.alone > 0 || sl.isolated != nil && tier >= sl.isolated.r.Tier && len(sl.running) > 0
 }
 
-// floored reports whether a higher tier was refused here a moment ago.
+// refuse notes that a request of tier was refused here.
+func (sl *slot) refuse(now time.Time, tier int) {
+	for len(sl.refused) <= tier {
+		sl.refused = append(sl.refused, time.Time{})
+	}
+	sl.refused[tier] = now
+}
+
+// floored reports whether a tier above tier was refused here a moment ago.
 func (sl *slot) floored(now time.Time, tier int) bool {
-	return tier > sl.floor && now.Before(sl.floorUntil)
+	for i := 0; i < tier && i < len(sl.refused); i++ {
+		if now.Sub(sl.refused[i]) < floorHold {
+			return true
+		}
+	}
+	return false
 }
 
 func (g *group) grow(tier int) {
--- a/internal/systems/schedule/queue.go
+++ b/internal/systems/schedule/queue.go
@@ -16,9 +16,11 @@
 	// expected time at a target.
 	startBy time.Time
 	work    time.Duration
-	pos     int
-	// preempted is when a running request was last cancelled for this one.
-	preempted time.Time
+	// hopeless is when even a fast target could not finish in time.
+	hopeless time.Time
+	pos      int
+	// second is the place in the ring of the tier queue.
+	second int64
 }
 
 func (e *entry) before(o *entry) bool {
@@ -31,7 +33,9 @@
 // customerQueue holds the requests of one customer, tier and group by startBy.
 type customerQueue struct {
 	customer tables.CustomerID
-	entries  []*entry
+	// alone marks the queue of requests that run only at an empty target.
+	alone   bool
+	entries []*entry
 }
 
 func (q *customerQueue) head() *entry {
@@ -70,28 +74,54 @@
 	customers []*customerQueue
 	count     int
 	work      time.Duration
+	// bySecond sums the work by the second of startBy, in a ring.
+	bySecond [startSeconds]time.Duration
 }
 
-func (t *tierQueue) customer(id tables.CustomerID) *customerQueue {
+// startSeconds is the length of the ring, and lateSeconds how much of it is for
+// requests whose latest start has passed.
+const (
+	startSeconds = 128
+	lateSeconds  = 16
+)
+
+// second returns the second of startBy, at most what the ring holds at now.
+func second(now, startBy time.Time) int64 {
+	first := now.Unix() - lateSeconds
+	return min(max(startBy.Unix(), first), first+startSeconds-1)
+}
+
+// workBefore sums the work that must start no later than startBy.
+func (t *tierQueue) workBefore(now, startBy time.Time) time.Duration {
+	var sum time.Duration
+	for i := now.Unix() - lateSeconds; i <= second(now, startBy); i++ {
+		sum += t.bySecond[i%startSeconds]
+	}
+	return sum
+}
+
+func (t *tierQueue) customer(id tables.CustomerID, alone bool) *customerQueue {
 	for _, q := range t.customers {
-		if q.customer == id {
+		if q.customer == id && q.alone == alone {
 			return q
 		}
 	}
-	q := &customerQueue{customer: id}
+	q := &customerQueue{customer: id, alone: alone}
 	t.customers = append(t.customers, q)
 	return q
 }
 
 func (t *tierQueue) push(e *entry) {
-	e.queue = t.customer(e.r.Customer)
+	e.queue = t.customer(e.r.Customer, e.r.Alone)
 	heap.Push(e.queue, e)
 	t.count++
 	t.work += e.work
+	t.bySecond[e.second%startSeconds] += e.work
 }
 
 func (t *tierQueue) remove(e *entry) {
 	heap.Remove(e.queue, e.pos)
 	t.count--
 	t.work -= e.work
+	t.bySecond[e.second%startSeconds] -= e.work
 }
