--- a/internal/members/beat.go
+++ b/internal/members/beat.go
@@ -163,7 +163,8 @@
 	if suspects := m.table.Suspects(); len(suspects) > 0 {
 		out = append(out, suspects[m.rand.IntN(len(suspects))])
 	}
-	for range max(1, min(m.burst, len(hosts))) {
+	wanted := min(len(out)+max(1, m.burst), len(hosts))
+	for tries := 0; len(out) < wanted && tries < 2*len(hosts); tries++ {
 		next, ok := m.next(hosts)
 		if ok && !slices.ContainsFunc(out, func(h tables.Host) bool { return h.ID == next.ID }) {
 			out = append(out, next)
