--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,6 @@
 
 plots:
 	go run ./cmd/bluebell-bench --plots docs/plots
+
+capacity:
+	go run ./cmd/bluebell-capacity docs/capacity
--- /dev/null
+++ b/internal/capacity/budget.go
@@ -0,0 +1,197 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"time"
+
+	"github.com/bluebellseam/bluebellseam/internal/claims"
+)
+
+// Rates that the code sets; each names the constant it repeats.
+const (
+	// readsOfList is the number of reads of the host list a second by one
+	// process (members.listInterval).
+	readsOfList = 2
+	// beatPerHost, beatMin and beatMax give the time between two heartbeats of
+	// a process (members.beatPerHost and its bounds).
+	beatPerHost = 10 * time.Millisecond
+	beatMin     = 1 * time.Second
+	beatMax     = 4 * time.Second
+	// idleConnection is how long an unused connection stays open
+	// (peer.idleAfter).
+	idleConnection = 60 * time.Second
+	// snapshotsPerHour follows from the retention of an hour
+	// (follow.DefaultRetention over follow.snapshotParts).
+	snapshotsPerHour = 4
+	// base64Growth is how JSON pages of the log carry records.
+	base64Growth = 4.0 / 3
+	// changesOfList is the number of listings that one restart changes: the
+	// host leaves and joins.
+	changesOfList = 2
+	secondsPerDay = 24 * 60 * 60
+)
+
+// Row is what one mechanism costs a node.
+type Row struct {
+	Work string
+	// Load is the arithmetic in words.
+	Load string
+	// Core is a share of one core.
+	Core        float64
+	BytesPerSec float64
+	MemoryBytes float64
+}
+
+// ControlRows returns what a node spends for control at a size.
+func ControlRows(s Size, m Slopes) []Row {
+	processes := float64(s.ProcessesOfNode)
+	reads := processes * readsOfList
+	exchanges := 2 * processes / beatInterval(s).Seconds()
+	changes := s.ChangesPerDay / secondsPerDay
+	snapshots := float64(snapshotsPerHour) / time.Hour.Seconds()
+	listings := changesOfList * s.RestartsPerDay / secondsPerDay
+	ends := connectionEnds(s)
+	return []Row{
+		{
+			Work: "host list", Load: fmt.Sprintf("%g processes read all of it %d times a second", processes, readsOfList),
+			Core: reads * m.Value("members.take_listing"), BytesPerSec: reads * m.Value("members.listing_bytes"),
+			MemoryBytes: processes * m.Value("members.table_memory"),
+		},
+		{
+			Work: "heartbeats", Load: fmt.Sprintf("%g exchanges a second, half of them asked by others; one process asks every %s", exchanges, beatInterval(s)),
+			Core: exchanges * (m.Value("wire.heartbeat_time")/2 + m.Value("members.take_heartbeat")), BytesPerSec: exchanges * m.Value("wire.heartbeat_bytes"),
+		},
+		{
+			Work: "changes of configuration", Load: fmt.Sprintf("%.3f a second, folded by %g processes", changes, processes),
+			Core:        changes * (processes*m.Value("config.fold_patch") + 2*m.Value("config.index_keys")),
+			BytesPerSec: processes * changes * m.Value("config.patch_record") * base64Growth,
+			MemoryBytes: processes * m.Value("config.state_memory"),
+		},
+		{
+			Work: "configuration snapshots", Load: fmt.Sprintf("%d an hour, read by %g processes", snapshotsPerHour, processes),
+			Core: processes * snapshots * m.Value("config.fold_snapshot"), BytesPerSec: processes * snapshots * m.Value("config.snapshot_record") * base64Growth,
+		},
+		{
+			Work: "owners of targets", Load: fmt.Sprintf("%.4f changes of the list a second, worked out by %g processes", listings, processes),
+			Core: processes * listings * m.Value("members.assign_targets"),
+		},
+		{
+			Work: "idle processes", Load: "timers, polls of 2 engines, and lists and heartbeats of 24 hosts; stand-ins included",
+			Core: m.Value("host.idle_core_of_24"),
+		},
+		{
+			Work: "peer connections", Load: fmt.Sprintf("%.0f ends for heartbeats and requests within %s", ends, idleConnection),
+			MemoryBytes: ends * m.Value("wire.connection_memory"),
+		},
+	}
+}
+
+// RequestRows returns what a node spends on its share of the requests.
+func RequestRows(s Size, m Slopes) []Row {
+	requests := s.RequestsPerSec / float64(s.Nodes)
+	tokens := s.TokensPerSec / float64(s.Nodes)
+	keyed := s.RequestsPerSec / claims.DefaultShards
+	record := m.Value("claims.claim_bytes") + m.Value("claims.outcome_bytes")
+	held := keyed * claims.DefaultWindow.Seconds()
+	return []Row{
+		{
+			Work: "requests", Load: fmt.Sprintf("%.2f a second through gate and dispatcher, caller and engine stand-ins included", requests),
+			Core: requests * m.Value("path.request"),
+		},
+		{
+			Work: "choice of a dispatcher", Load: fmt.Sprintf("%.2f a second: find the key, rate %d views", requests, s.enginesOfModel()),
+			Core: requests * (m.Value("gate.find_key") + m.Value("gate.pick")),
+		},
+		{
+			Work: "answer tokens", Load: fmt.Sprintf("%.0f a second, each in a chunk of its own, sent by a dispatcher and taken by a gate", tokens),
+			Core: tokens * m.Value("path.token"), BytesPerSec: 2 * tokens * m.Value("wire.chunk_bytes"),
+		},
+		{
+			Work: "claims, at the home of a shard", Load: fmt.Sprintf("%.1f keyed requests a second if all have keys, written and read back; keys held for %s", keyed, claims.DefaultWindow),
+			Core:        keyed * m.Value("claims.fold_keys") / foldedKeys,
+			BytesPerSec: keyed * record * (1 + base64Growth),
+			MemoryBytes: held * m.Value("claims.key_memory"),
+		},
+	}
+}
+
+func beatInterval(s Size) time.Duration {
+	return min(max(beatPerHost*time.Duration(s.Nodes), beatMin), beatMax)
+}
+
+// connectionEnds returns the open ends of peer connections of a node: those of
+// its heartbeats and its requests, and as many that others open to it.
+func connectionEnds(s Size) float64 {
+	others := float64(s.Nodes - 1)
+	heartbeats := min(others, idleConnection.Seconds()/beatInterval(s).Seconds())
+	requests := distinct(others, s.RequestsPerSec/float64(s.Nodes)*idleConnection.Seconds())
+	return 2 * (float64(s.ProcessesOfNode)*heartbeats + requests)
+}
+
+// distinct returns how many of n places are hit by random draws.
+func distinct(n, draws float64) float64 {
+	return n * (1 - math.Pow(1-1/n, draws))
+}
+
+// Total adds rows.
+func Total(rows []Row) Row {
+	var sum Row
+	for _, r := range rows {
+		sum.Core += r.Core
+		sum.BytesPerSec += r.BytesPerSec
+		sum.MemoryBytes += r.MemoryBytes
+	}
+	return sum
+}
+
+// WriteBudget writes the rows of a node at a size as a page.
+func WriteBudget(w io.Writer, s Size, m Slopes) error {
+	p := &page{w: w}
+	p.print("# What one node spends at the target size\n\n")
+	p.print("Generated by `make capacity` from `slopes.csv`. A node is a host with its three\nprocesses. `%d` nodes, `%d` engines, `%g` requests and `%g` tokens a second,\n`%g` changes a day.\n\n", s.Nodes, s.Engines, s.RequestsPerSec, s.TokensPerSec, s.ChangesPerDay)
+	p.print("## Control\n\n")
+	control := ControlRows(s, m)
+	p.rows(control)
+	p.total("sum", Total(control))
+	limit := TargetBudget()
+	p.total("**budget**", Row{Core: limit.Core, BytesPerSec: limit.BytesPerSec, MemoryBytes: limit.MemoryBytes})
+	p.print("\nThe memory is heap and stacks; the Go runtime and the program text of three\nprocesses come on top, see `docs/CAPACITY.md`.\n\n## Requests\n\n")
+	p.rows(RequestRows(s, m))
+	return p.err
+}
+
+// page writes Markdown and keeps the first failure.
+type page struct {
+	w   io.Writer
+	err error
+}
+
+func (p *page) print(format string, args ...any) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintf(p.w, format, args...)
+	}
+}
+
+func (p *page) rows(rows []Row) {
+	p.print("| work | load | %% of a core | bytes/s | memory in MB |\n|---|---|---|---|---|\n")
+	for _, r := range rows {
+		p.print("| %s | %s | %s | %s | %s |\n", r.Work, r.Load, number(r.Core*100), number(r.BytesPerSec), number(r.MemoryBytes/1e6))
+	}
+}
+
+func (p *page) total(name string, r Row) {
+	p.print("| %s | | %s | %s | %s |\n", name, number(r.Core*100), number(r.BytesPerSec), number(r.MemoryBytes/1e6))
+}
+
+// number writes a value with three digits; nothing stands for zero.
+func number(x float64) string {
+	if x == 0 {
+		return ""
+	}
+	if x >= 1000 {
+		return fmt.Sprintf("%.0f", x)
+	}
+	return fmt.Sprintf("%.3g", x)
+}
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -2,9 +2,9 @@
 
 import "fmt"
 
-// Measure takes every slope at a size. It needs about half a minute of an
-// otherwise quiet machine.
-func Measure(s Size) ([]Slope, error) {
+// MeasureSlopes takes every slope at a size. It needs about two minutes. The figures are
+// processor time, but a quiet machine still gives steadier ones.
+func MeasureSlopes(s Size) ([]Slope, error) {
 	parts := []struct {
 		name    string
 		measure func(Size) ([]Slope, error)
@@ -14,6 +14,7 @@
 		{"claims", claimSlopes},
 		{"schedule", scheduleSlopes},
 		{"wire", wireSlopes},
+		{"hosts", hostSlopes},
 	}
 	var all []Slope
 	for _, p := range parts {
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -122,9 +122,6 @@
 // enginesOfModel is the number of engines that serve one model.
 func (s Size) enginesOfModel() int { return s.Engines / s.Models }
 
-// perNode returns the share of one node in a load of the whole system.
-func (s Size) perNode(total float64) float64 { return total / float64(s.Nodes) }
-
 func hostName(i int) string     { return fmt.Sprintf("entry-%03d", i) }
 func domainName(i int) string   { return fmt.Sprintf("domain-%02d", i) }
 func engineName(i int) string   { return fmt.Sprintf("engine-%04d", i) }
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -62,6 +62,23 @@
 	return out.Error()
 }
 
+// ReadCSV reads a table that WriteCSV wrote.
+func ReadCSV(r io.Reader) (Slopes, error) {
+	lines, err := csv.NewReader(r).ReadAll()
+	if err != nil {
+		return nil, fmt.Errorf("slopes: %w", err)
+	}
+	out := make(Slopes, len(lines))
+	for _, fields := range lines[min(1, len(lines)):] {
+		value, err := strconv.ParseFloat(fields[1], 64)
+		if err != nil {
+			return nil, fmt.Errorf("slope %q: %w", fields[0], err)
+		}
+		out[fields[0]] = Slope{Name: fields[0], Value: value, Unit: fields[2], Per: fields[3], Method: fields[4]}
+	}
+	return out, nil
+}
+
 // significantDigits of a written slope.
 const significantDigits = 4
 
