--- a/internal/harness/audit.go
+++ b/internal/harness/audit.go
@@ -165,7 +165,7 @@
 func (a *audit) checkAnswer(c *Call, r Result, run Run) {
 	name := c.Request.Name
 	if r.Whole && run.Runs == 0 {
-		a.add(PromiseOwnAnswer, "%s (%s) got an answer and never ran", name, r.ID)
+		a.add(PromiseOwnAnswer, "%s (%s) got %d bytes and never ran: %.100q", name, r.ID, len(r.Text), r.Text)
 		return
 	}
 	if run.Runs > 0 && run.Content != c.Request.Content() {
--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/standin/endpoint"
 	"github.com/bluebellseam/bluebellseam/internal/standin/engine"
 	"github.com/bluebellseam/bluebellseam/internal/standin/hostlist"
@@ -68,7 +69,7 @@
 	Plain   *plain.Service
 	// ChecksFencing and Generation go into the configuration.
 	ChecksFencing bool
-	Generation    string
+	Generation    config.Generation
 }
 
 // New starts the platform's stand-ins.
@@ -119,10 +120,24 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Target{ID: o.ID, Address: address, Domain: domain, Engine: e, ChecksFencing: o.ChecksFencing}
+	t := &Target{
+		ID: o.ID, Address: address, Domain: domain, Engine: e,
+		ChecksFencing: o.ChecksFencing, Generation: generationOf(e.Options()),
+	}
 	return t, h.addTarget(name, t)
 }
 
+// generationOf describes the speed of an engine as an operator would.
+func generationOf(o engine.Options) config.Generation {
+	return config.Generation{
+		PrefillTokensPerSecond: o.PrefillTokensPerSecond,
+		StepMillis:             millis(o.Step),
+		StepMillisPerSequence:  millis(o.StepPerSequence),
+	}
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // AddPlain starts a plain service and lists it as live.
 func (h *Harness) AddPlain(name, domain string, o plain.Options) (*Target, error) {
 	o.ID = tables.TargetID(name)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -11,6 +11,7 @@
 
 // Promises that the soak checks beside those of harness.Audit.
 const (
+	PromiseEnds      = "everything comes to an end"
 	PromiseVersions  = "versions never go down"
 	PromiseTiers     = "no higher tier is shed while a lower one runs"
 	PromiseLeaving   = "a leaving target gets no new work"
@@ -33,7 +34,12 @@
 	}
 }
 
+// sampleVersion notes the version of a host; zero means that one of its
+// processes has started again and serves nobody yet.
 func (r *run) sampleVersion(host string, version uint64) {
+	if version == 0 {
+		return
+	}
 	r.mu.Lock()
 	before := r.versions[host]
 	r.versions[host] = max(before, version)
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -48,7 +48,7 @@
 // promises are the rows of the table.
 var promises = []string{
 	harness.PromiseOneDispatch, harness.PromiseOneRun, harness.PromiseNotRun, harness.PromiseRan, harness.PromiseOwnAnswer,
-	PromiseLookup, PromiseTiers, PromiseVersions, PromiseLeaving, PromiseStops, PromisePoison,
+	PromiseEnds, PromiseLookup, PromiseTiers, PromiseVersions, PromiseLeaving, PromiseStops, PromisePoison,
 }
 
 func (r *run) report() *Report {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -62,6 +62,9 @@
 	return e
 }
 
+// Options returns the options with their defaults.
+func (e *Engine) Options() Options { return e.opts }
+
 // reset forgets everything that a process keeps in memory.
 func (e *Engine) reset() {
 	e.active = nil
