Write the hosts' events of a scenario to files; add make soak

Cause: a failing script needs the events of its hosts to be explained. Change: BLUEBELL_SCENARIO_LOGS names a folder; make soak runs the soak.

--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,7 @@
 
 plots:
 	go run ./cmd/bluebell-bench --plots docs/plots
+
+# SOAK passes flags, for example SOAK="--duration 10s --seed 2".
+soak:
+	go run ./cmd/bluebell-soak $(SOAK)
--- a/cmd/bluebell-soak/main.go
+++ b/cmd/bluebell-soak/main.go
@@ -49,7 +49,7 @@
 		if err != nil {
 			return err
 		}
-		defer f.Close()
+		defer func() { _ = f.Close() }()
 		o.Logger = observe.NewLogger(f, zapcore.InfoLevel)
 	}
 	report, err := soak.Run(context.Background(), o)
--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -56,7 +56,6 @@
 	targets map[string]*Target
 	hosts   map[string]*Host
 	calls   []*Call
-	version uint64
 }
 
 // Target is a stand-in of a target with its place. One of Engine and Plain is
--- a/internal/harness/publish.go
+++ b/internal/harness/publish.go
@@ -101,10 +101,10 @@
 
 // Publication is the answer to a published patch.
 type Publication struct {
-	Version uint64
+	Version uint64 `json:"version"`
 	// Kind and Detail tell of a refusal.
-	Kind   errkind.Kind
-	Detail string
+	Kind   errkind.Kind `json:"kind"`
+	Detail string       `json:"detail"`
 }
 
 // publishBody is the JSON body of a patch.
@@ -114,13 +114,6 @@
 	Merge   json.RawMessage `json:"merge"`
 }
 
-// publishAnswer holds the fields of both a result and a problem.
-type publishAnswer struct {
-	Version uint64       `json:"version"`
-	Kind    errkind.Kind `json:"kind"`
-	Detail  string       `json:"detail"`
-}
-
 // Publish publishes a merge patch at a host. An empty id mints one.
 func (h *Harness) Publish(ctx context.Context, host string, base uint64, id string, merge []byte) (Publication, error) {
 	at, err := h.Host(host)
@@ -143,11 +136,11 @@
 	if err != nil {
 		return Publication{}, fmt.Errorf("publish at %q: %w", host, err)
 	}
-	var a publishAnswer
-	if err := json.Unmarshal(resp.Body, &a); err != nil {
+	var p Publication
+	if err := json.Unmarshal(resp.Body, &p); err != nil {
 		return Publication{}, fmt.Errorf("publish at %q: status %d: %w", host, resp.Status, err)
 	}
-	return Publication{Version: a.Version, Kind: a.Kind, Detail: a.Detail}, nil
+	return p, nil
 }
 
 // Configure publishes the standard configuration at a host and waits until it
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -6,11 +6,16 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/bluebellseam/bluebellseam/internal/harness"
+	"github.com/bluebellseam/bluebellseam/internal/observe"
 )
 
 const (
@@ -45,8 +50,15 @@
 	}
 }
 
+// logsVariable names a folder for one file of hosts' events per script.
+const logsVariable = "BLUEBELL_SCENARIO_LOGS"
+
 func setup(env *testscript.Env) error {
-	h, err := harness.New(harness.Options{BalancerWait: balancerWait, StopBound: stopBound})
+	logger, err := newLogger(env)
+	if err != nil {
+		return err
+	}
+	h, err := harness.New(harness.Options{Logger: logger, BalancerWait: balancerWait, StopBound: stopBound})
 	if err != nil {
 		return err
 	}
@@ -60,6 +72,19 @@
 	return nil
 }
 
+func newLogger(env *testscript.Env) (*zap.Logger, error) {
+	dir := os.Getenv(logsVariable)
+	if dir == "" {
+		return zap.NewNop(), nil
+	}
+	f, err := os.Create(filepath.Join(dir, filepath.Base(env.WorkDir)+".log"))
+	if err != nil {
+		return nil, err
+	}
+	env.Defer(func() { _ = f.Close() })
+	return observe.NewLogger(f, zapcore.DebugLevel), nil
+}
+
 // command runs one line of a script. An error fails the script.
 type command func(ctx context.Context, s *state, ts *testscript.TestScript, a *arguments) error
 
