--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,7 @@
 
 capacity:
 	go run ./cmd/bluebell-capacity docs/capacity
+
+# SOAK passes flags, for example SOAK="--duration 10s --seed 2".
+soak:
+	go run ./cmd/bluebell-soak $(SOAK)
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -89,9 +89,29 @@
 	p.spawn(func() { _ = n.quarantine.Run(p.ctx) })
 	p.start()
 	p.onChange(n.dispatcher.Sync)
+	p.spawn(n.warmShards)
 	p.servePeers(n.listener)
 }
 
+// warmShards keeps the claim shards open whose home this host is, so that the
+// first key of a shard need not wait for the log to be read.
+func (n *Dispatcher) warmShards() {
+	p := n.proc
+	for p.ctx.Err() == nil {
+		joined := p.members.Changed()
+		for shard := range claims.DefaultShards {
+			if p.members.ClaimHome(shard) == p.settings.Host {
+				n.home.Warm(shard)
+			}
+		}
+		select {
+		case <-joined:
+		case <-p.Clock.After(warmPeriod):
+		case <-p.ctx.Done():
+		}
+	}
+}
+
 // Address returns host:port of the peer listener.
 func (n *Dispatcher) Address() string { return n.listener.Addr().String() }
 
@@ -127,6 +147,8 @@
 }
 
 const (
+	// warmPeriod is shorter than the idle time after which a shard closes.
+	warmPeriod  = 1 * time.Minute
 	recordTries = 5
 	recordPause = 500 * time.Millisecond
 )
