--- a/internal/claims/home_test.go
+++ b/internal/claims/home_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,8 +74,22 @@
 	}
 }
 
-func (w *world) home(host tables.HostID) *claims.Home {
-	h := claims.NewHome(claims.Options{Log: w.log, Host: host})
+// countingLog counts the records that are read from a log.
+type countingLog struct {
+	platform.Log
+	records atomic.Int64
+}
+
+func (l *countingLog) Read(ctx context.Context, stream string, from platform.Offset, wait time.Duration) (platform.Page, error) {
+	p, err := l.Log.Read(ctx, stream, from, wait)
+	l.records.Add(int64(len(p.Records)))
+	return p, err
+}
+
+func (w *world) home(host tables.HostID) *claims.Home { return w.homeOn(host, w.log) }
+
+func (w *world) homeOn(host tables.HostID, log platform.Log) *claims.Home {
+	h := claims.NewHome(claims.Options{Log: log, Host: host})
 	ctx, cancel := context.WithCancel(context.Background())
 	w.cancels = append(w.cancels, cancel)
 	go h.Run(ctx)
@@ -169,6 +184,47 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(r.Kind).To(Equal(errkind.KeyReused))
 	}))
+	It("closes a shard after disuse and opens it again", inWorld(func(w *world) {
+		key, first := keyAt(time.Now()), request("g")
+		counted := &countingLog{Log: w.log}
+		home := w.homeOn("c", counted)
+		Expect(acquire(home, key, first).Won).To(BeTrue())
+		time.Sleep(claims.DefaultIdle + time.Minute)
+		before := counted.records.Load()
+		Expect(acquire(home, key, request("g")).Holder).To(Equal(first))
+		Expect(counted.records.Load()).To(BeNumerically(">", before), "an open shard reads nothing twice")
+	}))
+	It("keeps outcomes through an outage and flushes them", inWorld(func(w *world) {
+		key, first := keyAt(time.Now()), request("g")
+		acquire(w.a, key, first)
+		w.log.SetDown(true)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		o := peer.Outcome{ID: first, Kind: errkind.RanFailed}
+		Expect(w.a.Record(ctx, peer.Record{Customer: "c", Service: "s", Key: key, Outcome: o})).NotTo(Succeed())
+		Expect(w.a.Flush(ctx)).NotTo(Succeed())
+		time.AfterFunc(time.Minute, func() { w.log.SetDown(false) })
+		Expect(w.a.Flush(context.Background())).To(Succeed())
+		Expect(acquire(w.b, key, request("g")).Outcome).To(HaveField("Kind", errkind.RanFailed))
+	}))
+	It("skips records that are older than any key", inWorld(func(w *world) {
+		stream := platform.ClaimStreamPrefix + "5"
+		for range 40_000 {
+			_, err := w.log.Append(context.Background(), stream, []byte("old"))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		time.Sleep(2 * time.Hour)
+		key := keyAt(time.Now())
+		for w.a.ShardOf("c", "s", key) != 5 {
+			key = keyAt(time.Now())
+		}
+		first := request("g")
+		Expect(acquire(w.a, key, first).Won).To(BeTrue())
+		counted := &countingLog{Log: w.log}
+		b := w.homeOn("b", counted)
+		Expect(acquire(b, key, request("g")).Holder).To(Equal(first))
+		Expect(counted.records.Load()).To(BeNumerically("<", 20_000))
+	}))
 	It("refuses keys whose claims the log may have dropped", inWorld(func(w *world) {
 		key := keyAt(time.Now())
 		acquire(w.a, key, request("g"))
--- a/internal/claims/options.go
+++ b/internal/claims/options.go
@@ -24,17 +24,22 @@
 	DefaultOutcomeDelay   = 250 * time.Millisecond
 	DefaultOpenWait       = 500 * time.Millisecond
 	DefaultIdle           = 10 * time.Minute
-	// DefaultAppendsPerSecond bounds the appends of one host.
-	DefaultAppendsPerSecond = 20
+	// DefaultAppendsPerSecond bounds the appends of all hosts together.
+	DefaultAppendsPerSecond = 256
 )
 
 // Bounds of single calls to the log.
 const (
-	appendTimeout   = 5 * time.Second
-	readWait        = 5 * time.Second
-	readRetry       = 250 * time.Millisecond
-	fetchTimeout    = time.Second
-	cachedOutcomes  = 1024
+	appendTimeout  = 5 * time.Second
+	readWait       = 5 * time.Second
+	readRetry      = 250 * time.Millisecond
+	fetchTimeout   = time.Second
+	cachedOutcomes = 1024
+	// searchStop is the number of records that are read rather than searched.
+	searchStop = 1024
+	// searchMargin is the number of skews by which the search for the oldest
+	// record that matters stays on the safe side.
+	searchMargin    = 4
 	expiryInterval  = time.Minute
 	minTickInterval = 100 * time.Microsecond
 	maxTickInterval = 100 * time.Millisecond
@@ -68,7 +73,8 @@
 	OpenWait time.Duration
 	// Idle is the time of disuse after which a shard is closed.
 	Idle time.Duration
-	// AppendsPerSecond bounds the appends of the host over all its shards.
+	// AppendsPerSecond bounds the appends of all hosts together. Each host
+	// takes the part of its open shards, and its shards share that part.
 	AppendsPerSecond float64
 }
 
--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -24,6 +24,7 @@
 	tier       int
 	tokens     int
 	firstToken time.Duration
+	lastToken  time.Time
 }
 
 // tokenEvent is the data of a "token" event.
@@ -86,6 +87,7 @@
 		for _, c := range p.chunks {
 			next++
 			a.tokens += c.Tokens
+			a.countGap()
 			a.event("token", tokenEvent{Offset: c.Offset, Text: c.Text, Tokens: c.Tokens})
 		}
 		if p.outcome != nil {
@@ -99,6 +101,15 @@
 	}
 }
 
+// countGap reports the time since the last part of the answer.
+func (a *answer) countGap() {
+	now := a.g.Clock.Now()
+	if !a.lastToken.IsZero() {
+		a.g.Observer.TokenGap(a.tier, now.Sub(a.lastToken))
+	}
+	a.lastToken = now
+}
+
 // finish ends a stream. A refusal before the first event is returned, so that
 // it becomes a status of its own.
 func (a *answer) finish(end peer.Finished) error {
@@ -119,9 +130,8 @@
 		return
 	}
 	_, _ = fmt.Fprintf(a.w, "event: %s\ndata: %s\n\n", name, raw)
-	if flusher, ok := a.w.(http.Flusher); ok {
-		flusher.Flush()
-	}
+	// A failed flush means that the caller left, which ends the context.
+	_ = http.NewResponseController(a.w).Flush()
 }
 
 func (a *answer) begin() {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -34,6 +34,8 @@
 	ClaimHome(shard int) tables.HostID
 	// Live returns the hosts that can be reached.
 	Live() []tables.Host
+	// Suspect says that a host did not answer, so that it is asked next.
+	Suspect(id tables.HostID)
 	// TargetState returns the host list's word; empty when not listed.
 	TargetState(id tables.TargetID) tables.HostState
 }
@@ -42,6 +44,14 @@
 type Observer interface {
 	// Answered is called when a caller got the end of an answer.
 	Answered(a Answered)
+	// Opened and Closed are called when a request gets open and ends.
+	Opened()
+	Closed()
+	// TokenGap is called with the time between two parts of an answer.
+	TokenGap(tier int, gap time.Duration)
+	// Claimed is called after an attempt to claim a key; kind is None when
+	// the key is held by this or another request.
+	Claimed(won bool, kind errkind.Kind)
 }
 
 // Answered describes one ended request.
--- /dev/null
+++ b/internal/node/controller.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/event"
+	"github.com/bluebellseam/bluebellseam/internal/operators"
+	"github.com/bluebellseam/bluebellseam/internal/orders"
+	"github.com/bluebellseam/bluebellseam/internal/settings"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+	"github.com/bluebellseam/bluebellseam/internal/target"
+)
+
+// Controller is a running controller process.
+type Controller struct {
+	proc    *process
+	clients *clients
+	// stopOrders gives the leases back and waits for that.
+	stopOrders func()
+	server     *http.Server
+	address    string
+}
+
+// StartController starts a controller. The error is that of a listener.
+func StartController(s settings.Controller, env Env) (*Controller, error) {
+	n := &Controller{clients: newClients()}
+	n.proc = newProcess("controller", s.Common, env, part{
+		self:     tables.Host{ID: s.Host, Domain: s.FailureDomain},
+		observer: true,
+	})
+	n.proc.registerCommon()
+	if err := n.listen(s); err != nil {
+		n.proc.kill()
+		return nil, err
+	}
+	n.proc.start()
+	n.startOrders(s)
+	event.ProcessStarted.Log(env.Logger, zap.String("operators", n.address))
+	return n, nil
+}
+
+// startOrders runs the orders until stopOrders or the end of the process.
+func (n *Controller) startOrders(s settings.Controller) {
+	ctx, cancel := context.WithCancel(n.proc.ctx)
+	done := make(chan struct{})
+	n.stopOrders = func() {
+		cancel()
+		<-done
+	}
+	n.proc.spawn(func() {
+		defer close(done)
+		_ = n.orders(s).Run(ctx)
+	})
+}
+
+// orders returns the part that holds leases and keeps engines as placed.
+func (n *Controller) orders(s settings.Controller) *orders.Controller {
+	p := n.proc
+	return orders.New(orders.Options{
+		Self: tables.Host{ID: s.Host, Domain: s.FailureDomain},
+		Log:  p.Log, Clock: p.Clock, Logger: p.Logger, Config: p.document, Live: p.members.Live,
+		Engine:  func(_ tables.TargetID, address string) target.Engine { return n.clients.Engine(address) },
+		Weights: p.Weights,
+	})
+}
+
+func (n *Controller) listen(s settings.Controller) error {
+	l, err := net.Listen("tcp", s.PeerAddress)
+	if err != nil {
+		return err
+	}
+	n.proc.servePeers(l)
+	q := n.proc.newQuarantine()
+	n.proc.spawn(func() { _ = q.Run(n.proc.ctx) })
+	handler := &operators.Handler{
+		Host: s.Host, Configuration: n.proc.follower, Clock: n.proc.Clock,
+		Members: n.proc.members, Peers: n.proc.pool, Quarantine: q,
+	}
+	server, err := operators.NewServer(handler, operators.NewKeys(n.proc.follower, s.BootstrapOperator), n.proc.Tracer)
+	if err != nil {
+		return err
+	}
+	if n.address, n.server, err = n.proc.serveHTTP(s.OperatorAddress, server); err != nil {
+		return err
+	}
+	return n.proc.serveMetrics()
+}
+
+// Address returns host:port of the operators' API.
+func (n *Controller) Address() string { return n.address }
+
+// Version returns the configuration version in force.
+func (n *Controller) Version() uint64 { return uint64(n.proc.follower.Current().Version) }
+
+// Stop ends the controller gracefully, at most until ctx ends.
+func (n *Controller) Stop(ctx context.Context) {
+	n.proc.leave()
+	n.stopOrders()
+	if err := n.server.Shutdown(ctx); err != nil {
+		event.StopBoundPassed.Log(n.proc.Logger)
+	}
+	n.Kill()
+	event.ProcessStopped.Log(n.proc.Logger)
+}
+
+// Kill ends the controller at once.
+func (n *Controller) Kill() {
+	n.proc.kill()
+	n.clients.close()
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/standin/endpoint"
+	"github.com/bluebellseam/bluebellseam/internal/systems/prefix"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
@@ -61,6 +62,9 @@
 	return e
 }
 
+// Options returns the options with their defaults.
+func (e *Engine) Options() Options { return e.opts }
+
 // reset forgets everything that a process keeps in memory.
 func (e *Engine) reset() {
 	e.active = nil
@@ -241,7 +245,7 @@
 	}
 	d.prefilled = true
 	g := d.generation
-	hit := e.cache.use(e.opts.Clock.Now(), target.PrefixChain(g.Model, g.Adapter, g.Prompt))
+	hit := e.cache.use(e.opts.Clock.Now(), prefix.Chain(g.Model+"/"+g.Adapter, []byte(g.Prompt)))
 	d.cachedTokens = hit.cachedTokens
 	computed := d.promptTokens - d.cachedTokens
 	e.records.prefilled(d, computed, hit.recomputedTokens)
