--- a/internal/systems/schedule/overload.go
+++ b/internal/systems/schedule/overload.go
@@ -22,20 +22,11 @@
 
 // estimate sets the expected work and latest start of e.
 func (e *entry) estimate(now time.Time) {
-	var work, first time.Duration
-	n := 0
-	for _, sl := range e.group.slots {
-		if sl.t == nil {
-			continue
-		}
-		batch := window(sl.t)
-		work += finishTime(sl.t, e.r, 0, batch)
-		first += firstTokenTime(sl.t, e.r, batch)
-		n++
-	}
-	if n > 0 {
-		work /= time.Duration(n)
-		first /= time.Duration(n)
+	r := e.r
+	first := time.Duration(float64(r.PromptTokens)*e.group.prefill + e.group.gap)
+	work := first + time.Duration(float64(r.PredictedTokens)*e.group.gap)
+	if r.Plain {
+		first, work = plainServiceTime, plainServiceTime
 	}
 	e.work = work
 	e.startBy = latestStart(now, e.r, work, first)
@@ -148,6 +139,9 @@
 
 // floored reports whether a target of e has just refused a higher tier.
 func (p *pass) floored(e *entry) bool {
+	if p.now.Sub(p.index.lastRefused) >= floorHold {
+		return false
+	}
 	for _, sl := range e.group.slots {
 		if sl.floored(p.now, e.r.Tier) {
 			return true
@@ -203,12 +197,8 @@
 // squeeze starts e at a place that was held back, if there is one.
 func (p *pass) squeeze(e *entry) bool {
 	g := e.group
-	g.free = g.free[:0]
-	for _, sl := range g.slots {
-		if sl.t != nil && sl.t.Fits(e.r) && sl.lastRoom(p, e.r.Tier) {
-			g.free = append(g.free, sl)
-		}
-	}
+	g.listed = nil
+	g.list(p, func(sl *slot, n int) bool { return sl.lastRoom(p, n, e.r.Tier) })
 	if best, _ := p.best(g, e.r); best == nil {
 		return false
 	}
@@ -268,6 +258,7 @@
 
 // refuse sheds e, below which no tier is left.
 func (p *pass) refuse(e *entry) {
+	p.index.lastRefused = p.now
 	for _, sl := range e.group.slots {
 		sl.refuse(p.now, e.r.Tier)
 	}
--- a/internal/systems/schedule/schedule.go
+++ b/internal/systems/schedule/schedule.go
@@ -132,7 +132,7 @@
 // prompt that it holds in tokens.
 func (p *pass) best(g *group, r *tables.Request) (best *slot, cached int) {
 	var bestCost time.Duration
-	for _, sl := range g.free {
+	for _, sl := range g.usable {
 		if r.Alone && len(sl.running) > 0 {
 			continue
 		}
@@ -149,7 +149,7 @@
 // is urgent and none is, the slot with the least work is emptied.
 func (p *pass) isolate(g *group, e *entry) bool {
 	var least *slot
-	for _, sl := range g.free {
+	for _, sl := range g.usable {
 		if len(sl.running) == 0 {
 			return true
 		}
@@ -180,6 +180,9 @@
 		best.t.ProbeAt = p.now.Add(probeInterval)
 	}
 	best.add(r)
+	for _, o := range best.groups {
+		o.took(p, best)
+	}
 	p.state.Prefixes.Stored(best.id, r.Prefix)
 	shared, _ := p.state.Shared.Find(r.Prefix)
 	p.state.Prefixes.StoredShared(best.id, shared)
--- /dev/null
+++ b/internal/systems/schedule/slot.go
@@ -0,0 +1,136 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+// slot is a target with its running requests.
+type slot struct {
+	id      tables.TargetID
+	t       *tables.Target
+	running []*tables.Request
+	// groups are those that may start requests here.
+	groups []*group
+	// seen is the stamp of the last pass over free slots.
+	seen uint64
+	// alone counts the running requests that bear no other, and isolated is a
+	// queued one that the slot is emptied for.
+	alone    int
+	isolated *entry
+	// byTier counts the running requests by tier.
+	byTier []int
+	// preempted is, by tier, when a running request was last cancelled here.
+	preempted []time.Time
+	// refused is, by tier, when a request was last refused here.
+	refused []time.Time
+}
+
+func (sl *slot) add(r *tables.Request) {
+	sl.running = append(sl.running, r)
+	for len(sl.byTier) <= r.Tier {
+		sl.byTier = append(sl.byTier, 0)
+	}
+	sl.byTier[r.Tier]++
+	if r.Alone {
+		sl.alone++
+	}
+	sl.count()
+}
+
+func (sl *slot) drop(r *tables.Request) {
+	for i, o := range sl.running {
+		if o == r {
+			last := len(sl.running) - 1
+			sl.running[i] = sl.running[last]
+			sl.running[last] = nil
+			sl.running = sl.running[:last]
+			sl.byTier[r.Tier]--
+			if r.Alone {
+				sl.alone--
+			}
+			sl.count()
+			sl.freed()
+			return
+		}
+	}
+}
+
+// freed tells the groups that a place became free.
+func (sl *slot) freed() {
+	for _, g := range sl.groups {
+		if len(g.free) > 2*len(g.slots) {
+			g.refreshed = time.Time{}
+			continue
+		}
+		g.free = append(g.free, sl)
+	}
+}
+
+func (sl *slot) count() {
+	if sl.t != nil {
+		sl.t.Running = len(sl.running)
+	}
+}
+
+// room reports whether a request of tier may start at the slot, whose limit is
+// n. Places are held
+// back from lower tiers, so that a burst of higher ones cancels less.
+func (sl *slot) room(p *pass, n, tier int) bool {
+	return len(sl.running)+min(tier, n/p.state.Policy.HeldBackPart) < n && sl.admits(p.now, tier) && !sl.cooling(p, tier)
+}
+
+// lastRoom reports whether a request that can wait no longer may start at the
+// slot, if need be at a place held back; the last one is left to the highest
+// tier.
+func (sl *slot) lastRoom(p *pass, n, tier int) bool {
+	return len(sl.running)+min(tier, n/p.state.Policy.HeldBackPart, 1) < n && sl.admits(p.now, tier)
+}
+
+func (sl *slot) admits(now time.Time, tier int) bool {
+	return !sl.floored(now, tier) && !sl.reserved(tier)
+}
+
+// reserved reports whether the slot is kept for a request that runs alone.
+func (sl *slot) reserved(tier int) bool {
+	if sl.isolated != nil && sl.isolated.pos < 0 {
+		sl.isolated = nil
+	}
+	return sl.alone > 0 || sl.isolated != nil && tier >= sl.isolated.r.Tier && len(sl.running) > 0
+}
+
+// refuse notes that a request of tier was refused here.
+func (sl *slot) refuse(now time.Time, tier int) {
+	sl.refused = stamp(sl.refused, tier, now)
+}
+
+// stamp sets the time of a tier in a list that grows as needed.
+func stamp(times []time.Time, tier int, now time.Time) []time.Time {
+	for len(times) <= tier {
+		times = append(times, time.Time{})
+	}
+	times[tier] = now
+	return times
+}
+
+// cooling reports whether a request of tier or above was cancelled here lately,
+// so that another one of tier would likely share its fate.
+func (sl *slot) cooling(p *pass, tier int) bool {
+	for i := 0; i <= tier && i < len(sl.preempted); i++ {
+		if p.now.Sub(sl.preempted[i]) < p.state.Policy.PreemptCooldown {
+			return true
+		}
+	}
+	return false
+}
+
+// floored reports whether a tier above tier was refused here a moment ago.
+func (sl *slot) floored(now time.Time, tier int) bool {
+	for i := 0; i < tier && i < len(sl.refused); i++ {
+		if now.Sub(sl.refused[i]) < floorHold {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/systems/schedule/speed.go
+++ b/internal/systems/schedule/speed.go
@@ -57,11 +57,3 @@
 	d := t.Speed.Prefill(r.PromptTokens-cached) + time.Duration(r.PredictedTokens)*t.Speed.Gap(batch)
 	return time.Duration(float64(d) * slowdown(t))
 }
-
-// firstTokenTime returns the expected time to the first token of r at t.
-func firstTokenTime(t *tables.Target, r *tables.Request, batch int) time.Duration {
-	if r.Plain {
-		return plainServiceTime
-	}
-	return time.Duration(float64(t.Speed.Prefill(r.PromptTokens)+t.Speed.Gap(batch)) * slowdown(t))
-}
--- a/internal/systems/schedule/summary.go
+++ b/internal/systems/schedule/summary.go
@@ -28,10 +28,7 @@
 		Slowdown:      slowdown(t),
 		Held:          s.Prefixes.Shared(t.ID),
 	}
-	for _, g := range x.groups {
-		if !g.has(sl) {
-			continue
-		}
+	for _, g := range sl.groups {
 		sum.QueuedByTier = addQueued(sum.QueuedByTier, g)
 		wait := g.wait(len(g.tiers) - 1)
 		sum.WaitMillis = max(sum.WaitMillis, int(wait.Milliseconds()))
@@ -39,15 +36,6 @@
 	return sum
 }
 
-func (g *group) has(sl *slot) bool {
-	for _, o := range g.slots {
-		if o == sl {
-			return true
-		}
-	}
-	return false
-}
-
 func addQueued(counts []int, g *group) []int {
 	for tier := range g.tiers {
 		if len(counts) <= tier {
