--- a/internal/systems/route/route.go
+++ b/internal/systems/route/route.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -83,6 +84,7 @@
 // have refused. Views hold only targets that fit and are open. An owner is as
 // good as its best target.
 func Pick(_ time.Time, r Request, views []View) []Choice {
+	views = slices.Clone(views)
 	credit(&r, views)
 	ranked := make([]scored, len(views))
 	for i := range views {
--- a/internal/systems/schedule/schedule_test.go
+++ b/internal/systems/schedule/schedule_test.go
@@ -203,6 +203,29 @@
 		Expect(ids(schedule.Tick(now, s), tables.Start)).To(Equal([]string{"suspect"}))
 	})
 
+	It("holds more places back from a tier after a cancel, and fewer after an end", func() {
+		s.Targets.Put(engine("e1", 8))
+		for i := range 8 {
+			s.Requests.Put(request(fmt.Sprintf("a%d", i), 1, time.Hour, "e1"))
+		}
+		Expect(ids(schedule.Tick(start, s), tables.Start)).To(HaveLen(7))
+		s.Requests.Put(request("top0", 0, 2*time.Second, "e1"))
+		s.Requests.Put(request("top1", 0, 2*time.Second, "e1"))
+		cancelled := ids(schedule.Tick(start, s), tables.Cancel)
+		Expect(cancelled).To(HaveLen(1))
+		s.Requests.Delete(tables.RequestID(cancelled[0]))
+		Expect(ids(schedule.Tick(start, s), tables.Start)).To(Equal([]string{"top1"}))
+		s.Requests.Delete("top0")
+		s.Requests.Delete("top1")
+		Expect(schedule.Tick(start.Add(time.Second), s)).To(BeEmpty())
+		done := "a0"
+		if cancelled[0] == done {
+			done = "a1"
+		}
+		s.Requests.Delete(tables.RequestID(done))
+		Expect(ids(schedule.Tick(start.Add(time.Second), s), tables.Start)).To(Equal([]string{"a7"}))
+	})
+
 	It("shares a tier between customers by tokens", func() {
 		s.Targets.Put(engine("e1", 1))
 		for i := range 20 {
--- a/internal/systems/schedule/speed_test.go
+++ b/internal/systems/schedule/speed_test.go
@@ -43,27 +43,49 @@
 	s.Requests.Put(next)
 }
 
+// perDecision returns the mean time of b.N decisions, and how many requests
+// they started.
+func perDecision(b *testing.B, targets, queued int) (each time.Duration, starts int) {
+	b.StopTimer()
+	s, running := loaded(targets, queued)
+	allowed := running[0].Allowed
+	var sum time.Duration
+	for i := range b.N {
+		decide(s, running, i, allowed)
+		now := start.Add(time.Duration(i+1) * time.Millisecond)
+		b.StartTimer()
+		began := time.Now()
+		decisions := schedule.Tick(now, s)
+		sum += time.Since(began)
+		b.StopTimer()
+		for _, d := range decisions {
+			if d.Action == tables.Start {
+				starts++
+				running[i%len(running)] = s.Requests.Get(d.Request)
+			}
+		}
+	}
+	return sum / time.Duration(b.N), starts
+}
+
 func BenchmarkDecision(b *testing.B) {
 	for _, size := range []struct{ targets, queued int }{{100, 10_000}, {500, 10_000}, {1000, 100}, {1000, 1000}, {1000, 10_000}, {2000, 10_000}} {
 		b.Run(fmt.Sprintf("targets=%d/queued=%d", size.targets, size.queued), func(b *testing.B) {
-			s, running := loaded(size.targets, size.queued)
-			allowed := running[0].Allowed
-			started := 0
 			b.ReportAllocs()
-			b.ResetTimer()
-			for n := range b.N {
-				b.StopTimer()
-				decide(s, running, n, allowed)
-				now := start.Add(time.Duration(n+1) * time.Millisecond)
-				b.StartTimer()
-				for _, d := range schedule.Tick(now, s) {
-					if d.Action == tables.Start {
-						started++
-						running[n%len(running)] = s.Requests.Get(d.Request)
-					}
-				}
-			}
-			b.ReportMetric(float64(started)/float64(b.N), "starts/op")
+			each, starts := perDecision(b, size.targets, size.queued)
+			b.ReportMetric(float64(each.Nanoseconds()), "ns/decision")
+			b.ReportMetric(float64(starts)/float64(b.N), "starts/op")
 		})
 	}
 }
+
+// BenchmarkSlopes reports what one more target and one more queued request add
+// to a decision.
+func BenchmarkSlopes(b *testing.B) {
+	few, _ := perDecision(b, 200, 10_000)
+	many, _ := perDecision(b, 2000, 10_000)
+	short, _ := perDecision(b, 500, 1_000)
+	long, _ := perDecision(b, 500, 40_000)
+	b.ReportMetric(float64((many-few).Nanoseconds())/1800, "ns/target")
+	b.ReportMetric(float64((long-short).Nanoseconds())/39_000, "ns/queued")
+}
