Learn from cancels how many places to hold back

Cause: in overload most lower-tier work was cancelled after its prefill. Change: a target holds one more place back from a tier for each cancel there, and a tenth less for each end of its own, at most half of the window.

--- a/internal/systems/schedule/index.go
+++ b/internal/systems/schedule/index.go
@@ -44,7 +44,8 @@
 		x.targets = v
 		x.resolve(s)
 	}
-	s.Requests.Changes(func(r *tables.Request) { x.add(now, s, r) }, x.remove)
+	s.Requests.Changes(func(r *tables.Request) { x.add(now, s, r) },
+		func(r *tables.Request) { x.remove(s.Policy, r) })
 	for _, g := range x.groups {
 		if g.queued(len(g.tiers)-1) > 0 {
 			g.refresh(now)
@@ -90,12 +91,12 @@
 	}
 }
 
-func (x *index) remove(r *tables.Request) {
+func (x *index) remove(p Policy, r *tables.Request) {
 	if e := x.entries[r]; e != nil {
 		x.dequeue(e)
 	}
 	if sl := x.slots[r.Target]; sl != nil {
-		sl.drop(r)
+		sl.drop(p, r)
 	}
 }
 
--- a/internal/systems/schedule/overload.go
+++ b/internal/systems/schedule/overload.go
@@ -239,8 +239,6 @@
 		return
 	}
 	victim.Cancelling = true
-	sl := p.index.slots[victim.Target]
-	sl.preempted = stamp(sl.preempted, victim.Tier, p.now)
 	p.out = append(p.out, tables.Decision{Action: tables.Cancel, Request: victim.ID, Target: victim.Target, Kind: errkind.Preempted})
 }
 
--- a/internal/systems/schedule/policy.go
+++ b/internal/systems/schedule/policy.go
@@ -1,21 +1,24 @@
 package schedule
 
-import "time"
-
 // Policy holds the choices of the scheduling policy that a measurement can
 // compare. The zero value is not a policy.
 type Policy struct {
 	// HeldBackPart is the part of a window that is held back from lower tiers
 	// at most: one place from the second tier, two from the third.
 	HeldBackPart int
-	// PreemptCooldown is how long after a cancel no more of that tier starts
-	// at the target.
-	PreemptCooldown time.Duration
+	// HoldPerCancel is how many more places are held back from a tier at a
+	// target, each time that a request of it is cancelled there, and
+	// ReleasePerEnd how many fewer, each time that one ends of itself.
+	HoldPerCancel float64
+	ReleasePerEnd float64
 }
 
+// maxHeld bounds the places that are held back from a tier after cancels.
+const maxHeld = 8
+
 // CurrentPolicy returns the policy in force.
 func CurrentPolicy() Policy {
-	return Policy{HeldBackPart: 4, PreemptCooldown: 2 * time.Second}
+	return Policy{HeldBackPart: 4, HoldPerCancel: 1, ReleasePerEnd: 0.1}
 }
 
 // PreviousPolicy returns the policy before the latest change, for comparison.
--- a/internal/systems/schedule/slot.go
+++ b/internal/systems/schedule/slot.go
@@ -21,8 +21,9 @@
 	isolated *entry
 	// byTier counts the running requests by tier.
 	byTier []int
-	// preempted is, by tier, when a running request was last cancelled here.
-	preempted []time.Time
+	// held is, by tier, how many places are held back from it and those below
+	// since its requests were cancelled here.
+	held []float64
 	// refused is, by tier, when a request was last refused here.
 	refused []time.Time
 }
@@ -39,7 +40,7 @@
 	sl.count()
 }
 
-func (sl *slot) drop(r *tables.Request) {
+func (sl *slot) drop(p Policy, r *tables.Request) {
 	for i, o := range sl.running {
 		if o == r {
 			last := len(sl.running) - 1
@@ -50,6 +51,7 @@
 			if r.Alone {
 				sl.alone--
 			}
+			sl.learn(p, r)
 			sl.count()
 			sl.freed()
 			return
@@ -78,7 +80,8 @@
 // n. Places are held
 // back from lower tiers, so that a burst of higher ones cancels less.
 func (sl *slot) room(p *pass, n, tier int) bool {
-	return len(sl.running)+min(tier, n/p.state.Policy.HeldBackPart) < n && sl.admits(p.now, tier) && !sl.cooling(p, tier)
+	held := min(tier, n/p.state.Policy.HeldBackPart) + sl.heldFrom(tier, n)
+	return len(sl.running)+held < n && sl.admits(p.now, tier)
 }
 
 // lastRoom reports whether a request that can wait no longer may start at the
@@ -114,17 +117,6 @@
 	return times
 }
 
-// cooling reports whether a request of tier or above was cancelled here lately,
-// so that another one of tier would likely share its fate.
-func (sl *slot) cooling(p *pass, tier int) bool {
-	for i := 0; i <= tier && i < len(sl.preempted); i++ {
-		if p.now.Sub(sl.preempted[i]) < p.state.Policy.PreemptCooldown {
-			return true
-		}
-	}
-	return false
-}
-
 // floored reports whether a tier above tier was refused here a moment ago.
 func (sl *slot) floored(now time.Time, tier int) bool {
 	for i := 0; i < tier && i < len(sl.refused); i++ {
@@ -134,3 +126,26 @@
 	}
 	return false
 }
+
+// heldFrom counts the places held back from tier for earlier cancels, at most
+// half of the window n.
+func (sl *slot) heldFrom(tier, n int) int {
+	sum := 0.0
+	for i := 0; i <= tier && i < len(sl.held); i++ {
+		sum += sl.held[i]
+	}
+	return min(int(sum), n/2)
+}
+
+// learn holds more places back from a tier after a cancel, and fewer after an
+// end of its own.
+func (sl *slot) learn(p Policy, r *tables.Request) {
+	for len(sl.held) <= r.Tier {
+		sl.held = append(sl.held, 0)
+	}
+	change := -p.ReleasePerEnd
+	if r.Cancelling {
+		change = p.HoldPerCancel
+	}
+	sl.held[r.Tier] = min(max(sl.held[r.Tier]+change, 0), maxHeld)
+}
