Cancel a running lower tier before a full queue displaces

Change: the bound cancels the lower running work first, and what it displaces keeps lower tiers off like any refusal.

--- a/internal/systems/schedule/overload.go
+++ b/internal/systems/schedule/overload.go
@@ -256,10 +256,6 @@
 
 // refuse sheds e, below which no tier is left.
 func (p *pass) refuse(e *entry) {
-	p.index.lastRefused = p.now
-	for _, sl := range e.group.slots {
-		sl.refuse(p.now, e.r.Tier)
-	}
 	kind := errkind.Overloaded
 	switch {
 	case e.group.capacity == 0:
@@ -267,6 +263,15 @@
 	case e.group.wait(e.r.Tier) == 0:
 		kind = errkind.DeadlineUnmeetable
 	}
+	p.refuseAs(e, kind)
+}
+
+// refuseAs sheds e and keeps lower tiers off its targets for a moment.
+func (p *pass) refuseAs(e *entry, kind errkind.Kind) {
+	p.index.lastRefused = p.now
+	for _, sl := range e.group.slots {
+		sl.refuse(p.now, e.r.Tier)
+	}
 	p.shed(e, kind)
 }
 
@@ -276,14 +281,22 @@
 	p.out = append(p.out, tables.Decision{Action: tables.Shed, Request: e.r.ID, Kind: kind, RetryAfter: wait})
 }
 
-// bound displaces the lowest tier while the queue is too long.
+// bound displaces the lowest tier while the queue is too long. While a tier
+// below it still runs, that is cancelled instead.
 func (p *pass) bound() {
 	per := p.state.MaxQueuedPerTarget
 	if per <= 0 {
 		per = DefaultMaxQueuedPerTarget
 	}
 	for len(p.index.entries) > per*max(len(p.index.slots), 1) {
-		p.shed(p.lowest(), errkind.Displaced)
+		e := p.lowest()
+		if e.group.lowerRunning(e.r.Tier) {
+			if e.group.cancelling() < e.group.queuedAhead(e.r.Tier) {
+				p.preempt(e)
+			}
+			return
+		}
+		p.refuseAs(e, errkind.Displaced)
 	}
 }
 
--- a/internal/systems/schedule/schedule_test.go
+++ b/internal/systems/schedule/schedule_test.go
@@ -226,6 +226,21 @@
 		Expect(ids(schedule.Tick(start.Add(time.Second), s), tables.Start)).To(Equal([]string{"a7"}))
 	})
 
+	It("cancels a running lower tier rather than displace from a full queue", func() {
+		s.MaxQueuedPerTarget = 2
+		s.Targets.Put(engine("e1", 4))
+		s.Requests.Put(request("low", 2, time.Hour, "e1"))
+		schedule.Tick(start, s)
+		for i := range 8 {
+			s.Requests.Put(request(fmt.Sprintf("r%d", i), 1, time.Hour, "e1"))
+		}
+		ds := schedule.Tick(start, s)
+		Expect(ids(ds, tables.Cancel)).To(Equal([]string{"low"}))
+		Expect(ids(ds, tables.Shed)).To(BeEmpty())
+		s.Requests.Delete("low")
+		Expect(ids(schedule.Tick(start, s), tables.Shed)).NotTo(BeEmpty())
+	})
+
 	It("shares a tier between customers by tokens", func() {
 		s.Targets.Put(engine("e1", 1))
 		for i := range 20 {
