Take a refused request back when its gate submits it again

Cause: scenario joined-refusal hung: a dispatcher that had refused a request took its second submission for one it already had, and nobody was ever told its end; scenario displaced: a reader that joined a request which was then refused was told 'whole' with nothing in it, because the zero refusal counted as the answer. Change: a kept refusal without a byte sent gives way to the new submission; a known request is listened to; the zero value is no refusal; a joined reader gets the refusal.

--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -29,8 +29,9 @@
 	refuse := func(kind errkind.Kind, detail string) peer.SubmitResult {
 		return peer.SubmitResult{Kind: kind, Detail: detail, Pool: d.summary()}
 	}
-	if d.known(msg.ID) != nil {
-		return peer.SubmitResult{}
+	if j := d.known(msg.ID); j != nil && !j.refusedUnsent() {
+		d.listen(j, conn, 0)
+		return peer.SubmitResult{Pool: d.summary()}
 	}
 	if d.tombstones.Contains(msg.ID) {
 		return refuse(errkind.CancelledBeforeRun, "the request was cancelled before it arrived")
@@ -53,6 +54,12 @@
 	return peer.SubmitResult{Pool: d.summary()}
 }
 
+// refusedUnsent reports whether j ended without a byte to a target, so that its
+// gate may submit it again.
+func (j *job) refusedUnsent() bool {
+	return j.outcome != nil && !j.outcome.Sent && j.outcome.Kind.Answer().Ran == errkind.RanNo
+}
+
 func (d *Dispatcher) newRow(msg peer.Submit) *tables.Request {
 	now := d.Clock.Now()
 	_, alone := d.Quarantine.Check(msg.Fingerprint)
--- a/internal/gate/begin.go
+++ b/internal/gate/begin.go
@@ -215,18 +215,22 @@
 	return nil
 }
 
-func (g *Gate) driveAttached(f *flight, conn *peer.Conn) {
+func (g *Gate) driveJoined(f *flight, conn *peer.Conn) {
 	defer g.unregister(f)
-	var refusal peer.Finished
-	if g.follow(f, conn, &refusal) != ended {
-		f.finish(peer.Finished{Kind: errkind.OutcomeUnknown, Detail: "the answer of the request broke off", Sent: true})
+	if !g.attachAndFollow(f, conn, "") {
+		f.finish(peer.Finished{Kind: errkind.OutcomeUnknown, Detail: "the dispatcher of the request was lost", Sent: true})
 	}
 }
 
-func (g *Gate) driveJoined(f *flight, conn *peer.Conn) {
+func (g *Gate) driveAttached(f *flight, conn *peer.Conn) {
 	defer g.unregister(f)
-	if !g.attachAndFollow(f, conn, "") {
-		f.finish(peer.Finished{Kind: errkind.OutcomeUnknown, Detail: "the dispatcher of the request was lost", Sent: true})
+	var refusal peer.Finished
+	switch g.follow(f, conn, &refusal) {
+	case ended:
+	case notSent:
+		f.finish(refusal)
+	case lost:
+		f.finish(peer.Finished{Kind: errkind.OutcomeUnknown, Detail: "the answer of the request broke off", Sent: true})
 	}
 }
 
--- a/internal/gate/drive.go
+++ b/internal/gate/drive.go
@@ -124,9 +124,10 @@
 }
 
 // worse keeps the refusal that says most: the first one that is not about the
-// state of a host.
+// state of a host. The zero value is no refusal.
 func worse(old, next peer.Finished) peer.Finished {
-	if old.Kind == errkind.NoTarget || old.Kind == errkind.ShuttingDown || old.Kind == errkind.NotAdmitted {
+	switch old.Kind {
+	case errkind.None, errkind.NoTarget, errkind.ShuttingDown, errkind.NotAdmitted:
 		return next
 	}
 	return old
