Prove the lease fold and the placement plan by properties

Cause: a reader that starts at a truncated lease stream took a void renewal for a lease; rapid found it (records 9 and 50 of a drawn stream). Change: records carry the log's time of the record they follow, a truncated reader takes only renewals that prove a later record than it knows, and acts only once its first record is six minutes old; placement is tested for coverage, slots, dwell and hysteresis.

--- a/internal/orders/keeper.go
+++ b/internal/orders/keeper.go
@@ -91,7 +91,7 @@
 	if k.table == nil {
 		return false
 	}
-	_, free := k.table.Free(k.opts.Clock.Now(), name)
+	free := k.table.Free(k.opts.Clock.Now(), name)
 	_, held := k.holds[name]
 	return free || held
 }
@@ -176,7 +176,7 @@
 	now := k.opts.Clock.Now()
 	k.settled = now
 	if first > 0 && len(page.Records) > 0 {
-		k.settled = page.Records[0].Time.Add(lease.VoidAfter)
+		k.settled = page.Records[0].Time.Add(lease.SettleAfter)
 	}
 	k.mu.Unlock()
 	return k.fold(page)
@@ -329,7 +329,7 @@
 		k.renewed[w.name] = now
 		return k.begin(now, lease.Renew, w.name, h.Fence), true
 	}
-	_, free := k.table.Free(now, w.name)
+	free := k.table.Free(now, w.name)
 	if !free || !k.caughtUp {
 		delete(k.freeSince, w.name)
 		return pending{}, false
@@ -351,7 +351,7 @@
 
 // begin notes a record that is about to be appended; k.mu is held.
 func (k *keeper) begin(now time.Time, kind lease.Kind, name string, fence platform.Offset) pending {
-	after, _ := k.table.Free(now, name)
+	after, afterTime := k.table.After(name)
 	p := pending{began: now, record: lease.Record{
 		Kind:        kind,
 		Name:        name,
@@ -359,6 +359,7 @@
 		Holder:      k.opts.Self.ID,
 		Incarnation: k.opts.Self.Incarnation,
 		After:       after,
+		AfterTime:   afterTime,
 		Fence:       fence,
 	}}
 	k.pending[name] = p
--- a/internal/orders/reconcile.go
+++ b/internal/orders/reconcile.go
@@ -51,7 +51,8 @@
 	if planned := j.wanted.Role != ""; !planned || state.Order.Fence > int64(j.fence) {
 		return retryInterval
 	}
-	if Same(state.Order, j.wanted) && c.ordered(j) {
+	overwritten := state.Order.Fence > 0 && state.Order.Fence < int64(j.fence)
+	if Same(state.Order, j.wanted) && c.ordered(j) && !overwritten {
 		c.freeWeight(j)
 		return checkInterval
 	}
--- a/internal/systems/lease/lease.go
+++ b/internal/systems/lease/lease.go
@@ -25,9 +25,11 @@
 	// SettleTime is how long a new holder waits for orders of the last one.
 	SettleTime = 2 * OrderTimeout
 	// VoidAfter is the age, in the log's own time, at which a lease is void. It
-	// is far below the retention of the log, so that a reader who starts at
-	// the oldest record comes to the same leases as the others.
-	VoidAfter = 10 * time.Minute
+	// is far below the retention of the log and far above TTL.
+	VoidAfter = 2 * time.Minute
+	// SettleAfter is how old the first record of a reader that started at a
+	// truncated stream must be before its table may be acted on.
+	SettleAfter = 3 * VoidAfter
 )
 
 // None is the offset of no record.
@@ -54,6 +56,8 @@
 	// After is the latest record of the lease that the writer has read, or
 	// None. The record counts only when that is still so.
 	After platform.Offset `json:"after"`
+	// AfterTime is the log's time of that record.
+	AfterTime time.Time `json:"after_time,omitzero"`
 	// Fence is the fencing number of a lease that is renewed or released.
 	Fence platform.Offset `json:"fence"`
 }
@@ -81,8 +85,8 @@
 	Seen time.Time
 	// logTime is the log's time of the latest record.
 	logTime time.Time
-	// verified is false while the lease's earlier records are unknown.
-	verified bool
+	// base is After of the latest record.
+	base platform.Offset
 }
 
 // Step is what one record did.
@@ -98,9 +102,12 @@
 
 // Table holds the leases in force. One goroutine owns it.
 type Table struct {
-	start  platform.Offset
-	next   platform.Offset
-	leases map[string]Lease
+	start platform.Offset
+	next  platform.Offset
+	// settles is the log's time from which every lease was read from its
+	// beginning; zero before the first record.
+	settles time.Time
+	leases  map[string]Lease
 }
 
 // NewTable returns the table of a reader that starts at an offset.
@@ -117,14 +124,20 @@
 	return l, ok
 }
 
-// Free reports whether a host may try to acquire a lease at now, and the
-// value for Record.After.
-func (t *Table) Free(now time.Time, name string) (after platform.Offset, free bool) {
+// Free reports whether a host may try to acquire a lease at now.
+func (t *Table) Free(now time.Time, name string) bool {
+	l, ok := t.leases[name]
+	return !ok || l.Released || now.Sub(l.Seen) >= TTL
+}
+
+// After returns the values of Record.After and Record.AfterTime for the next
+// record of a lease.
+func (t *Table) After(name string) (platform.Offset, time.Time) {
 	l, ok := t.leases[name]
 	if !ok {
-		return None, true
+		return None, time.Time{}
 	}
-	return l.Last, l.Released || now.Sub(l.Seen) >= TTL
+	return l.Last, l.logTime
 }
 
 // Fold applies the record at Next, read at now.
@@ -137,19 +150,29 @@
 	if r.Name == "" || r.ID == "" {
 		return Step{Record: r, Err: fmt.Errorf("lease record %d lacks a name or an ID", rec.Offset)}
 	}
+	if t.settles.IsZero() {
+		t.settles = rec.Time.Add(SettleAfter)
+	}
 	step := Step{Record: r}
 	current, held := t.leases[r.Name]
-	if held && rec.Time.Sub(current.logTime) >= VoidAfter {
-		held = false
+	held = held && rec.Time.Sub(current.logTime) < VoidAfter
+	if !held {
+		current = Lease{Last: None, base: None}
 	}
-	next, ok := t.apply(current, held, r, rec.Offset)
-	if !ok {
+	if !t.counts(current, held, r, rec.Time) {
 		return step
 	}
-	next.Last = rec.Offset
-	next.Seen = now
-	next.logTime = rec.Time
-	t.leases[r.Name] = next
+	t.leases[r.Name] = Lease{
+		Name:        r.Name,
+		Fence:       fenceOf(r, rec.Offset),
+		Last:        rec.Offset,
+		Holder:      r.Holder,
+		Incarnation: r.Incarnation,
+		Released:    r.Kind == Release,
+		Seen:        now,
+		logTime:     rec.Time,
+		base:        r.After,
+	}
 	step.Accepted = true
 	if held {
 		step.Before = &current
@@ -157,24 +180,36 @@
 	return step
 }
 
-// apply returns the lease after r, and whether r counts.
-func (t *Table) apply(current Lease, held bool, r Record, at platform.Offset) (Lease, bool) {
+func fenceOf(r Record, at platform.Offset) platform.Offset {
+	if r.Kind == Acquire {
+		return at
+	}
+	return r.Fence
+}
+
+// counts reports whether r changes the lease.
+func (t *Table) counts(current Lease, held bool, r Record, at time.Time) bool {
 	follows := held && r.After == current.Last
-	unknown := r.After >= 0 && r.After < t.start && (!held || !current.verified)
-	next := Lease{Name: r.Name, Holder: r.Holder, Incarnation: r.Incarnation, verified: !unknown}
 	switch r.Kind {
 	case Acquire:
-		next.Fence = at
-		return next, follows || unknown || !held
+		return !held || follows || t.reveals(current, r, at)
 	case Renew, Release:
-		next.Fence = r.Fence
-		next.Released = r.Kind == Release
-		next.verified = follows && current.verified
 		mine := follows && current.Fence == r.Fence && !current.Released
-		return next, mine || unknown
+		return mine || t.reveals(current, r, at)
 	default:
-		return Lease{}, false
+		return false
+	}
+}
+
+// reveals reports whether r proves records that this reader, which started at
+// a truncated stream, has not seen or took for refused: its writer had read the
+// record After as the latest, and that is later than what the reader knows.
+func (t *Table) reveals(current Lease, r Record, at time.Time) bool {
+	if t.start == 0 || !at.Before(t.settles) {
+		return false
 	}
+	void := at.Sub(r.AfterTime) >= VoidAfter
+	return r.After > current.base && r.After != current.Last && !void
 }
 
 // Hold is a lease that this process has acquired.
--- /dev/null
+++ b/internal/systems/lease/lease_test.go
@@ -0,0 +1,179 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/systems/lease"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+func TestLease(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "lease")
+}
+
+var start = time.Unix(10000, 0)
+
+// stream is a lease stream whose records are a second apart.
+type stream []platform.Record
+
+func (s *stream) add(at time.Time, r lease.Record) platform.Record {
+	if r.ID == "" {
+		r.ID = fmt.Sprint("r", len(*s))
+	}
+	data, err := r.Encode()
+	Expect(err).NotTo(HaveOccurred())
+	rec := platform.Record{Offset: platform.Offset(len(*s)), Time: at, Data: data}
+	*s = append(*s, rec)
+	return rec
+}
+
+func record(kind lease.Kind, holder tables.HostID, after, fence platform.Offset) lease.Record {
+	return lease.Record{Kind: kind, Name: "l", Holder: holder, After: after, Fence: fence, AfterTime: start}
+}
+
+// inForce describes the lease of a table, unless it is void at now.
+func inForce(t *lease.Table, now time.Time) string {
+	l, known := t.Get("l")
+	if !known || now.Sub(l.Seen) >= lease.VoidAfter {
+		return "none"
+	}
+	return fmt.Sprint(l.Fence, l.Last, l.Holder, l.Released)
+}
+
+var _ = Describe("Table", func() {
+	It("gives a lease to the first of two racing hosts", func() {
+		var s stream
+		t := lease.NewTable(0)
+		Expect(t.Fold(start, s.add(start, record(lease.Acquire, "a", lease.None, 0))).Accepted).To(BeTrue())
+		Expect(t.Fold(start, s.add(start, record(lease.Acquire, "b", lease.None, 0))).Accepted).To(BeFalse())
+		l, _ := t.Get("l")
+		Expect(l.Holder).To(BeEquivalentTo("a"))
+		Expect(l.Fence).To(BeZero())
+	})
+	It("refuses an acquisition that has not read the latest renewal", func() {
+		var s stream
+		t := lease.NewTable(0)
+		t.Fold(start, s.add(start, record(lease.Acquire, "a", lease.None, 0)))
+		Expect(t.Fold(start, s.add(start, record(lease.Renew, "a", 0, 0))).Accepted).To(BeTrue())
+		Expect(t.Fold(start, s.add(start, record(lease.Acquire, "b", 0, 0))).Accepted).To(BeFalse())
+		Expect(t.Fold(start, s.add(start, record(lease.Acquire, "b", 1, 0))).Accepted).To(BeTrue())
+		Expect(t.Fold(start, s.add(start, record(lease.Renew, "a", 1, 0))).Accepted).To(BeFalse())
+		Expect(t.Fold(start, s.add(start, record(lease.Renew, "a", 3, 0))).Accepted).To(BeFalse(), "the fence is b's")
+		l, _ := t.Get("l")
+		Expect(l.Fence).To(BeEquivalentTo(3))
+	})
+	It("frees a lease after its time without a record, or at its release", func() {
+		var s stream
+		t := lease.NewTable(0)
+		t.Fold(start, s.add(start, record(lease.Acquire, "a", lease.None, 0)))
+		Expect(t.Free(start.Add(lease.TTL-time.Second), "l")).To(BeFalse())
+		Expect(t.Free(start.Add(lease.TTL), "l")).To(BeTrue())
+		after, _ := t.After("l")
+		Expect(after).To(BeZero())
+		t.Fold(start, s.add(start, record(lease.Release, "a", 0, 0)))
+		Expect(t.Free(start, "l")).To(BeTrue())
+		Expect(t.Fold(start, s.add(start, record(lease.Renew, "a", 1, 0))).Accepted).To(BeFalse())
+	})
+	It("stops the holder before another host may acquire and order", func() {
+		var s stream
+		t := lease.NewTable(0)
+		began := start.Add(-time.Second)
+		rec := s.add(start, record(lease.Acquire, "a", lease.None, 0))
+		h := lease.NewHold(start, began, rec.Offset, t.Fold(start, rec))
+		Expect(h.MayOrder(start)).To(BeFalse(), "orders of an unknown last holder may be under way")
+		Expect(h.Renewed(start).MayOrder(h.From)).To(BeTrue())
+		Expect(h.Held(began.Add(lease.ActFor))).To(BeFalse())
+		Expect(h.MayOrder(h.Until.Add(-lease.OrderTimeout))).To(BeFalse())
+		renewed := h.Renewed(began.Add(5 * time.Second))
+		Expect(renewed.Until).To(Equal(h.Until.Add(5 * time.Second)))
+		Expect(renewed.Renewed(began).Until).To(Equal(renewed.Until), "an old renewal shortens nothing")
+		Expect(lease.ActFor + lease.OrderTimeout).To(BeNumerically("<", lease.TTL))
+	})
+	It("ignores records that it cannot read", func() {
+		t := lease.NewTable(0)
+		for i, data := range []string{`{`, `{}`, `{"name":"l"}`, `{"name":"l","id":"x","kind":"steal"}`} {
+			step := t.Fold(start, platform.Record{Offset: platform.Offset(i), Data: []byte(data)})
+			Expect(step.Accepted).To(BeFalse())
+		}
+		_, known := t.Get("l")
+		Expect(known).To(BeFalse())
+	})
+	It("learns a lease whose first records are gone, and no stale or void one", func() {
+		var s stream
+		for i := range 5 {
+			s.add(start, lease.Record{Name: "other", Kind: lease.Acquire, After: platform.Offset(i)})
+		}
+		t := lease.NewTable(5)
+		Expect(t.Fold(start, s.add(start, record(lease.Renew, "a", 3, 1))).Accepted).To(BeTrue())
+		Expect(t.Fold(start, s.add(start, record(lease.Renew, "b", 2, 0))).Accepted).To(BeFalse())
+		Expect(t.Fold(start, s.add(start, record(lease.Renew, "a", 5, 1))).Accepted).To(BeTrue())
+		l, _ := t.Get("l")
+		Expect([]any{l.Fence, l.Holder}).To(Equal([]any{platform.Offset(1), tables.HostID("a")}))
+		late := lease.NewTable(5)
+		at := start.Add(lease.VoidAfter)
+		Expect(late.Fold(at, s.add(at, record(lease.Renew, "a", 3, 1))).Accepted).To(BeFalse())
+	})
+	It("lets anyone acquire a void lease", func() {
+		var s stream
+		t := lease.NewTable(0)
+		t.Fold(start, s.add(start, record(lease.Acquire, "a", lease.None, 0)))
+		at := start.Add(lease.VoidAfter)
+		Expect(t.Fold(at, s.add(at, record(lease.Renew, "a", 0, 0))).Accepted).To(BeFalse())
+		Expect(t.Fold(at, s.add(at, record(lease.Acquire, "b", lease.None, 0))).Accepted).To(BeTrue())
+	})
+	It("comes to the same lease from any point that is long enough ago", func() {
+		rapid.Check(GinkgoT(), func(rt *rapid.T) {
+			g := NewWithT(rt)
+			var s stream
+			whole := lease.NewTable(0)
+			now := start
+			gaps := rapid.SampledFrom([][]int{{1, 5, 20, 60, 130}, {1, 5, 20, 60}}).Draw(rt, "gaps")
+			var read []lease.Lease
+			for range rapid.IntRange(20, 150).Draw(rt, "records") {
+				now = now.Add(time.Duration(rapid.SampledFrom(gaps).Draw(rt, "gap")) * time.Second)
+				r := drawRecord(rt, read)
+				if step := whole.Fold(now, s.add(now, r)); step.Accepted {
+					l, _ := whole.Get("l")
+					read = append(read, l)
+				}
+			}
+			first := rapid.IntRange(0, len(s)-1).Draw(rt, "first")
+			late := lease.NewTable(platform.Offset(first))
+			for _, rec := range s[first:] {
+				late.Fold(rec.Time, rec)
+			}
+			if now.Sub(s[first].Time) >= lease.SettleAfter {
+				g.Expect(inForce(late, now)).To(Equal(inForce(whole, now)))
+			}
+		})
+	})
+})
+
+// drawRecord returns a record by a host that has read the stream up to its
+// latest lease, or that lags by one.
+func drawRecord(rt *rapid.T, read []lease.Lease) lease.Record {
+	host := rapid.SampledFrom([]tables.HostID{"a", "b"}).Draw(rt, "host")
+	lag := rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(rt, "lag")
+	if len(read) <= lag {
+		return record(lease.Acquire, host, lease.None, 0)
+	}
+	known := read[len(read)-1-lag]
+	kind := rapid.SampledFrom([]lease.Kind{lease.Renew, lease.Renew, lease.Renew, lease.Acquire, lease.Release}).Draw(rt, "kind")
+	if known.Released {
+		kind = lease.Acquire
+	}
+	r := record(kind, known.Holder, known.Last, known.Fence)
+	if kind == lease.Acquire {
+		r.Holder = host
+	}
+	r.AfterTime = known.Seen
+	return r
+}
--- /dev/null
+++ b/internal/systems/placement/placement_test.go
@@ -0,0 +1,111 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/bluebellseam/bluebellseam/internal/systems/placement"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+func TestPlacement(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placement")
+}
+
+var start = time.Unix(0, 0)
+
+func engines(n, slots, models int) []placement.Engine {
+	var out []placement.Engine
+	for i := range n {
+		e := placement.Engine{ID: tables.TargetID(fmt.Sprint("e", i)), Slots: slots}
+		for m := range models {
+			e.Services = append(e.Services, placement.Service{ID: tables.ServiceID(fmt.Sprint("s", m)), Model: fmt.Sprint("m", m), Adapter: fmt.Sprint("a", m)})
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// holders counts the engines of each model.
+func holders(p *placement.Plan, now time.Time, in placement.Input) map[string]int {
+	out := map[string]int{}
+	for _, o := range p.Tick(now, in) {
+		for _, m := range o.Models {
+			out[m]++
+		}
+	}
+	return out
+}
+
+var _ = Describe("Plan", func() {
+	It("holds every model and adapter of its services where slots allow", func() {
+		p := placement.NewPlan()
+		in := placement.Input{Engines: engines(1, 0, 3)}
+		in.Engines[0].Version = "v2"
+		o := p.Tick(start, in)["e0"]
+		Expect(o.Models).To(Equal([]string{"m0", "m1", "m2"}))
+		Expect(o.Adapters).To(Equal([]string{"a0", "a1", "a2"}))
+		Expect(o.Version).To(Equal("v2"))
+		Expect(o.Role).To(Equal(placement.DefaultRole))
+	})
+	It("moves one model after a lasting difference and no second one before the dwell", func() {
+		p := placement.NewPlan()
+		in := placement.Input{Engines: engines(4, 1, 2), Demand: map[tables.ServiceID]float64{"s0": 100, "s1": 100}}
+		Expect(holders(p, start, in)).To(Equal(map[string]int{"m0": 2, "m1": 2}))
+		in.Demand["s0"] = 900
+		now := start.Add(time.Hour)
+		Expect(holders(p, now, in)).To(HaveKeyWithValue("m0", 2))
+		in.Demand["s0"] = 100
+		holders(p, now.Add(placement.Sustain/2), in)
+		in.Demand["s0"] = 900
+		Expect(holders(p, now.Add(placement.Sustain), in)).To(HaveKeyWithValue("m0", 2), "the difference did not last")
+		Expect(holders(p, now.Add(2*placement.Sustain), in)).To(HaveKeyWithValue("m0", 3))
+		Expect(holders(p, now.Add(time.Hour), in)).To(HaveKeyWithValue("m1", 1), "a model keeps its last engine")
+	})
+	It("starts from what engines hold", func() {
+		p := placement.NewPlan()
+		in := placement.Input{Engines: engines(2, 1, 2)}
+		p.Adopt(start, "e0", []string{"m1"})
+		p.Adopt(start, "e1", []string{"m1", "other"})
+		o := p.Tick(start, in)
+		Expect(o["e0"].Models).To(Equal([]string{"m1"}))
+		Expect(o["e1"].Models).To(Equal([]string{"m1"}))
+	})
+	It("never leaves a model without an engine, exceeds slots or moves twice within the dwell", func() {
+		rapid.Check(GinkgoT(), func(rt *rapid.T) {
+			g := NewWithT(rt)
+			models := rapid.IntRange(1, 4).Draw(rt, "models")
+			n := rapid.IntRange(models, 8).Draw(rt, "engines")
+			p := placement.NewPlan()
+			in := placement.Input{Engines: engines(n, 1, models), Demand: map[tables.ServiceID]float64{}}
+			now, last := start, map[tables.TargetID]string{}
+			moved := map[tables.TargetID]time.Time{}
+			for range 60 {
+				now = now.Add(time.Minute)
+				for m := range models {
+					in.Demand[tables.ServiceID(fmt.Sprint("s", m))] = rapid.Float64Range(0, 1000).Draw(rt, "demand")
+				}
+				held := map[string]int{}
+				for id, o := range p.Tick(now, in) {
+					g.Expect(o.Models).To(HaveLen(1))
+					held[o.Models[0]]++
+					if before, ok := last[id]; ok && before != o.Models[0] {
+						g.Expect(now.Sub(moved[id])).To(BeNumerically(">=", placement.Dwell))
+						moved[id] = now
+					}
+					if last[id] == "" {
+						moved[id] = now
+					}
+					last[id] = o.Models[0]
+				}
+				g.Expect(held).To(HaveLen(models))
+			}
+		})
+	})
+})
