Give each process a metrics port; generate the page of errors

Three processes of a host shared the default 127.0.0.1:0, so that monitoring could not find them: dispatcher, gate and controller now have 9101 to 9103. The page of errors is generated from the closed list and compared in a test.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -310,6 +310,14 @@
 	It("exits 2 for a command that does not exist", func() {
 		Expect(func() { start("publsh") }).To(PanicWith(ContainSubstring("code: 2")))
 	})
+	It("explains every kind in the operators' page", func() {
+		var want bytes.Buffer
+		Expect(WriteErrorsPage(&want)).To(Succeed())
+		page, err := os.ReadFile("../../docs/operators/errors.md")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(page)).To(Equal(want.String()))
+		Expect(start("explain", "no_such_kind")).To(Equal(ExitUsage))
+	})
 	It("lists every exit code in its help", func() {
 		for code := ExitOK; code <= ExitUnavailable; code++ {
 			Expect(exitCodesHelp).To(MatchRegexp(`(?m)^  %d  \S`, code))
--- a/internal/ctl/request.go
+++ b/internal/ctl/request.go
@@ -4,13 +4,11 @@
 	"context"
 	"fmt"
 	"io"
-	"sort"
 	"time"
 
 	"github.com/integrii/flaggy"
 
 	api "github.com/bluebellseam/bluebellseam/internal/api/operators"
-	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/settings"
 )
 
@@ -75,51 +73,6 @@
 	})
 }
 
-func (a *app) explainCommand(parser *flaggy.Parser) node {
-	sub := attach(parser, "explain", "explain an error kind, or list all kinds")
-	kind := new(string)
-	sub.AddPositionalValue(kind, "KIND", 1, false, "error kind of a refusal")
-	return node{sub, func(context.Context) error { return a.explain(errkind.Kind(*kind)) }}
-}
-
-// explanation is the answer of one kind for programs.
-type explanation struct {
-	Kind              errkind.Kind `json:"kind"`
-	Status            int          `json:"http_status"`
-	Ran               errkind.Ran  `json:"ran"`
-	RetryAfterSeconds float64      `json:"retry_after_s,omitempty"`
-	Meaning           string       `json:"meaning"`
-}
-
-func (a *app) explain(kind errkind.Kind) error {
-	kinds := []errkind.Kind{kind}
-	if kind == errkind.None {
-		kinds = errkind.Kinds()
-		sort.Slice(kinds, func(i, j int) bool { return kinds[i] < kinds[j] })
-	}
-	var out []explanation
-	for _, k := range kinds {
-		if !k.Valid() {
-			return usage("%q is no error kind; bluebellctl explain lists all", string(k))
-		}
-		answer := k.Answer()
-		out = append(out, explanation{k, answer.Status, answer.Ran, answer.RetryAfter.Seconds(), answer.Explanation})
-	}
-	return a.print(out, func(w io.Writer) {
-		row(w, "KIND", "HTTP", "RAN", "SEND AGAIN", "MEANING")
-		for _, e := range out {
-			row(w, e.Kind, e.Status, e.Ran, sendAgain(e), e.Meaning)
-		}
-	})
-}
-
-func sendAgain(e explanation) string {
-	if e.RetryAfterSeconds == 0 {
-		return "no"
-	}
-	return fmt.Sprintf("after %g s", e.RetryAfterSeconds)
-}
-
 func (a *app) versionCommand(parser *flaggy.Parser) node {
 	sub := attach(parser, "version", "print the version of this program")
 	return node{sub, a.version}
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -43,7 +43,7 @@
 			name:     f.Name,
 			variable: f.Tag.Get("env"),
 			flag:     f.Tag.Get("flag"),
-			standard: f.Tag.Get("envDefault"),
+			standard: defaultOf(f, v.Field(i)),
 			usage:    f.Tag.Get("usage"),
 			secret:   f.Tag.Get("secret") == "true",
 			value:    v.Field(i),
@@ -52,6 +52,15 @@
 	return out
 }
 
+// defaultOf returns the value that the field holds before anything is read, or
+// the default of its tag.
+func defaultOf(f reflect.StructField, value reflect.Value) string {
+	if value.Kind() == reflect.String && value.String() != "" {
+		return value.String()
+	}
+	return f.Tag.Get("envDefault")
+}
+
 // pointer returns the address of the value; named string types come as *string.
 func (f field) pointer() any {
 	if f.value.Kind() == reflect.String {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -9,7 +9,7 @@
 )
 
 // load fills the struct that settings points to: defaults, then environment,
-// then flags.
+// then flags. What the struct holds already is a default.
 func load(program string, settings any, args, environ []string) error {
 	fields := fieldsOf(settings)
 	if err := checkArguments(fields, args); err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,13 @@
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
+// Default metrics listeners; they differ because a host runs all three.
+const (
+	defaultDispatcherMetrics = "127.0.0.1:9101"
+	defaultGateMetrics       = "127.0.0.1:9102"
+	defaultControllerMetrics = "127.0.0.1:9103"
+)
+
 // Common are the settings that every binary has.
 type Common struct {
 	Host           tables.HostID   `env:"BLUEBELL_HOST" flag:"host" usage:"name of this host, as in the host list"`
@@ -22,7 +29,7 @@
 	// flag, because other users of a host can read a command line.
 	PeerKey        string        `env:"BLUEBELL_PEER_KEY" secret:"true" usage:"key shared by the system's own processes, at least 16 characters"`
 	PeerKeyFile    string        `env:"BLUEBELL_PEER_KEY_FILE" flag:"peer-key-file" usage:"file with the peer key, read when BLUEBELL_PEER_KEY is empty"`
-	MetricsAddress string        `env:"BLUEBELL_METRICS_ADDRESS" envDefault:"127.0.0.1:0" flag:"metrics-address" usage:"listener for /metrics, /healthz and /readyz, as IP:port"`
+	MetricsAddress string        `env:"BLUEBELL_METRICS_ADDRESS" flag:"metrics-address" usage:"listener for /metrics, /healthz and /readyz, as IP:port"`
 	TraceFile      string        `env:"BLUEBELL_TRACE_FILE" flag:"trace-file" usage:"file for trace spans; empty is off and - is standard output"`
 	LogLevel       zapcore.Level `env:"BLUEBELL_LOG_LEVEL" envDefault:"info" flag:"log-level" usage:"least severe level that is logged: debug, info, warn or error"`
 	StopBound      time.Duration `env:"BLUEBELL_STOP_BOUND" envDefault:"10m" flag:"stop-bound" usage:"longest time that a graceful shutdown waits for requests in flight"`
@@ -54,7 +61,7 @@
 // LoadGate reads the settings of bluebell-gate. args excludes the program
 // name. Errors are a *HelpError or a *InvalidError.
 func LoadGate(args, environ []string) (Gate, error) {
-	var s Gate
+	s := Gate{Common: Common{MetricsAddress: defaultGateMetrics}}
 	if err := load("bluebell-gate", &s, args, environ); err != nil {
 		return Gate{}, err
 	}
@@ -63,7 +70,7 @@
 
 // LoadDispatcher reads the settings of bluebell-dispatcher, like LoadGate.
 func LoadDispatcher(args, environ []string) (Dispatcher, error) {
-	var s Dispatcher
+	s := Dispatcher{Common: Common{MetricsAddress: defaultDispatcherMetrics}}
 	if err := load("bluebell-dispatcher", &s, args, environ); err != nil {
 		return Dispatcher{}, err
 	}
@@ -72,7 +79,7 @@
 
 // LoadController reads the settings of bluebell-controller, like LoadGate.
 func LoadController(args, environ []string) (Controller, error) {
-	var s Controller
+	s := Controller{Common: Common{MetricsAddress: defaultControllerMetrics}}
 	if err := load("bluebell-controller", &s, args, environ); err != nil {
 		return Controller{}, err
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -52,6 +52,15 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(c.OperatorAddress).To(Equal("[::1]:1"))
 	})
+	It("gives the three processes of a host metrics listeners of their own", func() {
+		g, err := LoadGate(nil, environ())
+		Expect(err).NotTo(HaveOccurred())
+		d, err := LoadDispatcher(nil, environ())
+		Expect(err).NotTo(HaveOccurred())
+		c, err := LoadController(nil, environ("BLUEBELL_METRICS_ADDRESS=10.0.0.1:1"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect([]string{g.MetricsAddress, d.MetricsAddress, c.MetricsAddress}).To(Equal([]string{"127.0.0.1:9102", "127.0.0.1:9101", "10.0.0.1:1"}))
+	})
 	It("reads the peer key from a file", func() {
 		file := filepath.Join(GinkgoT().TempDir(), "key")
 		Expect(os.WriteFile(file, []byte(testKey+"\n"), 0o600)).To(Succeed())
@@ -96,6 +105,7 @@
 		for _, f := range fieldsOf(&Gate{}) {
 			Expect(stdout.String()).To(ContainSubstring(f.variable))
 			Expect(stdout.String()).To(ContainSubstring(f.standard))
+			Expect(stdout.String()).To(ContainSubstring("(default: " + defaultGateMetrics + ")"))
 			if f.flag != "" {
 				Expect(stdout.String()).To(ContainSubstring("--" + f.flag))
 			}
