Check links and variables of the pages; share the writing of generated pages

Two generators and the capacity program wrote files in the same lines, which genfile now holds. Tests find links to pages that do not exist and environment variables that no binary reads.

--- a/cmd/bluebell-capacity/main.go
+++ b/cmd/bluebell-capacity/main.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 
 	"github.com/bluebellseam/bluebellseam/internal/capacity"
+	"github.com/bluebellseam/bluebellseam/internal/genfile"
 )
 
 const directoryMode = 0o755
@@ -54,13 +55,5 @@
 }
 
 func write(directory, name string, fill func(io.Writer) error) error {
-	f, err := os.Create(filepath.Join(directory, name))
-	if err != nil {
-		return err
-	}
-	if err := fill(f); err != nil {
-		_ = f.Close()
-		return err
-	}
-	return f.Close()
+	return genfile.Write(filepath.Join(directory, name), fill)
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"testing"
 	"time"
 
@@ -131,3 +132,29 @@
 		Expect(stderr.String()).To(Equal("listen on 127.0.0.1:1: in use\n"))
 	})
 })
+
+var _ = Describe("The pages", func() {
+	It("name only variables that exist", func() {
+		known := map[string]bool{}
+		for _, s := range []any{Gate{}, Dispatcher{}, Controller{}} {
+			for _, f := range fieldsOf(s) {
+				known[f.variable] = true
+			}
+		}
+		named := regexp.MustCompile(`\bBLUEBELL_[A-Z0-9_]+`)
+		found := 0
+		for _, pattern := range []string{"../../*.md", "../../docs/*.md", "../../docs/*/*.md"} {
+			pages, err := filepath.Glob(pattern)
+			Expect(err).NotTo(HaveOccurred())
+			for _, page := range pages {
+				text, err := os.ReadFile(page)
+				Expect(err).NotTo(HaveOccurred())
+				for _, variable := range named.FindAllString(string(text), -1) {
+					found++
+					Expect(known).To(HaveKey(variable), page)
+				}
+			}
+		}
+		Expect(found).To(BeNumerically(">", 5))
+	})
+})
