--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -6,7 +6,6 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/harness"
-	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
 // Promises that the soak checks beside those of harness.Audit.
@@ -118,60 +117,6 @@
 	}
 }
 
-// shedKinds are refusals that give way to other requests.
-var shedKinds = map[errkind.Kind]bool{errkind.Overloaded: true, errkind.Displaced: true, errkind.Preempted: true}
-
-// checkTiers looks for a shed request of a higher tier while a model request
-// of a lower tier ran all the time from its sending to its refusal.
-func (r *run) checkTiers() {
-	lower := r.modelRuns()
-	for _, c := range r.h.Calls() {
-		result := c.Result()
-		if c.Request.Operation != "" || !shedKinds[result.Kind] {
-			continue
-		}
-		for _, other := range lower {
-			covers := other.started.Before(result.Sent) && other.ended.After(result.Ended)
-			if covers && other.rank > rankOf(c.Request.Tier) {
-				r.violate(PromiseTiers, "%s of tier %s was told %s while %s of a lower tier ran", c.Request.Name, c.Request.Tier, result.Kind, other.name)
-				break
-			}
-		}
-	}
-}
-
-// modelRun is one run of a model request.
-type modelRun struct {
-	name           string
-	rank           int
-	started, ended time.Time
-}
-
-func (r *run) modelRuns() []modelRun {
-	runs := r.h.Runs()
-	seen := make(map[tables.RequestID]bool)
-	var out []modelRun
-	for _, c := range r.h.Calls() {
-		id := c.Result().ID
-		run := runs[id]
-		if c.Request.Operation != "" || run.Runs == 0 || seen[id] {
-			continue
-		}
-		seen[id] = true
-		out = append(out, modelRun{c.Request.Name, rankOf(c.Request.Tier), run.Started, run.Ended})
-	}
-	return out
-}
-
-func rankOf(tier string) int {
-	for rank, t := range tiers {
-		if t.name == tier {
-			return rank
-		}
-	}
-	return len(tiers)
-}
-
 // checkLeaving looks for runs that started at a target long after it was
 // listed as leaving.
 func (r *run) checkLeaving() {
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -14,8 +14,8 @@
 	"github.com/bluebellseam/bluebellseam/internal/harness"
 )
 
-// Report is the outcome of a soak.
-type Report struct {
+// Outcome is what a soak found.
+type Outcome struct {
 	Elapsed time.Duration
 	// Tiers and Kinds count calls.
 	Tiers []TierCount
@@ -36,6 +36,9 @@
 	Sent   int
 	Whole  int
 	NotRun int
+	// Overtaken calls waited for their first byte while a request of a lower
+	// tier started at some target.
+	Overtaken int
 	// FirstByte is the histogram of times to the first byte in microseconds.
 	FirstByte *hdrhistogram.Histogram
 }
@@ -51,11 +54,11 @@
 	PromiseEnds, PromiseLookup, PromiseTiers, PromiseVersions, PromiseLeaving, PromiseStops, PromisePoison,
 }
 
-func (r *run) report() *Report {
+func (r *run) report() *Outcome {
 	r.checkTiers()
 	r.checkLeaving()
 	r.checkPoison()
-	out := &Report{
+	out := &Outcome{
 		Elapsed:    time.Since(r.start),
 		Kinds:      make(map[errkind.Kind]int),
 		Appends:    r.h.Log.Appends(),
@@ -68,10 +71,13 @@
 		out.Runs += run.Runs
 	}
 	out.countCalls(r.h.Calls())
+	for rank, n := range r.countOvertaken() {
+		out.Tiers[rank].Overtaken = n
+	}
 	return out
 }
 
-func (p *Report) countCalls(calls []*harness.Call) {
+func (o *Outcome) countCalls(calls []*harness.Call) {
 	byTier := make(map[string]*TierCount)
 	for _, t := range tiers {
 		byTier[t.name] = &TierCount{Tier: t.name, FirstByte: hdrhistogram.New(1, maxFirstByteMicros, significantFigures)}
@@ -79,12 +85,12 @@
 	for _, c := range calls {
 		result := c.Result()
 		if !result.Whole {
-			p.Kinds[result.Kind]++
+			o.Kinds[result.Kind]++
 		}
 		byTier[c.Request.Tier].count(result)
 	}
 	for _, t := range tiers {
-		p.Tiers = append(p.Tiers, *byTier[t.name])
+		o.Tiers = append(o.Tiers, *byTier[t.name])
 	}
 }
 
@@ -102,37 +108,37 @@
 }
 
 // OK reports whether every promise held.
-func (p *Report) OK() bool { return len(p.Violations) == 0 }
+func (o *Outcome) OK() bool { return len(o.Violations) == 0 }
 
-// Write writes the report as tables.
-func (p *Report) Write(w io.Writer) error {
+// Write writes the outcome as tables.
+func (o *Outcome) Write(w io.Writer) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(table, "tier\tsent\twhole\tnot run\tfirst byte p50\tp99\n")
-	for _, t := range p.Tiers {
-		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%v\t%v\n", t.Tier, t.Sent, t.Whole, t.NotRun, quantile(t.FirstByte, 50), quantile(t.FirstByte, 99))
+	fmt.Fprintf(table, "tier\tsent\twhole\tnot run\tovertaken\tfirst byte p50\tp99\n")
+	for _, t := range o.Tiers {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%v\t%v\n", t.Tier, t.Sent, t.Whole, t.NotRun, t.Overtaken, quantile(t.FirstByte, 50), quantile(t.FirstByte, 99))
 	}
 	fmt.Fprintf(table, "\nend without a whole answer\tcalls\n")
-	for _, k := range slices.Sorted(maps.Keys(p.Kinds)) {
-		fmt.Fprintf(table, "%s\t%d\n", k, p.Kinds[k])
+	for _, k := range slices.Sorted(maps.Keys(o.Kinds)) {
+		fmt.Fprintf(table, "%s\t%d\n", k, o.Kinds[k])
 	}
 	fmt.Fprintf(table, "\npromise\tviolations\n")
 	for _, promise := range promises {
-		fmt.Fprintf(table, "%s\t%d\n", promise, p.count(promise))
+		fmt.Fprintf(table, "%s\t%d\n", promise, o.count(promise))
 	}
 	if err := table.Flush(); err != nil {
 		return err
 	}
-	for _, v := range p.Violations {
+	for _, v := range o.Violations {
 		fmt.Fprintf(w, "VIOLATION %s\n", v)
 	}
 	_, err := fmt.Fprintf(w, "\nelapsed=%v identities=%d dispatches=%d runs=%d appends=%d planned_stops=%d violations=%d\n",
-		p.Elapsed.Round(time.Millisecond), p.Identities, p.Dispatches, p.Runs, p.Appends, p.Stops, len(p.Violations))
+		o.Elapsed.Round(time.Millisecond), o.Identities, o.Dispatches, o.Runs, o.Appends, o.Stops, len(o.Violations))
 	return err
 }
 
-func (p *Report) count(promise string) int {
+func (o *Outcome) count(promise string) int {
 	n := 0
-	for _, v := range p.Violations {
+	for _, v := range o.Violations {
 		if v.Promise == promise {
 			n++
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -76,9 +76,9 @@
 	violations   []harness.Violation
 }
 
-// Run does one soak and returns its report. The error is about the bench
-// itself; broken promises are in the report.
-func Run(ctx context.Context, o Options) (*Report, error) {
+// Run does one soak and returns its outcome. The error is about the bench
+// itself; broken promises are in the outcome.
+func Run(ctx context.Context, o Options) (*Outcome, error) {
 	h, err := harness.New(harness.Options{
 		Logger: o.Logger, ListLag: listLag, BalancerWait: balancerWait, StopBound: stopBound,
 		Log: logstore.Options{AppendsPerSecond: appendsPerSecond},
@@ -129,7 +129,7 @@
 func domainOf(i int) string { return string(rune('a' + i%domains)) }
 
 // execute offers load, carries out the plan and checks the outcome.
-func (r *run) execute(ctx context.Context) (*Report, error) {
+func (r *run) execute(ctx context.Context) (*Outcome, error) {
 	r.start = time.Now()
 	planCtx, cancel := context.WithTimeout(ctx, maxOvertimeFactor*r.opts.Duration)
 	defer cancel()
