Give engines in the harness the window of their batch

Cause: without window_max the dispatcher allows 64 requests at a target (internal/dispatcher/targets.go), although config.DefaultWindowMax is 16, and the window shrinks only by the gap between tokens. An engine that batches 4 then held about 55 requests in its own queue, where tiers do not count. Change: the standard configuration sets window_max to the batch of the engine.

--- a/internal/harness/publish.go
+++ b/internal/harness/publish.go
@@ -78,6 +78,7 @@
 			e.Services = []string{ModelService}
 			e.Generation = generationName(t.Generation)
 			e.ChecksFencing = t.ChecksFencing
+			e.WindowMax = t.Engine.Options().BatchMax
 		}
 		entries[string(t.ID)] = e
 	}
