Warn the peers of a crash before its caller is told

Change: a request that ends by a crash waits until the peers have been told, at most 200 ms; that is one round trip between hosts.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -47,8 +47,9 @@
 
 // Quarantine decides which content may run.
 type Quarantine interface {
-	// Crashed records the content in flight at a target that crashed.
-	Crashed(id tables.TargetID, inFlight []Suspect)
+	// Crashed records the content in flight at a target that crashed. The
+	// channel is closed once the peers that could be reached have been told.
+	Crashed(id tables.TargetID, inFlight []Suspect) <-chan struct{}
 	// Check returns whether f is refused, or may run only alone.
 	Check(f tables.Fingerprint) (refused, alone bool)
 }
@@ -107,9 +108,11 @@
 	jobs       map[tables.RequestID]*job
 	kept       *expirable.LRU[tables.RequestID, *job]
 	tombstones *expirable.LRU[tables.RequestID, struct{}]
-	leaving    bool
-	measured   time.Time
-	running    sync.WaitGroup
+	// warned holds, by target, the channel of the latest crash.
+	warned   map[tables.TargetID]<-chan struct{}
+	leaving  bool
+	measured time.Time
+	running  sync.WaitGroup
 }
 
 // New returns a Dispatcher that does nothing before Run; its work ends with ctx.
@@ -119,6 +122,7 @@
 		ctx:        ctx,
 		posts:      make(chan func(), postLength),
 		state:      schedule.NewState(),
+		warned:     make(map[tables.TargetID]<-chan struct{}),
 		jobs:       make(map[tables.RequestID]*job),
 		kept:       expirable.NewLRU[tables.RequestID, *job](keepCount, nil, keepFinished),
 		tombstones: expirable.NewLRU[tables.RequestID, struct{}](keepCount, nil, keepFinished),
--- a/internal/dispatcher/pursuit.go
+++ b/internal/dispatcher/pursuit.go
@@ -180,16 +180,31 @@
 	if p.cause != nil {
 		detail = p.cause.Error()
 	}
+	if p.crash {
+		p.warn()
+	}
 	p.d.post(func() {
-		if p.j.outcome != nil {
-			return
-		}
-		if p.crash {
-			p.d.crashed(p.j)
-		}
 		if p.j.reason != errkind.None && kind == errkind.RanFailed {
 			kind = p.j.reason
 		}
 		p.d.finish(p.j, peer.Finished{Kind: kind, Detail: detail, Sent: true})
 	})
 }
+
+// warnTimeout bounds the wait for peers that do not answer.
+const warnTimeout = 200 * time.Millisecond
+
+// warn tells the peers which content the target ran when it crashed. It comes
+// before the caller is told the end, because the caller may send the content
+// again to another host at once.
+func (p *pursuit) warn() {
+	warned, err := ask(p.d.ctx, p.d, func() <-chan struct{} { return p.d.crashed(p.j) })
+	if err != nil || warned == nil {
+		return
+	}
+	select {
+	case <-warned:
+	case <-p.d.Clock.After(warnTimeout):
+	case <-p.d.ctx.Done():
+	}
+}
--- a/internal/dispatcher/targets.go
+++ b/internal/dispatcher/targets.go
@@ -117,6 +117,7 @@
 	})
 	for _, id := range gone {
 		d.state.Targets.Delete(id)
+		delete(d.warned, id)
 		d.state.Prefixes.Forget(id)
 	}
 }
@@ -139,22 +140,24 @@
 }
 
 // crashed records that the target of j went down while it ran j. Failures of
-// requests that had started before the latest crash belong to that crash.
-func (d *Dispatcher) crashed(j *job) {
+// requests that had started before the latest crash belong to that crash. It
+// returns the channel that is closed once the peers know, or nil.
+func (d *Dispatcher) crashed(j *job) <-chan struct{} {
 	t := d.state.Targets.Get(j.target)
 	if t == nil || j.row == nil {
-		return
+		return nil
 	}
 	now := d.Clock.Now()
 	t.DownUntil = now.Add(downFor)
 	if !t.LastCrash.IsZero() && !j.row.Started.After(t.LastCrash) {
-		return
+		return d.warned[t.ID]
 	}
 	t.LastCrash = now
 	d.state.Prefixes.Forget(t.ID)
 	suspects := d.inFlight(t.ID)
 	event.TargetCrashed.Log(d.Logger, zap.String("target", string(t.ID)), zap.Int("in_flight", len(suspects)))
-	d.Quarantine.Crashed(t.ID, suspects)
+	d.warned[t.ID] = d.Quarantine.Crashed(t.ID, suspects)
+	return d.warned[t.ID]
 }
 
 // inFlight returns the content that a target runs, each once.
--- a/internal/quarantine/loops.go
+++ b/internal/quarantine/loops.go
@@ -24,8 +24,8 @@
 			return ctx.Err()
 		}
 		q.mu.Lock()
-		entries := q.unsent
-		q.unsent = nil
+		entries, pushed := q.unsent, q.pushed
+		q.unsent, q.pushed = nil, make(chan struct{})
 		q.mu.Unlock()
 		var g errgroup.Group
 		g.SetLimit(pushesAtOnce)
@@ -36,6 +36,7 @@
 			})
 		}
 		_ = g.Wait()
+		close(pushed)
 	}
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -71,7 +71,9 @@
 	// unwritten are own changes that the log does not have yet.
 	unwritten []peer.QuarantineEntry
 	// unsent are own changes that peers have not been told.
-	unsent  []peer.QuarantineEntry
+	unsent []peer.QuarantineEntry
+	// pushed is closed once unsent has been told to peers.
+	pushed  chan struct{}
 	changed chan struct{}
 	told    chan struct{}
 }
@@ -100,6 +102,7 @@
 		table:   system.NewTable(limits),
 		changed: make(chan struct{}, 1),
 		told:    make(chan struct{}, 1),
+		pushed:  make(chan struct{}),
 	}
 }
 
@@ -114,8 +117,9 @@
 	return g.Wait()
 }
 
-// Crashed records the content in flight at a target that crashed.
-func (q *Quarantine) Crashed(id tables.TargetID, inFlight []dispatcher.Suspect) {
+// Crashed records the content in flight at a target that crashed. The channel
+// is closed once the peers that could be reached have been told.
+func (q *Quarantine) Crashed(id tables.TargetID, inFlight []dispatcher.Suspect) <-chan struct{} {
 	suspects := make([]system.Suspect, 0, len(inFlight))
 	for _, s := range inFlight {
 		suspects = append(suspects, system.Suspect(s))
@@ -123,6 +127,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.publish(q.table.Crashed(q.opts.Clock.Now(), id, suspects))
+	return q.pushed
 }
 
 // Check returns whether content is refused, or may run only alone.
