--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 	go run ./cmd/bluebell-bench --plots docs/plots
 
 capacity:
-	go run ./cmd/bluebell-capacity docs/capacity
+	go run ./cmd/bluebell-capacity docs/capacity docs/CAPACITY.md
 
 # SOAK passes flags, for example SOAK="--duration 10s --seed 2".
 soak:
--- a/cmd/bluebell-capacity/main.go
+++ b/cmd/bluebell-capacity/main.go
@@ -1,5 +1,6 @@
-// Command bluebell-capacity measures the slopes of docs/CAPACITY.md and writes
-// them, with the budget that follows from them, into a directory.
+// Command bluebell-capacity measures the slopes of docs/CAPACITY.md, writes
+// them with the budget that follows from them into a directory, and renews the
+// values that the page cites.
 package main
 
 import (
@@ -7,6 +8,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"github.com/bluebellseam/bluebellseam/internal/capacity"
 	"github.com/bluebellseam/bluebellseam/internal/genfile"
@@ -22,8 +24,8 @@
 }
 
 func run(args []string) error {
-	if len(args) != 1 {
-		return fmt.Errorf("usage: bluebell-capacity DIRECTORY, got %d arguments", len(args))
+	if len(args) != 2 {
+		return fmt.Errorf("usage: bluebell-capacity DIRECTORY PAGE, got %d arguments", len(args))
 	}
 	if err := os.MkdirAll(args[0], directoryMode); err != nil {
 		return err
@@ -36,22 +38,40 @@
 	if err := write(args[0], "slopes.csv", func(w io.Writer) error { return capacity.WriteCSV(w, slopes) }); err != nil {
 		return err
 	}
-	return writeBudget(args[0], size)
+	written, err := readSlopes(filepath.Join(args[0], "slopes.csv"))
+	if err != nil {
+		return err
+	}
+	if err := write(args[0], "budget.md", func(w io.Writer) error { return capacity.WriteBudget(w, size, written) }); err != nil {
+		return err
+	}
+	return renewPage(args[1], written)
 }
 
-// writeBudget works from the written slopes, so that both files agree to the
-// last digit.
-func writeBudget(directory string, size capacity.Size) error {
-	f, err := os.Open(filepath.Join(directory, "slopes.csv"))
+// readSlopes reads the written slopes back, so that the pages agree with them
+// to the last digit.
+func readSlopes(path string) (capacity.Slopes, error) {
+	f, err := os.Open(path)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = f.Close() }()
-	slopes, err := capacity.ReadCSV(f)
+	return capacity.ReadCSV(f)
+}
+
+func renewPage(path string, slopes capacity.Slopes) error {
+	page, err := os.ReadFile(path)
 	if err != nil {
 		return err
 	}
-	return write(directory, "budget.md", func(w io.Writer) error { return capacity.WriteBudget(w, size, slopes) })
+	renewed, unknown := capacity.Cite(string(page), slopes)
+	if len(unknown) > 0 {
+		return fmt.Errorf("%s cites slopes that were not measured: %s", path, strings.Join(unknown, ", "))
+	}
+	return genfile.Write(path, func(w io.Writer) error {
+		_, err := io.WriteString(w, renewed)
+		return err
+	})
 }
 
 func write(directory, name string, fill func(io.Writer) error) error {
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"os"
-	"regexp"
-	"strconv"
 	"testing"
 	"time"
 
@@ -41,27 +39,19 @@
 	It("cite measured slopes with the values that were measured", func() {
 		page, err := os.ReadFile("../../docs/CAPACITY.md")
 		Expect(err).NotTo(HaveOccurred())
-		slopes := writtenSlopes()
-		cited := citation.FindAllStringSubmatch(string(page), -1)
-		Expect(len(cited)).To(BeNumerically(">", 10))
-		for _, c := range cited {
-			Expect(slopes).To(HaveKey(c[1]))
-			if c[2] == "" {
-				continue
-			}
-			value, err := strconv.ParseFloat(c[2], 64)
-			Expect(err).NotTo(HaveOccurred())
-			Expect(value*units[c[3]]).To(BeNumerically("~", slopes.Value(c[1]), slopes.Value(c[1])/20), c[0])
-		}
+		cited, unknown := Cite(string(page), writtenSlopes())
+		Expect(unknown).To(BeEmpty())
+		Expect(cited).To(Equal(string(page)))
+		Expect(len(citation.FindAllString(string(page), -1))).To(BeNumerically(">", 20))
+	})
+	It("take new values in the unit that they name", func() {
+		slopes := Slopes{"wire.a": {Value: 0.0123456}, "host.b": {Value: 0.015}, "config.c": {Value: 318_800}}
+		page, unknown := Cite("`wire.a` 1 ms, `host.b` 9% of\n`config.c` 2.5 KB; `path.d` 4 s", slopes)
+		Expect(page).To(Equal("`wire.a` 12.3 ms, `host.b` 1.50% of\n`config.c` 319 KB; `path.d` 4 s"))
+		Expect(unknown).To(Equal([]string{"path.d"}))
 	})
 })
 
-// citation is the name of a slope, with its value in the units that follow it.
-var citation = regexp.MustCompile("`((?:config|members|claims|dispatcher|gate|wire|host|path)\\.[a-z0-9_.]+)`(?:\\s+([0-9.]+)(?:\\s*(µs\\b|ms\\b|s\\b|B\\b|KB\\b|MB\\b|%))?)?")
-
-// units are the factors of the units of citations; numbers without one count.
-var units = map[string]float64{"": 1, "µs": 1e-6, "ms": 1e-3, "s": 1, "B": 1, "KB": 1e3, "MB": 1e6, "%": 0.01}
-
 var _ = Describe("Size", func() {
 	It("gives a valid configuration with every part of the target", func() {
 		d := Target().document()
