--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -1,11 +1,11 @@
+// Package demo runs a whole small site in one process, sends it a few requests
+// and checks what comes back against the stand-ins' own records.
 package demo
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/google/uuid"
@@ -13,20 +13,27 @@
 	"go.opentelemetry.io/otel/propagation"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.opentelemetry.io/otel/trace"
 
-	"github.com/bluebellseam/bluebellseam/internal/api/operators"
+	"github.com/bluebellseam/bluebellseam/internal/harness"
 	"github.com/bluebellseam/bluebellseam/internal/standin/engine"
+	"github.com/bluebellseam/bluebellseam/internal/standin/plain"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
 const (
-	demoHosts   = 3
-	demoEngines = 3
-	readyPoll   = 10 * time.Millisecond
-	prompt      = "Condition of the enamel sign of 1931: rust on the lower rim, two chips in the cobalt field."
-	answerSize  = 24
+	prompt       = "Condition of the enamel sign of 1931: rust on the lower rim, two chips in the cobalt field."
+	confirmation = `{"commission":17}`
+	answerTokens = 24
+	deskDelay    = 5 * time.Millisecond
 )
 
+// steps are the decode steps of the engines, which differ in speed.
+var steps = []time.Duration{5 * time.Millisecond, 10 * time.Millisecond, 15 * time.Millisecond}
+
+// hosts maps the hosts of the demo to their failure domains.
+var hosts = []struct{ name, domain string }{{"h1", "a"}, {"h2", "b"}, {"h3", "a"}}
+
 // Run starts a site, publishes a configuration, sends a streaming request and
 // a non-idempotent call, repeats the call with the same key, and writes what
 // happened to w. The error names the first check that did not hold.
@@ -35,132 +42,144 @@
 	tracer := sdktrace.NewTracerProvider(sdktrace.WithSyncer(spans))
 	otel.SetTracerProvider(tracer)
 	otel.SetTextMapPropagator(propagation.TraceContext{})
-	s, err := startSite(demoHosts, demoEngines, tracer)
+	h, err := start(tracer)
 	if err != nil {
 		return err
 	}
-	defer s.stop()
-	if err := s.publish(ctx, w); err != nil {
-		return err
-	}
-	if err := s.stream(ctx, w); err != nil {
-		return err
-	}
-	if err := s.confirmTwice(ctx, w); err != nil {
+	defer h.Close()
+	if err := requests(ctx, h, w); err != nil {
 		return err
 	}
 	fmt.Fprintln(w, "\ntrace:")
 	return printTraces(w, spans.GetSpans())
 }
 
-// operatorSource gives the operator's key to the generated client.
-type operatorSource struct{}
-
-// OperatorKey implements operators.SecuritySource.
-func (operatorSource) OperatorKey(context.Context, operators.OperationName) (operators.OperatorKey, error) {
-	return operators.OperatorKey{Token: operatorKey}, nil
-}
-
-func (s *site) publish(ctx context.Context, w io.Writer) error {
-	client, err := operators.NewClient("http://"+s.controller.Address(), operatorSource{})
-	if err != nil {
-		return err
-	}
-	raw, err := json.Marshal(s.document())
+func start(tracer trace.TracerProvider) (*harness.Harness, error) {
+	h, err := harness.New(harness.Options{Tracer: tracer, StopBound: time.Minute})
 	if err != nil {
-		return err
-	}
-	var merge operators.PatchMerge
-	if err := merge.UnmarshalJSON(raw); err != nil {
-		return err
+		return nil, err
 	}
-	result, err := client.PublishPatch(ctx, &operators.Patch{PatchID: uuid.New(), Merge: merge}, operators.PublishPatchParams{})
-	if err != nil {
-		return fmt.Errorf("publish: %w", err)
+	if err := populate(h); err != nil {
+		h.Close()
+		return nil, err
 	}
-	fmt.Fprintf(w, "published version %d (2 services, 2 tiers, 2 customers, %d engines, 1 desk)\n", result.Version, len(s.engines))
-	return s.waitInForce(ctx, uint64(result.Version))
+	return h, nil
 }
 
-func (s *site) waitInForce(ctx context.Context, version uint64) error {
-	for {
-		if s.inForce(version) {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("version %d is not in force on every host: %w", version, ctx.Err())
-		case <-time.After(readyPoll):
+func populate(h *harness.Harness) error {
+	for i, step := range steps {
+		at := hosts[i%len(hosts)].domain
+		if _, err := h.AddEngine(fmt.Sprintf("engine-%d", i+1), at, engine.Options{Step: step}); err != nil {
+			return err
 		}
 	}
-}
-
-func (s *site) inForce(version uint64) bool {
-	for _, g := range s.gates {
-		if g.Version() < version || !g.Ready() {
-			return false
-		}
+	if _, err := h.AddPlain("desk-1", hosts[0].domain, plain.Options{Delay: deskDelay}); err != nil {
+		return err
 	}
-	for _, d := range s.dispatchers {
-		if d.Version() < version || !d.Ready() {
-			return false
+	for _, host := range hosts {
+		if _, err := h.StartHost(host.name, host.domain); err != nil {
+			return err
 		}
 	}
-	return true
+	return nil
 }
 
-func (s *site) stream(ctx context.Context, w io.Writer) error {
-	a, err := generate(ctx, "http://"+s.gates[0].Address(), prompt, answerSize)
+func requests(ctx context.Context, h *harness.Harness, w io.Writer) error {
+	if err := h.Configure(ctx, hosts[0].name); err != nil {
+		return fmt.Errorf("publish: %w", err)
+	}
+	at, err := h.Host(hosts[0].name)
 	if err != nil {
-		return fmt.Errorf("streaming request: %w", err)
+		return err
 	}
-	fmt.Fprintf(w, "stream  %s target=%s tier=urgent first_token=%s tokens=%d outcome=%s\n", a.id, a.target, a.firstToken.Round(time.Millisecond), a.tokens, a.outcome())
-	if want := engine.ExpectedAnswer(tables.RequestID(a.id), prompt, answerSize); a.text != want {
-		return fmt.Errorf("answer of %s differs from what its engine made", a.id)
+	fmt.Fprintf(w, "published version %d: 2 services, one operation of them non-idempotent, 3 tiers, 2 customers, %d engines, 1 desk\n", at.Version(), len(steps))
+	if err := stream(ctx, h, w); err != nil {
+		return fmt.Errorf("streaming request: %w", err)
 	}
-	if n := s.dispatches(a.id); n != 1 {
-		return fmt.Errorf("request %s was dispatched %d times", a.id, n)
+	if err := confirmTwice(ctx, h, w); err != nil {
+		return fmt.Errorf("confirmation: %w", err)
 	}
-	return nil
+	return audit(h, w)
 }
 
-// dispatches counts how often the engines got a request.
-func (s *site) dispatches(id string) int {
-	n := 0
-	for _, e := range s.engines {
-		n += e.Records().Requests[tables.RequestID(id)].Dispatches
+func stream(ctx context.Context, h *harness.Harness, w io.Writer) error {
+	r, err := send(ctx, h, hosts[0].name, harness.Request{
+		Name: "report", CustomerKey: harness.MuseumKey, Service: harness.ModelService,
+		Body: prompt, MaxTokens: answerTokens, Tier: harness.TierUrgent,
+	})
+	if err != nil {
+		return err
 	}
-	return n
+	fmt.Fprintf(w, "stream  %s target=%s tier=%s first_token=%s tokens=%d outcome=whole\n",
+		r.ID, targetOf(h, r.ID), harness.TierUrgent, r.FirstByte.Sub(r.Sent).Round(time.Millisecond), r.Tokens)
+	return nil
 }
 
-func (s *site) confirmTwice(ctx context.Context, w io.Writer) error {
-	key := uuid.Must(uuid.NewV7()).String()
-	first, err := s.confirm(ctx, w, 0, key)
+func confirmTwice(ctx context.Context, h *harness.Harness, w io.Writer) error {
+	call := harness.Request{
+		Name: "confirmation", CustomerKey: harness.MuseumKey, Service: harness.PlainService,
+		Operation: harness.OperationConfirm, Body: confirmation, Key: uuid.Must(uuid.NewV7()).String(),
+	}
+	first, err := confirm(ctx, h, w, hosts[0].name, call)
 	if err != nil {
 		return err
 	}
-	second, err := s.confirm(ctx, w, 1, key)
+	second, err := confirm(ctx, h, w, hosts[1].name, call)
 	if err != nil {
 		return err
 	}
-	if first.body != second.body || first.id != second.id {
-		return fmt.Errorf("the repeated call got another answer: %q from %s and %q from %s", first.body, first.id, second.body, second.id)
+	if first.Text != second.Text || first.ID != second.ID {
+		return fmt.Errorf("the repeat got %q from %s and the first call %q from %s", second.Text, second.ID, first.Text, first.ID)
 	}
-	if runs := s.desk.Records().RunsByOperation["confirm"]; runs != 1 {
-		return fmt.Errorf("the confirmation ran %d times", runs)
-	}
-	fmt.Fprintln(w, "the repeated confirmation got the same answer; the desk ran it once")
+	fmt.Fprintln(w, "the repeated confirmation got the same answer")
 	return nil
 }
 
-func (s *site) confirm(ctx context.Context, w io.Writer, gate int, key string) (callAnswer, error) {
-	a, err := call(ctx, "http://"+s.gates[gate].Address(), "desk", "confirm", key, `{"commission":17}`)
+func confirm(ctx context.Context, h *harness.Harness, w io.Writer, host string, call harness.Request) (harness.Result, error) {
+	r, err := send(ctx, h, host, call)
 	if err != nil {
-		return a, fmt.Errorf("confirmation at gate %d: %w", gate+1, err)
+		return r, err
 	}
-	fmt.Fprintf(w, "confirm %s gate=%d tier=normal status=%d answer_in=%s\n", a.id, gate+1, a.status, a.took.Round(time.Millisecond))
-	if a.status != http.StatusOK {
-		return a, fmt.Errorf("confirmation got status %d: %s", a.status, a.body)
+	fmt.Fprintf(w, "confirm %s gate=%s target=%s tier=%s status=%d answer_in=%s outcome=whole\n",
+		r.ID, host, targetOf(h, r.ID), harness.TierNormal, r.Status, r.Ended.Sub(r.Sent).Round(time.Millisecond))
+	return r, nil
+}
+
+// send waits for the whole answer of r.
+func send(ctx context.Context, h *harness.Harness, host string, r harness.Request) (harness.Result, error) {
+	c, err := h.Send(host, r)
+	if err != nil {
+		return harness.Result{}, err
+	}
+	select {
+	case <-c.Done():
+	case <-ctx.Done():
+		return c.Result(), ctx.Err()
+	}
+	if got := c.Result(); !got.Whole {
+		return got, fmt.Errorf("request %s ended with %s: %s", got.ID, got.Kind, got.Detail)
+	}
+	return c.Result(), nil
+}
+
+// audit compares what callers got with what the targets did: each request was
+// dispatched once, the key ran once, and every answer is the target's own.
+func audit(h *harness.Harness, w io.Writer) error {
+	runs := 0
+	for _, run := range h.Runs() {
+		runs += run.Runs
+	}
+	if violations := h.Audit(); len(violations) > 0 {
+		return fmt.Errorf("%d promises were broken, the first: %s", len(violations), violations[0])
+	}
+	fmt.Fprintf(w, "audit: %d calls, %d runs at the targets, every answer whole and its own\n", len(h.Calls()), runs)
+	return nil
+}
+
+// targetOf returns the target that ran a request, by the targets' own records.
+func targetOf(h *harness.Harness, id tables.RequestID) tables.TargetID {
+	if targets := h.Runs()[id].Targets; len(targets) > 0 {
+		return targets[0]
 	}
-	return a, nil
+	return ""
 }
--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 	"go.uber.org/zap"
 
 	"github.com/bluebellseam/bluebellseam/internal/config"
@@ -30,6 +32,8 @@
 type Options struct {
 	// Logger gets the hosts' events; nil drops them.
 	Logger *zap.Logger
+	// Tracer gets the hosts' spans; nil drops them.
+	Tracer trace.TracerProvider
 	// ListLag is the lag of the host list.
 	ListLag time.Duration
 	// Log are the limits of the log service.
@@ -76,6 +80,9 @@
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
+	if o.Tracer == nil {
+		o.Tracer = noop.NewTracerProvider()
+	}
 	clock := clockwork.NewRealClock()
 	h := &Harness{
 		opts:     o,
--- a/internal/harness/host.go
+++ b/internal/harness/host.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"go.opentelemetry.io/otel/trace/noop"
 	"go.uber.org/zap"
 
 	"github.com/bluebellseam/bluebellseam/internal/node"
@@ -117,7 +116,7 @@
 	return node.Env{
 		Clock:   clockwork.NewRealClock(),
 		Logger:  n.h.opts.Logger.With(zap.String("host", string(n.ID)), zap.String("program", part)),
-		Tracer:  noop.NewTracerProvider(),
+		Tracer:  n.h.opts.Tracer,
 		Log:     platform.NewLogClient(services[serviceLog].URL(), nil),
 		List:    platform.NewHostListClient(services[serviceList].URL(), nil),
 		Weights: platform.NewWeightClient(services[serviceWeights].URL(), nil),
