Require every word after the sender has stopped

Cause: a target that said "never started" before the sender had stopped and fell silent afterwards kept its old word, which counted for "not run"; it had restarted and ran the request in between. Change: settle.Next takes only words spoken after the stop once the sender has stopped; a spec, a rapid choice of the step at which a target falls silent, and both seeds in the model check. Conclusion: the settle system as merged before told a false "not run" in this case.

--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -47,6 +47,14 @@
 			Expect(n).To(BeNumerically(">", *histories/coverage), what)
 		}
 	})
+	DescribeTable("keep the promises that they once broke",
+		func(seed uint64) {
+			_, failures := model.Run(seed, model.AllRules())
+			Expect(failures).To(BeEmpty())
+		},
+		Entry("a target falls silent after the sender has stopped", uint64(1_025_499)),
+		Entry("the same at another target", uint64(1_063_524)),
+	)
 	DescribeTable("break a promise without a rule",
 		func(drop func(*model.Rules)) {
 			rules := model.AllRules()
--- a/internal/systems/settle/settle.go
+++ b/internal/systems/settle/settle.go
@@ -127,7 +127,9 @@
 	if f.Offset > 0 {
 		return finish(errkind.RanFailed)
 	}
-	never := f.filter(func(a Account) bool { return a.Progress == target.NeverStarted })
+	never := f.filter(func(a Account) bool {
+		return a.Progress == target.NeverStarted && a.AfterStop == f.SenderStopped
+	})
 	if len(f.Allowed) == 0 || len(never) < len(f.suspects()) {
 		return finish(errkind.OutcomeUnknown)
 	}
--- a/internal/systems/settle/settle_test.go
+++ b/internal/systems/settle/settle_test.go
@@ -51,6 +51,17 @@
 		f.SenderStopped = true
 		Expect(settle.Next(f)).To(Equal(settle.Step{Action: settle.Cancel, Targets: f.Allowed}))
 	})
+	It("does not take a word from before the sender stopped when the target falls silent", func() {
+		f.SenderStopped = false
+		f.Heard("a", target.NeverStarted)
+		f.Heard("b", target.NeverStarted)
+		f.SenderStopped = true
+		f.Heard("a", target.NeverStarted)
+		for range settle.MaxFailures {
+			f.HeardNothing("b")
+		}
+		Expect(settle.Next(f)).To(Equal(settle.Step{Kind: errkind.OutcomeUnknown}))
+	})
 	It("seeks a running stream before it cancels", func() {
 		f.Plain, f.Offset, f.Started = false, 7, "b"
 		Expect(settle.Next(f)).To(Equal(settle.Step{Action: settle.Resume, Targets: []tables.TargetID{"b", "a"}, Offset: 7}))
@@ -80,7 +91,8 @@
 			Offset:     rapid.IntRange(0, 1).Draw(t, "offset"),
 		}
 		silent := rapid.SampledFrom([]tables.TargetID{"", "a", "b", "c"}).Draw(t, "silent")
-		for range 100 {
+		silentFrom := rapid.IntRange(0, 6).Draw(t, "silent from")
+		for n := range 100 {
 			step := settle.Next(f)
 			if step.Action == settle.Finish {
 				checkKind(t, f, step.Kind)
@@ -90,7 +102,7 @@
 				f.SenderStopped = true
 			}
 			for _, id := range step.Targets {
-				if id == silent {
+				if id == silent && n >= silentFrom {
 					f.HeardNothing(id)
 					continue
 				}
