--- a/internal/capacity/members.go
+++ b/internal/capacity/members.go
@@ -27,7 +27,17 @@
 	heartbeat := s.heartbeat()
 	hosts := table.Live(now)
 	targets := s.targets()
+	message, err := json.Marshal(heartbeat)
+	if err != nil {
+		return nil, err
+	}
+	reports, err := json.Marshal(heartbeat.Reports)
+	if err != nil {
+		return nil, err
+	}
 	m := &meter{}
+	m.add("members.heartbeat_bytes", float64(len(message)), Bytes, "heartbeat, one way", "JSON with 3 pool summaries and 8 reports")
+	m.add("members.reports_bytes", float64(len(reports)), Bytes, "heartbeat, one way", "JSON of its 8 reports")
 	m.add("members.listing_bytes", float64(len(data)), Bytes, "read of the host list", "JSON at the target size")
 	m.add("members.table_memory", memory, Bytes, "process", "heap of the table at the target size")
 	m.time("members.take_listing", "read of the host list", "decoding, Table.List and Table.Tick", func() {
