Bound customers at the gate by the limit system; one Main for the binaries

Cause: tokens per second were configured and not enforced; refusals advised the same wait to everyone; three mains were alike.

--- a/internal/gate/admit.go
+++ b/internal/gate/admit.go
@@ -68,11 +68,7 @@
 	if err := checkKey(service, a); err != nil {
 		return admitted{}, err
 	}
-	customer := doc.Customers[string(a.customer)]
-	if err := g.checkLimits(a.customer, customer); err != nil {
-		return admitted{}, err
-	}
-	msg := g.message(ctx, a, service, tier, customer)
+	msg := g.message(ctx, a, service, tier, doc.Customers[string(a.customer)])
 	pick := func() []route.Choice {
 		now := g.Clock.Now()
 		return route.Pick(now, routeRequest(msg, now), g.views(g.Document(), a.service))
@@ -136,18 +132,6 @@
 	return nil
 }
 
-func (g *Gate) checkLimits(id tables.CustomerID, c config.Customer) error {
-	if c.MaxInFlight == 0 {
-		return nil
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if open := g.inFlight[id]; open >= c.MaxInFlight {
-		return errkind.New(errkind.CustomerLimit, fmt.Sprintf("customer %q has %d open requests at this host", id, open))
-	}
-	return nil
-}
-
 func (g *Gate) message(ctx context.Context, a ask, service config.Service, tier config.Tier, customer config.Customer) peer.Submit {
 	carrier := propagation.MapCarrier{}
 	otel.GetTextMapPropagator().Inject(ctx, carrier)
--- a/internal/gate/begin.go
+++ b/internal/gate/begin.go
@@ -23,14 +23,10 @@
 	recordTimeout = 10 * time.Second
 )
 
-// begin starts a, or joins the request that holds its key. The flight that it
+// begin starts a request, or joins the request that holds its key. The flight that it
 // returns has the answer.
-func (g *Gate) begin(ctx context.Context, a ask) (*flight, error) {
-	adm, err := g.admit(ctx, a)
-	if err != nil {
-		return nil, err
-	}
-	if a.key == "" {
+func (g *Gate) begin(ctx context.Context, adm admitted) (*flight, error) {
+	if adm.msg.Key == "" {
 		return g.launch(adm), nil
 	}
 	return g.beginKeyed(ctx, adm)
--- a/internal/gate/drive.go
+++ b/internal/gate/drive.go
@@ -48,7 +48,7 @@
 			return
 		}
 		if !ownerless(refusal.Kind) || !g.Clock.Now().Add(pause).Before(deadline) || f.callerLeft() {
-			f.finish(refusal)
+			f.finish(advise(refusal))
 			return
 		}
 		g.pauseUntil(g.Clock.Now().Add(pause))
--- a/internal/gate/flight.go
+++ b/internal/gate/flight.go
@@ -194,7 +194,6 @@
 		return open
 	}
 	g.flights[f.id] = f
-	g.inFlight[f.msg.Customer]++
 	g.open.Add(1)
 	g.Observer.Opened()
 	return f
@@ -213,10 +212,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.flights, f.id)
-	g.inFlight[f.msg.Customer]--
-	if g.inFlight[f.msg.Customer] == 0 {
-		delete(g.inFlight, f.msg.Customer)
-	}
 	g.open.Done()
 	g.Observer.Closed()
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -17,6 +17,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/systems/limit"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -87,10 +88,11 @@
 	pools *pools
 	open  sync.WaitGroup
 
-	mu       sync.Mutex
-	flights  map[tables.RequestID]*flight
-	inFlight map[tables.CustomerID]int
-	kept     *expirable.LRU[tables.RequestID, *flight]
+	mu      sync.Mutex
+	flights map[tables.RequestID]*flight
+	kept    *expirable.LRU[tables.RequestID, *flight]
+
+	limits customerLimits
 
 	keys keyIndex
 }
@@ -106,12 +108,12 @@
 // the first peer connects.
 func New(ctx context.Context, o Options) *Gate {
 	return &Gate{
-		Options:  o,
-		ctx:      ctx,
-		pools:    newPools(),
-		flights:  make(map[tables.RequestID]*flight),
-		inFlight: make(map[tables.CustomerID]int),
-		kept:     expirable.NewLRU[tables.RequestID, *flight](keepCount, nil, keepFinished),
+		Options: o,
+		ctx:     ctx,
+		pools:   newPools(),
+		flights: make(map[tables.RequestID]*flight),
+		limits:  customerLimits{customers: limit.NewCustomers()},
+		kept:    expirable.NewLRU[tables.RequestID, *flight](keepCount, nil, keepFinished),
 	}
 }
 
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -95,7 +95,21 @@
 }
 
 func (g *Gate) relay(ctx context.Context, a ask, out *answer, span trace.Span) error {
-	f, err := g.begin(ctx, a)
+	adm, err := g.admit(ctx, a)
+	if err != nil {
+		return err
+	}
+	if err := g.enter(adm.msg); err != nil {
+		return err
+	}
+	err = g.run(ctx, adm, out, span)
+	g.leave(adm.msg, err)
+	return err
+}
+
+// run begins an admitted request and writes its answer.
+func (g *Gate) run(ctx context.Context, adm admitted, out *answer, span trace.Span) error {
+	f, err := g.begin(ctx, adm)
 	if err != nil {
 		return err
 	}
@@ -103,7 +117,7 @@
 	out.tier = f.msg.Tier
 	out.announce(f.id)
 	span.SetAttributes(observe.AttributeRequest.String(string(f.id)))
-	if a.plain {
+	if adm.msg.Plain {
 		return out.writeCall(ctx, f)
 	}
 	return out.writeStream(ctx, f)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/settings"
 )
 
@@ -14,14 +15,34 @@
 	Stop(ctx context.Context)
 }
 
-// RunUntilSignal waits for SIGTERM or SIGINT and stops s gracefully within the
-// bound of the settings. Further signals change nothing.
-func RunUntilSignal(s stopper, common settings.Common, env Env) error {
+// shared are settings that hold those of every binary.
+type shared interface {
+	Shared() settings.Common
+}
+
+// Main runs one binary: it loads the settings, starts the process, waits for
+// SIGTERM or SIGINT and stops gracefully within the bound of the settings.
+// Further signals change nothing. Errors are those of the settings and of
+// listeners.
+func Main[S shared, P stopper](program string, load func(args, environ []string) (S, error), start func(S, Env) (P, error)) error {
+	s, err := load(os.Args[1:], os.Environ())
+	if err != nil {
+		return err
+	}
+	env, err := Connect(program, s.Shared())
+	if err != nil {
+		return err
+	}
+	event.SettingsInForce.Log(env.Logger, settings.Fields(s)...)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	p, err := start(s, env)
+	if err != nil {
+		return err
+	}
 	<-signals
-	ctx, cancel := context.WithTimeout(context.Background(), common.StopBound)
+	ctx, cancel := context.WithTimeout(context.Background(), s.Shared().StopBound)
 	defer cancel()
-	s.Stop(ctx)
+	p.Stop(ctx)
 	return env.Close(context.Background())
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,9 @@
 	BalancerWait   time.Duration `env:"BLUEBELL_BALANCER_WAIT" envDefault:"5s" flag:"balancer-wait" usage:"time between readiness off and the closing of listeners"`
 }
 
+// Shared returns the settings that every binary has.
+func (c Common) Shared() Common { return c }
+
 // Gate are the settings of bluebell-gate.
 type Gate struct {
 	Common
