--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"os"
-	"regexp"
 	"testing"
 	"time"
 
@@ -37,15 +36,19 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(page)).To(Equal(want.String()))
 	})
-	It("cite no slope that was not measured", func() {
+	It("cite measured slopes with the values that were measured", func() {
 		page, err := os.ReadFile("../../docs/CAPACITY.md")
 		Expect(err).NotTo(HaveOccurred())
-		slopes := writtenSlopes()
-		cited := regexp.MustCompile("`((?:config|members|claims|dispatcher|gate|wire|host|path)\\.[a-z0-9_.]+)`").FindAllStringSubmatch(string(page), -1)
-		Expect(cited).NotTo(BeEmpty())
-		for _, c := range cited {
-			Expect(slopes).To(HaveKey(c[1]))
-		}
+		cited, unknown := Cite(string(page), writtenSlopes())
+		Expect(unknown).To(BeEmpty())
+		Expect(cited).To(Equal(string(page)))
+		Expect(len(citation.FindAllString(string(page), -1))).To(BeNumerically(">", 20))
+	})
+	It("take new values in the unit that they name", func() {
+		slopes := Slopes{"wire.a": {Value: 0.0123456}, "host.b": {Value: 0.015}, "config.c": {Value: 318_800}}
+		page, unknown := Cite("`wire.a` 1 ms, `host.b` 9% of\n`config.c` 2.5 KB; `path.d` 4 s", slopes)
+		Expect(page).To(Equal("`wire.a` 12.3 ms, `host.b` 1.50% of\n`config.c` 319 KB; `path.d` 4 s"))
+		Expect(unknown).To(Equal([]string{"path.d"}))
 	})
 })
 
--- a/internal/gate/begin.go
+++ b/internal/gate/begin.go
@@ -23,14 +23,10 @@
 	recordTimeout = 10 * time.Second
 )
 
-// begin starts a, or joins the request that holds its key. The flight that it
+// begin starts a request, or joins the request that holds its key. The flight that it
 // returns has the answer.
-func (g *Gate) begin(ctx context.Context, a ask) (*flight, error) {
-	adm, err := g.admit(ctx, a)
-	if err != nil {
-		return nil, err
-	}
-	if a.key == "" {
+func (g *Gate) begin(ctx context.Context, adm admitted) (*flight, error) {
+	if adm.msg.Key == "" {
 		return g.launch(adm), nil
 	}
 	return g.beginKeyed(ctx, adm)
@@ -215,18 +211,22 @@
 	return nil
 }
 
-func (g *Gate) driveAttached(f *flight, conn *peer.Conn) {
+func (g *Gate) driveJoined(f *flight, conn *peer.Conn) {
 	defer g.unregister(f)
-	var refusal peer.Finished
-	if g.follow(f, conn, &refusal) != ended {
-		f.finish(peer.Finished{Kind: errkind.OutcomeUnknown, Detail: "the answer of the request broke off", Sent: true})
+	if !g.attachAndFollow(f, conn, "") {
+		f.finish(peer.Finished{Kind: errkind.OutcomeUnknown, Detail: "the dispatcher of the request was lost", Sent: true})
 	}
 }
 
-func (g *Gate) driveJoined(f *flight, conn *peer.Conn) {
+func (g *Gate) driveAttached(f *flight, conn *peer.Conn) {
 	defer g.unregister(f)
-	if !g.attachAndFollow(f, conn, "") {
-		f.finish(peer.Finished{Kind: errkind.OutcomeUnknown, Detail: "the dispatcher of the request was lost", Sent: true})
+	var refusal peer.Finished
+	switch g.follow(f, conn, &refusal) {
+	case ended:
+	case notSent:
+		f.finish(refusal)
+	case lost:
+		f.finish(peer.Finished{Kind: errkind.OutcomeUnknown, Detail: "the answer of the request broke off", Sent: true})
 	}
 }
 
--- a/internal/gate/drive.go
+++ b/internal/gate/drive.go
@@ -48,7 +48,7 @@
 			return
 		}
 		if !ownerless(refusal.Kind) || !g.Clock.Now().Add(pause).Before(deadline) || f.callerLeft() {
-			f.finish(refusal)
+			f.finish(advise(refusal))
 			return
 		}
 		g.pauseUntil(g.Clock.Now().Add(pause))
@@ -124,9 +124,10 @@
 }
 
 // worse keeps the refusal that says most: the first one that is not about the
-// state of a host.
+// state of a host. The zero value is no refusal.
 func worse(old, next peer.Finished) peer.Finished {
-	if old.Kind == errkind.NoTarget || old.Kind == errkind.ShuttingDown || old.Kind == errkind.NotAdmitted {
+	switch old.Kind {
+	case errkind.None, errkind.NoTarget, errkind.ShuttingDown, errkind.NotAdmitted:
 		return next
 	}
 	return old
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"testing"
 	"time"
 
@@ -52,6 +53,15 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(c.OperatorAddress).To(Equal("[::1]:1"))
 	})
+	It("gives the three processes of a host metrics listeners of their own", func() {
+		g, err := LoadGate(nil, environ())
+		Expect(err).NotTo(HaveOccurred())
+		d, err := LoadDispatcher(nil, environ())
+		Expect(err).NotTo(HaveOccurred())
+		c, err := LoadController(nil, environ("BLUEBELL_METRICS_ADDRESS=10.0.0.1:1"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect([]string{g.MetricsAddress, d.MetricsAddress, c.MetricsAddress}).To(Equal([]string{"127.0.0.1:9102", "127.0.0.1:9101", "10.0.0.1:1"}))
+	})
 	It("reads the peer key from a file", func() {
 		file := filepath.Join(GinkgoT().TempDir(), "key")
 		Expect(os.WriteFile(file, []byte(testKey+"\n"), 0o600)).To(Succeed())
@@ -96,6 +106,7 @@
 		for _, f := range fieldsOf(&Gate{}) {
 			Expect(stdout.String()).To(ContainSubstring(f.variable))
 			Expect(stdout.String()).To(ContainSubstring(f.standard))
+			Expect(stdout.String()).To(ContainSubstring("(default: " + defaultGateMetrics + ")"))
 			if f.flag != "" {
 				Expect(stdout.String()).To(ContainSubstring("--" + f.flag))
 			}
@@ -121,3 +132,29 @@
 		Expect(stderr.String()).To(Equal("listen on 127.0.0.1:1: in use\n"))
 	})
 })
+
+var _ = Describe("The pages", func() {
+	It("name only variables that exist", func() {
+		known := map[string]bool{}
+		for _, s := range []any{Gate{}, Dispatcher{}, Controller{}} {
+			for _, f := range fieldsOf(s) {
+				known[f.variable] = true
+			}
+		}
+		named := regexp.MustCompile(`\bBLUEBELL_[A-Z0-9_]+`)
+		found := 0
+		for _, pattern := range []string{"../../*.md", "../../docs/*.md", "../../docs/*/*.md"} {
+			pages, err := filepath.Glob(pattern)
+			Expect(err).NotTo(HaveOccurred())
+			for _, page := range pages {
+				text, err := os.ReadFile(page)
+				Expect(err).NotTo(HaveOccurred())
+				for _, variable := range named.FindAllString(string(text), -1) {
+					found++
+					Expect(known).To(HaveKey(variable), page)
+				}
+			}
+		}
+		Expect(found).To(BeNumerically(">", 5))
+	})
+})
