Prove leases and orders under pauses, late orders and random faults

Cause: a holder may be paused past its lease, and its order may arrive after the next holder's. Change: three controllers and four engines in virtual time; specs stall orders and readings, pause hosts, cut the log and restart controllers. One spec found that an old order under fence 0 (the first record of the stream) was taken for an engine that states no fences and stayed; the controller now remembers that an engine has stated the current fence.

--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -71,6 +71,8 @@
 	adopted bool
 	// ordered is set once the engine took an order under the current fence.
 	ordered bool
+	// fenceSeen is set once the engine stated the current fence.
+	fenceSeen bool
 	// busy is set while a reading or order is under way.
 	busy  bool
 	check time.Time
--- /dev/null
+++ b/internal/orders/orders_test.go
@@ -0,0 +1,520 @@
+package orders_test
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bluebellseam/bluebellseam/internal/config"
+	"github.com/bluebellseam/bluebellseam/internal/orders"
+	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/standin/logstore"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+	"github.com/bluebellseam/bluebellseam/internal/target"
+)
+
+var suite *testing.T
+
+func TestOrders(t *testing.T) {
+	suite = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "orders")
+}
+
+const loadTime = 4 * time.Second
+
+// engine is a model engine that takes orders.
+type engine struct {
+	target.Engine
+	checks bool
+
+	mu      sync.Mutex
+	order   target.Order
+	highest int64
+	loads   time.Time
+	taken   []target.Order
+}
+
+// read returns the engine's order and those that it took.
+func (e *engine) read() (target.Order, []target.Order) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.order, slices.Clone(e.taken)
+}
+
+func (e *engine) Apply(_ context.Context, o target.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.checks && o.Fence < e.highest {
+		return target.ErrFenced
+	}
+	if !orders.Same(e.order, o) {
+		e.loads = time.Now().Add(loadTime)
+	}
+	e.order = o
+	e.highest = max(e.highest, o.Fence)
+	e.taken = append(e.taken, o)
+	return nil
+}
+
+func (e *engine) State(context.Context) (target.OrderState, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return target.OrderState{Order: e.order, Loading: time.Now().Before(e.loads)}, nil
+}
+
+// host is one controller's host. While it is paused its calls wait; while it
+// is stalled only its orders arrive late, or its readings of engines.
+type host struct {
+	w    *world
+	self tables.Host
+	end  func()
+
+	mu      sync.Mutex
+	c       *orders.Controller
+	paused  chan struct{}
+	orders  chan struct{}
+	reads   chan struct{}
+	cut     bool
+	weights platform.WeightStore
+}
+
+func (h *host) holds() []string {
+	h.mu.Lock()
+	c := h.c
+	h.mu.Unlock()
+	return c.Holds()
+}
+
+// wait blocks while the host is paused and reports whether the log is cut off.
+func (h *host) wait() bool {
+	h.mu.Lock()
+	paused, cut := h.paused, h.cut
+	h.mu.Unlock()
+	if paused != nil {
+		<-paused
+	}
+	return cut
+}
+
+// pass waits for a gate and for the end of a pause.
+func (h *host) pass(gate *chan struct{}) {
+	h.mu.Lock()
+	closed := *gate
+	h.mu.Unlock()
+	if closed != nil {
+		<-closed
+	}
+	h.wait()
+}
+
+// hold closes a gate of the host until the returned function is called.
+func (h *host) hold(gate *chan struct{}) (open func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	closed := make(chan struct{})
+	*gate = closed
+	return func() {
+		h.mu.Lock()
+		*gate = nil
+		h.mu.Unlock()
+		close(closed)
+	}
+}
+
+func (h *host) pause() (wake func())         { return h.hold(&h.paused) }
+func (h *host) stallOrders() (resume func()) { return h.hold(&h.orders) }
+func (h *host) stallReads() (resume func())  { return h.hold(&h.reads) }
+
+func (h *host) isolate(cut bool) {
+	h.mu.Lock()
+	h.cut = cut
+	h.mu.Unlock()
+}
+
+func (h *host) Append(ctx context.Context, stream string, data []byte) (platform.Offset, error) {
+	if h.wait() {
+		return 0, fmt.Errorf("append: %w", platform.ErrUnavailable)
+	}
+	return h.w.log.Append(ctx, stream, data)
+}
+
+func (h *host) Read(ctx context.Context, stream string, from platform.Offset, wait time.Duration) (platform.Page, error) {
+	if h.wait() {
+		return platform.Page{}, fmt.Errorf("read: %w", platform.ErrUnavailable)
+	}
+	page, err := h.w.log.Read(ctx, stream, from, wait)
+	h.wait()
+	return page, err
+}
+
+// lateEngine delivers the orders of a paused or stalled host when it goes on.
+type lateEngine struct {
+	*engine
+	h *host
+}
+
+func (e lateEngine) Apply(ctx context.Context, o target.Order) error {
+	e.mu.Lock()
+	late := o.Fence < e.highest
+	e.mu.Unlock()
+	if late {
+		e.h.w.wrong("%s sends under fence %d past its lease", e.h.self.ID, o.Fence)
+	}
+	e.h.pass(&e.h.orders)
+	return e.engine.Apply(ctx, o)
+}
+
+func (e lateEngine) State(ctx context.Context) (target.OrderState, error) {
+	state, err := e.engine.State(ctx)
+	e.h.pass(&e.h.reads)
+	return state, err
+}
+
+// world is a log, engines and controllers in virtual time.
+type world struct {
+	log     *logstore.Store
+	rand    *rand.Rand
+	hosts   []*host
+	engines map[string]*engine
+
+	mu      sync.Mutex
+	version int
+	permits int
+	faults  []string
+}
+
+func (w *world) wrong(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = append(w.faults, fmt.Sprintf(format, args...))
+}
+
+func (w *world) document() *config.Document {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	doc := &config.Document{
+		Services: map[string]config.Service{"s": {Kind: config.ModelService, Model: "m", Adapter: "a"}},
+		Targets:  map[string]config.Target{},
+		Limits:   config.Limits{WeightLoadsAtOnce: 1},
+	}
+	for name := range w.engines {
+		doc.Targets[name] = config.Target{Address: name, FailureDomain: name[:1], Generation: "g", Services: []string{"s"},
+			ModelVersion: fmt.Sprint("v", w.version)}
+	}
+	return doc
+}
+
+func (w *world) publish() {
+	w.mu.Lock()
+	w.version++
+	w.mu.Unlock()
+}
+
+// Acquire is the weight store's.
+func (w *world) Acquire(context.Context, string, int64) (time.Duration, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.permits++
+	return time.Minute, nil
+}
+
+// withoutWeights restarts the hosts with engines that load without a permit.
+func (w *world) withoutWeights() {
+	for _, h := range w.hosts {
+		h.end()
+		h.weights = nil
+		h.start()
+	}
+}
+
+func (w *world) live() []tables.Host {
+	var out []tables.Host
+	for _, h := range w.hosts {
+		out = append(out, h.self)
+	}
+	return out
+}
+
+func (h *host) start() {
+	self := h.self
+	self.Incarnation = time.Now().UnixNano()
+	c := orders.New(orders.Options{
+		Self: self, Log: h, Config: h.w.document, Live: h.w.live, Weights: h.weights,
+		Engine: func(_ tables.TargetID, address string) target.Engine { return lateEngine{h.w.engines[address], h} },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		_ = c.Run(ctx)
+		close(done)
+	}()
+	h.mu.Lock()
+	h.c = c
+	h.mu.Unlock()
+	h.end = func() {
+		cancel()
+		<-done
+	}
+}
+
+// inWorld runs a spec with three hosts and the named engines; the first letter
+// of a name is the failure domain, and an engine with "x" checks fences.
+func inWorld(seed uint64, names []string, spec func(w *world)) {
+	synctest.Test(suite, func(*testing.T) {
+		defer GinkgoRecover()
+		w := &world{rand: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*engine{}}
+		w.log = logstore.New(clockwork.NewRealClock(), logstore.Options{Retention: 30 * time.Minute})
+		for _, name := range names {
+			w.engines[name] = &engine{checks: slices.Contains([]byte(name), 'x')}
+		}
+		for i := range 3 {
+			h := &host{w: w, weights: w, self: tables.Host{ID: tables.HostID(fmt.Sprint("h", i)), Domain: "a"}}
+			w.hosts = append(w.hosts, h)
+		}
+		for _, h := range w.hosts {
+			h.start()
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		go w.watch(ctx)
+		defer time.Sleep(time.Minute)
+		defer func() {
+			cancel()
+			for _, h := range w.hosts {
+				h.end()
+			}
+		}()
+		spec(w)
+	})
+}
+
+// watch notes leases that two hosts hold at once.
+func (w *world) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(100 * time.Millisecond)
+		holder := map[string]tables.HostID{}
+		for _, h := range w.hosts {
+			for _, name := range h.holds() {
+				if other, held := holder[name]; held {
+					w.wrong("%s is held by %s and %s", name, other, h.self.ID)
+				}
+				holder[name] = h.self.ID
+			}
+		}
+	}
+}
+
+// holder returns the host that holds a lease; nil when none does.
+func (w *world) holder(name string) *host {
+	for _, h := range w.hosts {
+		if slices.Contains(h.holds(), name) {
+			return h
+		}
+	}
+	return nil
+}
+
+// settled checks that every engine holds the current version under the fence
+// of its last holder, and that no checking engine took an older fence.
+func (w *world) settled() {
+	for name, e := range w.engines {
+		order, taken := e.read()
+		Expect(order.Version).To(Equal(fmt.Sprint("v", w.version)), name)
+		newest := slices.MaxFunc(taken, func(a, b target.Order) int { return cmp.Compare(a.Fence, b.Fence) })
+		Expect(order.Fence).To(Equal(newest.Fence), "the last state is the current holder's: "+name)
+		if e.checks {
+			Expect(slices.IsSortedFunc(taken, func(a, b target.Order) int { return cmp.Compare(a.Fence, b.Fence) })).To(BeTrue(), name)
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	Expect(w.faults).To(BeEmpty())
+}
+
+var _ = Describe("Controller", func() {
+	It("orders every engine under one lease for each failure domain", func() {
+		inWorld(1, []string{"a1x", "a2", "b1"}, func(w *world) {
+			time.Sleep(2 * time.Minute)
+			w.settled()
+			order, taken := w.engines["a2"].read()
+			Expect(order.Models).To(Equal([]string{"m"}))
+			Expect(order.Adapters).To(Equal([]string{"a"}))
+			Expect(w.holder("orders/a")).NotTo(BeNil())
+			Expect(w.permits).To(Equal(3))
+			time.Sleep(10 * time.Minute)
+			_, later := w.engines["a2"].read()
+			Expect(later).To(HaveLen(len(taken)), "nothing is ordered twice without need")
+		})
+	})
+	It("loads no more engines at once than the limit", func() {
+		inWorld(1, []string{"a1", "a2", "a3", "b1", "b2"}, func(w *world) {
+			for range 600 {
+				time.Sleep(200 * time.Millisecond)
+				loading := 0
+				for _, e := range w.engines {
+					if s, _ := e.State(context.Background()); s.Loading {
+						loading++
+					}
+				}
+				Expect(loading).To(BeNumerically("<=", 1))
+			}
+			time.Sleep(5 * time.Minute)
+			w.settled()
+		})
+	})
+	DescribeTable("repairs what a holder sends that was paused past its lease", func(changed bool) {
+		inWorld(1, []string{"a1x", "a2"}, func(w *world) {
+			time.Sleep(2 * time.Minute)
+			old := w.holder("orders/a")
+			resume := old.stallOrders()
+			w.publish()
+			time.Sleep(15 * time.Second)
+			wake := old.pause()
+			time.Sleep(time.Minute)
+			if changed {
+				w.publish()
+			}
+			time.Sleep(time.Minute)
+			Expect(w.holder("orders/a")).NotTo(BeIdenticalTo(old))
+			w.settled()
+			resume()
+			wake()
+			time.Sleep(20 * time.Second)
+			w.settled()
+		})
+	}, Entry("with the state of then", true), Entry("with the state of now", false))
+	It("sends nothing when it wakes after its lease while it reads an engine", func() {
+		inWorld(1, []string{"a1x", "a2"}, func(w *world) {
+			w.withoutWeights()
+			time.Sleep(2 * time.Minute)
+			old := w.holder("orders/a")
+			resume := old.stallReads()
+			w.publish()
+			time.Sleep(5 * time.Second)
+			wake := old.pause()
+			time.Sleep(2 * time.Minute)
+			w.settled()
+			resume()
+			wake()
+			time.Sleep(time.Minute)
+			w.settled()
+		})
+	})
+	It("sends nothing that was planned under an earlier lease", func() {
+		inWorld(1, []string{"a1"}, func(w *world) {
+			w.withoutWeights()
+			time.Sleep(2 * time.Minute)
+			resume := w.holder("orders/a").stallReads()
+			w.publish()
+			time.Sleep(15 * time.Second)
+			for _, h := range w.hosts {
+				h.isolate(true)
+			}
+			time.Sleep(30 * time.Second)
+			w.publish()
+			for _, h := range w.hosts {
+				h.isolate(false)
+			}
+			time.Sleep(time.Minute)
+			resume()
+			time.Sleep(time.Minute)
+			w.settled()
+			_, taken := w.engines["a1"].read()
+			last := taken[len(taken)-1]
+			for _, o := range taken {
+				if o.Fence == last.Fence {
+					Expect(o.Version).To(Equal(last.Version))
+				}
+			}
+		})
+	})
+	It("hands a lease over at once when its holder stops", func() {
+		inWorld(1, []string{"a1"}, func(w *world) {
+			time.Sleep(2 * time.Minute)
+			old := w.holder("orders/a")
+			old.end()
+			time.Sleep(15 * time.Second)
+			Expect(w.holder("orders/a")).NotTo(Or(BeNil(), BeIdenticalTo(old)))
+			old.start()
+		})
+	})
+	It("sends nothing while the log is down", func() {
+		inWorld(1, []string{"a1"}, func(w *world) {
+			time.Sleep(2 * time.Minute)
+			w.log.SetDown(true)
+			time.Sleep(20 * time.Second)
+			w.publish()
+			_, before := w.engines["a1"].read()
+			time.Sleep(20 * time.Minute)
+			Expect(w.holder("orders/a")).To(BeNil())
+			_, after := w.engines["a1"].read()
+			Expect(after).To(HaveLen(len(before)))
+			w.log.SetDown(false)
+			time.Sleep(2 * time.Minute)
+			w.settled()
+		})
+	})
+	for seed := range uint64(8) {
+		It(fmt.Sprint("ends with the current holder's state under random faults, seed ", seed), func() {
+			inWorld(seed, []string{"a1x", "a2", "b1x", "b2"}, func(w *world) {
+				end := time.Now().Add(2 * time.Hour)
+				for time.Now().Before(end) {
+					w.fault()
+				}
+				time.Sleep(5 * time.Minute)
+				w.settled()
+			})
+		})
+	}
+})
+
+// fault breaks one thing for a while.
+func (w *world) fault() {
+	h := w.hosts[w.rand.IntN(len(w.hosts))]
+	long := time.Duration(w.rand.IntN(90)) * time.Second
+	switch w.rand.IntN(9) {
+	case 6:
+		resume := h.stallOrders()
+		w.publish()
+		time.Sleep(long)
+		wake := h.pause()
+		time.Sleep(time.Duration(w.rand.IntN(60)) * time.Second)
+		resume()
+		wake()
+	case 0:
+		wake := h.pause()
+		time.Sleep(long)
+		wake()
+	case 1:
+		h.isolate(true)
+		time.Sleep(long)
+		h.isolate(false)
+	case 2:
+		w.log.SetDown(true)
+		time.Sleep(long)
+		w.log.SetDown(false)
+	case 3:
+		w.log.LoseAnswers(w.rand.IntN(4))
+	case 4:
+		w.log.SetDelay(time.Duration(w.rand.IntN(1500)) * time.Millisecond)
+		time.Sleep(long)
+		w.log.SetDelay(0)
+	case 5:
+		h.end()
+		time.Sleep(long / 4)
+		h.start()
+	default:
+		w.publish()
+	}
+	time.Sleep(long)
+}
--- a/internal/orders/reconcile.go
+++ b/internal/orders/reconcile.go
@@ -45,13 +45,13 @@
 	if c.adopt(j, state) {
 		return 0
 	}
+	overwritten := c.overwritten(j, state)
 	if state.Loading {
 		return loadCheckInterval
 	}
 	if planned := j.wanted.Role != ""; !planned || state.Order.Fence > int64(j.fence) {
 		return retryInterval
 	}
-	overwritten := state.Order.Fence > 0 && state.Order.Fence < int64(j.fence)
 	if Same(state.Order, j.wanted) && c.ordered(j) && !overwritten {
 		c.freeWeight(j)
 		return checkInterval
@@ -119,6 +119,17 @@
 	return j.engine.ordered
 }
 
+// overwritten reports whether an earlier holder's order came after one under
+// the current fence. An engine that states no fences gives no sign of it.
+func (c *Controller) overwritten(j job, state target.OrderState) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state.Order.Fence == int64(j.fence) {
+		j.engine.fenceSeen = true
+	}
+	return j.engine.fenceSeen && state.Order.Fence < int64(j.fence)
+}
+
 // Same reports whether two orders ask for the same state; fences aside.
 func Same(a, b target.Order) bool {
 	return a.Role == b.Role && a.Version == b.Version && sameSet(a.Models, b.Models) && sameSet(a.Adapters, b.Adapters)
--- a/internal/systems/placement/placement_test.go
+++ b/internal/systems/placement/placement_test.go
@@ -68,6 +68,15 @@
 		Expect(holders(p, now.Add(2*placement.Sustain), in)).To(HaveKeyWithValue("m0", 3))
 		Expect(holders(p, now.Add(time.Hour), in)).To(HaveKeyWithValue("m1", 1), "a model keeps its last engine")
 	})
+	It("moves nothing for a difference below the hysteresis", func() {
+		p := placement.NewPlan()
+		in := placement.Input{Engines: engines(4, 1, 2), Demand: map[tables.ServiceID]float64{"s0": 100, "s1": 100}}
+		holders(p, start, in)
+		in.Demand["s0"] = 200
+		for i := range 120 {
+			Expect(holders(p, start.Add(time.Duration(i)*time.Minute), in)).To(HaveKeyWithValue("m0", 2))
+		}
+	})
 	It("starts from what engines hold", func() {
 		p := placement.NewPlan()
 		in := placement.Input{Engines: engines(2, 1, 2)}
