--- a/internal/harness/audit.go
+++ b/internal/harness/audit.go
@@ -116,13 +116,17 @@
 
 // Audit checks every finished call against the targets' records.
 func (h *Harness) Audit() []Violation {
-	a := audit{runs: h.Runs(), byContent: make(map[string]int)}
+	return auditCalls(h.Calls(), h.Runs())
+}
+
+func auditCalls(calls []*Call, runs map[tables.RequestID]Run) []Violation {
+	a := audit{runs: runs, byContent: make(map[string]int)}
 	for id, run := range a.runs {
 		a.checkDispatches(id, run)
 		a.byContent[run.Content] += run.Runs
 	}
 	groups := make(map[string][]*Call)
-	for _, c := range h.Calls() {
+	for _, c := range calls {
 		a.checkCall(c)
 		groups[c.Request.Content()] = append(groups[c.Request.Content()], c)
 	}
@@ -165,7 +169,7 @@
 func (a *audit) checkAnswer(c *Call, r Result, run Run) {
 	name := c.Request.Name
 	if r.Whole && run.Runs == 0 {
-		a.add(PromiseOwnAnswer, "%s (%s) got an answer and never ran", name, r.ID)
+		a.add(PromiseOwnAnswer, "%s (%s) got %d bytes and never ran: %.100q", name, r.ID, len(r.Text), r.Text)
 		return
 	}
 	if run.Runs > 0 && run.Content != c.Request.Content() {
--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -11,8 +11,11 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 	"go.uber.org/zap"
 
+	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/standin/endpoint"
 	"github.com/bluebellseam/bluebellseam/internal/standin/engine"
 	"github.com/bluebellseam/bluebellseam/internal/standin/hostlist"
@@ -29,6 +32,8 @@
 type Options struct {
 	// Logger gets the hosts' events; nil drops them.
 	Logger *zap.Logger
+	// Tracer gets the hosts' spans; nil drops them.
+	Tracer trace.TracerProvider
 	// ListLag is the lag of the host list.
 	ListLag time.Duration
 	// Log are the limits of the log service.
@@ -55,7 +60,6 @@
 	targets map[string]*Target
 	hosts   map[string]*Host
 	calls   []*Call
-	version uint64
 }
 
 // Target is a stand-in of a target with its place. One of Engine and Plain is
@@ -68,7 +72,7 @@
 	Plain   *plain.Service
 	// ChecksFencing and Generation go into the configuration.
 	ChecksFencing bool
-	Generation    string
+	Generation    config.Generation
 }
 
 // New starts the platform's stand-ins.
@@ -76,6 +80,9 @@
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
+	if o.Tracer == nil {
+		o.Tracer = noop.NewTracerProvider()
+	}
 	clock := clockwork.NewRealClock()
 	h := &Harness{
 		opts:     o,
@@ -119,10 +126,24 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Target{ID: o.ID, Address: address, Domain: domain, Engine: e, ChecksFencing: o.ChecksFencing}
+	t := &Target{
+		ID: o.ID, Address: address, Domain: domain, Engine: e,
+		ChecksFencing: o.ChecksFencing, Generation: generationOf(e.Options()),
+	}
 	return t, h.addTarget(name, t)
 }
 
+// generationOf describes the speed of an engine as an operator would.
+func generationOf(o engine.Options) config.Generation {
+	return config.Generation{
+		PrefillTokensPerSecond: o.PrefillTokensPerSecond,
+		StepMillis:             millis(o.Step),
+		StepMillisPerSequence:  millis(o.StepPerSequence),
+	}
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // AddPlain starts a plain service and lists it as live.
 func (h *Harness) AddPlain(name, domain string, o plain.Options) (*Target, error) {
 	o.ID = tables.TargetID(name)
--- a/internal/model/dispatch.go
+++ b/internal/model/dispatch.go
@@ -52,7 +52,7 @@
 	connected := t.incarnation
 	h.maybePause()
 	h.post(func() {
-		if !f.maySend() {
+		if !f.maySend(h) {
 			h.call(f.gate, func() { f.end(errkind.DeadlineUnmeetable, "") })
 			return
 		}
@@ -72,11 +72,15 @@
 // maySend is the dispatcher's check of its lease from the gate and of the
 // deadline. The lease counts from a heartbeat that the gate has answered, and
 // so from before the gate lost the dispatcher.
-func (f *flight) maySend() bool {
+func (f *flight) maySend(dispatcher *host) bool {
 	if !f.w.rules.SendLease {
 		return true
 	}
-	leased := f.lostAt.IsZero() || f.w.sim.time.Before(f.lostAt.Add(settle.SendLease))
+	heard := f.lostAt
+	if !f.w.rules.LeaseFromSend {
+		heard = later(heard, dispatcher.pausedUntil)
+	}
+	leased := f.lostAt.IsZero() || f.w.sim.time.Before(heard.Add(settle.SendLease))
 	return leased && f.w.sim.time.Before(f.submitted.Add(dueWithin))
 }
 
@@ -140,7 +144,7 @@
 		})
 	case settle.Fetch:
 		t := h.w.targets[step.Targets[0]]
-		h.ask(func() target.Progress { return t.progress(id) }, func(p target.Progress) {
+		h.ask(t, func() target.Progress { return t.progress(id) }, func(p target.Progress) {
 			f.Heard(t.id, p)
 			if p != target.Completed {
 				again(settlePause)
@@ -158,7 +162,7 @@
 		})
 	case settle.Cancel:
 		t := h.w.targets[step.Targets[h.w.sim.rng.IntN(len(step.Targets))]]
-		h.ask(func() target.Progress { return t.cancel(id) }, func(p target.Progress) {
+		h.ask(t, func() target.Progress { return t.cancel(id) }, func(p target.Progress) {
 			f.Heard(t.id, p)
 			again(0)
 		}, func() {
@@ -171,11 +175,11 @@
 }
 
 // ask puts a question to a target; the question or its answer may get lost.
-func (h *host) ask(question func() target.Progress, heard func(target.Progress), lost func()) {
+func (h *host) ask(t *modelTarget, question func() target.Progress, heard func(target.Progress), lost func()) {
 	asked := h.w.sim.chance(h.w.faults.lostMessage)
 	replied := h.w.sim.chance(h.w.faults.lostMessage)
 	h.w.sim.after(h.w.sim.delay(), func() {
-		if asked {
+		if asked || t.silent {
 			h.later(askTimeout, lost)
 			return
 		}
