--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -20,7 +20,7 @@
 // Options set the size of a run.
 type Options struct {
 	// Duration is how long load is offered. A rolling restart that is not
-	// over by then goes on under load.
+	// over by then goes on under load, up to maxOvertimeFactor times as long.
 	Duration time.Duration
 	// Hosts, Engines and Plains are counts.
 	Hosts   int
