--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -37,7 +37,7 @@
 		Expect(r.Histories).To(Equal(*histories))
 		for what, n := range map[string]int{
 			"runs": r.Count.Runs, "crashes": r.Count.Crashes, "pauses": r.Count.Pauses,
-			"target restarts": r.Count.TargetRestarts, "outages": r.Count.Outages,
+			"target restarts": r.Count.TargetRestarts, "outages": r.Count.Outages, "silent targets": r.Count.Silences,
 			"lost answers": r.Count.LostAnswers, "lost appends": r.Count.LostAppends, "late appends": r.Count.LateAppends,
 			"truncations": r.Count.Truncations, "settled sends": r.Count.Settled, "settled as not run": r.Count.SettledNotRun,
 			"orphans settled": r.Count.OrphansSettled, "repeats answered": r.Count.RepeatsAnswered,
@@ -47,6 +47,14 @@
 			Expect(n).To(BeNumerically(">", *histories/coverage), what)
 		}
 	})
+	DescribeTable("keep the promises that they once broke",
+		func(seed uint64) {
+			_, failures := model.Run(seed, model.AllRules())
+			Expect(failures).To(BeEmpty())
+		},
+		Entry("a target falls silent after the sender has stopped", uint64(1_025_499)),
+		Entry("the same at another target", uint64(1_063_524)),
+	)
 	DescribeTable("break a promise without a rule",
 		func(drop func(*model.Rules)) {
 			rules := model.AllRules()
