Spend less on idle peers and lists; send on new connections

Change: the list is asked for with its entity tag; the outbox grows with use; the dispatcher sleeps without requests and reads engines every 2 s; sends to targets open a connection; each harness has a loopback address of its own.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -133,8 +133,6 @@
 // moment are abandoned; Drain comes first in a planned stop.
 func (d *Dispatcher) Run() {
 	d.Sync()
-	ticker := d.Clock.NewTicker(tickPeriod)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-d.ctx.Done():
@@ -143,15 +141,21 @@
 		case f := <-d.posts:
 			f()
 			d.drainPosts()
-			d.tick()
-		case <-ticker.Chan():
-			if len(d.jobs) > 0 {
-				d.tick()
-			}
+		case <-d.nextTick():
 		}
+		d.tick()
 	}
 }
 
+// nextTick returns the channel of the next decision that time alone brings;
+// without requests there is none.
+func (d *Dispatcher) nextTick() <-chan time.Time {
+	if len(d.jobs) == 0 {
+		return nil
+	}
+	return d.Clock.After(tickPeriod)
+}
+
 // drainPosts runs what has been posted so far, so that one scheduling decision
 // serves a whole burst.
 func (d *Dispatcher) drainPosts() {
--- a/internal/dispatcher/watch.go
+++ b/internal/dispatcher/watch.go
@@ -13,7 +13,7 @@
 const (
 	// watchPeriod is the time between two reads of an engine's load report
 	// and cache events.
-	watchPeriod = 1 * time.Second
+	watchPeriod = 2 * time.Second
 	// watchedAtOnce bounds the engines that are read at the same time.
 	watchedAtOnce = 8
 )
--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -7,7 +7,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -25,8 +27,20 @@
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
-// loopback takes a free port.
-const loopback = "127.0.0.1:0"
+// harnesses counts the harnesses of this process.
+var harnesses atomic.Uint32
+
+// addressesPerByte is the number of host addresses that one byte of an IPv4
+// address can name.
+const addressesPerByte = 254
+
+// ownLoopback returns a loopback address, with a free port, that no other
+// harness uses: the port of a target that is down must not be taken by somebody
+// else, who would answer in its place.
+func ownLoopback() string {
+	n := harnesses.Add(1) - 1
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%addressesPerByte, n/addressesPerByte%addressesPerByte, 1+n%addressesPerByte)
+}
 
 // Options set up a Harness.
 type Options struct {
@@ -48,6 +62,8 @@
 // Harness is one installation: platform, targets, hosts and callers.
 type Harness struct {
 	opts Options
+	// loopback is the address of every listener, with port 0.
+	loopback string
 	// Log, Hosts and Weights are the platform's stand-ins.
 	Log     *logstore.Store
 	List    *hostlist.List
@@ -86,6 +102,7 @@
 	clock := clockwork.NewRealClock()
 	h := &Harness{
 		opts:     o,
+		loopback: ownLoopback(),
 		Log:      logstore.New(clock, o.Log),
 		List:     hostlist.New(clock, o.ListLag),
 		Weights:  weightstore.New(clock, weightstore.Options{}),
@@ -98,7 +115,7 @@
 		serviceLog: h.Log.Handler(), serviceList: h.List.Handler(), serviceWeights: h.Weights.Handler(),
 	}
 	for name, handler := range handlers {
-		e, err := endpoint.Listen(loopback, handler)
+		e, err := endpoint.Listen(h.loopback, handler)
 		if err != nil {
 			h.Close()
 			return nil, err
@@ -122,7 +139,7 @@
 func (h *Harness) AddEngine(name, domain string, o engine.Options) (*Target, error) {
 	o.ID = tables.TargetID(name)
 	e := engine.New(o)
-	address, err := e.Listen(loopback)
+	address, err := e.Listen(h.loopback)
 	if err != nil {
 		return nil, err
 	}
@@ -148,7 +165,7 @@
 func (h *Harness) AddPlain(name, domain string, o plain.Options) (*Target, error) {
 	o.ID = tables.TargetID(name)
 	s := plain.New(o)
-	address, err := s.Listen(loopback)
+	address, err := s.Listen(h.loopback)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/harness/host.go
+++ b/internal/harness/host.go
@@ -67,14 +67,14 @@
 	if err := n.startDispatcher(); err != nil {
 		return err
 	}
-	gate, err := node.StartGate(settings.Gate{Common: n.common(), CallerAddress: loopback}, n.env(PartGate))
+	gate, err := node.StartGate(settings.Gate{Common: n.common(), CallerAddress: n.h.loopback}, n.env(PartGate))
 	if err != nil {
 		return err
 	}
 	n.gate = gate
 	n.processes[PartGate] = gate
 	controller, err := node.StartController(settings.Controller{
-		Common: n.common(), OperatorAddress: loopback, PeerAddress: loopback, BootstrapOperator: digestOf(OperatorKey),
+		Common: n.common(), OperatorAddress: n.h.loopback, PeerAddress: n.h.loopback, BootstrapOperator: digestOf(OperatorKey),
 	}, n.env(PartController))
 	if err != nil {
 		return err
@@ -87,7 +87,7 @@
 // startDispatcher lists the host before its dispatcher runs, so that the list
 // has its address.
 func (n *Host) startDispatcher() error {
-	l, err := net.Listen("tcp", loopback)
+	l, err := net.Listen("tcp", n.h.loopback)
 	if err != nil {
 		return err
 	}
@@ -106,7 +106,7 @@
 func (n *Host) common() settings.Common {
 	return settings.Common{
 		Host: n.ID, FailureDomain: tables.DomainID(n.Domain),
-		PeerKey: peerKey, MetricsAddress: loopback,
+		PeerKey: peerKey, MetricsAddress: n.h.loopback,
 		StopBound: n.h.opts.StopBound, BalancerWait: n.h.opts.BalancerWait,
 	}
 }
@@ -115,7 +115,7 @@
 	services := n.h.services
 	return node.Env{
 		Clock:   clockwork.NewRealClock(),
-		Logger:  n.h.opts.Logger.With(zap.String("host", string(n.ID)), zap.String("program", part)),
+		Logger:  n.h.opts.Logger.With(zap.String("node", string(n.ID)), zap.String("program", part)),
 		Tracer:  n.h.opts.Tracer,
 		Log:     platform.NewLogClient(services[serviceLog].URL(), nil),
 		List:    platform.NewHostListClient(services[serviceList].URL(), nil),
--- a/internal/node/env.go
+++ b/internal/node/env.go
@@ -42,7 +42,7 @@
 	client := &http.Client{}
 	return Env{
 		Clock:   clockwork.NewRealClock(),
-		Logger:  logger.With(zap.String("host", string(s.Host)), zap.String("program", program)),
+		Logger:  logger.With(zap.String("node", string(s.Host)), zap.String("program", program)),
 		Tracer:  tracer,
 		Log:     platform.NewLogClient(s.LogURL, client),
 		List:    platform.NewHostListClient(s.HostListURL, client),
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -39,23 +39,15 @@
 	peer      atomic.Pointer[Hello]
 	lastHeard atomic.Int64
 	busy      atomic.Int64
-	outbox    chan posted
+	outbox    *outbox
 	// ready is closed once rpc is set; its reader starts before that.
 	ready chan struct{}
 }
 
-// outboxLength bounds the notifications that wait for a slow peer.
-const outboxLength = 8192
-
-type posted struct {
-	method string
-	params any
-}
-
 // newConn starts a connection on socket. A connection that was accepted
 // serves no method before a Hello with the right key.
 func newConn(ctx context.Context, socket net.Conn, mux *Mux, key string, clock clockwork.Clock, greeted bool) *Conn {
-	c := &Conn{clock: clock, mux: mux, key: key, outbox: make(chan posted, outboxLength), ready: make(chan struct{})}
+	c := &Conn{clock: clock, mux: mux, key: key, outbox: newOutbox(), ready: make(chan struct{})}
 	c.greeted.Store(greeted)
 	c.lastHeard.Store(clock.Now().UnixNano())
 	stream := jsonrpc2.NewBufferedStream(&deadlineSocket{socket}, jsonrpc2.VarintObjectCodec{})
@@ -69,9 +61,7 @@
 // Post queues a notification without blocking. Notifications keep their
 // order. A peer that is too slow loses the connection and can attach again.
 func (c *Conn) Post(method string, params any) {
-	select {
-	case c.outbox <- posted{method, params}:
-	default:
+	if !c.outbox.put(posted{method, params}) {
 		_ = c.rpc.Close()
 	}
 }
@@ -81,7 +71,9 @@
 		select {
 		case <-c.Done():
 			return
-		case p := <-c.outbox:
+		case <-c.outbox.filled:
+		}
+		for _, p := range c.outbox.take() {
 			if err := c.Notify(ctx, p.method, p.params); err != nil {
 				_ = c.rpc.Close()
 				return
--- a/internal/standin/hostlist/hostlist.go
+++ b/internal/standin/hostlist/hostlist.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -135,6 +136,12 @@
 			httpcall.WriteProblem(w, http.StatusServiceUnavailable, "unavailable", err.Error())
 			return
 		}
+		tag := fmt.Sprintf("%q", "v"+strconv.FormatInt(listing.Version, 10))
+		w.Header().Set("ETag", tag)
+		if r.Header.Get("If-None-Match") == tag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
 		httpcall.WriteJSON(w, http.StatusOK, listing)
 	})
 	return mux
--- /dev/null
+++ b/internal/standin/hostlist/hostlist_test.go
@@ -0,0 +1,57 @@
+package hostlist_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/standin/hostlist"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+func TestHostList(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "host list")
+}
+
+var _ = Describe("HostListClient", func() {
+	It("gets the list again only after a change", func() {
+		list := hostlist.New(clockwork.NewFakeClock(), 0)
+		list.PutHost(tables.Host{ID: "h1", Listed: tables.HostLive})
+		var sent, unchanged int
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			rec := httptest.NewRecorder()
+			list.Handler().ServeHTTP(rec, r)
+			if rec.Code == http.StatusNotModified {
+				unchanged++
+			}
+			sent += rec.Body.Len()
+			for name, values := range rec.Header() {
+				w.Header()[name] = values
+			}
+			w.WriteHeader(rec.Code)
+			_, _ = w.Write(rec.Body.Bytes())
+		}))
+		defer server.Close()
+		client := platform.NewHostListClient(server.URL, nil)
+		read := func() platform.Listing {
+			l, err := client.List(context.Background())
+			Expect(err).NotTo(HaveOccurred())
+			return l
+		}
+		first := read()
+		bytes := sent
+		Expect(read()).To(Equal(first))
+		Expect(unchanged).To(Equal(1))
+		Expect(sent).To(Equal(bytes))
+		list.MarkHost("h1", tables.HostLeaving)
+		Expect(read().Hosts[0].Listed).To(Equal(tables.HostLeaving))
+		Expect(unchanged).To(Equal(1))
+	})
+})
--- a/internal/target/engine_client.go
+++ b/internal/target/engine_client.go
@@ -27,14 +27,15 @@
 // Close drops idle connections.
 func (e *EngineClient) Close() { e.conns.close() }
 
-// Generate starts a generation. The stream lives until ctx ends. Errors wrap
+// Generate starts a generation on a new connection: a pooled one that went
+// silent or was closed would leave it unknown whether the request arrived. The stream lives until ctx ends. Errors wrap
 // ErrNotAdmitted or ErrUnknown.
 func (e *EngineClient) Generate(ctx context.Context, g Generation) (Stream, error) {
 	body, err := json.Marshal(CompletionRequest{Model: g.Model, Adapter: g.Adapter, Prompt: g.Prompt, MaxTokens: g.MaxTokens, Stream: true})
 	if err != nil {
 		return nil, fmt.Errorf("generate %q: %w: %w", g.ID, ErrNotAdmitted, err)
 	}
-	s, err := openStream(ctx, e.conns.pooled, httpcall.Request{
+	s, err := openStream(ctx, e.conns.fresh, httpcall.Request{
 		Method: http.MethodPost,
 		URL:    e.conns.base + "/v1/completions",
 		Header: http.Header{"Content-Type": {"application/json"}, DispatchHeader: {string(g.ID)}},
--- a/internal/target/plain_client.go
+++ b/internal/target/plain_client.go
@@ -28,14 +28,15 @@
 // Close drops idle connections.
 func (p *PlainClient) Close() { p.conns.close() }
 
-// Call runs one call. Errors wrap ErrNotAdmitted, ErrUnknown or ErrFailed.
+// Call runs one call on a new connection: a pooled one that went silent or was
+// closed would leave it unknown whether the request arrived. Errors wrap ErrNotAdmitted, ErrUnknown or ErrFailed.
 func (p *PlainClient) Call(ctx context.Context, c Call) (Answer, error) {
 	if c.Timeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, c.Timeout)
 		defer cancel()
 	}
-	resp, err := httpcall.Do(ctx, p.conns.pooled, httpcall.Request{
+	resp, err := httpcall.Do(ctx, p.conns.fresh, httpcall.Request{
 		Method: http.MethodPost,
 		URL:    p.callURL(c),
 		Header: http.Header{"Content-Type": {"application/json"}, DispatchHeader: {string(c.ID)}},
