--- a/internal/systems/schedule/schedule_test.go
+++ b/internal/systems/schedule/schedule_test.go
@@ -203,6 +203,44 @@
 		Expect(ids(schedule.Tick(now, s), tables.Start)).To(Equal([]string{"suspect"}))
 	})
 
+	It("holds more places back from a tier after a cancel, and fewer after an end", func() {
+		s.Targets.Put(engine("e1", 8))
+		for i := range 8 {
+			s.Requests.Put(request(fmt.Sprintf("a%d", i), 1, time.Hour, "e1"))
+		}
+		Expect(ids(schedule.Tick(start, s), tables.Start)).To(HaveLen(7))
+		s.Requests.Put(request("top0", 0, 2*time.Second, "e1"))
+		s.Requests.Put(request("top1", 0, 2*time.Second, "e1"))
+		cancelled := ids(schedule.Tick(start, s), tables.Cancel)
+		Expect(cancelled).To(HaveLen(1))
+		s.Requests.Delete(tables.RequestID(cancelled[0]))
+		Expect(ids(schedule.Tick(start, s), tables.Start)).To(Equal([]string{"top1"}))
+		s.Requests.Delete("top0")
+		s.Requests.Delete("top1")
+		Expect(schedule.Tick(start.Add(time.Second), s)).To(BeEmpty())
+		done := "a0"
+		if cancelled[0] == done {
+			done = "a1"
+		}
+		s.Requests.Delete(tables.RequestID(done))
+		Expect(ids(schedule.Tick(start.Add(time.Second), s), tables.Start)).To(Equal([]string{"a7"}))
+	})
+
+	It("cancels a running lower tier rather than displace from a full queue", func() {
+		s.MaxQueuedPerTarget = 2
+		s.Targets.Put(engine("e1", 4))
+		s.Requests.Put(request("low", 2, time.Hour, "e1"))
+		schedule.Tick(start, s)
+		for i := range 8 {
+			s.Requests.Put(request(fmt.Sprintf("r%d", i), 1, time.Hour, "e1"))
+		}
+		ds := schedule.Tick(start, s)
+		Expect(ids(ds, tables.Cancel)).To(Equal([]string{"low"}))
+		Expect(ids(ds, tables.Shed)).To(BeEmpty())
+		s.Requests.Delete("low")
+		Expect(ids(schedule.Tick(start, s), tables.Shed)).NotTo(BeEmpty())
+	})
+
 	It("shares a tier between customers by tokens", func() {
 		s.Targets.Put(engine("e1", 1))
 		for i := range 20 {
