--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -105,7 +106,9 @@
 
 	mu sync.Mutex
 	// alone hosts reach no peer.
-	alone  bool
+	alone bool
+	// source is the host that named the highest version.
+	source *host
 	f      *follow.Follower
 	cancel func()
 }
@@ -120,9 +123,15 @@
 	return h.f
 }
 
-// FetchConfig asks a random other host.
+// FetchConfig asks the host that named a higher version, or a random one.
 func (h *host) FetchConfig(_ context.Context, have config.Version) (peer.ConfigState, error) {
 	other := h.w.hosts[h.w.pick(len(h.w.hosts))]
+	h.mu.Lock()
+	if h.source != nil {
+		other = h.source
+		h.source = nil
+	}
+	h.mu.Unlock()
 	f := other.peer()
 	if other == h || h.peer() == nil || f == nil {
 		return peer.ConfigState{}, errkind.New(errkind.NotConfigured, "peer unreachable")
@@ -233,11 +242,18 @@
 	for ctx.Err() == nil {
 		time.Sleep(time.Second)
 		for _, h := range w.hosts {
-			from, to := w.hosts[w.pick(len(w.hosts))].peer(), h.peer()
-			if from != nil && to != nil {
-				c := from.Current()
-				to.Heard(c.Version, c.Digest)
+			source := w.hosts[w.pick(len(w.hosts))]
+			from, to := source.peer(), h.peer()
+			if from == nil || to == nil {
+				continue
+			}
+			c := from.Current()
+			if c.Version > to.Current().Version {
+				h.mu.Lock()
+				h.source = source
+				h.mu.Unlock()
 			}
+			to.Heard(c.Version, c.Digest)
 		}
 	}
 }
@@ -368,6 +384,24 @@
 		time.Sleep(10 * time.Second)
 		Expect(versions(w)).To(HaveEach(config.Version(1)))
 	}))
+	DescribeTable("brings a version to every host within 10 s by peers alone", func(hosts int) {
+		inWorld(7, hosts, func(w *world) {
+			time.Sleep(time.Second)
+			for _, h := range w.hosts[1:] {
+				h.log.set(refused)
+			}
+			time.Sleep(10 * time.Second)
+			_, err := publish(w.hosts[0], patch(0, "a"))
+			Expect(err).NotTo(HaveOccurred())
+			seconds := 0
+			for slices.Contains(versions(w), 0) && seconds < 60 {
+				time.Sleep(time.Second)
+				seconds++
+			}
+			AddReportEntry("peers", fmt.Sprintf("%d hosts: %d s", hosts, seconds))
+			Expect(seconds).To(BeNumerically("<=", 10))
+		})
+	}, Entry(nil, 13), Entry(nil, 50), Entry(nil, 200))
 	It("reloads from a snapshot after retention has passed it by", spec(2, func(w *world) {
 		time.Sleep(time.Second)
 		late := w.hosts[1]
