--- a/internal/scenario/checks.go
+++ b/internal/scenario/checks.go
@@ -86,6 +86,44 @@
 	return nil
 }
 
+// awaitQueued waits until a host shows a number of requests in the queue of a
+// target: "queued e1 2 at=h1".
+func awaitQueued(ctx context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
+	name, err := a.word("target")
+	if err != nil {
+		return err
+	}
+	text, err := a.word("count")
+	if err != nil {
+		return err
+	}
+	expected, err := parseSpan(text)
+	if err != nil {
+		return err
+	}
+	at := a.option("at", "")
+	seen := -1
+	var last error
+	holds := harness.Await(ctx, func() bool {
+		status, err := s.h.TargetStatus(ctx, at, name)
+		last = err
+		seen = sum(status.Queued)
+		return err == nil && expected.contains(seen)
+	})
+	if !holds {
+		return fmt.Errorf("host %q shows %d queued requests at %q and not %s: %v", at, seen, name, text, last)
+	}
+	return nil
+}
+
+func sum(counts []int) int {
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
+
 // checkAppends compares the records that the log has taken.
 func checkAppends(_ context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
 	text, err := a.word("count")
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -97,7 +97,7 @@
 		"send": send, "resend": resend, "retry": retry, "leave": leave,
 		"tokens": awaitTokens, "running": awaitRunning, "result": awaitResult, "lookup": lookUp,
 		"fault": fault, "lost": awaitLost,
-		"runs": checkRuns, "ran-at": checkRanAt, "ended": awaitEnded, "leaving-seen": awaitLeaving,
+		"runs": checkRuns, "ran-at": checkRanAt, "ended": awaitEnded, "leaving-seen": awaitLeaving, "queued": awaitQueued,
 		"appends": checkAppends, "audit": audit,
 	}
 	out := make(map[string]func(*testscript.TestScript, bool, []string), len(table))
