--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -60,14 +60,15 @@
 	})
 }
 
-// permit returns whether j may still be sent: its gate was heard within the
-// send lease, so that the gate cannot have settled j as not run. It is called
-// from the goroutine that sends.
+// permit returns whether j may still be sent: its gate has answered a ping that
+// was sent within the send lease, so that it cannot have settled j as not run.
+// What was merely read lately may have waited in a buffer while this process
+// was paused. It is called from the goroutine that sends.
 func (d *Dispatcher) permit(j *job) func() bool {
 	conns := slices.Collect(maps.Keys(j.listeners))
 	return func() bool {
 		oldest := d.Clock.Now().Add(-settle.SendLease)
-		return slices.ContainsFunc(conns, func(c *peer.Conn) bool { return c.LastHeard().After(oldest) })
+		return slices.ContainsFunc(conns, func(c *peer.Conn) bool { return c.Confirmed().After(oldest) })
 	}
 }
 
--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -7,10 +7,15 @@
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/systems/prefix"
+	"github.com/bluebellseam/bluebellseam/internal/systems/settle"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
 
+// confirmWithin is the age at which the gate's last answer to a ping is renewed
+// before a request is taken in.
+const confirmWithin = settle.SendLease / 2
+
 // Register adds the dispatcher's methods to mux.
 func (d *Dispatcher) Register(mux *peer.Mux) {
 	peer.Handle(mux, peer.MethodSubmit, d.submit)
@@ -19,7 +24,14 @@
 	peer.Handle(mux, peer.MethodLookup, d.lookup)
 }
 
+// submit makes sure that the gate still waits before it takes the request in:
+// the message may have lain in a buffer.
 func (d *Dispatcher) submit(ctx context.Context, conn *peer.Conn, msg peer.Submit) (peer.SubmitResult, error) {
+	if d.Clock.Now().Sub(conn.Confirmed()) > confirmWithin {
+		if err := conn.Confirm(ctx); err != nil {
+			return peer.SubmitResult{}, err
+		}
+	}
 	return ask(ctx, d, func() peer.SubmitResult { return d.accept(conn, msg) })
 }
 
@@ -57,7 +69,7 @@
 // refusedUnsent reports whether j ended without a byte to a target, so that its
 // gate may submit it again.
 func (j *job) refusedUnsent() bool {
-	return j.outcome != nil && !j.outcome.Sent && j.outcome.Kind.Answer().Ran == errkind.RanNo
+	return j.outcome != nil && j.outcome.Retryable()
 }
 
 func (d *Dispatcher) newRow(msg peer.Submit) *tables.Request {
--- a/internal/gate/drive.go
+++ b/internal/gate/drive.go
@@ -162,14 +162,9 @@
 	}
 }
 
-// retryable reports whether the verdict allows another dispatcher: the request
-// did not run and no byte can have reached a target.
+// retryable reports whether the verdict allows another dispatcher.
 func (f *flight) retryable(p progress) bool {
-	v := p.verdict
-	if v.Sent || v.Kind.Answer().Ran != errkind.RanNo || f.callerLeft() {
-		return false
-	}
-	return v.Kind != errkind.Quarantined && v.Kind != errkind.CancelledBeforeRun
+	return p.verdict.Retryable() && !f.callerLeft()
 }
 
 // complete reports whether every part of the answer that the verdict speaks of
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -20,7 +20,6 @@
 	"github.com/bluebellseam/bluebellseam/internal/observe"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
-	"github.com/bluebellseam/bluebellseam/internal/target"
 )
 
 // headerRequestID carries the identity of a request to its caller.
@@ -168,8 +167,8 @@
 		Ran:    callers.RequestStatusRan(o.Kind.Answer().Ran),
 		Tokens: callers.NewOptInt(o.Tokens),
 	}
-	if !o.Done {
-		s.State = callers.RequestStatusStateRunning
+	if !o.Done || o.Provisional {
+		s.State = openState(o)
 		s.Ran = callers.RequestStatusRanUnknown
 		return s
 	}
@@ -189,6 +188,14 @@
 	return s
 }
 
+// openState tells a request that has no target yet from one that runs.
+func openState(o peer.Outcome) callers.RequestStatusState {
+	if o.Target == "" {
+		return callers.RequestStatusStateQueued
+	}
+	return callers.RequestStatusStateRunning
+}
+
 // NewError converts an error to the answer of its kind.
 func (a api) NewError(_ context.Context, err error) *callers.ProblemStatusCodeWithHeaders {
 	kind, detail := classify(err)
@@ -270,7 +277,3 @@
 	w.WriteHeader(p.StatusCode)
 	_ = json.NewEncoder(w).Encode(&p.Response)
 }
-
-func chunkOf(o peer.Outcome) target.Chunk {
-	return target.Chunk{Text: string(o.Body), Tokens: o.Tokens, Final: true}
-}
--- a/internal/gate/lookup.go
+++ b/internal/gate/lookup.go
@@ -61,11 +61,15 @@
 	return f
 }
 
+// weight orders what hosts know. A refusal of one dispatcher comes last, since
+// another one may have taken the request since.
 func weight(o peer.Outcome) int {
 	switch {
 	case o.BodyKept:
+		return 3
+	case o.Done && !o.Provisional:
 		return 2
-	case o.Done:
+	case !o.Done:
 		return 1
 	}
 	return 0
--- a/internal/gate/settle.go
+++ b/internal/gate/settle.go
@@ -22,11 +22,11 @@
 // settle finds the outcome of a request whose dispatcher is out of reach. The
 // request is never submitted again.
 func (g *Gate) settle(f *flight, c route.Choice, allowed []tables.TargetID) {
-	lostAt := g.Clock.Now()
 	g.Membership.Suspect(c.Owner)
 	if g.reattach(f, c.Owner) {
 		return
 	}
+	lostAt := g.Clock.Now()
 	p := f.since(0)
 	facts := &settle.Facts{
 		Plain: f.msg.Plain, MayBeSent: true, Allowed: allowed,
@@ -65,11 +65,18 @@
 }
 
 // attachAndFollow reports whether the flight got its outcome over conn.
-func (g *Gate) attachAndFollow(f *flight, conn *peer.Conn, at tables.TargetID) bool {
+func (g *Gate) attachAndFollow(f *flight, conn *peer.Conn, at tables.TargetID) (ok bool) {
 	result, err := g.attach(f, conn, at)
 	if err != nil || !result.Known {
 		return false
 	}
+	// An open connection would keep the dispatcher's send lease alive while
+	// the request is settled elsewhere.
+	defer func() {
+		if !ok {
+			_ = conn.Close()
+		}
+	}()
 	var refusal peer.Finished
 	switch g.follow(f, conn, &refusal) {
 	case ended:
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -21,6 +21,9 @@
 const (
 	// pingAfter is the silence after which a busy connection is probed.
 	pingAfter = 1 * time.Second
+	// confirmEvery is the time between probes of a busy connection that is not
+	// silent.
+	confirmEvery = 2 * time.Second
 	// pingTimeout is how long a probe may stay unanswered.
 	pingTimeout = 2 * time.Second
 	// writeTimeout bounds one write to the socket.
@@ -38,6 +41,9 @@
 	greeted   atomic.Bool
 	peer      atomic.Pointer[Hello]
 	lastHeard atomic.Int64
+	// confirmed is when the latest ping that was answered was sent, in Unix
+	// nanoseconds; zero before the first.
+	confirmed atomic.Int64
 	busy      atomic.Int64
 	outbox    *outbox
 	// ready is closed once rpc is set; its reader starts before that.
@@ -197,23 +203,42 @@
 }
 
 func (c *Conn) probe(ctx context.Context) {
-	silent := c.clock.Now().Sub(c.LastHeard())
+	now := c.clock.Now()
+	silent := now.Sub(c.LastHeard())
 	if c.busy.Load() == 0 {
 		if silent > idleAfter {
 			_ = c.rpc.Close()
 		}
 		return
 	}
-	if silent < pingAfter {
+	if silent < pingAfter && now.Sub(c.Confirmed()) < confirmEvery {
 		return
 	}
+	if err := c.Confirm(ctx); err != nil {
+		_ = c.rpc.Close()
+	}
+}
+
+// Confirm asks the peer for a sign of life. Errors wrap ErrBroken.
+func (c *Conn) Confirm(ctx context.Context) error {
+	sent := c.clock.Now()
 	ctx, cancel := clockwork.WithTimeout(ctx, c.clock, pingTimeout)
 	defer cancel()
 	if err := c.rpc.Call(ctx, methodPing, struct{}{}, nil); err != nil {
-		_ = c.rpc.Close()
+		return fmt.Errorf("ping: %w: %w", ErrBroken, err)
+	}
+	for {
+		old := c.confirmed.Load()
+		if old >= sent.UnixNano() || c.confirmed.CompareAndSwap(old, sent.UnixNano()) {
+			return nil
+		}
 	}
 }
 
+// Confirmed returns when the latest ping that the peer answered was sent. The
+// peer lived at some time after it, however late the answer was read.
+func (c *Conn) Confirmed() time.Time { return time.Unix(0, c.confirmed.Load()) }
+
 // deadlineSocket bounds every write, so that a full socket buffer of a silent
 // peer cannot block the writer for ever.
 type deadlineSocket struct {
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -108,6 +108,14 @@
 	Pool []tables.PoolSummary `json:"pool,omitempty"`
 }
 
+// Retryable reports whether the request may be submitted elsewhere: it did not
+// run, no byte of it can have reached a target, and another dispatcher may
+// answer differently.
+func (f Finished) Retryable() bool {
+	final := f.Kind == errkind.Quarantined || f.Kind == errkind.CancelledBeforeRun
+	return !f.Sent && !final && f.Kind.Answer().Ran == errkind.RanNo
+}
+
 // CancelRequest stops a request at its dispatcher and target.
 type CancelRequest struct {
 	ID tables.RequestID `json:"id"`
@@ -161,8 +169,11 @@
 	// Body is the whole answer when it is kept.
 	Body     []byte `json:"body,omitempty"`
 	BodyKept bool   `json:"body_kept,omitempty"`
-	Tokens   int    `json:"tokens,omitempty"`
-	TraceID  string `json:"trace_id,omitempty"`
+	// Provisional marks the refusal of one dispatcher, after which the gate
+	// may have submitted the request elsewhere.
+	Provisional bool   `json:"provisional,omitempty"`
+	Tokens      int    `json:"tokens,omitempty"`
+	TraceID     string `json:"trace_id,omitempty"`
 }
 
 // Acquire asks the home of a key for the right to dispatch.
