Count a decode step once in the slowdown of a target

Change: a sample weighs by the number of running sequences, and the mean moves over hundreds of steps.

--- a/internal/systems/measure/measure.go
+++ b/internal/systems/measure/measure.go
@@ -10,10 +10,12 @@
 )
 
 const (
-	// meanWeight is the weight of one sample in the smoothed ratio.
-	meanWeight = 0.02
-	// quantile is the share of samples below the baseline, and quantileStep
-	// the relative step by which one sample moves it.
+	// meanWeight is the weight of one decode step in the smoothed ratio.
+	meanWeight = 0.005
+	// prefillWeight is the weight of one prompt in the smoothed throughput.
+	prefillWeight = 0.1
+	// quantile is the share of steps below the baseline, and quantileStep the
+	// relative distance by which one step moves it.
 	quantile     = 0.25
 	quantileStep = 0.02
 	// minSamples is the number of samples before a target is judged.
@@ -47,17 +49,19 @@
 	if r.Plain || took <= 0 || computed <= 0 {
 		return
 	}
-	t.Estimate.PrefillTokensPerSecond = smooth(t.Estimate.PrefillTokensPerSecond, computed/took, meanWeight)
+	t.Estimate.PrefillTokensPerSecond = smooth(t.Estimate.PrefillTokensPerSecond, computed/took, prefillWeight)
 	t.Estimate.Updated = now
 }
 
 // gap takes one time between tokens into the estimate of t.
 func gap(t *tables.Target, took time.Duration) {
 	e := &t.Estimate
+	// Each step of the engine shows in every running sequence.
+	share := 1 / float64(max(t.Running, 1))
 	ratio := min(float64(took)/float64(t.Speed.Gap(t.Running)), maxRatio)
-	e.TokenGap = time.Duration(smooth(float64(e.TokenGap), float64(took), meanWeight))
-	e.Slowdown = smooth(e.Slowdown, ratio, meanWeight)
-	e.Baseline = track(e.Baseline, ratio)
+	e.TokenGap = time.Duration(smooth(float64(e.TokenGap), float64(took), meanWeight*share))
+	e.Slowdown = smooth(e.Slowdown, ratio, meanWeight*share)
+	e.Baseline = track(e.Baseline, ratio, quantileStep*share)
 	e.Samples++
 }
 
@@ -69,14 +73,14 @@
 }
 
 // track moves an estimate of the quantile towards sample.
-func track(old, sample float64) float64 {
+func track(old, sample, step float64) float64 {
 	if old == 0 {
 		return 1
 	}
 	if sample > old {
-		return old * (1 + quantileStep*quantile)
+		return old * (1 + step*quantile)
 	}
-	return old * (1 - quantileStep*(1-quantile))
+	return old * (1 - step*(1-quantile))
 }
 
 // Finished records that r ended at t with kind. A target that failed a request
--- a/internal/systems/measure/measure_test.go
+++ b/internal/systems/measure/measure_test.go
@@ -54,6 +54,14 @@
 		Expect(t.Straggler).To(BeFalse())
 		Expect(t.Estimate.Slowdown).To(BeNumerically(">", 2))
 	})
+	It("counts one long step once, however many sequences saw it", func() {
+		tokens(300, 10*time.Millisecond)
+		t.Running = 16
+		for range 16 {
+			measure.Chunk(r.LastProgress.Add(80*time.Millisecond), t, r, 1)
+		}
+		Expect(t.Estimate.Slowdown).To(BeNumerically("<", 1.1))
+	})
 	It("judges by the time of one token when chunks carry several", func() {
 		for range 200 {
 			measure.Chunk(r.LastProgress.Add(40*time.Millisecond), t, r, 4)
