Let deadlines order before fair share below 1.5 s of slack

Cause: at 0.5 s of slack requests turned urgent together and too late, so that running work was cancelled for them. Change: urgentSlack is 1.5 s.

--- a/internal/systems/schedule/schedule.go
+++ b/internal/systems/schedule/schedule.go
@@ -121,7 +121,7 @@
 }
 
 // urgentSlack is the slack below which the deadline orders before fairness.
-const urgentSlack = 500 * time.Millisecond
+const urgentSlack = 1500 * time.Millisecond
 
 // urgent reports whether e must start soon and may still be in time.
 func (p *pass) urgent(e *entry) bool {
