Cancel running work only when a request must start

Cause: arrivals that were expected to wait too long cancelled lower work at once, though places often came free in time. Change: with lower work running, an arrival waits until 0.1 s before its latest start; without, it is refused at once as before.

--- a/internal/systems/schedule/overload.go
+++ b/internal/systems/schedule/overload.go
@@ -17,7 +17,7 @@
 	fastestFactor = 2
 	// rescueMargin is how long before its latest start a request gets a place
 	// by cancelling a lower tier.
-	rescueMargin = 300 * time.Millisecond
+	rescueMargin = 100 * time.Millisecond
 )
 
 // estimate sets the expected work and latest start of e.
@@ -118,8 +118,9 @@
 	return n
 }
 
-// admit finds a place for new requests that would wait too long, or refuses
-// them at once, so that their gates can ask other owners in time.
+// admit refuses new requests that would wait too long, so that their gates can
+// ask other owners in time. Those that a lower tier can make room for stay;
+// rescue sees to them when they must start.
 func (p *pass) admit() {
 	for _, e := range p.index.arrived {
 		if e.pos < 0 {
@@ -129,7 +130,7 @@
 			p.refuse(e)
 			continue
 		}
-		if p.pressed(e) {
+		if p.pressed(e) && !e.group.lowerRunning(e.r.Tier) {
 			p.relieve(e)
 		}
 	}
