--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -44,6 +45,15 @@
 	return doc
 }
 
+// customers returns n members of a JSON object.
+func customers(n int) []string {
+	var out []string
+	for i := range n {
+		out = append(out, fmt.Sprintf(`"customer-%04d-%s":{"share":1}`, i, strings.Repeat("x", 45)))
+	}
+	return out
+}
+
 func record(at platform.Offset, r config.LogRecord) platform.Record {
 	data, err := r.Encode()
 	Expect(err).NotTo(HaveOccurred())
@@ -115,6 +125,7 @@
 		Entry("with an array", config.Patch{ID: uuid.NewString(), Merge: json.RawMessage(`[]`)}),
 		Entry("with a cut text", config.Patch{ID: uuid.NewString(), Merge: json.RawMessage(`{"a":`)}),
 		Entry("with null", config.Patch{ID: uuid.NewString(), Merge: json.RawMessage(`null`)}),
+		Entry("by a long name", config.Patch{ID: uuid.NewString(), Operator: strings.Repeat("o", 200), Merge: json.RawMessage(`{}`)}),
 		Entry("with too much", config.Patch{ID: uuid.NewString(), Merge: json.RawMessage(`{"a":"` + strings.Repeat("x", config.MaxPatchBytes) + `"}`)}),
 	)
 })
@@ -133,6 +144,23 @@
 		Expect(s.Version).To(BeEquivalentTo(1))
 		Expect(s.Document.Limits.MaxQueuedPerTarget).To(BeZero())
 	})
+	It("keeps a snapshot of the largest document and the longest decisions within 1 MiB", func() {
+		s := config.Empty()
+		for i := range platform.Offset(600) {
+			bad := patch(0, `{"targets":{"x":{"address":"`+strings.Repeat("é", 5000)+`"}}}`)
+			bad.Operator = strings.Repeat("o", 128)
+			next, step := s.Fold(record(i, config.LogRecord{Patch: &bad}))
+			Expect(step.Result.Kind).To(Equal(errkind.InvalidConfig))
+			s = next
+		}
+		big := fmt.Sprintf(`{"tiers":{"t":{"rank":0,"first_token_ms":1,"deadline_ms":1}},"customers":{%s}}`, strings.Join(customers(10000), ","))
+		last := patch(0, big)
+		s, step := s.Fold(record(600, config.LogRecord{Patch: &last}))
+		Expect(step.Result.Accepted).To(BeTrue())
+		Expect(len(s.Canonical())).To(BeNumerically(">", config.MaxDocumentBytes*9/10))
+		snap := s.Snapshot()
+		Expect(len(record(0, config.LogRecord{Snapshot: &snap}).Data)).To(BeNumerically("<", 1<<20))
+	})
 	It("ignores what it cannot read and snapshots that disagree", func() {
 		first := patch(0, workshop)
 		s, _ := config.Empty().Fold(record(0, config.LogRecord{Patch: &first}))
--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -63,6 +63,9 @@
 }
 
 func (s State) foldPatch(rec platform.Record, p Patch) (State, Step) {
+	if err := p.Check(); err != nil {
+		return s, Step{Err: err}
+	}
 	if earlier, ok := s.Find(p.ID); ok {
 		return s, Step{Result: &earlier, Repeated: true}
 	}
@@ -83,7 +86,7 @@
 	doc, err := Apply(s.Document, p.Merge)
 	if err != nil {
 		r.Kind = errkind.InvalidConfig
-		r.Reason = errkind.DetailOf(err)
+		r.Reason = shorten(errkind.DetailOf(err), maxReasonBytes)
 		return s, r
 	}
 	next, err := s.with(s.Version+1, doc)
@@ -94,7 +97,7 @@
 	}
 	r.Accepted = true
 	r.Version = next.Version
-	r.Diff = Diff(s.canonical, next.canonical)
+	r.Diff = shorten(Diff(s.canonical, next.canonical), maxDiffBytes)
 	return next, r
 }
 
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -11,8 +11,9 @@
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 )
 
-// MaxDocumentBytes bounds the JSON text of a document.
-const MaxDocumentBytes = 4 << 20
+// MaxDocumentBytes bounds the JSON text of a document, so that a snapshot with
+// its decisions fits one log record of 1 MiB.
+const MaxDocumentBytes = 768 << 10
 
 // Parse reads a document and refuses fields that the schema does not have.
 // It does not validate. Errors are of kind errkind.InvalidConfig.
--- a/internal/config/patch.go
+++ b/internal/config/patch.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	jsonpatch "github.com/evanphx/json-patch/v5"
@@ -12,8 +13,15 @@
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 )
 
-// MaxPatchBytes bounds the JSON text of a merge patch.
-const MaxPatchBytes = 1 << 20
+const (
+	// MaxPatchBytes bounds the JSON text of a merge patch.
+	MaxPatchBytes = 768 << 10
+	// maxOperatorBytes bounds the name of a publisher.
+	maxOperatorBytes = 128
+	// maxReasonBytes and maxDiffBytes bound the texts that a decision keeps.
+	maxReasonBytes = 200
+	maxDiffBytes   = 4096
+)
 
 // Patch asks for a change of the configuration.
 type Patch struct {
@@ -33,6 +41,10 @@
 	if _, err := uuid.Parse(p.ID); err != nil {
 		return errkind.Wrap(err, errkind.MalformedRequest, fmt.Sprintf("patch ID %q is not a UUID", p.ID))
 	}
+	if len(p.Operator) > maxOperatorBytes {
+		detail := fmt.Sprintf("operator name has %d bytes, more than %d", len(p.Operator), maxOperatorBytes)
+		return errkind.New(errkind.MalformedRequest, detail)
+	}
 	if len(p.Merge) > MaxPatchBytes {
 		detail := fmt.Sprintf("merge patch has %d bytes, more than %d", len(p.Merge), MaxPatchBytes)
 		return errkind.New(errkind.MalformedRequest, detail)
@@ -59,7 +71,8 @@
 	Time time.Time `json:"time,omitzero"`
 	// Content is the hash of the merge patch.
 	Content uint64 `json:"content"`
-	// Diff is the effective merge patch in JSON, where it is known.
+	// Diff is the effective merge patch in JSON, where it is known; a long one
+	// is cut.
 	Diff string `json:"-"`
 }
 
@@ -105,6 +118,15 @@
 	return string(diff)
 }
 
+// shorten cuts text to at most limit bytes of whole characters.
+func shorten(text string, limit int) string {
+	if len(text) <= limit {
+		return text
+	}
+	const cut = "..."
+	return strings.ToValidUTF8(text[:limit-len(cut)], "") + cut
+}
+
 func isObject(data json.RawMessage) bool {
 	return json.Valid(data) && bytes.HasPrefix(bytes.TrimSpace(data), []byte("{"))
 }
