--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -207,7 +207,7 @@
 		t.close()
 	}
 	for _, e := range h.services {
-		e.Down()
+		e.Close()
 	}
 	h.callers.CloseIdleConnections()
 }
--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -4,22 +4,15 @@
 package endpoint
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"time"
-
-	"github.com/cenkalti/backoff/v5"
 )
 
-const (
-	readHeaderTimeout = 10 * time.Second
-	// listenTimeout bounds the wait for a port that is in use.
-	listenTimeout = 3 * time.Second
-)
+const readHeaderTimeout = 10 * time.Second
 
 // Endpoint is one listening address. Its methods may be called concurrently.
 type Endpoint struct {
@@ -29,12 +22,22 @@
 	address  string
 	server   *http.Server
 	listener *Listener
+	reserved *reservation
+	closed   bool
 }
 
+// ErrClosed is returned by Up after Close.
+var ErrClosed = errors.New("endpoint is closed")
+
 // Listen serves handler on address; port 0 takes a free port.
 func Listen(address string, handler http.Handler) (*Endpoint, error) {
-	e := &Endpoint{handler: handler, address: address}
+	reserved, err := reserve(address)
+	if err != nil {
+		return nil, err
+	}
+	e := &Endpoint{handler: handler, address: reserved.address, reserved: reserved}
 	if err := e.Up(); err != nil {
+		reserved.release()
 		return nil, err
 	}
 	return e, nil
@@ -50,21 +53,21 @@
 // URL returns the base URL.
 func (e *Endpoint) URL() string { return "http://" + e.Address() }
 
-// Up listens again after Down; it does nothing while listening.
+// Up listens again after Down; it does nothing while listening. Errors wrap
+// ErrClosed after Close.
 func (e *Endpoint) Up() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.closed {
+		return fmt.Errorf("listen on %q: %w", e.address, ErrClosed)
+	}
 	if e.server != nil {
 		return nil
 	}
-	// While the endpoint is down, a client socket may hold its port.
-	l, err := backoff.Retry(context.Background(), func() (net.Listener, error) {
-		return net.Listen("tcp", e.address)
-	}, backoff.WithMaxElapsedTime(listenTimeout))
+	l, err := net.Listen("tcp", e.address)
 	if err != nil {
 		return fmt.Errorf("listen on %q: %w", e.address, err)
 	}
-	e.address = l.Addr().String()
 	e.server = &http.Server{Handler: e.handler, ReadHeaderTimeout: readHeaderTimeout}
 	e.listener = NewListener(l)
 	go serve(e.server, e.listener)
@@ -77,7 +80,8 @@
 	}
 }
 
-// Down refuses new connections and cuts the open ones.
+// Down refuses new connections and cuts the open ones. The port stays
+// reserved until Close.
 func (e *Endpoint) Down() {
 	e.mu.Lock()
 	server := e.server
@@ -88,6 +92,15 @@
 	}
 }
 
+// Close is Down for good; the port is free afterwards.
+func (e *Endpoint) Close() {
+	e.mu.Lock()
+	e.closed = true
+	e.mu.Unlock()
+	e.Down()
+	e.reserved.release()
+}
+
 // Silence makes every connection that is open now stay open and deliver
 // nothing more in either direction. New connections work.
 func (e *Endpoint) Silence() {
--- /dev/null
+++ b/internal/standin/endpoint/endpoint_test.go
@@ -0,0 +1,48 @@
+package endpoint_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bluebellseam/bluebellseam/internal/standin/endpoint"
+)
+
+func TestEndpoint(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "endpoint")
+}
+
+var _ = Describe("Endpoint", func() {
+	It("refuses connections while it is down and keeps its port", func() {
+		e, err := endpoint.Listen("127.0.0.1:0", http.NotFoundHandler())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(e.Close)
+		address := e.Address()
+		e.Down()
+		for range 200 {
+			other, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(other.Close)
+			Expect(other.Addr().String()).NotTo(Equal(address))
+		}
+		_, err = net.Dial("tcp", address)
+		Expect(err).To(MatchError(ContainSubstring("refused")))
+		Expect(e.Up()).To(Succeed())
+		c, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.Close()).To(Succeed())
+		e.Close()
+		Expect(e.Up()).To(MatchError(endpoint.ErrClosed))
+	})
+	It("refuses an address that is in use", func() {
+		e, err := endpoint.Listen("127.0.0.1:0", http.NotFoundHandler())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(e.Close)
+		_, err = endpoint.Listen(e.Address(), http.NotFoundHandler())
+		Expect(err).To(HaveOccurred())
+	})
+})
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -92,7 +92,7 @@
 // Close stops listening and cuts all connections.
 func (e *Engine) Close() {
 	if ep := e.listening(); ep != nil {
-		ep.Down()
+		ep.Close()
 	}
 }
 
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -1,8 +1,10 @@
 package engine
 
 import (
+	"errors"
 	"strings"
 
+	"github.com/bluebellseam/bluebellseam/internal/standin/endpoint"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
 
@@ -37,7 +39,7 @@
 }
 
 func (e *Engine) restartBySelf() {
-	if err := e.Restart(); err != nil {
+	if err := e.Restart(); err != nil && !errors.Is(err, endpoint.ErrClosed) {
 		panic(err.Error())
 	}
 }
--- a/internal/standin/plain/faults.go
+++ b/internal/standin/plain/faults.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 
+	"github.com/bluebellseam/bluebellseam/internal/standin/endpoint"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
 
@@ -34,7 +36,7 @@
 }
 
 func (s *Service) restartBySelf() {
-	if err := s.Restart(); err != nil {
+	if err := s.Restart(); err != nil && !errors.Is(err, endpoint.ErrClosed) {
 		panic(err.Error())
 	}
 }
--- a/internal/standin/plain/service.go
+++ b/internal/standin/plain/service.go
@@ -83,7 +83,7 @@
 // Close stops listening and cuts all connections.
 func (s *Service) Close() {
 	if ep := s.listening(); ep != nil {
-		ep.Down()
+		ep.Close()
 	}
 }
 
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -65,7 +65,7 @@
 // Close stops all stand-ins.
 func (r *Running) Close() {
 	for _, e := range r.endpoints {
-		e.Down()
+		e.Close()
 	}
 	for _, c := range r.closers {
 		c()
