Route by shared prompt parts and learnt lengths; refuse only on fresh refusals

Cause: gates chose without the prompt parts that the policy routes by, took the bound of an answer for its length, and refused a request on refusals that could be seconds old, when an owner may have begun a lower tier since. Change: a gate finds shared parts and learns lengths; all owners are asked again when a round of refusals took longer than 100 ms; one scope names a prefix for index, gate and engine; the queue bound comes from configuration.

--- a/internal/dispatcher/targets.go
+++ b/internal/dispatcher/targets.go
@@ -39,6 +39,7 @@
 	if doc == nil {
 		return
 	}
+	d.state.MaxQueuedPerTarget = doc.Limits.MaxQueuedPerTarget
 	for name, t := range doc.Targets {
 		d.syncTarget(doc, tables.TargetID(name), t)
 	}
--- a/internal/gate/admit.go
+++ b/internal/gate/admit.go
@@ -13,14 +13,12 @@
 	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
-	"github.com/bluebellseam/bluebellseam/internal/systems/prefix"
 	"github.com/bluebellseam/bluebellseam/internal/systems/route"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
+	"github.com/bluebellseam/bluebellseam/internal/target"
 )
 
 const (
-	// bytesPerToken estimates the length of a prompt in tokens.
-	bytesPerToken = 4
 	// defaultMaxTokens bounds an answer whose caller gave no bound.
 	defaultMaxTokens = 1024
 	// defaultMaxBodyBytes bounds a body when the service gives no bound.
@@ -69,9 +67,9 @@
 		return admitted{}, err
 	}
 	msg := g.message(ctx, a, service, tier, doc.Customers[string(a.customer)])
+	request := g.describe(msg, g.Clock.Now())
 	pick := func() []route.Choice {
-		now := g.Clock.Now()
-		return route.Pick(now, routeRequest(msg, now), g.views(g.Document(), a.service))
+		return route.Pick(g.Clock.Now(), request, g.views(g.Document(), a.service))
 	}
 	lifetime := time.Duration(service.KeyLifetimeSeconds) * time.Second
 	return admitted{msg: msg, pick: pick, lifetime: lifetime}, nil
@@ -155,7 +153,7 @@
 		Adapter:       service.Adapter,
 		Body:          a.body,
 		MaxTokens:     maxTokens(a),
-		PromptTokens:  len(a.body) / bytesPerToken,
+		PromptTokens:  target.PromptTokens(string(a.body)),
 		Key:           a.key,
 		Trace:         carrier,
 	}
@@ -192,14 +190,3 @@
 	_, _ = h.Write(a.body)
 	return tables.Fingerprint(h.Sum64())
 }
-
-func routeRequest(msg peer.Submit, now time.Time) route.Request {
-	return route.Request{
-		ID:              msg.ID,
-		Tier:            msg.Tier,
-		PromptTokens:    msg.PromptTokens,
-		PredictedTokens: msg.MaxTokens,
-		Prefix:          prefix.Chain(msg.Model+"/"+msg.Adapter, msg.Body),
-		Due:             now.Add(msg.DueIn),
-	}
-}
--- a/internal/gate/drive.go
+++ b/internal/gate/drive.go
@@ -33,6 +33,9 @@
 	rerouteFirst   = 50 * time.Millisecond
 	rerouteLongest = 500 * time.Millisecond
 	rerouteFor     = 5 * time.Second
+	// sweepValid is how long the refusals of one round hold. An older one may
+	// come from an owner that has taken lower tiers since.
+	sweepValid = 100 * time.Millisecond
 )
 
 // drive takes a flight to its outcome. pick chooses anew for every round, since
@@ -40,22 +43,37 @@
 func (g *Gate) drive(f *flight, pick func() []route.Choice) {
 	defer g.unregister(f)
 	var tried []tables.TargetID
-	deadline := g.Clock.Now().Add(min(rerouteFor, f.msg.DueIn))
+	begun := g.Clock.Now()
 	pause := rerouteFirst
 	for {
+		asked := g.Clock.Now()
 		refusal, done := g.round(f, pick(), &tried)
 		if done {
 			return
 		}
-		if !ownerless(refusal.Kind) || !g.Clock.Now().Add(pause).Before(deadline) || f.callerLeft() {
+		now := g.Clock.Now()
+		switch {
+		case f.callerLeft():
+			f.finish(refusal)
+			return
+		case ownerless(refusal.Kind) && now.Add(pause).Before(begun.Add(min(rerouteFor, f.msg.DueIn))):
+			g.pauseUntil(now.Add(pause))
+			pause = min(2*pause, rerouteLongest)
+		case overloaded(refusal.Kind) && now.Sub(asked) > sweepValid && now.Before(f.arrived.Add(f.msg.DueIn)):
+		default:
 			f.finish(advise(refusal))
 			return
 		}
-		g.pauseUntil(g.Clock.Now().Add(pause))
-		pause = min(2*pause, rerouteLongest)
 	}
 }
 
+// overloaded reports whether a refusal is for want of room, so that all owners
+// must have refused at about the same time before the caller is refused: else
+// one of them might have begun to run a lower tier.
+func overloaded(k errkind.Kind) bool {
+	return k == errkind.Overloaded || k == errkind.Displaced || k == errkind.DeadlineUnmeetable
+}
+
 // ownerless reports whether a refusal is about a dispatcher that does not own
 // a target any more, so that another one soon will.
 func ownerless(k errkind.Kind) bool {
--- a/internal/gate/flight.go
+++ b/internal/gate/flight.go
@@ -94,6 +94,7 @@
 				end.Target = f.target
 			}
 			f.outcome = &end
+			f.g.learn(f.msg, end)
 		}
 	})
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -18,6 +18,8 @@
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/systems/limit"
+	"github.com/bluebellseam/bluebellseam/internal/systems/predict"
+	"github.com/bluebellseam/bluebellseam/internal/systems/prefix"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -93,6 +95,7 @@
 	kept    *expirable.LRU[tables.RequestID, *flight]
 
 	limits customerLimits
+	learnt learnt
 
 	keys keyIndex
 }
@@ -113,6 +116,7 @@
 		pools:   newPools(),
 		flights: make(map[tables.RequestID]*flight),
 		limits:  customerLimits{customers: limit.NewCustomers()},
+		learnt:  learnt{shared: prefix.NewShared(prefix.DefaultSharedBlocks), lengths: predict.NewLengths()},
 		kept:    expirable.NewLRU[tables.RequestID, *flight](keepCount, nil, keepFinished),
 	}
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -245,7 +245,7 @@
 	}
 	d.prefilled = true
 	g := d.generation
-	hit := e.cache.use(e.opts.Clock.Now(), prefix.Chain(g.Model+"/"+g.Adapter, []byte(g.Prompt)))
+	hit := e.cache.use(e.opts.Clock.Now(), prefix.Chain(target.PrefixScope(g.Model, g.Adapter), []byte(g.Prompt)))
 	d.cachedTokens = hit.cachedTokens
 	computed := d.promptTokens - d.cachedTokens
 	e.records.prefilled(d, computed, hit.recomputedTokens)
--- a/internal/target/prompt.go
+++ b/internal/target/prompt.go
@@ -7,3 +7,6 @@
 func PromptTokens(prompt string) int {
 	return (len(prompt) + bytesPerToken - 1) / bytesPerToken
 }
+
+// PrefixScope names what a prefix cache entry depends on besides the prompt.
+func PrefixScope(model, adapter string) string { return model + "/" + adapter }
