--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -83,6 +83,19 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(a).To(Equal(b))
 	})
+	It("keeps the highest tier and inverts nothing at twice the capacity", func() {
+		r, err := Run("workshop", "bluebellseam", 2.0, 1, 90*time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Inversions).To(BeZero())
+		Expect(r.Tiers[0].Goodput() + r.Tiers[0].Lost()).To(BeNumerically(">=", 0.99))
+	})
+	It("starves no tier below capacity", func() {
+		r, err := Run("grants", "bluebellseam", 0.7, 1, 90*time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		for _, t := range r.Tiers {
+			Expect(t.Goodput()+t.Lost()).To(BeNumerically(">=", 0.98), "tier %d", t.Tier)
+		}
+	})
 	It("names an unknown profile and policy", func() {
 		_, err := Run("bakery", "round-robin", 1, 1, time.Second)
 		Expect(err).To(MatchError(ContainSubstring("bakery")))
