Let another host stand in for the home of a key that is out of reach

Cause: until a dead home was noticed, its keys were refused as not run. Change: the gate asks another live host, which reads the shard; the log still decides. An argument that was never filled goes.

--- a/internal/gate/begin.go
+++ b/internal/gate/begin.go
@@ -76,14 +76,22 @@
 	return result, nil
 }
 
+// claimHome connects to the home of a key. When it is out of reach another host
+// stands in: a home only saves reads and appends, the log decides.
 func (g *Gate) claimHome(ctx context.Context, msg peer.Submit) (*peer.Conn, error) {
 	shard := shardOf(msg, g.ClaimShards)
 	home := g.Membership.ClaimHome(shard)
 	address, ok := g.address(home)
-	if !ok {
-		return nil, fmt.Errorf("host %q, home of claim shard %d, has no address", home, shard)
+	if ok {
+		if conn, err := g.Peers.Get(ctx, address); err == nil {
+			return conn, nil
+		}
+		g.Membership.Suspect(home)
 	}
-	return g.Peers.Get(ctx, address)
+	if conn := g.helper(home, msg.ID, shard); conn != nil {
+		return conn, nil
+	}
+	return nil, fmt.Errorf("neither host %q, home of claim shard %d, nor another one answers", home, shard)
 }
 
 // launchKeyed drives the request that won its key and records a proof of "not
--- a/internal/gate/drive.go
+++ b/internal/gate/drive.go
@@ -42,12 +42,11 @@
 // targets may have found another owner in between.
 func (g *Gate) drive(f *flight, pick func() []route.Choice) {
 	defer g.unregister(f)
-	var tried []tables.TargetID
 	begun := g.Clock.Now()
 	pause := rerouteFirst
 	for {
 		asked := g.Clock.Now()
-		refusal, done := g.round(f, pick(), &tried)
+		refusal, done := g.round(f, pick())
 		if done {
 			return
 		}
@@ -82,7 +81,7 @@
 
 // round tries each dispatcher once. It returns the refusal that says most, or
 // reports that the flight has its outcome.
-func (g *Gate) round(f *flight, choices []route.Choice, tried *[]tables.TargetID) (peer.Finished, bool) {
+func (g *Gate) round(f *flight, choices []route.Choice) (peer.Finished, bool) {
 	refusal := peer.Finished{Kind: errkind.NoTarget, Detail: "no live target serves this service"}
 	for _, c := range choices {
 		if f.callerLeft() {
@@ -92,7 +91,7 @@
 		case ended:
 			return refusal, true
 		case lost:
-			g.settle(f, c, append(*tried, c.Targets...))
+			g.settle(f, c)
 			return refusal, true
 		case notSent:
 		}
--- a/internal/gate/settle.go
+++ b/internal/gate/settle.go
@@ -21,7 +21,7 @@
 
 // settle finds the outcome of a request whose dispatcher is out of reach. The
 // request is never submitted again.
-func (g *Gate) settle(f *flight, c route.Choice, allowed []tables.TargetID) {
+func (g *Gate) settle(f *flight, c route.Choice) {
 	g.Membership.Suspect(c.Owner)
 	if g.reattach(f, c.Owner) {
 		return
@@ -29,7 +29,7 @@
 	lostAt := g.Clock.Now()
 	p := f.since(0)
 	facts := &settle.Facts{
-		Plain: f.msg.Plain, MayBeSent: true, Allowed: allowed,
+		Plain: f.msg.Plain, MayBeSent: true, Allowed: c.Targets,
 		Started: p.target, Offset: p.tokens, CallerLeft: f.callerLeft(),
 	}
 	for g.ctx.Err() == nil {
