--- /dev/null
+++ b/internal/dispatcher/dispatcher_test.go
@@ -0,0 +1,199 @@
+package dispatcher_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/config"
+	"github.com/bluebellseam/bluebellseam/internal/dispatcher"
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+	"github.com/bluebellseam/bluebellseam/internal/target"
+)
+
+func TestDispatcher(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "dispatcher")
+}
+
+const (
+	key   = "a key between the peers"
+	whole = 6
+	bound = 20 * time.Second
+)
+
+var _ = Describe("Dispatcher", func() {
+	var (
+		ctx  context.Context
+		site *fakeSite
+		gate *gateSide
+		d    *dispatcher.Dispatcher
+		conn *peer.Conn
+	)
+	BeforeEach(func() {
+		c, cancel := context.WithCancel(context.Background())
+		ctx = c
+		site = &fakeSite{engine: &fakeEngine{
+			cancel: func() (target.Progress, error) { return target.NotKnown, nil },
+			resume: func(int) (target.Stream, error) { return nil, errNoStream },
+		}}
+		gate = &gateSide{}
+		clock := clockwork.NewRealClock()
+		d = dispatcher.New(ctx, dispatcher.Options{
+			Host: "h1", Clock: clock, Logger: zap.NewNop(), Tracer: noop.NewTracerProvider().Tracer(""),
+			Document:   func() *config.Document { return document() },
+			Membership: site, Quarantine: site, Outcomes: site, Targets: site, Observer: site,
+		})
+		done := make(chan struct{})
+		go func() {
+			d.Run()
+			close(done)
+		}()
+		DeferCleanup(func() {
+			cancel()
+			<-done
+		})
+		mux := peer.NewMux()
+		d.Register(mux)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		go func() { _ = peer.Serve(ctx, l, mux, key, clock) }()
+		pool := peer.NewPool(ctx, peer.Hello{Host: "g1", Key: key}, gate.mux(), clock)
+		conn, err = pool.Get(ctx, l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() []tables.PoolSummary { return d.Summary(ctx) }).WithTimeout(bound).ShouldNot(BeEmpty())
+	})
+	submit := func() (peer.Submit, peer.SubmitResult) {
+		msg := peer.Submit{
+			ID: tables.NewRequestID("g1", uuid.Must(uuid.NewV7())), Service: "report", Model: "m", Body: []byte("prompt"),
+			FirstTokenIn: time.Minute, DueIn: time.Minute, MaxTokens: whole, Allowed: []tables.TargetID{"e1"}, Fingerprint: 7,
+		}
+		var r peer.SubmitResult
+		Expect(conn.Call(ctx, peer.MethodSubmit, msg, &r)).To(Succeed())
+		return msg, r
+	}
+	end := func() peer.Finished {
+		Eventually(gate.ends).WithTimeout(bound).Should(HaveLen(1))
+		return gate.ends()[0]
+	}
+
+	It("sends once and relays the whole answer in order", func() {
+		site.engine.generate = func() (target.Stream, error) { return answer(0, whole, whole, io.EOF), nil }
+		submit()
+		Expect(end().Kind).To(Equal(errkind.None))
+		Expect(gate.offsets()).To(Equal([]int{0, 1, 2, 3, 4, 5}))
+		generates, resumes, _ := site.engine.counts()
+		Expect(generates).To(Equal(1))
+		Expect(resumes).To(BeEmpty())
+	})
+	It("resumes a broken stream at its offset and never sends again", func() {
+		site.engine.generate = func() (target.Stream, error) { return answer(0, 2, whole, errReset), nil }
+		site.engine.resume = func(offset int) (target.Stream, error) { return answer(offset, whole, whole, io.EOF), nil }
+		submit()
+		Expect(end().Kind).To(Equal(errkind.None))
+		Expect(gate.offsets()).To(Equal([]int{0, 1, 2, 3, 4, 5}))
+		generates, resumes, _ := site.engine.counts()
+		Expect(generates).To(Equal(1))
+		Expect(resumes).To(Equal([]int{2}))
+	})
+	It("takes a stream without its final mark for broken", func() {
+		site.engine.generate = func() (target.Stream, error) { return answer(0, 2, whole, io.EOF), nil }
+		submit()
+		Expect(end().Kind).To(Equal(errkind.RanFailed))
+	})
+	It("finds the stream of a send whose answer was lost", func() {
+		site.engine.generate = func() (target.Stream, error) { return nil, errReset }
+		site.engine.resume = func(offset int) (target.Stream, error) { return answer(offset, whole, whole, io.EOF), nil }
+		submit()
+		Expect(end().Kind).To(Equal(errkind.None))
+		generates, _, _ := site.engine.counts()
+		Expect(generates).To(Equal(1))
+	})
+	DescribeTable("settles a lost send by the target's word alone",
+		func(word target.Progress, kind errkind.Kind, crashed bool) {
+			site.engine.generate = func() (target.Stream, error) { return nil, errReset }
+			site.engine.cancel = func() (target.Progress, error) { return word, nil }
+			submit()
+			f := end()
+			Expect(f.Kind).To(Equal(kind))
+			Expect(f.Retryable()).To(BeFalse())
+			Expect(site.crashed()).To(HaveLen(map[bool]int{false: 0, true: 1}[crashed]))
+			generates, _, cancels := site.engine.counts()
+			Expect(generates).To(Equal(1))
+			Expect(cancels).To(BeNumerically(">=", 1))
+		},
+		Entry("never started", target.NeverStarted, errkind.NotAdmitted, false),
+		Entry("not known, as after a restart", target.NotKnown, errkind.OutcomeUnknown, true),
+		Entry("failed", target.Failed, errkind.RanFailed, false),
+	)
+	It("calls a refused send retryable and takes the request back", func() {
+		refused := true
+		site.engine.generate = func() (target.Stream, error) {
+			if refused {
+				refused = false
+				return nil, fmt.Errorf("%w: not loaded", target.ErrNotAdmitted)
+			}
+			return answer(0, whole, whole, io.EOF), nil
+		}
+		msg, _ := submit()
+		Expect(end().Retryable()).To(BeTrue())
+		Eventually(func() errkind.Kind {
+			var again peer.SubmitResult
+			Expect(conn.Call(ctx, peer.MethodSubmit, msg, &again)).To(Succeed())
+			return again.Kind
+		}).WithTimeout(bound).Should(Equal(errkind.None))
+		Eventually(gate.ends).WithTimeout(bound).Should(HaveLen(2))
+		Expect(gate.ends()[1].Kind).To(Equal(errkind.None))
+	})
+	It("takes a second submission of a running request for the first", func() {
+		stream := make(chan target.Stream)
+		site.engine.generate = func() (target.Stream, error) { return <-stream, nil }
+		msg, _ := submit()
+		var again peer.SubmitResult
+		Expect(conn.Call(ctx, peer.MethodSubmit, msg, &again)).To(Succeed())
+		stream <- answer(0, whole, whole, io.EOF)
+		Expect(end().Kind).To(Equal(errkind.None))
+		generates, _, _ := site.engine.counts()
+		Expect(generates).To(Equal(1))
+	})
+	It("refuses what was cancelled before it arrived", func() {
+		id := tables.NewRequestID("g1", uuid.Must(uuid.NewV7()))
+		var cancelled peer.CancelResult
+		Expect(conn.Call(ctx, peer.MethodCancel, peer.CancelRequest{ID: id}, &cancelled)).To(Succeed())
+		var r peer.SubmitResult
+		msg := peer.Submit{ID: id, Service: "report", DueIn: time.Minute, Allowed: []tables.TargetID{"e1"}}
+		Expect(conn.Call(ctx, peer.MethodSubmit, msg, &r)).To(Succeed())
+		Expect(r.Kind).To(Equal(errkind.CancelledBeforeRun))
+	})
+	It("gives queued requests back and finishes running ones when it stops", func() {
+		stream := make(chan target.Stream)
+		site.engine.generate = func() (target.Stream, error) { return <-stream, nil }
+		submit()
+		Eventually(func() int { n, _, _ := site.engine.counts(); return n }).WithTimeout(bound).Should(Equal(1))
+		submit()
+		drained := make(chan int)
+		go func() {
+			left, _ := d.Drain(ctx)
+			drained <- left
+		}()
+		Expect(end().Kind).To(Equal(errkind.ShuttingDown))
+		Consistently(drained).ShouldNot(Receive())
+		stream <- answer(0, whole, whole, io.EOF)
+		Eventually(drained).WithTimeout(bound).Should(Receive(Equal(0)))
+		Expect(gate.ends()[1].Kind).To(Equal(errkind.None))
+		_, r := submit()
+		Expect(r.Kind).To(Equal(errkind.ShuttingDown))
+	})
+})
