--- a/internal/members/beat.go
+++ b/internal/members/beat.go
@@ -130,11 +130,15 @@
 	}
 }
 
-// interval returns the jittered time to the next heartbeat.
+// interval returns the jittered time to the next heartbeat; it is the shortest
+// while there is news to pass on.
 func (m *Members) interval() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d := min(max(beatPerHost*time.Duration(len(m.table.Hosts())), beatMin), beatMax)
+	if m.table.HasNews() {
+		d = beatMin
+	}
 	return d*3/4 + time.Duration(m.rand.Int64N(int64(d/2)))
 }
 
@@ -254,8 +258,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.opts.Clock.Now()
+	hadNews := m.table.HasNews()
 	m.table.NoAnswer(now, to.ID)
 	m.settle(now, false)
+	if !hadNews {
+		m.beatSoon()
+	}
 }
 
 // own returns this host's heartbeat to a peer.
@@ -274,10 +282,12 @@
 	return hb
 }
 
-// take notes what a peer says of itself and of others.
+// take notes what a peer says of itself and of others. The first news after a
+// quiet time is passed on at once.
 func (m *Members) take(hb peer.Heartbeat) {
 	m.mu.Lock()
 	now := m.opts.Clock.Now()
+	hadNews := m.table.HasNews()
 	m.table.Heard(now, membership.Contact{
 		Host:          hb.Host,
 		Incarnation:   hb.Incarnation,
@@ -287,8 +297,9 @@
 	})
 	refuted := m.table.Merge(now, hb.Reports)
 	m.settle(now, false)
+	first := !hadNews && m.table.HasNews()
 	m.mu.Unlock()
-	if refuted {
+	if refuted || first {
 		m.beatSoon()
 	}
 	if hb.Host != "" {
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -162,6 +162,11 @@
 		Expect(w.states("h3")).To(HaveEach(membership.Live))
 		w.agree()
 	}))
+	It("finds a dead host in 10 s among 200 hosts too", inWorld(200, 8, func(w *world) {
+		w.kill("h3")
+		time.Sleep(10 * time.Second)
+		Expect(w.states("h3")).To(HaveEach(membership.Down))
+	}))
 	It("finds a lost failure domain in 20 s and takes it back when it returns", inWorld(13, 4, func(w *world) {
 		lost := []string{"h1", "h5", "h9"}
 		cut := func(silent bool) {
--- a/internal/systems/membership/news.go
+++ b/internal/systems/membership/news.go
@@ -28,6 +28,9 @@
 	t.news[newsKey{m.Host, m.DownBy}] = &news{report: m, left: times}
 }
 
+// HasNews reports whether there are reports to pass on.
+func (t *Table) HasNews() bool { return len(t.news) > 0 }
+
 func (t *Table) dropNews(host tables.HostID) {
 	for key := range t.news {
 		if key.host == host {
