--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOLANGCI_VERSION := v2.15.0
 TOOLS := $(CURDIR)/.tools
 
-.PHONY: demo test lint generate check-generated model bench bench-full plots capacity soak
+.PHONY: demo test lint generate check-generated known-red model bench bench-full plots capacity soak
 
 demo:
 	go run ./cmd/bluebell-demo
@@ -44,3 +44,7 @@
 # model checks a million histories of claims and settling; test checks 20,000.
 model:
 	go test ./internal/model -timeout 3h -ginkgo.timeout=3h -ginkgo.focus='every promise' -histories=1000000 -workers=8
+
+# known-red runs the checks of KNOWN-RED.txt, which fail for a known fault.
+known-red:
+	go test -tags knownred ./internal/bench
