--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -115,13 +115,13 @@
 		d.refused(j, err)
 		return
 	}
-	p := d.newPursuit(j, at)
+	s := d.newSettler(j, at)
 	if err == nil {
-		p.read(stream)
+		s.read(stream)
 	} else {
-		p.cause = err
+		s.cause = err
 	}
-	p.run()
+	s.run()
 }
 
 // refused ends j after proof that the target never runs it.
--- a/internal/dispatcher/plain.go
+++ b/internal/dispatcher/plain.go
@@ -24,9 +24,9 @@
 	case errors.Is(err, target.ErrFailed):
 		d.failed(j, err)
 	default:
-		p := d.newPursuit(j, at)
-		p.cause = err
-		p.run()
+		s := d.newSettler(j, at)
+		s.cause = err
+		s.run()
 	}
 }
 
--- a/internal/dispatcher/recover.go
+++ b/internal/dispatcher/recover.go
@@ -121,10 +121,10 @@
 		return peer.AttachResult{Progress: target.NotKnown}, nil
 	}
 	_, err = ask(ctx, d, func() bool {
-		p := d.newPursuit(d.adopt(conn, q, false), at)
+		s := d.newSettler(d.adopt(conn, q, false), at)
 		d.spawn(func() {
-			p.read(stream)
-			p.run()
+			s.read(stream)
+			s.run()
 		})
 		return true
 	})
--- a/internal/dispatcher/pursuit.go
+++ b/internal/dispatcher/settler.go
@@ -24,9 +24,9 @@
 	outcomePoll = 200 * time.Millisecond
 )
 
-// pursuit finds the outcome of a request that was sent, through whatever
+// settler finds the outcome of a request that was sent, through whatever
 // happens to its connections. It never sends the request again.
-type pursuit struct {
+type settler struct {
 	d     *Dispatcher
 	j     *job
 	at    place
@@ -38,11 +38,11 @@
 	crash bool
 }
 
-func (d *Dispatcher) newPursuit(j *job, at place) *pursuit {
+func (d *Dispatcher) newSettler(j *job, at place) *settler {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = pauseFirst
 	pause.MaxInterval = pauseLongest
-	return &pursuit{
+	return &settler{
 		d: d, j: j, at: at, pause: pause,
 		facts: &settle.Facts{
 			Plain: j.msg.Plain, MayBeSent: true, SenderStopped: true,
@@ -52,142 +52,142 @@
 }
 
 // run takes the job to its outcome.
-func (p *pursuit) run() {
-	for p.refresh() {
-		step := settle.Next(p.facts)
+func (s *settler) run() {
+	for s.refresh() {
+		step := settle.Next(s.facts)
 		if step.Action == settle.Finish {
-			p.finish(step.Kind)
+			s.finish(step.Kind)
 			return
 		}
-		p.carryOut(step)
+		s.carryOut(step)
 	}
 }
 
 // refresh reads the progress of the job and reports whether it is still open.
-func (p *pursuit) refresh() bool {
-	open, err := ask(p.d.ctx, p.d, func() bool {
-		p.facts.Offset = p.j.tokens
-		p.facts.CallerLeft = p.j.reason == errkind.CancelledWhileRun
-		return p.j.outcome == nil
+func (s *settler) refresh() bool {
+	open, err := ask(s.d.ctx, s.d, func() bool {
+		s.facts.Offset = s.j.tokens
+		s.facts.CallerLeft = s.j.reason == errkind.CancelledWhileRun
+		return s.j.outcome == nil
 	})
 	return open && err == nil
 }
 
-func (p *pursuit) carryOut(step settle.Step) {
+func (s *settler) carryOut(step settle.Step) {
 	switch step.Action {
 	case settle.Resume:
-		p.resume(step.Offset)
+		s.resume(step.Offset)
 	case settle.Cancel:
-		p.cancel()
+		s.cancel()
 	case settle.Fetch:
-		p.fetch()
+		s.fetch()
 	case settle.Wait, settle.Finish:
 	}
 }
 
 // read follows a stream and notes what its end tells.
-func (p *pursuit) read(stream *openStream) {
-	p.facts.Heard(p.j.target, target.InProgress)
-	err := p.d.readChunks(p.j, stream)
+func (s *settler) read(stream *openStream) {
+	s.facts.Heard(s.j.target, target.InProgress)
+	err := s.d.readChunks(s.j, stream)
 	if err == nil {
 		return
 	}
-	p.cause = err
+	s.cause = err
 	if errors.Is(err, target.ErrFailed) {
-		p.facts.Heard(p.j.target, target.Failed)
+		s.facts.Heard(s.j.target, target.Failed)
 		return
 	}
-	event.StreamSilent.Log(p.d.Logger, zap.String("request", string(p.j.msg.ID)), zap.Error(err))
+	event.StreamSilent.Log(s.d.Logger, zap.String("request", string(s.j.msg.ID)), zap.Error(err))
 }
 
-func (p *pursuit) resume(offset int) {
-	stream, err := p.d.resume(p.d.Targets.Engine(p.at.address), p.j.msg.ID, offset)
+func (s *settler) resume(offset int) {
+	stream, err := s.d.resume(s.d.Targets.Engine(s.at.address), s.j.msg.ID, offset)
 	switch {
 	case err == nil:
-		event.StreamResumed.Log(p.d.Logger, zap.String("request", string(p.j.msg.ID)), zap.Int("offset", offset))
-		p.pause.Reset()
-		p.read(stream)
+		event.StreamResumed.Log(s.d.Logger, zap.String("request", string(s.j.msg.ID)), zap.Int("offset", offset))
+		s.pause.Reset()
+		s.read(stream)
 	case errors.Is(err, target.ErrNotAdmitted) && !isRefusedDial(err):
-		p.cause = err
-		p.crash = p.crash || p.facts.Account(p.j.target).Progress == target.InProgress
-		p.facts.HeardNoStream(p.j.target)
+		s.cause = err
+		s.crash = s.crash || s.facts.Account(s.j.target).Progress == target.InProgress
+		s.facts.HeardNoStream(s.j.target)
 	case errors.Is(err, target.ErrFailed):
-		p.cause = err
-		p.facts.Heard(p.j.target, target.Failed)
+		s.cause = err
+		s.facts.Heard(s.j.target, target.Failed)
 	default:
-		p.noAnswer(err)
+		s.noAnswer(err)
 	}
 }
 
 // cancel leaves a tombstone, so that "never started" stays true.
-func (p *pursuit) cancel() {
-	ctx, done := context.WithTimeout(p.d.ctx, targetTimeout)
+func (s *settler) cancel() {
+	ctx, done := context.WithTimeout(s.d.ctx, targetTimeout)
 	defer done()
 	var progress target.Progress
 	var err error
-	if p.at.plain {
-		progress, err = p.d.Targets.Plain(p.at.address, p.at.service).Cancel(ctx, p.j.msg.ID)
+	if s.at.plain {
+		progress, err = s.d.Targets.Plain(s.at.address, s.at.service).Cancel(ctx, s.j.msg.ID)
 	} else {
-		progress, err = p.d.Targets.Engine(p.at.address).Cancel(ctx, p.j.msg.ID)
+		progress, err = s.d.Targets.Engine(s.at.address).Cancel(ctx, s.j.msg.ID)
 	}
 	if err != nil {
-		p.noAnswer(err)
+		s.noAnswer(err)
 		return
 	}
-	p.crash = p.crash || progress == target.NotKnown
-	p.facts.Heard(p.j.target, progress)
+	s.crash = s.crash || progress == target.NotKnown
+	s.facts.Heard(s.j.target, progress)
 }
 
 // fetch asks for the answer of a call that runs or ran.
-func (p *pursuit) fetch() {
-	ctx, done := context.WithTimeout(p.d.ctx, targetTimeout)
+func (s *settler) fetch() {
+	ctx, done := context.WithTimeout(s.d.ctx, targetTimeout)
 	defer done()
-	answer, progress, err := p.d.Targets.Plain(p.at.address, p.at.service).Outcome(ctx, p.j.msg.ID)
+	answer, progress, err := s.d.Targets.Plain(s.at.address, s.at.service).Outcome(ctx, s.j.msg.ID)
 	switch {
 	case err != nil:
-		p.noAnswer(err)
+		s.noAnswer(err)
 	case progress == target.Completed && answer.Status != 0:
-		p.d.answered(p.j, answer)
-		p.facts.Whole = true
+		s.d.answered(s.j, answer)
+		s.facts.Whole = true
 	case progress == target.Completed:
-		p.facts.HeardNotKept(p.j.target)
+		s.facts.HeardNotKept(s.j.target)
 	default:
-		p.facts.Heard(p.j.target, progress)
-		p.wait(outcomePoll)
+		s.facts.Heard(s.j.target, progress)
+		s.wait(outcomePoll)
 	}
 }
 
-func (p *pursuit) noAnswer(err error) {
-	p.cause = err
-	p.crash = p.crash || isRefusedDial(err)
-	p.facts.HeardNothing(p.j.target)
-	p.wait(p.pause.NextBackOff())
+func (s *settler) noAnswer(err error) {
+	s.cause = err
+	s.crash = s.crash || isRefusedDial(err)
+	s.facts.HeardNothing(s.j.target)
+	s.wait(s.pause.NextBackOff())
 }
 
-func (p *pursuit) wait(d time.Duration) {
+func (s *settler) wait(d time.Duration) {
 	select {
-	case <-p.d.Clock.After(d):
-	case <-p.d.ctx.Done():
+	case <-s.d.Clock.After(d):
+	case <-s.d.ctx.Done():
 	}
 }
 
 // finish ends the job. A target that lost a running request has crashed.
-func (p *pursuit) finish(kind errkind.Kind) {
+func (s *settler) finish(kind errkind.Kind) {
 	if kind == errkind.None {
 		return
 	}
 	detail := ""
-	if p.cause != nil {
-		detail = p.cause.Error()
+	if s.cause != nil {
+		detail = s.cause.Error()
 	}
-	if p.crash {
-		p.warn()
+	if s.crash {
+		s.warn()
 	}
-	p.d.post(func() {
-		if p.j.reason != errkind.None && kind == errkind.RanFailed {
-			kind = p.j.reason
+	s.d.post(func() {
+		if s.j.reason != errkind.None && kind == errkind.RanFailed {
+			kind = s.j.reason
 		}
-		p.d.finish(p.j, peer.Finished{Kind: kind, Detail: detail, Sent: true})
+		s.d.finish(s.j, peer.Finished{Kind: kind, Detail: detail, Sent: true})
 	})
 }
 
@@ -197,14 +197,14 @@
 // warn tells the peers which content the target ran when it crashed. It comes
 // before the caller is told the end, because the caller may send the content
 // again to another host at once.
-func (p *pursuit) warn() {
-	warned, err := ask(p.d.ctx, p.d, func() <-chan struct{} { return p.d.crashed(p.j) })
+func (s *settler) warn() {
+	warned, err := ask(s.d.ctx, s.d, func() <-chan struct{} { return s.d.crashed(s.j) })
 	if err != nil || warned == nil {
 		return
 	}
 	select {
 	case <-warned:
-	case <-p.d.Clock.After(warnTimeout):
-	case <-p.d.ctx.Done():
+	case <-s.d.Clock.After(warnTimeout):
+	case <-s.d.ctx.Done():
 	}
 }
--- a/internal/node/mortal.go
+++ b/internal/node/closable_log.go
@@ -9,28 +9,28 @@
 	"github.com/bluebellseam/bluebellseam/internal/platform"
 )
 
-// mortalLog is the log as one process sees it: nothing that the process still
+// closableLog is the log as one process sees it: nothing that the process still
 // tries after its end takes effect. Processes that share an address space need
 // it, or a killed one would go on writing.
-type mortalLog struct {
-	log  platform.Log
-	dead atomic.Bool
+type closableLog struct {
+	log    platform.Log
+	closed atomic.Bool
 }
 
 // Append adds a record while the process lives. Errors wrap ErrUnavailable or
 // ErrUnknown.
-func (m *mortalLog) Append(ctx context.Context, stream string, data []byte) (platform.Offset, error) {
-	if m.dead.Load() {
+func (c *closableLog) Append(ctx context.Context, stream string, data []byte) (platform.Offset, error) {
+	if c.closed.Load() {
 		return 0, fmt.Errorf("append to %q after the end of the process: %w", stream, platform.ErrUnavailable)
 	}
-	return m.log.Append(ctx, stream, data)
+	return c.log.Append(ctx, stream, data)
 }
 
 // Read returns records while the process lives. Errors wrap ErrTruncated or
 // ErrUnavailable.
-func (m *mortalLog) Read(ctx context.Context, stream string, from platform.Offset, wait time.Duration) (platform.Page, error) {
-	if m.dead.Load() {
+func (c *closableLog) Read(ctx context.Context, stream string, from platform.Offset, wait time.Duration) (platform.Page, error) {
+	if c.closed.Load() {
 		return platform.Page{}, fmt.Errorf("read %q after the end of the process: %w", stream, platform.ErrUnavailable)
 	}
-	return m.log.Read(ctx, stream, from, wait)
+	return c.log.Read(ctx, stream, from, wait)
 }
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -35,7 +35,7 @@
 	follower *follow.Follower
 	members  *members.Members
 	metrics  *observe.Metrics
-	mortal   *mortalLog
+	log      *closableLog
 	leaving  atomic.Bool
 	running  sync.WaitGroup
 	servers  []*http.Server
@@ -53,9 +53,9 @@
 
 func newProcess(role string, s settings.Common, env Env, p part) *process {
 	ctx, cancel := context.WithCancel(context.Background())
-	mortal := &mortalLog{log: env.Log}
-	env.Log = mortal
-	proc := &process{Env: env, mortal: mortal, settings: s, role: role, ctx: ctx, cancel: cancel, mux: peer.NewMux()}
+	log := &closableLog{log: env.Log}
+	env.Log = log
+	proc := &process{Env: env, log: log, settings: s, role: role, ctx: ctx, cancel: cancel, mux: peer.NewMux()}
 	proc.metrics = observe.NewMetrics()
 	hello := peer.Hello{Host: s.Host, Role: role, Key: s.PeerKey}
 	proc.pool = peer.NewPool(ctx, hello, proc.mux, env.Clock)
@@ -213,7 +213,7 @@
 // kill ends the process at once, as a crash does: nothing more is answered and
 // callers see their connections break.
 func (p *process) kill() {
-	p.mortal.dead.Store(true)
+	p.log.closed.Store(true)
 	p.cancel()
 	for _, s := range p.servers {
 		_ = s.Close()
