Try a host that old reports call down, and pass every news on at once

Change: an old report makes a process try the host next; each new report is passed on after 100 ms; a host that is down gathers no further reports.

--- a/internal/members/beat.go
+++ b/internal/members/beat.go
@@ -20,6 +20,8 @@
 	// beatMin and beatMax bound the time between two heartbeats of a process.
 	beatMin = 1 * time.Second
 	beatMax = 4 * time.Second
+	// beatGap is the wait before a heartbeat that passes on news.
+	beatGap = 100 * time.Millisecond
 	// beatPerHost is the time between two heartbeats for each host, so that
 	// the traffic of a process does not grow with the number of hosts.
 	beatPerHost = 10 * time.Millisecond
@@ -118,6 +120,7 @@
 			timer.Stop()
 			return ctx.Err()
 		case <-m.soon:
+			<-m.opts.Clock.After(beatGap)
 		case <-timer.Chan():
 		}
 		timer.Stop()
@@ -258,10 +261,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.opts.Clock.Now()
-	hadNews := m.table.HasNews()
+	told := m.table.Told()
 	m.table.NoAnswer(now, to.ID)
 	m.settle(now, false)
-	if !hadNews {
+	if m.table.Told() > told {
 		m.beatSoon()
 	}
 }
@@ -282,12 +285,12 @@
 	return hb
 }
 
-// take notes what a peer says of itself and of others. The first news after a
-// quiet time is passed on at once.
+// take notes what a peer says of itself and of others. News is passed on
+// at once.
 func (m *Members) take(hb peer.Heartbeat) {
 	m.mu.Lock()
 	now := m.opts.Clock.Now()
-	hadNews := m.table.HasNews()
+	told := m.table.Told()
 	m.table.Heard(now, membership.Contact{
 		Host:          hb.Host,
 		Incarnation:   hb.Incarnation,
@@ -297,9 +300,9 @@
 	})
 	refuted := m.table.Merge(now, hb.Reports)
 	m.settle(now, false)
-	first := !hadNews && m.table.HasNews()
+	news := m.table.Told() > told
 	m.mu.Unlock()
-	if refuted || first {
+	if refuted || news {
 		m.beatSoon()
 	}
 	if hb.Host != "" {
--- a/internal/systems/membership/news.go
+++ b/internal/systems/membership/news.go
@@ -25,9 +25,13 @@
 
 func (t *Table) tell(m tables.MemberReport) {
 	times := spreadFactor * bits.Len(uint(len(t.rows)))
+	t.told++
 	t.news[newsKey{m.Host, m.DownBy}] = &news{report: m, left: times}
 }
 
+// Told counts the reports that were ever taken up to be passed on.
+func (t *Table) Told() int { return t.told }
+
 // HasNews reports whether there are reports to pass on.
 func (t *Table) HasNews() bool { return len(t.news) > 0 }
 
--- a/internal/systems/membership/table.go
+++ b/internal/systems/membership/table.go
@@ -67,6 +67,7 @@
 	hasListing bool
 	olderSince time.Time
 	news       map[newsKey]*news
+	told       int
 }
 
 type row struct {
@@ -76,6 +77,8 @@
 	votes map[tables.HostID]time.Time
 	// down is set once the votes suffice, until the host refutes them.
 	down bool
+	// doubted is set while an old report says that the host is down.
+	doubted bool
 	// failures counts this process's own tries in a row without an answer.
 	failures int
 	// delisted is when the host left the list; zero if it never did.
--- a/internal/systems/membership/votes.go
+++ b/internal/systems/membership/votes.go
@@ -32,6 +32,10 @@
 		r.Leaving = true
 		t.tell(t.reportOn(r))
 	}
+	if r.doubted {
+		r.doubted = false
+		t.tell(t.reportOn(r))
+	}
 	r.failures = 0
 	delete(r.votes, t.self)
 	r.LastHeard = now
@@ -45,6 +49,7 @@
 		return
 	}
 	r.failures++
+	r.doubted = false
 	t.vote(now, r, t.self)
 }
 
@@ -78,6 +83,7 @@
 		t.tell(t.reportOn(r))
 	}
 	if older(m.Incarnation, m.Sequence, r) {
+		r.doubted = r.doubted || (m.DownBy != "" && !r.down)
 		return
 	}
 	if m.DownBy != "" {
@@ -137,6 +143,9 @@
 }
 
 func (t *Table) vote(now time.Time, r *row, by tables.HostID) {
+	if r.down {
+		return
+	}
 	if _, counted := r.votes[by]; !counted {
 		t.tell(tables.MemberReport{Host: r.ID, Incarnation: r.Incarnation, Sequence: r.sequence, DownBy: by})
 	}
@@ -157,10 +166,11 @@
 	}
 }
 
-// Suspects returns the hosts with reports that do not yet suffice.
+// Suspects returns the hosts to try next: those with reports that do not yet
+// suffice, or that are older than what this process knows.
 func (t *Table) Suspects() []tables.Host {
 	return t.hosts(func(r *row) bool {
-		return !r.down && len(r.votes) > 0 && r.PeerAddress != "" && (r.ID != t.self || t.observer)
+		return !r.down && (r.doubted || len(r.votes) > 0) && r.PeerAddress != "" && (r.ID != t.self || t.observer)
 	})
 }
 
