--- a/internal/orders/keeper.go
+++ b/internal/orders/keeper.go
@@ -27,8 +27,6 @@
 	appendTimeout = 2 * time.Second
 	// pendingFor is how long an unread append keeps its lease from another.
 	pendingFor = 5 * time.Second
-	// releaseTries bounds the releases of one lease at the end.
-	releaseTries = 3
 	// patience is how much longer a lease must be free before a host takes it
 	// that is not its first choice.
 	patience = 10 * time.Second
@@ -345,13 +343,6 @@
 	return k.begin(now, lease.Acquire, w.name, lease.None), true
 }
 
-// release ends the hold of a lease that is no longer wanted; k.mu is held.
-func (k *keeper) release(now time.Time, name string) pending {
-	h := k.holds[name]
-	k.drop(name)
-	return k.begin(now, lease.Release, name, h.Fence)
-}
-
 // begin notes a record that is about to be appended; k.mu is held.
 func (k *keeper) begin(now time.Time, kind lease.Kind, name string, fence platform.Offset) pending {
 	after, afterTime := k.table.After(name)
@@ -368,65 +359,3 @@
 	k.pending[name] = p
 	return p
 }
-
-// releaseAll frees every lease, so that the next holder need not wait. A
-// renewal that was under way may come first in the stream; the release is then
-// written again after it.
-func (k *keeper) releaseAll(ctx context.Context) {
-	fences := k.dropAll()
-	if len(fences) == 0 {
-		return
-	}
-	for range releaseTries {
-		k.catchUp(ctx)
-		records := k.releases(fences)
-		if len(records) == 0 {
-			return
-		}
-		for _, p := range records {
-			k.append(ctx, p)
-		}
-	}
-}
-
-// dropAll ends every hold and returns the fences by name.
-func (k *keeper) dropAll() map[string]platform.Offset {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	fences := make(map[string]platform.Offset, len(k.holds))
-	for name, h := range k.holds {
-		fences[name] = h.Fence
-	}
-	for name := range fences {
-		k.drop(name)
-	}
-	return fences
-}
-
-// catchUp reads to the end of the stream, as far as the log can be read.
-func (k *keeper) catchUp(ctx context.Context) {
-	k.mu.Lock()
-	next := k.table.Next()
-	k.mu.Unlock()
-	for {
-		page, err := k.read(ctx, next, 0)
-		if err != nil || len(page.Records) == 0 || k.fold(page) != nil {
-			return
-		}
-		next = page.Records[len(page.Records)-1].Offset + 1
-	}
-}
-
-// releases returns the releases of the leases that still have these fences.
-func (k *keeper) releases(fences map[string]platform.Offset) []pending {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := k.opts.Clock.Now()
-	var out []pending
-	for name, fence := range fences {
-		if l, ok := k.table.Get(name); ok && l.Fence == fence && !l.Released {
-			out = append(out, k.begin(now, lease.Release, name, fence))
-		}
-	}
-	return out
-}
