Take defaults from the configuration; ask for a late answer of a call on a new connection

Cause: the dispatcher had window and queue defaults of its own (64 places at an engine that may batch far fewer); a call whose connection went silent was settled only at its deadline.

--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -55,8 +55,9 @@
 	ends := connectionEnds(s)
 	return []Row{
 		{
-			Work: "host list", Load: fmt.Sprintf("%g processes read all of it %d times a second", processes, readsOfList),
-			Core: reads * m.Value("members.take_listing"), BytesPerSec: reads * m.Value("members.listing_bytes"),
+			Work: "host list", Load: fmt.Sprintf("%g processes ask for it %d times a second and get it when it has changed", processes, readsOfList),
+			Core:        reads*m.Value("members.unchanged_time") + processes*listings*m.Value("members.take_listing"),
+			BytesPerSec: reads*m.Value("members.unchanged_bytes") + processes*listings*m.Value("members.listing_bytes"),
 			MemoryBytes: processes * m.Value("members.table_memory"),
 		},
 		{
--- a/internal/capacity/members.go
+++ b/internal/capacity/members.go
@@ -36,6 +36,9 @@
 		return nil, err
 	}
 	m := &meter{}
+	if err := listingSlopes(s, m); err != nil {
+		return nil, err
+	}
 	m.add("members.heartbeat_bytes", float64(len(message)), Bytes, "heartbeat, one way", "JSON with 3 pool summaries and 8 reports")
 	m.add("members.reports_bytes", float64(len(reports)), Bytes, "heartbeat, one way", "JSON of its 8 reports")
 	m.add("members.listing_bytes", float64(len(data)), Bytes, "read of the host list", "JSON at the target size")
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -10,9 +10,9 @@
 	DefaultKeyLifetime = time.Hour
 	// DefaultWindowMin and DefaultWindowMax bound the requests at a target.
 	DefaultWindowMin = 1
-	DefaultWindowMax = 64
+	DefaultWindowMax = 16
 	// DefaultMaxQueuedPerTarget bounds the queue in front of one target.
-	DefaultMaxQueuedPerTarget = 256
+	DefaultMaxQueuedPerTarget = 64
 	// DefaultWeightLoadsAtOnce bounds concurrent loads from the weight store.
 	DefaultWeightLoadsAtOnce = 2
 )
--- a/internal/dispatcher/plain.go
+++ b/internal/dispatcher/plain.go
@@ -9,23 +9,59 @@
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
 
-// runPlain sends a call once and waits for its answer.
+// callEnd is how the sending of a call ended.
+type callEnd struct {
+	answer target.Answer
+	err    error
+}
+
+// runPlain sends a call once and waits for its answer. While none comes it asks
+// for the outcome on new connections, since the first one may have gone silent.
 func (d *Dispatcher) runPlain(ctx context.Context, j *job, at place) {
 	service := d.Targets.Plain(at.address, j.msg.Service)
-	answer, err := service.Call(ctx, target.Call{
-		ID: j.msg.ID, Service: j.msg.Service, Operation: j.msg.Operation,
-		Body: j.msg.Body, Timeout: j.msg.DueIn,
-	})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan callEnd, 1)
+	go func() {
+		answer, err := service.Call(ctx, target.Call{
+			ID: j.msg.ID, Service: j.msg.Service, Operation: j.msg.Operation,
+			Body: j.msg.Body, Timeout: j.msg.DueIn,
+		})
+		ended <- callEnd{answer, err}
+	}()
+	for {
+		select {
+		case e := <-ended:
+			d.endCall(j, at, e)
+			return
+		case <-d.Clock.After(streamSilence):
+		}
+		if answer, ok := d.peekAnswer(j, service); ok {
+			d.answered(j, answer)
+			return
+		}
+	}
+}
+
+// peekAnswer returns the answer of a call that its service has completed.
+func (d *Dispatcher) peekAnswer(j *job, service target.Plain) (target.Answer, bool) {
+	ctx, cancel := context.WithTimeout(d.ctx, targetTimeout)
+	defer cancel()
+	answer, progress, err := service.Outcome(ctx, j.msg.ID)
+	return answer, err == nil && progress == target.Completed && answer.Status != 0
+}
+
+func (d *Dispatcher) endCall(j *job, at place, e callEnd) {
 	switch {
-	case err == nil:
-		d.answered(j, answer)
-	case errors.Is(err, target.ErrNotAdmitted):
-		d.refused(j, err)
-	case errors.Is(err, target.ErrFailed):
-		d.failed(j, err)
+	case e.err == nil:
+		d.answered(j, e.answer)
+	case errors.Is(e.err, target.ErrNotAdmitted):
+		d.refused(j, e.err)
+	case errors.Is(e.err, target.ErrFailed):
+		d.failed(j, e.err)
 	default:
 		s := d.newSettler(j, at)
-		s.cause = err
+		s.cause = e.err
 		s.run()
 	}
 }
--- a/internal/dispatcher/targets.go
+++ b/internal/dispatcher/targets.go
@@ -23,9 +23,6 @@
 	downFor = 1 * time.Second
 	// rampTime limits the window of a target that just changed its owner.
 	rampTime = 2 * time.Second
-
-	defaultWindowMin = 1
-	defaultWindowMax = 64
 )
 
 // Sync posts an update of the target table from configuration and membership.
@@ -39,7 +36,7 @@
 	if doc == nil {
 		return
 	}
-	d.state.MaxQueuedPerTarget = doc.Limits.MaxQueuedPerTarget
+	d.state.MaxQueuedPerTarget = doc.Limits.QueueLimit()
 	for name, t := range doc.Targets {
 		d.syncTarget(doc, tables.TargetID(name), t)
 	}
@@ -70,18 +67,10 @@
 	}
 	row.ChecksFencing = t.ChecksFencing
 	row.Drained = t.Drained
-	row.WindowMin = orDefault(t.WindowMin, defaultWindowMin)
-	row.WindowMax = orDefault(t.WindowMax, defaultWindowMax)
+	row.WindowMin, row.WindowMax = t.Window()
 	row.Speed = doc.Generations[t.Generation].Speed()
 }
 
-func orDefault(v, d int) int {
-	if v > 0 {
-		return v
-	}
-	return d
-}
-
 func isPlain(doc *config.Document, t config.Target) bool {
 	for _, s := range t.Services {
 		return doc.Services[s].Kind == config.PlainService
--- a/internal/gate/admit.go
+++ b/internal/gate/admit.go
@@ -21,8 +21,6 @@
 const (
 	// defaultMaxTokens bounds an answer whose caller gave no bound.
 	defaultMaxTokens = 1024
-	// defaultMaxBodyBytes bounds a body when the service gives no bound.
-	defaultMaxBodyBytes = 1 << 20
 	// defaultDeadline is the deadline of a tier that has none.
 	defaultDeadline = 5 * time.Minute
 )
@@ -71,8 +69,7 @@
 	pick := func() []route.Choice {
 		return route.Pick(g.Clock.Now(), request, g.views(g.Document(), a.service))
 	}
-	lifetime := time.Duration(service.KeyLifetimeSeconds) * time.Second
-	return admitted{msg: msg, pick: pick, lifetime: lifetime}, nil
+	return admitted{msg: msg, pick: pick, lifetime: service.KeyLifetime()}, nil
 }
 
 func findService(doc *config.Document, a ask) (config.Service, error) {
@@ -85,10 +82,7 @@
 			return service, errkind.New(errkind.UnknownOperation, fmt.Sprintf("service %q has no operation %q", a.service, a.operation))
 		}
 	}
-	limit := service.MaxBodyBytes
-	if limit == 0 {
-		limit = defaultMaxBodyBytes
-	}
+	limit := service.BodyLimit()
 	if int64(len(a.body)) > limit {
 		return service, errkind.New(errkind.BodyTooLarge, fmt.Sprintf("body has %d bytes and service %q takes %d", len(a.body), a.service, limit))
 	}
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebellseam/bluebellseam/internal/api/callers"
+	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/observe"
@@ -259,10 +260,10 @@
 }
 
 func (g *Gate) maxBody() int64 {
-	limit := int64(defaultMaxBodyBytes)
+	limit := config.DefaultMaxBodyBytes
 	if doc := g.Document(); doc != nil {
 		for _, s := range doc.Services {
-			limit = max(limit, s.MaxBodyBytes)
+			limit = max(limit, s.BodyLimit())
 		}
 	}
 	return limit
