--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/bluebellseam/bluebellseam/internal/claims"
 	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/event"
@@ -34,7 +35,7 @@
 	follower *follow.Follower
 	members  *members.Members
 	metrics  *observe.Metrics
-	mortal   *mortalLog
+	log      *closableLog
 	leaving  atomic.Bool
 	running  sync.WaitGroup
 	servers  []*http.Server
@@ -52,9 +53,9 @@
 
 func newProcess(role string, s settings.Common, env Env, p part) *process {
 	ctx, cancel := context.WithCancel(context.Background())
-	mortal := &mortalLog{log: env.Log}
-	env.Log = mortal
-	proc := &process{Env: env, mortal: mortal, settings: s, role: role, ctx: ctx, cancel: cancel, mux: peer.NewMux()}
+	log := &closableLog{log: env.Log}
+	env.Log = log
+	proc := &process{Env: env, log: log, settings: s, role: role, ctx: ctx, cancel: cancel, mux: peer.NewMux()}
 	proc.metrics = observe.NewMetrics()
 	hello := peer.Hello{Host: s.Host, Role: role, Key: s.PeerKey}
 	proc.pool = peer.NewPool(ctx, hello, proc.mux, env.Clock)
@@ -64,7 +65,7 @@
 	})
 	proc.members = members.New(members.Options{
 		Self: p.self, Observer: p.observer, List: env.List, Caller: proc.pool,
-		Clock: env.Clock, Logger: env.Logger,
+		Clock: env.Clock, Logger: env.Logger, ClaimShards: claims.DefaultShards,
 		Heartbeat:   func() peer.Heartbeat { return proc.heartbeat(p) },
 		OnHeartbeat: func(h peer.Heartbeat) { proc.heard(p, h) },
 	})
@@ -212,7 +213,7 @@
 // kill ends the process at once, as a crash does: nothing more is answered and
 // callers see their connections break.
 func (p *process) kill() {
-	p.mortal.dead.Store(true)
+	p.log.closed.Store(true)
 	p.cancel()
 	for _, s := range p.servers {
 		_ = s.Close()
