Refuse connections at a stand-in as soon as it is down

Cause: the endpoint test failed once on the busy machine: http.Server.Close does not close a listener that Serve has not begun to serve, so that an endpoint that went down at once still took connections. Change: Down closes the listener itself.

--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -84,12 +84,14 @@
 // reserved until Close.
 func (e *Endpoint) Down() {
 	e.mu.Lock()
-	server := e.server
-	e.server = nil
-	e.mu.Unlock()
-	if server != nil {
-		_ = server.Close()
+	defer e.mu.Unlock()
+	if e.server == nil {
+		return
 	}
+	_ = e.server.Close()
+	// The server closes only a listener that it has begun to serve.
+	_ = e.listener.Close()
+	e.server = nil
 }
 
 // Close is Down for good; the port is free afterwards.
--- a/internal/standin/endpoint/endpoint_test.go
+++ b/internal/standin/endpoint/endpoint_test.go
@@ -38,6 +38,16 @@
 		e.Close()
 		Expect(e.Up()).To(MatchError(endpoint.ErrClosed))
 	})
+	It("refuses connections as soon as Down returns", func() {
+		for range 300 {
+			e, err := endpoint.Listen("127.0.0.1:0", http.NotFoundHandler())
+			Expect(err).NotTo(HaveOccurred())
+			e.Down()
+			_, err = net.Dial("tcp", e.Address())
+			Expect(err).To(MatchError(ContainSubstring("refused")))
+			e.Close()
+		}
+	})
 	It("refuses an address that is in use", func() {
 		e, err := endpoint.Listen("127.0.0.1:0", http.NotFoundHandler())
 		Expect(err).NotTo(HaveOccurred())
