Start where the prompt is held, also within one dispatcher

Cause: with the split of computed tokens by tier and reason, a dispatcher with several targets was seen to start a request at a free target that did not hold its shared part, while a free one did: the gate weighs such a part by twelve times the window, the dispatcher weighed it once. Change: schedule weighs it as route does, among the targets that are free.

--- a/internal/systems/schedule/schedule.go
+++ b/internal/systems/schedule/schedule.go
@@ -129,15 +129,17 @@
 }
 
 // best returns the free slot of g that finishes r first, and the part of the
-// prompt that it holds in tokens.
+// prompt that it holds in tokens. What another free slot holds weighs more,
+// because computing it again fills a second cache with the same tokens.
 func (p *pass) best(g *group, r *tables.Request) (best *slot, cached int) {
+	most := p.mostHeld(g, r)
 	var bestCost time.Duration
 	for _, sl := range g.usable {
 		if r.Alone && len(sl.running) > 0 {
 			continue
 		}
 		held := p.state.Prefixes.Match(sl.id, r.Prefix)
-		cost := finishTime(sl.t, r, held, len(sl.running)+1)
+		cost := finishTime(sl.t, r, held, len(sl.running)+1) + recomputeTime(sl.t, most-held)
 		if best == nil || cost < bestCost {
 			best, bestCost, cached = sl, cost, held
 		}
@@ -145,6 +147,16 @@
 	return best, cached
 }
 
+// mostHeld returns the longest part of the prompt of r that a free slot of g
+// holds, in tokens.
+func (p *pass) mostHeld(g *group, r *tables.Request) int {
+	most := 0
+	for _, sl := range g.usable {
+		most = max(most, p.state.Prefixes.Match(sl.id, r.Prefix))
+	}
+	return most
+}
+
 // isolate reports whether a slot of g is empty for e, which runs alone. When e
 // is urgent and none is, the slot with the least work is emptied.
 func (p *pass) isolate(g *group, e *entry) bool {
--- a/internal/systems/schedule/schedule_test.go
+++ b/internal/systems/schedule/schedule_test.go
@@ -243,6 +243,30 @@
 		Expect(ids(schedule.Tick(start, s), tables.Shed)).NotTo(BeEmpty())
 	})
 
+	It("starts where the prompt is held rather than at an idle target", func() {
+		chain := make([]uint64, 48)
+		for i := range chain {
+			chain[i] = uint64(i + 1)
+		}
+		s.Targets.Put(engine("e1", 4))
+		s.Targets.Put(engine("e2", 4))
+		for _, id := range []string{"a", "b"} {
+			r := request(id, 0, time.Minute, "e1")
+			r.Prefix = chain
+			s.Requests.Put(r)
+		}
+		schedule.Tick(start, s)
+		third := request("c", 0, time.Minute, "e1", "e2")
+		third.Prefix = chain
+		s.Requests.Put(third)
+		schedule.Tick(start, s)
+		Expect(third.Target).To(BeEquivalentTo("e1"))
+		other := request("d", 0, time.Minute, "e1", "e2")
+		s.Requests.Put(other)
+		schedule.Tick(start, s)
+		Expect(other.Target).To(BeEquivalentTo("e2"))
+	})
+
 	It("shares a tier between customers by tokens", func() {
 		s.Targets.Put(engine("e1", 1))
 		for i := range 20 {
--- a/internal/systems/schedule/speed.go
+++ b/internal/systems/schedule/speed.go
@@ -57,3 +57,13 @@
 	d := t.Speed.Prefill(r.PromptTokens-cached) + time.Duration(r.PredictedTokens)*t.Speed.Gap(batch)
 	return time.Duration(float64(d) * slowdown(t))
 }
+
+// recomputeWeight weighs the time of computing again what another target
+// holds, for each place of the window.
+const recomputeWeight = 12
+
+// recomputeTime returns the weighted time of computing tokens at t that
+// another target holds.
+func recomputeTime(t *tables.Target, tokens int) time.Duration {
+	return recomputeWeight * time.Duration(window(t)) * t.Speed.Prefill(max(tokens, 0))
+}
