Cancel lower work at a closed target rather than let a request expire

Cause: a lower tier at a straggler between its probes counted as running, so a pressed request was not refused, but it was never cancelled, because the target had no place to give. Change: when no lower work runs at an open target, the cheapest at a closed one is cancelled, so the request can be refused and asked for elsewhere. A test of Tick fails without it.

--- a/internal/systems/schedule/overload.go
+++ b/internal/systems/schedule/overload.go
@@ -220,11 +220,27 @@
 	}
 }
 
-// preempt cancels the running lower-tier request that loses the least work.
+// preempt cancels the running lower-tier request that loses the least work. One
+// at a target that is closed to new work goes only when there is no other: it
+// gives no place, but nothing of a higher tier is refused while it runs.
 func (p *pass) preempt(e *entry) {
+	victim := p.victim(e, true)
+	if victim == nil {
+		victim = p.victim(e, false)
+	}
+	if victim == nil {
+		return
+	}
+	victim.Cancelling = true
+	p.out = append(p.out, tables.Decision{Action: tables.Cancel, Request: victim.ID, Target: victim.Target, Kind: errkind.Preempted})
+}
+
+// victim returns the cheapest request to cancel for e at the targets that are
+// open to new work, or at those that are not; nil when there is none.
+func (p *pass) victim(e *entry, open bool) *tables.Request {
 	var victim *tables.Request
 	for _, sl := range e.group.slots {
-		if limit(sl.t, p.now) == 0 {
+		if open != (limit(sl.t, p.now) > 0) {
 			continue
 		}
 		for _, r := range sl.running {
@@ -236,11 +252,7 @@
 			}
 		}
 	}
-	if victim == nil {
-		return
-	}
-	victim.Cancelling = true
-	p.out = append(p.out, tables.Decision{Action: tables.Cancel, Request: victim.ID, Target: victim.Target, Kind: errkind.Preempted})
+	return victim
 }
 
 // cheaper reports whether cancelling a is better than cancelling b: the lower
--- a/internal/systems/schedule/schedule_test.go
+++ b/internal/systems/schedule/schedule_test.go
@@ -88,6 +88,28 @@
 		Expect(s.Requests.Get("young").Cancelling).To(BeTrue())
 	})
 
+	It("lets no request expire behind a lower tier at a target closed to new work", func() {
+		s.Targets.Put(engine("e1", 1))
+		s.Targets.Put(engine("e2", 1))
+		s.Requests.Put(request("low", 2, time.Hour, "e1"))
+		s.Requests.Put(request("same", 0, time.Hour, "e2"))
+		schedule.Tick(start, s)
+		closed := s.Targets.Get("e1")
+		closed.Straggler, closed.ProbeAt = true, start.Add(time.Hour)
+		s.Requests.Put(request("urgent", 0, 4*time.Second, "e1", "e2"))
+		var shed []string
+		for at := time.Duration(0); at < 4*time.Second; at += 100 * time.Millisecond {
+			ds := schedule.Tick(start.Add(at), s)
+			shed = append(shed, ids(ds, tables.Shed)...)
+			for _, id := range ids(ds, tables.Cancel) {
+				Expect(id).To(Equal("low"))
+				s.Requests.Delete(tables.RequestID(id))
+			}
+		}
+		Expect(s.Requests.Get("low")).To(BeNil())
+		Expect(shed).To(Equal([]string{"urgent"}))
+	})
+
 	It("never cancels a running non-idempotent request", func() {
 		s.Targets.Put(engine("e1", 1))
 		commit := request("commit", 2, time.Hour, "e1")
