--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -61,7 +61,7 @@
 	proc.pool = peer.NewPool(ctx, hello, proc.mux, env.Clock)
 	proc.follower = follow.New(follow.Options{
 		Host: s.Host, Log: env.Log, Clock: env.Clock, Logger: env.Logger,
-		Peers: fetcher{proc}, SkipSnapshots: role != "controller",
+		Peers: fetcher{proc}, SkipSnapshots: role != "controller", Retention: s.LogRetention,
 	})
 	proc.members = members.New(members.Options{
 		Self: p.self, Observer: p.observer, List: env.List, Caller: proc.pool,
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -11,6 +11,8 @@
 	"runtime/debug"
 	"strings"
 	"time"
+
+	"github.com/bluebellseam/bluebellseam/internal/claims"
 )
 
 // minPeerKeyLength is the shortest accepted peer key in characters.
@@ -63,6 +65,7 @@
 		checkURL("--log-url", "BLUEBELL_LOG_URL", c.LogURL),
 		checkURL("--host-list-url", "BLUEBELL_HOST_LIST_URL", c.HostListURL),
 		checkListener("--metrics-address", c.MetricsAddress),
+		checkLonger("--log-retention", c.LogRetention, claims.DefaultWindow),
 		checkPositive("--stop-bound", c.StopBound),
 		checkNotNegative("--balancer-wait", c.BalancerWait),
 	)
@@ -129,6 +132,13 @@
 	return nil
 }
 
+func checkLonger(flag string, d, than time.Duration) error {
+	if d <= than {
+		return invalid("%s %s must be longer than %s, the greatest age of a key", flag, d, than)
+	}
+	return nil
+}
+
 func checkPositive(flag string, d time.Duration) error {
 	if d <= 0 {
 		return invalid("%s %s must be longer than zero", flag, d)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,11 +20,13 @@
 
 // Common are the settings that every binary has.
 type Common struct {
-	Host           tables.HostID   `env:"BLUEBELL_HOST" flag:"host" usage:"name of this host, as in the host list"`
-	FailureDomain  tables.DomainID `env:"BLUEBELL_FAILURE_DOMAIN" flag:"failure-domain" usage:"failure domain of this host"`
-	LogURL         string          `env:"BLUEBELL_LOG_URL" flag:"log-url" usage:"URL of the platform's log service"`
-	HostListURL    string          `env:"BLUEBELL_HOST_LIST_URL" flag:"host-list-url" usage:"URL of the platform's host list"`
-	WeightStoreURL string          `env:"BLUEBELL_WEIGHT_STORE_URL" flag:"weight-store-url" usage:"URL of the platform's weight store; the controller needs it"`
+	Host          tables.HostID   `env:"BLUEBELL_HOST" flag:"host" usage:"name of this host, as in the host list"`
+	FailureDomain tables.DomainID `env:"BLUEBELL_FAILURE_DOMAIN" flag:"failure-domain" usage:"failure domain of this host"`
+	LogURL        string          `env:"BLUEBELL_LOG_URL" flag:"log-url" usage:"URL of the platform's log service"`
+	HostListURL   string          `env:"BLUEBELL_HOST_LIST_URL" flag:"host-list-url" usage:"URL of the platform's host list"`
+	// LogRetention must be longer than the greatest age of a key.
+	LogRetention   time.Duration `env:"BLUEBELL_LOG_RETENTION" envDefault:"2h" flag:"log-retention" usage:"how long the log keeps a record, more than 1h"`
+	WeightStoreURL string        `env:"BLUEBELL_WEIGHT_STORE_URL" flag:"weight-store-url" usage:"URL of the platform's weight store; the controller needs it"`
 	// PeerKey is the key that the system's own processes share. It has no
 	// flag, because other users of a host can read a command line.
 	PeerKey        string        `env:"BLUEBELL_PEER_KEY" secret:"true" usage:"key shared by the system's own processes, at least 16 characters"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -95,6 +95,7 @@
 		Entry("no weight store", nil, []string{"BLUEBELL_WEIGHT_STORE_URL="}, "--weight-store-url is missing"),
 		Entry("no peer key", nil, []string{"BLUEBELL_PEER_KEY="}, "peer key is missing"),
 		Entry("short peer key", nil, []string{"BLUEBELL_PEER_KEY=abc"}, "at least 16"),
+		Entry("retention shorter than keys live", []string{"--log-retention", "30m"}, nil, "greatest age of a key"),
 		Entry("bad bootstrap digest", []string{"--bootstrap-operator-sha256", "abcd"}, nil, "no SHA-256"),
 		Entry("peer key as flag", []string{"--peer-key", testKey}, nil, "unknown flag --peer-key"),
 	)
