Leave the difference out of folding a patch

Cause: every process computed the effective difference of every patch, for the history alone. Change: folding keeps the published merge patch; a dry run computes the difference; the canonical text at hand is not written anew.

--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -69,21 +69,35 @@
 	if earlier, ok := s.Find(p.ID); ok {
 		return s, Step{Result: &earlier, Repeated: true}
 	}
-	next, result := s.Decide(p)
+	next, result := s.decide(p)
+	if result.Accepted {
+		result.Diff = shorten(string(p.Merge), maxDiffBytes)
+	}
 	result.Time = rec.Time
 	next.Decided = appendBounded(next.Decided, result)
 	return next, Step{Result: &result}
 }
 
-// Decide returns the decision on p as the next patch, and the state after it.
+// Decide returns the decision on p as the next patch, with the effective
+// difference, and the state after it.
 func (s State) Decide(p Patch) (State, Result) {
+	next, r := s.decide(p)
+	if r.Accepted {
+		r.Diff = shorten(Diff(s.canonical, next.canonical), maxDiffBytes)
+	}
+	return next, r
+}
+
+// decide leaves the difference out, which costs more than the decision and is
+// of use to an operator only.
+func (s State) decide(p Patch) (State, Result) {
 	r := Result{PatchID: p.ID, Base: p.Base, Version: s.Version, Operator: p.Operator, Content: xxhash.Sum64(p.Merge)}
 	if p.Base != s.Version {
 		r.Kind = errkind.VersionConflict
 		r.Reason = fmt.Sprintf("base is version %d, version %d is in force", p.Base, s.Version)
 		return s, r
 	}
-	doc, err := Apply(s.Document, p.Merge)
+	doc, err := applyTo(s.canonical, p.Merge)
 	if err != nil {
 		r.Kind = errkind.InvalidConfig
 		r.Reason = shorten(errkind.DetailOf(err), maxReasonBytes)
@@ -97,7 +111,6 @@
 	}
 	r.Accepted = true
 	r.Version = next.Version
-	r.Diff = shorten(Diff(s.canonical, next.canonical), maxDiffBytes)
 	return next, r
 }
 
--- a/internal/config/patch.go
+++ b/internal/config/patch.go
@@ -87,13 +87,18 @@
 // Apply returns doc changed by a merge patch, validated; doc itself stays as it
 // is. Errors are of kind errkind.InvalidConfig.
 func Apply(doc *Document, merge json.RawMessage) (*Document, error) {
-	if !isObject(merge) {
-		return nil, errkind.New(errkind.InvalidConfig, "merge patch is not a JSON object")
-	}
 	before, err := Canonical(doc)
 	if err != nil {
 		return nil, err
 	}
+	return applyTo(before, merge)
+}
+
+// applyTo is Apply on the canonical text of a document.
+func applyTo(before []byte, merge json.RawMessage) (*Document, error) {
+	if !isObject(merge) {
+		return nil, errkind.New(errkind.InvalidConfig, "merge patch is not a JSON object")
+	}
 	after, err := jsonpatch.MergePatch(before, merge)
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.InvalidConfig, "merge patch does not apply")
