--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -13,7 +13,7 @@
 const (
 	// readsOfList is the number of reads of the host list a second by one
 	// process (members.listInterval).
-	readsOfList = 2
+	readsOfList = 1
 	// beatPerHost, beatMin and beatMax give the time between two heartbeats of
 	// a process (members.beatPerHost and its bounds).
 	beatPerHost = 10 * time.Millisecond
@@ -22,9 +22,11 @@
 	// idleConnection is how long an unused connection stays open
 	// (peer.idleAfter).
 	idleConnection = 60 * time.Second
-	// snapshotsPerHour follows from the retention of an hour
-	// (follow.DefaultRetention over follow.snapshotParts).
-	snapshotsPerHour = 4
+	// snapshotsPerHour follows from the default retention of two hours
+	// (BLUEBELL_LOG_RETENTION over follow.snapshotParts).
+	snapshotsPerHour = 2
+	// newsCopies is how often a process sends or gets one piece of news.
+	newsCopies = 8
 	// base64Growth is how JSON pages of the log carry records.
 	base64Growth = 4.0 / 3
 	// changesOfList is the number of listings that one restart changes: the
@@ -53,6 +55,8 @@
 	snapshots := float64(snapshotsPerHour) / time.Hour.Seconds()
 	listings := changesOfList * s.RestartsPerDay / secondsPerDay
 	ends := connectionEnds(s)
+	// A heartbeat without news carries no reports; the measured one is full.
+	quiet := m.Value("wire.heartbeat_bytes") - 2*m.Value("members.reports_bytes")
 	return []Row{
 		{
 			Work: "host list", Load: fmt.Sprintf("%g processes ask for it %d times a second and get it when it has changed", processes, readsOfList),
@@ -62,7 +66,7 @@
 		},
 		{
 			Work: "heartbeats", Load: fmt.Sprintf("%g exchanges a second, half of them asked by others; one process asks every %s", exchanges, beatInterval(s)),
-			Core: exchanges * (m.Value("wire.heartbeat_time")/2 + m.Value("members.take_heartbeat")), BytesPerSec: exchanges * m.Value("wire.heartbeat_bytes"),
+			Core: exchanges * (m.Value("wire.heartbeat_time")/2 + m.Value("members.take_heartbeat")), BytesPerSec: exchanges*quiet + processes*listings*newsCopies*m.Value("members.reports_bytes")/reportsInHeartbeat,
 		},
 		{
 			Work: "changes of configuration", Load: fmt.Sprintf("%.3f a second, folded by %g processes", changes, processes),
--- a/internal/members/list.go
+++ b/internal/members/list.go
@@ -13,7 +13,7 @@
 
 const (
 	// listInterval is the time between two reads of the host list.
-	listInterval = 500 * time.Millisecond
+	listInterval = 1 * time.Second
 	// listTimeout bounds one read of the host list.
 	listTimeout = 1 * time.Second
 )
