Keep places held since cancels also from pressed requests of that tier

Change: such a request may take the places held back by rule, not those held since cancels; else it is refused, when nothing of a lower tier runs.

--- a/internal/systems/schedule/schedule_test.go
+++ b/internal/systems/schedule/schedule_test.go
@@ -250,6 +250,28 @@
 		Expect(ids(schedule.Tick(start.Add(time.Second), s), tables.Start)).To(Equal([]string{"a7"}))
 	})
 
+	It("keeps places held since a cancel also from a pressed request of that tier", func() {
+		s.Targets.Put(engine("e1", 4))
+		for i := range 3 {
+			s.Requests.Put(request(fmt.Sprintf("a%d", i), 1, time.Hour, "e1"))
+		}
+		Expect(ids(schedule.Tick(start, s), tables.Start)).To(HaveLen(3))
+		for i := range 2 {
+			s.Requests.Put(request(fmt.Sprintf("top%d", i), 0, time.Second, "e1"))
+		}
+		cancelled := ids(schedule.Tick(start, s), tables.Cancel)
+		Expect(cancelled).To(HaveLen(1))
+		s.Requests.Delete(tables.RequestID(cancelled[0]))
+		for _, id := range []tables.RequestID{"top0", "top1"} {
+			schedule.Tick(start, s)
+			s.Requests.Delete(id)
+		}
+		s.Requests.Put(request("pressed", 1, time.Second, "e1"))
+		ds := schedule.Tick(start, s)
+		Expect(ids(ds, tables.Start)).To(BeEmpty())
+		Expect(ids(ds, tables.Shed)).To(Equal([]string{"pressed"}))
+	})
+
 	It("cancels a running lower tier rather than displace from a full queue", func() {
 		s.MaxQueuedPerTarget = 2
 		s.Targets.Put(engine("e1", 4))
--- a/internal/systems/schedule/slot.go
+++ b/internal/systems/schedule/slot.go
@@ -86,9 +86,10 @@
 
 // lastRoom reports whether a request that can wait no longer may start at the
 // slot, if need be at a place held back; the last one is left to the highest
-// tier.
+// tier, and those held back since cancels stay held.
 func (sl *slot) lastRoom(p *pass, n, tier int) bool {
-	return len(sl.running)+min(tier, n/p.state.Policy.HeldBackPart, 1) < n && sl.admits(p.now, tier)
+	held := min(tier, n/p.state.Policy.HeldBackPart, 1) + sl.heldFrom(tier, n)
+	return len(sl.running)+held < n && sl.admits(p.now, tier)
 }
 
 func (sl *slot) admits(now time.Time, tier int) bool {
