Hold two places back for each cancel

Cause: tier 2 still started on grants at 2.0 only to be cancelled. Change: a cancel holds two more places back, not one.

--- a/internal/systems/schedule/policy.go
+++ b/internal/systems/schedule/policy.go
@@ -18,10 +18,10 @@
 
 // CurrentPolicy returns the policy in force.
 func CurrentPolicy() Policy {
-	return Policy{HeldBackPart: 4, HoldPerCancel: 1, ReleasePerEnd: 0.1}
+	return Policy{HeldBackPart: 4, HoldPerCancel: 2, ReleasePerEnd: 0.1}
 }
 
 // PreviousPolicy returns the policy before the latest change, for comparison.
 func PreviousPolicy() Policy {
-	return Policy{HeldBackPart: 4}
+	return Policy{HeldBackPart: 4, HoldPerCancel: 1, ReleasePerEnd: 0.1}
 }
