Let a host learn from its peers that it is listed

A host that read its last listing before it was in it, and then lost the list, did not count itself as an owner, while its peers and its own gate sent it an owner's work. Change: an unlisted host asks its peers for all they know and believes them that it is listed, until its own next listing.

--- a/internal/members/beat.go
+++ b/internal/members/beat.go
@@ -216,7 +216,7 @@
 func (m *Members) exchange(ctx context.Context, to tables.Host) {
 	hb := m.own(to.ID)
 	m.mu.Lock()
-	hb.WantAll = !m.introduced
+	hb.WantAll = !m.introduced || m.table.SelfUnlisted()
 	m.mu.Unlock()
 	answer, err := m.try(ctx, to.PeerAddress, hb)
 	if err != nil && ctx.Err() == nil {
--- a/internal/systems/membership/votes.go
+++ b/internal/systems/membership/votes.go
@@ -58,6 +58,7 @@
 func (t *Table) Merge(now time.Time, reports []tables.MemberReport) (refuted bool) {
 	for _, m := range reports {
 		if m.Host == t.self && !t.observer {
+			t.introduceSelf(m)
 			refuted = t.refute(m) || refuted
 			continue
 		}
@@ -101,6 +102,18 @@
 	r.Listed = m.Listed
 }
 
+// introduceSelf believes a peer that this host is listed. A host may have read
+// its last listing before it was in it, and the list may be down since; its
+// peers then send it the work of an owner.
+func (t *Table) introduceSelf(m tables.MemberReport) {
+	if r := t.rows[t.self]; r.Listed == "" && r.delisted.IsZero() {
+		r.Listed = m.Listed
+	}
+}
+
+// SelfUnlisted reports whether this host has not seen itself listed.
+func (t *Table) SelfUnlisted() bool { return !t.observer && t.rows[t.self].Listed == "" }
+
 // refute answers a report that this host is down with a higher sequence.
 func (t *Table) refute(m tables.MemberReport) bool {
 	r := t.rows[t.self]
