Show an operator the key that a request claimed, and no provisional refusal as not run

Cause: request show had no claim; it told not_run of a request that one dispatcher had refused while its gate went on. Change: outcomes carry the claimed key and the mark of a provisional refusal to the operators' API. Conclusion: spec added.

--- a/internal/api/operators/oas_json_gen.go
+++ b/internal/api/operators/oas_json_gen.go
@@ -1375,6 +1375,12 @@
 			s.Home.Encode(e)
 		}
 	}
+	{
+		if s.Key.Set {
+			e.FieldStart("key")
+			s.Key.Encode(e)
+		}
+	}
 	{
 		if s.Target.Set {
 			e.FieldStart("target")
@@ -1395,17 +1401,18 @@
 	}
 }
 
-var jsonFieldsNameOfRequestView = [10]string{
-	0: "id",
-	1: "known",
-	2: "state",
-	3: "ran",
-	4: "kind",
-	5: "detail",
-	6: "home",
-	7: "target",
-	8: "tokens",
-	9: "trace_id",
+var jsonFieldsNameOfRequestView = [11]string{
+	0:  "id",
+	1:  "known",
+	2:  "state",
+	3:  "ran",
+	4:  "kind",
+	5:  "detail",
+	6:  "home",
+	7:  "key",
+	8:  "target",
+	9:  "tokens",
+	10: "trace_id",
 }
 
 // Decode decodes RequestView from json.
@@ -1491,6 +1498,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"home\"")
 			}
+		case "key":
+			if err := func() error {
+				s.Key.Reset()
+				if err := s.Key.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"key\"")
+			}
 		case "target":
 			if err := func() error {
 				s.Target.Reset()
--- a/internal/api/operators/oas_schemas_gen.go
+++ b/internal/api/operators/oas_schemas_gen.go
@@ -758,16 +758,18 @@
 
 // Ref: #/components/schemas/RequestView
 type RequestView struct {
-	ID      string           `json:"id"`
-	Known   bool             `json:"known"`
-	State   RequestViewState `json:"state"`
-	Ran     RequestViewRan   `json:"ran"`
-	Kind    OptString        `json:"kind"`
-	Detail  OptString        `json:"detail"`
-	Home    OptString        `json:"home"`
-	Target  OptString        `json:"target"`
-	Tokens  OptInt           `json:"tokens"`
-	TraceID OptString        `json:"trace_id"`
+	ID     string           `json:"id"`
+	Known  bool             `json:"known"`
+	State  RequestViewState `json:"state"`
+	Ran    RequestViewRan   `json:"ran"`
+	Kind   OptString        `json:"kind"`
+	Detail OptString        `json:"detail"`
+	Home   OptString        `json:"home"`
+	// The idempotency key that the request claimed; absent without one.
+	Key     OptString `json:"key"`
+	Target  OptString `json:"target"`
+	Tokens  OptInt    `json:"tokens"`
+	TraceID OptString `json:"trace_id"`
 }
 
 // GetID returns the value of ID.
@@ -805,6 +807,11 @@
 	return s.Home
 }
 
+// GetKey returns the value of Key.
+func (s *RequestView) GetKey() OptString {
+	return s.Key
+}
+
 // GetTarget returns the value of Target.
 func (s *RequestView) GetTarget() OptString {
 	return s.Target
@@ -855,6 +862,11 @@
 	s.Home = val
 }
 
+// SetKey sets the value of Key.
+func (s *RequestView) SetKey(val OptString) {
+	s.Key = val
+}
+
 // SetTarget sets the value of Target.
 func (s *RequestView) SetTarget(val OptString) {
 	s.Target = val
--- a/internal/ctl/request.go
+++ b/internal/ctl/request.go
@@ -32,6 +32,7 @@
 		row(w, "kind", v.Kind.Value)
 		row(w, "detail", v.Detail.Value)
 		row(w, "home", v.Home.Value)
+		row(w, "claimed key", v.Key.Value)
 		row(w, "target", v.Target.Value)
 		row(w, "tokens", v.Tokens.Value)
 		row(w, "trace", v.TraceID.Value)
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -207,7 +207,7 @@
 
 // outcomeOf describes what is known of j.
 func (d *Dispatcher) outcomeOf(j *job) peer.Outcome {
-	o := peer.Outcome{ID: j.msg.ID, Known: true, Target: j.target, Tokens: j.tokens, TraceID: j.traceID}
+	o := peer.Outcome{ID: j.msg.ID, Known: true, Target: j.target, Tokens: j.tokens, TraceID: j.traceID, Key: j.msg.Key}
 	if j.outcome == nil {
 		return o
 	}
--- a/internal/operators/lookup.go
+++ b/internal/operators/lookup.go
@@ -122,6 +122,7 @@
 		Detail: optional(o.Detail),
 		Home:   optional(string(home)),
 		Target: optional(string(o.Target)),
+		Key:    optional(o.Key),
 	}
 	if id, err := trace.TraceIDFromHex(o.TraceID); err == nil && id.IsValid() {
 		view.TraceID = api.NewOptString(o.TraceID)
@@ -134,7 +135,7 @@
 
 func requestState(o peer.Outcome) api.RequestViewState {
 	switch {
-	case o.Done:
+	case o.Done && !o.Provisional:
 		return api.RequestViewStateFinished
 	case o.Target != "":
 		return api.RequestViewStateRunning
@@ -144,9 +145,9 @@
 }
 
 // ran is unknown until the request has ended: a queued one may start at any
-// moment.
+// moment, and one that a dispatcher refused may be submitted elsewhere.
 func ran(o peer.Outcome) api.RequestViewRan {
-	if !o.Done {
+	if !o.Done || o.Provisional {
 		return api.RequestViewRanUnknown
 	}
 	return api.RequestViewRan(o.Kind.Answer().Ran)
--- a/internal/operators/operators_test.go
+++ b/internal/operators/operators_test.go
@@ -281,6 +281,14 @@
 			Entry("and runs it", peer.Outcome{Known: true, Target: "engine-1"}, api.RequestViewRanUnknown),
 			Entry("and queues it", peer.Outcome{Known: true}, api.RequestViewRanUnknown),
 		)
+		It("is not called not run on the word of one dispatcher whose gate may go on", func() {
+			s.outcomes = map[string]peer.Outcome{"2": {Known: true, Done: true, Kind: errkind.ShuttingDown, Provisional: true, Key: "k"}}
+			v, err := show()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(v.State).To(Equal(api.RequestViewStateQueued))
+			Expect(v.Ran).To(Equal(api.RequestViewRanUnknown))
+			Expect(v.Key.Value).To(Equal("k"))
+		})
 		It("never counts as not run while it waits", func() {
 			s.outcomes = map[string]peer.Outcome{"1": {Known: true}, "2": {}, "3": {}}
 			v, err := show()
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -174,6 +174,8 @@
 	Provisional bool   `json:"provisional,omitempty"`
 	Tokens      int    `json:"tokens,omitempty"`
 	TraceID     string `json:"trace_id,omitempty"`
+	// Key is the idempotency key that the request claimed, if it has one.
+	Key string `json:"key,omitempty"`
 }
 
 // Acquire asks the home of a key for the right to dispatch.
