Take an unanswered question for no word about a dispatch

Change: Resume wraps ErrUnknown unless the engine itself spoke; a dispatcher that could not ask a target answers with an error instead of NotKnown, for attach and cancel alike.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -177,6 +177,43 @@
 		Expect(conn.Call(ctx, peer.MethodSubmit, msg, &r)).To(Succeed())
 		Expect(r.Kind).To(Equal(errkind.CancelledBeforeRun))
 	})
+	Context("asked about a dispatch of another dispatcher", func() {
+		attach := func() (peer.AttachResult, error) {
+			var r peer.AttachResult
+			err := conn.Call(ctx, peer.MethodAttach, peer.Attach{ID: "g1.x", Target: "e1", Offset: 2}, &r)
+			return r, err
+		}
+		cancel := func() (peer.CancelResult, error) {
+			var r peer.CancelResult
+			err := conn.Call(ctx, peer.MethodCancel, peer.CancelRequest{ID: "g1.x", Targets: []tables.TargetID{"e1"}}, &r)
+			return r, err
+		}
+		It("takes its answer over at the offset of the gate", func() {
+			site.engine.resume = func(offset int) (target.Stream, error) { return answer(offset, whole, whole, io.EOF), nil }
+			r, err := attach()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r.Known).To(BeTrue())
+			Expect(end().Kind).To(Equal(errkind.None))
+			Expect(gate.offsets()).To(Equal([]int{2, 3, 4, 5}))
+		})
+		It("passes on that the target does not know it", func() {
+			r, err := attach()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r).To(Equal(peer.AttachResult{Progress: target.NotKnown}))
+			site.engine.cancel = func() (target.Progress, error) { return target.NeverStarted, nil }
+			c, err := cancel()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(c.Progress).To(Equal(target.NeverStarted))
+		})
+		It("says nothing for a target that did not answer", func() {
+			site.engine.resume = func(int) (target.Stream, error) { return nil, errReset }
+			site.engine.cancel = func() (target.Progress, error) { return "", errReset }
+			_, err := attach()
+			Expect(errkind.Of(err)).To(Equal(errkind.OutcomeUnknown))
+			_, err = cancel()
+			Expect(errkind.Of(err)).To(Equal(errkind.OutcomeUnknown))
+		})
+	})
 	It("gives queued requests back and finishes running ones when it stops", func() {
 		stream := make(chan target.Stream)
 		site.engine.generate = func() (target.Stream, error) { return <-stream, nil }
--- a/internal/dispatcher/recover.go
+++ b/internal/dispatcher/recover.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
@@ -14,35 +16,40 @@
 const targetTimeout = 2 * time.Second
 
 // cancelAtTargets asks every named target itself and returns the strongest
-// word: a run anywhere, else doubt, else the proof that none has started it.
-func (d *Dispatcher) cancelAtTargets(ctx context.Context, q peer.CancelRequest) peer.CancelResult {
+// word: a run anywhere, else doubt, else the proof that none has started it. A
+// target that did not answer is an error of kind OutcomeUnknown.
+func (d *Dispatcher) cancelAtTargets(ctx context.Context, q peer.CancelRequest) (peer.CancelResult, error) {
 	result := peer.CancelResult{Progress: target.NotKnown}
 	if len(q.Targets) == 0 {
-		return result
+		return result, nil
 	}
 	proved := true
+	var silent error
 	for _, id := range q.Targets {
-		progress := d.cancelAt(ctx, id, q.ID)
-		switch progress {
-		case target.NeverStarted:
-		case target.NotKnown:
+		progress, err := d.cancelAt(ctx, id, q.ID)
+		switch {
+		case err != nil:
+			silent = err
+		case progress == target.NotKnown:
 			proved = false
-		default:
-			return peer.CancelResult{Progress: progress, Target: id}
+		case progress != target.NeverStarted:
+			return peer.CancelResult{Progress: progress, Target: id}, nil
 		}
 	}
+	if silent != nil {
+		return peer.CancelResult{}, silent
+	}
 	if proved {
 		result.Progress = target.NeverStarted
 	}
-	return result
+	return result, nil
 }
 
-// cancelAt leaves a tombstone at one target and returns the target's word, or
-// NotKnown when it gave none.
-func (d *Dispatcher) cancelAt(ctx context.Context, id tables.TargetID, request tables.RequestID) target.Progress {
+// cancelAt leaves a tombstone at one target and returns the target's word.
+func (d *Dispatcher) cancelAt(ctx context.Context, id tables.TargetID, request tables.RequestID) (target.Progress, error) {
 	place, ok := d.locate(id)
 	if !ok {
-		return target.NotKnown
+		return "", errkind.New(errkind.UnknownTarget, fmt.Sprintf("target %q", id))
 	}
 	ctx, cancel := context.WithTimeout(ctx, targetTimeout)
 	defer cancel()
@@ -54,9 +61,9 @@
 		progress, err = d.Targets.Engine(place.address).Cancel(ctx, request)
 	}
 	if err != nil {
-		return target.NotKnown
+		return "", unanswered(id, err)
 	}
-	return progress
+	return progress, nil
 }
 
 // place is where and how to reach a target.
@@ -111,14 +118,18 @@
 func (d *Dispatcher) takeOver(ctx context.Context, conn *peer.Conn, q peer.Attach) (peer.AttachResult, error) {
 	at, ok := d.locate(q.Target)
 	if !ok {
-		return peer.AttachResult{Progress: target.NotKnown}, nil
+		return peer.AttachResult{}, errkind.New(errkind.UnknownTarget, fmt.Sprintf("target %q", q.Target))
 	}
 	if at.plain {
 		return d.takeOverPlain(ctx, conn, q, at)
 	}
 	stream, err := d.resume(d.Targets.Engine(at.address), q.ID, q.Offset)
-	if err != nil {
+	switch {
+	case err == nil:
+	case errors.Is(err, target.ErrNotAdmitted):
 		return peer.AttachResult{Progress: target.NotKnown}, nil
+	default:
+		return peer.AttachResult{}, unanswered(q.Target, err)
 	}
 	_, err = ask(ctx, d, func() bool {
 		s := d.newSettler(d.adopt(conn, q, false), at)
@@ -136,7 +147,7 @@
 	defer cancel()
 	answer, progress, err := d.Targets.Plain(at.address, at.service).Outcome(short, q.ID)
 	if err != nil {
-		return peer.AttachResult{Progress: target.NotKnown}, nil
+		return peer.AttachResult{}, unanswered(q.Target, err)
 	}
 	if progress != target.Completed {
 		return peer.AttachResult{Progress: progress}, nil
@@ -149,6 +160,12 @@
 	return peer.AttachResult{Known: true}, err
 }
 
+// unanswered is the error of a question that a target did not answer. It says
+// nothing of the request: only a target's own word does.
+func unanswered(id tables.TargetID, cause error) error {
+	return errkind.Wrap(cause, errkind.OutcomeUnknown, fmt.Sprintf("target %q did not answer", id))
+}
+
 // adopt makes a job for a dispatch of another dispatcher.
 func (d *Dispatcher) adopt(conn *peer.Conn, q peer.Attach, plain bool) *job {
 	j := &job{msg: peer.Submit{ID: q.ID, Customer: q.Customer, Service: q.Service, Plain: plain}, target: q.Target, started: true, from: q.Offset, tokens: q.Offset}
--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -127,7 +127,7 @@
 	if known != nil {
 		return *known, nil
 	}
-	return d.cancelAtTargets(ctx, q), nil
+	return d.cancelAtTargets(ctx, q)
 }
 
 // cancelKnown cancels a job of this dispatcher. It returns nil and leaves a
--- a/internal/dispatcher/settler.go
+++ b/internal/dispatcher/settler.go
@@ -107,7 +107,7 @@
 		event.StreamResumed.Log(s.d.Logger, zap.String("request", string(s.j.msg.ID)), zap.Int("offset", offset))
 		s.pause.Reset()
 		s.read(stream)
-	case errors.Is(err, target.ErrNotAdmitted) && !isRefusedDial(err):
+	case errors.Is(err, target.ErrNotAdmitted):
 		s.cause = err
 		s.crash = s.crash || s.facts.Account(s.j.target).Progress == target.InProgress
 		s.facts.HeardNoStream(s.j.target)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -16,6 +16,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/auth"
 	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/follow"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/systems/limit"
 	"github.com/bluebellseam/bluebellseam/internal/systems/predict"
@@ -75,7 +76,7 @@
 	Clock      clockwork.Clock
 	Logger     *zap.Logger
 	Tracer     trace.Tracer
-	Document   func() *config.Document
+	Current    func() follow.Snapshot
 	Membership Membership
 	Peers      *peer.Pool
 	Observer   Observer
@@ -97,14 +98,7 @@
 	limits customerLimits
 	learnt learnt
 
-	keys keyIndex
-}
-
-// keyIndex caches the key index of one configuration document.
-type keyIndex struct {
-	mu       sync.Mutex
-	document *config.Document
-	index    *auth.Index
+	keys auth.Cache
 }
 
 // New returns a gate whose requests end with ctx. Register its methods before
@@ -174,30 +168,25 @@
 	return len(g.flights)
 }
 
-// customer returns the customer that key belongs to.
+// Document returns the configuration in force, or nil before the first one.
+func (g *Gate) Document() *config.Document {
+	current := g.Current()
+	if current.Version == 0 {
+		return nil
+	}
+	return current.Document
+}
+
+// customer returns the customer that key belongs to. Errors are of kind
+// NotConfigured or Unauthenticated.
 func (g *Gate) customer(key string) (tables.CustomerID, error) {
-	doc := g.Document()
-	if doc == nil {
+	current := g.Current()
+	if current.Version == 0 {
 		return "", errkind.New(errkind.NotConfigured, "no configuration has been read")
 	}
-	index, err := g.keys.of(doc)
+	index, err := g.keys.At(current.Version, *current.Document)
 	if err != nil {
 		return "", err
 	}
 	return index.Customer(key)
 }
-
-func (k *keyIndex) of(doc *config.Document) (*auth.Index, error) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.document == doc {
-		return k.index, nil
-	}
-	index, err := auth.NewIndex(*doc)
-	if err != nil {
-		return nil, err
-	}
-	k.document = doc
-	k.index = index
-	return index, nil
-}
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -37,7 +37,7 @@
 	p := n.proc
 	n.gate = gate.New(p.ctx, gate.Options{
 		Host: s.Host, Clock: env.Clock, Logger: env.Logger, Tracer: env.Tracer.Tracer("bluebell-gate"),
-		Document: p.document, Membership: p.members, Peers: p.pool,
+		Current: p.follower.Current, Membership: p.members, Peers: p.pool,
 		Observer: gateMetrics{p.metrics}, ClaimShards: claims.DefaultShards,
 	})
 	n.gate.Register(p.mux)
--- a/internal/target/engine_client.go
+++ b/internal/target/engine_client.go
@@ -42,7 +42,7 @@
 		Body:   body,
 	}, g.ID, 0)
 	if err != nil {
-		return nil, fmt.Errorf("generate %q: %w", g.ID, err)
+		return nil, fmt.Errorf("generate %q: %w", g.ID, sendError(err))
 	}
 	return s, nil
 }
@@ -56,7 +56,7 @@
 		URL:    e.dispatchURL(id) + "/stream?offset=" + strconv.Itoa(offset),
 	}, id, offset)
 	if err != nil {
-		return nil, fmt.Errorf("resume %q at %d: %w", id, offset, err)
+		return nil, fmt.Errorf("resume %q at %d: %w", id, offset, askError(err))
 	}
 	return s, nil
 }
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -49,12 +49,25 @@
 // request may have run.
 func sendError(err error) error {
 	var e *httpcall.Error
-	if errors.As(err, &e) && !e.Sent {
+	if !errors.As(err, &e) {
+		return err
+	}
+	if !e.Sent {
 		return fmt.Errorf("%w: %w", ErrNotAdmitted, err)
 	}
 	return fmt.Errorf("%w: %w", ErrUnknown, err)
 }
 
+// askError classifies a question without an answer: that it was not even sent
+// says nothing of the dispatch that it was about.
+func askError(err error) error {
+	var e *httpcall.Error
+	if errors.As(err, &e) {
+		return fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	return err
+}
+
 // refusal classifies an error answer by the target's own word.
 func refusal(resp httpcall.Response) error {
 	p := httpcall.ProblemOf(resp)
--- a/internal/target/stream.go
+++ b/internal/target/stream.go
@@ -30,12 +30,14 @@
 	cancel  context.CancelFunc
 }
 
+// openStream sends r and reads the answer as a stream. A call without an answer
+// is an *httpcall.Error; other errors wrap a sentinel of the ports.
 func openStream(ctx context.Context, c *http.Client, r httpcall.Request, id tables.RequestID, offset int) (Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	resp, err := httpcall.Start(ctx, c, r)
 	if err != nil {
 		cancel()
-		return nil, sendError(err)
+		return nil, err
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer cancel()
