--- a/internal/claims/home.go
+++ b/internal/claims/home.go
@@ -213,6 +213,7 @@
 func (h *Home) result(ctx context.Context, key claim.Key, a claim.Answer) peer.AcquireResult {
 	r := refusal(a.Err)
 	r.Won = a.Won
+	r.Freed = a.Freed
 	if a.Holder == nil {
 		return r
 	}
--- a/internal/gate/begin.go
+++ b/internal/gate/begin.go
@@ -5,17 +5,21 @@
 	"fmt"
 	"time"
 
+	"github.com/google/uuid"
 	"go.uber.org/zap"
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/systems/claim"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
 const (
 	// claimTimeout bounds the wait for the home of a key.
 	claimTimeout = 5 * time.Second
+	// claimTries bounds the claims for a key that becomes free again and again.
+	claimTries = 3
 	// recordTimeout bounds the recording of an outcome.
 	recordTimeout = 10 * time.Second
 )
@@ -40,6 +44,10 @@
 // beginKeyed claims the key of a request, or joins the request that holds it.
 func (g *Gate) beginKeyed(ctx context.Context, adm admitted) (*flight, error) {
 	result, err := g.acquire(ctx, adm)
+	for tries := 1; result.Freed && tries < claimTries; tries++ {
+		adm.msg.ID = tables.NewRequestID(g.Host, uuid.Must(uuid.NewV7()))
+		result, err = g.acquire(ctx, adm)
+	}
 	g.Observer.Claimed(result.Won, errkind.Of(err))
 	if err != nil {
 		return nil, err
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -197,6 +197,9 @@
 	// Kind is ClaimsUnavailable, KeyExpired, KeyReused or empty.
 	Kind   errkind.Kind `json:"kind,omitempty"`
 	Detail string       `json:"detail,omitempty"`
+	// Freed is set with ClaimsUnavailable when the key has become free since
+	// the claim met a holder; another request ID may claim it at once.
+	Freed bool `json:"freed,omitempty"`
 	// Won is set when Request holds the key; it alone may be dispatched.
 	Won bool `json:"won"`
 	// Holder is the request that holds the key.
--- a/internal/systems/claim/flow.go
+++ b/internal/systems/claim/flow.go
@@ -216,7 +216,9 @@
 	h, held := s.table.Holder(c.Key)
 	switch {
 	case !held:
-		s.settle(it.ticket, s.unavailable(now, "the request was ended before its claim was read"))
+		answer := s.unavailable(now, "the key was held when the claim met it and is free now")
+		answer.Freed = true
+		s.settle(it.ticket, answer)
 	case h.attempt == newAttempt(s.settings.Host, s.settings.Incarnation, c.Sequence):
 		s.settle(it.ticket, Answer{Won: true})
 	default:
--- a/internal/systems/claim/shard.go
+++ b/internal/systems/claim/shard.go
@@ -62,6 +62,9 @@
 	Won bool
 	// Holder is set when another request holds the key.
 	Holder *Holder
+	// Freed is set with Err when the key was held when the claim met it and
+	// has become free since; another request ID may claim it at once.
+	Freed bool
 }
 
 // Ticket names an Ask or Record until it is settled.
--- a/internal/systems/claim/shard_test.go
+++ b/internal/systems/claim/shard_test.go
@@ -141,6 +141,27 @@
 		Expect(a.Take()).To(ConsistOf(HaveField("Answer.Won", true)))
 		Expect(b.Take()).To(ConsistOf(HaveField("Answer.Won", false)))
 	})
+	It("says that a key is free again when its holder ended before the claim was decided", func() {
+		a.Acquire(at(0), ask(1, 1))
+		b.Acquire(at(0), ask(1, 2))
+		won, claimed := next(a, 0), next(b, 0)
+		a.AppendDone(at(0), won.Number, claim.Appended)
+		b.AppendDone(at(0), claimed.Number, claim.Appended)
+		a.ReadRecord(at(0), 0, at(0), won)
+		a.Decide(at(0))
+		Expect(a.Take()).To(ConsistOf(HaveField("Answer.Won", true)))
+		a.Record(at(0), claim.Outcome{Key: key(1), Request: request(1), Kind: errkind.Overloaded})
+		freed := next(a, time.Second)
+		for i, batch := range []claim.Batch{won, claimed, freed} {
+			b.ReadRecord(at(time.Second), int64(i), at(time.Second), batch)
+		}
+		b.Decide(at(time.Second))
+		Expect(b.Take()).To(ConsistOf(And(HaveField("Answer.Won", false), HaveField("Answer.Freed", true))))
+		b.Acquire(at(time.Second), ask(1, 3))
+		b.ReadRecord(at(time.Second), 3, at(time.Second), next(b, time.Second))
+		b.Decide(at(time.Second))
+		Expect(b.Take()).To(ConsistOf(HaveField("Answer.Won", true)))
+	})
 	It("makes a claim void that comes after its request was recorded as not run", func() {
 		a.Acquire(at(0), ask(1, 1))
 		late := next(a, 0)
