--- a/internal/gate/drive.go
+++ b/internal/gate/drive.go
@@ -44,7 +44,7 @@
 	defer g.unregister(f)
 	begun := g.Clock.Now()
 	pause := rerouteFirst
-	for {
+	for g.ctx.Err() == nil {
 		asked := g.Clock.Now()
 		refusal, done := g.round(f, pick())
 		if done {
@@ -59,6 +59,7 @@
 			g.pauseUntil(now.Add(pause))
 			pause = min(2*pause, rerouteLongest)
 		case overloaded(refusal.Kind) && now.Sub(asked) > sweepValid && now.Before(f.arrived.Add(f.msg.DueIn)):
+			continue
 		default:
 			f.finish(advise(refusal))
 			return
