--- a/internal/gate/settle.go
+++ b/internal/gate/settle.go
@@ -14,7 +14,13 @@
 // Bounds on the questions about a lost dispatcher's request.
 const (
 	askTimeout = 3 * time.Second
-	askPause   = 200 * time.Millisecond
+	// askPause follows the first question without an answer; it doubles up to
+	// askPauseLongest.
+	askPause        = 200 * time.Millisecond
+	askPauseLongest = 1 * time.Second
+	// helperFor is how long a host that can ask is waited for, since the
+	// membership table may know none of the live ones yet.
+	helperFor = 10 * time.Second
 	// reattachAttempts bounds the new connections to a silent dispatcher.
 	reattachAttempts = 2
 )
@@ -114,11 +120,11 @@
 		facts.SenderStopped = true
 	case settle.Cancel:
 		for _, id := range step.Targets {
-			g.askCancel(f, avoid, facts, id)
+			g.askCancel(f, g.awaitHelper(avoid, f.id, facts.Account(id).Failures, lostAt), facts, id)
 		}
 	case settle.Resume, settle.Fetch:
 		for _, id := range step.Targets {
-			if g.askStream(f, avoid, facts, id) {
+			if g.askStream(f, g.awaitHelper(avoid, f.id, facts.Account(id).Failures, lostAt), facts, id) {
 				return true
 			}
 		}
@@ -135,8 +141,7 @@
 }
 
 // askCancel leaves a tombstone at a target through another dispatcher.
-func (g *Gate) askCancel(f *flight, avoid tables.HostID, facts *settle.Facts, id tables.TargetID) {
-	conn := g.helper(avoid, f.id, facts.Account(id).Failures)
+func (g *Gate) askCancel(f *flight, conn *peer.Conn, facts *settle.Facts, id tables.TargetID) {
 	if conn == nil {
 		g.noAnswer(facts, id)
 		return
@@ -154,8 +159,7 @@
 
 // askStream asks for the answer at a target through another dispatcher and
 // reports whether the flight has its outcome.
-func (g *Gate) askStream(f *flight, avoid tables.HostID, facts *settle.Facts, id tables.TargetID) bool {
-	conn := g.helper(avoid, f.id, facts.Account(id).Failures)
+func (g *Gate) askStream(f *flight, conn *peer.Conn, facts *settle.Facts, id tables.TargetID) bool {
 	if conn == nil {
 		g.noAnswer(facts, id)
 		return false
@@ -191,23 +195,58 @@
 }
 
 func (g *Gate) noAnswer(facts *settle.Facts, id tables.TargetID) {
+	pause := min(askPause<<facts.Account(id).Failures, askPauseLongest)
 	facts.HeardNothing(id)
-	g.pauseUntil(g.Clock.Now().Add(askPause))
+	g.pauseUntil(g.Clock.Now().Add(pause))
 }
 
-// helper returns a connection to a live dispatcher other than the lost one,
-// another one after each failure.
+// awaitHelper is helper, and waits for one until helperFor after lostAt.
+func (g *Gate) awaitHelper(avoid tables.HostID, id tables.RequestID, failures int, lostAt time.Time) *peer.Conn {
+	for {
+		conn := g.helper(avoid, id, failures)
+		now := g.Clock.Now()
+		if conn != nil || now.After(lostAt.Add(helperFor)) || g.ctx.Err() != nil {
+			return conn
+		}
+		g.pauseUntil(now.Add(askPause))
+	}
+}
+
+// helper returns a connection to a live dispatcher, another one after each
+// failure and the lost one last, or nil.
 func (g *Gate) helper(avoid tables.HostID, id tables.RequestID, failures int) *peer.Conn {
 	hosts := g.Membership.Live()
 	start := len(id) + failures
 	for i := range hosts {
 		h := hosts[(start+i)%len(hosts)]
-		if h.ID == avoid || h.PeerAddress == "" {
+		if h.ID == avoid {
 			continue
 		}
-		if conn, err := g.Peers.Get(g.ctx, h.PeerAddress); err == nil {
+		if conn := g.reach(h); conn != nil {
 			return conn
 		}
 	}
+	return g.reachNamed(avoid, hosts)
+}
+
+// reachNamed connects to the lost host itself, where a new process may run.
+func (g *Gate) reachNamed(id tables.HostID, hosts []tables.Host) *peer.Conn {
+	for _, h := range hosts {
+		if h.ID == id {
+			return g.reach(h)
+		}
+	}
 	return nil
 }
+
+// reach returns a connection to a host, or nil.
+func (g *Gate) reach(h tables.Host) *peer.Conn {
+	if h.PeerAddress == "" {
+		return nil
+	}
+	conn, err := g.Peers.Get(g.ctx, h.PeerAddress)
+	if err != nil {
+		return nil
+	}
+	return conn
+}
