Never take a part of an answer for the whole of a recorded one

Change: a recorded answer must continue the parts that came, and brings the rest; a success of which tokens are missing is told as ran_failed and logged as a failed invariant.

--- a/internal/gate/flight.go
+++ b/internal/gate/flight.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
@@ -89,6 +93,7 @@
 	end.ID = f.id
 	f.update(func() {
 		if f.outcome == nil {
+			end = f.wholeOrFailed(end)
 			end.Tokens = f.tokens
 			if end.Target == "" {
 				end.Target = f.target
@@ -99,6 +104,19 @@
 	})
 }
 
+// wholeOrFailed makes a success of which a part is missing here a failure, so
+// that no reader takes a part for the whole.
+func (f *flight) wholeOrFailed(end peer.Finished) peer.Finished {
+	if end.Kind != errkind.None || f.msg.Plain || end.Tokens == f.tokens {
+		return end
+	}
+	event.InvariantFailed.Log(f.g.Logger, zap.String("request", string(f.id)),
+		zap.Int("tokens", f.tokens), zap.Int("whole", end.Tokens))
+	end.Kind = errkind.RanFailed
+	end.Detail = fmt.Sprintf("%d of %d tokens of the answer arrived", f.tokens, end.Tokens)
+	return end
+}
+
 // progress is a consistent view of a flight.
 type progress struct {
 	chunks  []target.Chunk
@@ -171,6 +189,11 @@
 func (f *flight) whole() []byte {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.text()
+}
+
+// text joins the parts so far; f.mu is held.
+func (f *flight) text() []byte {
 	var b []byte
 	for _, c := range f.chunks {
 		b = append(b, c.Text...)
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
 	"github.com/bluebellseam/bluebellseam/internal/api/callers"
 	"github.com/bluebellseam/bluebellseam/internal/config"
@@ -30,7 +31,7 @@
 var _ = Describe("flight", func() {
 	var f *flight
 	BeforeEach(func() {
-		g := New(context.Background(), Options{Clock: clockwork.NewFakeClock()})
+		g := New(context.Background(), Options{Clock: clockwork.NewFakeClock(), Logger: zap.NewNop()})
 		f = newFlight(g, peer.Submit{ID: "h1.x"})
 	})
 	It("drops repeated parts and marks a missing one", func() {
@@ -67,6 +68,22 @@
 		f.join()()
 		Expect(f.callerLeft()).To(BeFalse())
 	})
+	It("gets the rest of a recorded answer of which a part came as a stream", func() {
+		f.onChunk(target.Chunk{Offset: 0, Tokens: 1, Text: "a"})
+		Expect(f.setRecorded(&peer.Outcome{Known: true, Done: true, BodyKept: true, Body: []byte("abc"), Tokens: 3})).To(BeTrue())
+		Expect(string(f.whole())).To(Equal("abc"))
+		Expect(f.since(0).outcome.Kind).To(Equal(errkind.None))
+	})
+	It("takes no recorded answer that differs from the part that came", func() {
+		f.onChunk(target.Chunk{Offset: 0, Tokens: 1, Text: "x"})
+		Expect(f.setRecorded(&peer.Outcome{Known: true, Done: true, BodyKept: true, Body: []byte("abc"), Tokens: 3})).To(BeFalse())
+		Expect(f.since(0).outcome).To(BeNil())
+	})
+	It("never calls a part the whole", func() {
+		f.onChunk(target.Chunk{Offset: 0, Tokens: 1, Text: "a"})
+		f.finish(peer.Finished{Kind: errkind.None, Tokens: 2})
+		Expect(f.since(0).outcome.Kind).To(Equal(errkind.RanFailed))
+	})
 	It("is filled from a recorded outcome only when that says enough", func() {
 		Expect(f.setRecorded(nil)).To(BeFalse())
 		Expect(f.setRecorded(&peer.Outcome{Known: true, Done: true})).To(BeFalse())
--- a/internal/gate/join.go
+++ b/internal/gate/join.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"bytes"
 	"fmt"
 	"time"
 
@@ -145,13 +146,31 @@
 	if o == nil || !o.Done || (o.Kind == errkind.None && !o.BodyKept) {
 		return false
 	}
-	if len(o.Body) > 0 && !f.msg.Plain {
-		f.onChunk(target.Chunk{Text: string(o.Body), Tokens: o.Tokens, Final: true})
+	if o.Kind == errkind.None && !f.msg.Plain && !f.fill(o) {
+		return false
 	}
-	f.finish(peer.Finished{Kind: o.Kind, Detail: o.Detail, Target: o.Target, Status: o.Status, Body: o.Body})
+	f.finish(peer.Finished{Kind: o.Kind, Detail: o.Detail, Target: o.Target, Tokens: o.Tokens, Status: o.Status, Body: o.Body})
 	return true
 }
 
+// fill appends what is missing of a recorded answer, of which a part may have
+// come as a stream. It reports whether the flight has the whole answer.
+func (f *flight) fill(o *peer.Outcome) bool {
+	filled := false
+	f.update(func() {
+		rest, ok := bytes.CutPrefix(o.Body, f.text())
+		switch {
+		case !ok, (len(rest) > 0) != (o.Tokens > f.tokens):
+			return
+		case len(rest) > 0:
+			f.chunks = append(f.chunks, target.Chunk{Offset: f.tokens, Text: string(rest), Tokens: o.Tokens - f.tokens, Final: true})
+			f.tokens = o.Tokens
+		}
+		filled = o.Tokens == f.tokens
+	})
+	return filled
+}
+
 // targetsOf lists the targets of all choices.
 func targetsOf(choices []route.Choice) []tables.TargetID {
 	var out []tables.TargetID
