Look a scenario's host up in one place; drop a field that nothing reads

Cause: three commands repeated the look-up; Target.Isolate was left over from an earlier way of running suspects alone.

--- a/internal/scenario/cluster.go
+++ b/internal/scenario/cluster.go
@@ -9,6 +9,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/harness"
 	"github.com/bluebellseam/bluebellseam/internal/standin/engine"
 	"github.com/bluebellseam/bluebellseam/internal/standin/plain"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -26,26 +27,18 @@
 
 // restartHost starts a host again after kill or stop.
 func restartHost(_ context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
-	name, err := a.word("host")
-	if err != nil {
-		return err
-	}
-	old, err := s.h.Host(name)
+	old, err := s.hostOf(a)
 	if err != nil {
 		return err
 	}
 	old.Kill()
-	_, err = s.h.StartHost(name, old.Domain)
+	_, err = s.h.StartHost(string(old.ID), old.Domain)
 	return err
 }
 
 // crashHost ends a host, or the named processes of it, at once.
 func crashHost(_ context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
-	name, err := a.word("host")
-	if err != nil {
-		return err
-	}
-	host, err := s.h.Host(name)
+	host, err := s.hostOf(a)
 	if err != nil {
 		return err
 	}
@@ -55,16 +48,12 @@
 
 // shutDownHost starts a graceful shutdown.
 func shutDownHost(_ context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
-	name, err := a.word("host")
-	if err != nil {
-		return err
-	}
-	host, err := s.h.Host(name)
+	host, err := s.hostOf(a)
 	if err != nil {
 		return err
 	}
 	done := make(chan struct{})
-	s.stopping[name] = done
+	s.stopping[string(host.ID)] = done
 	go func() {
 		defer close(done)
 		host.Stop(context.Background())
@@ -222,3 +211,12 @@
 	}
 	return s.h.AwaitVersion(ctx, version)
 }
+
+// hostOf returns the host that a command names next.
+func (s *state) hostOf(a *arguments) (*harness.Host, error) {
+	name, err := a.word("host")
+	if err != nil {
+		return nil, err
+	}
+	return s.h.Host(name)
+}
--- a/internal/tables/target.go
+++ b/internal/tables/target.go
@@ -28,8 +28,6 @@
 	DownUntil time.Time
 	// LastCrash is the start of the latest crash; zero without one.
 	LastCrash time.Time
-	// Isolate lets a suspect request run only while nothing else does.
-	Isolate RequestID
 
 	// Speed is the nominal speed of the hardware generation.
 	Speed Speed
