Count the time of a claim against the deadlines of its request

Cause: a flight began when its claim was won, so that the deadlines of a keyed request began anew then. It queued behind requests that had arrived up to a claim later, and its caller waited past the deadline by the time of the claim.

Conclusion: keyed requests keep the place in the queue that their arrival gives.

--- a/internal/gate/admit.go
+++ b/internal/gate/admit.go
@@ -44,6 +44,9 @@
 	// pick chooses dispatchers by what is known at the time of the call.
 	pick     func() []route.Choice
 	lifetime time.Duration
+	// arrived is when the request was admitted; its deadlines count from here,
+	// also while its key is claimed.
+	arrived time.Time
 }
 
 // admit checks a against configuration and limits. Every error proves that the
@@ -65,11 +68,12 @@
 		return admitted{}, err
 	}
 	msg := g.message(ctx, a, service, tier, doc.Customers[string(a.customer)])
-	request := g.describe(msg, g.Clock.Now())
+	arrived := g.Clock.Now()
+	request := g.describe(msg, arrived)
 	pick := func() []route.Choice {
 		return route.Pick(g.Clock.Now(), request, g.views(g.Document(), a.service))
 	}
-	return admitted{msg: msg, pick: pick, lifetime: service.KeyLifetime()}, nil
+	return admitted{msg: msg, pick: pick, lifetime: service.KeyLifetime(), arrived: arrived}, nil
 }
 
 func findService(doc *config.Document, a ask) (config.Service, error) {
--- a/internal/gate/begin.go
+++ b/internal/gate/begin.go
@@ -35,7 +35,7 @@
 
 // launch opens a flight and drives it.
 func (g *Gate) launch(adm admitted) *flight {
-	f := newFlight(g, adm.msg)
+	f := newFlight(g, adm)
 	g.register(f)
 	go g.drive(f, adm.pick)
 	return f
@@ -105,7 +105,7 @@
 // launchKeyed drives the request that won its key and records a proof of "not
 // run", so that the key is free again.
 func (g *Gate) launchKeyed(adm admitted) *flight {
-	f := newFlight(g, adm.msg)
+	f := newFlight(g, adm)
 	g.register(f)
 	go func() {
 		g.drive(f, adm.pick)
--- a/internal/gate/drive.go
+++ b/internal/gate/drive.go
@@ -134,8 +134,8 @@
 // aged returns the message of f with its times as of now.
 func (f *flight) aged(now time.Time) peer.Submit {
 	msg := f.msg
-	waited := now.Sub(f.arrived) - msg.Age
-	msg.Age += waited
+	waited := now.Sub(f.arrived)
+	msg.Age = waited
 	msg.FirstTokenIn -= waited
 	msg.DueIn -= waited
 	return msg
--- a/internal/gate/flight.go
+++ b/internal/gate/flight.go
@@ -40,13 +40,13 @@
 	left chan struct{}
 }
 
-func newFlight(g *Gate, msg peer.Submit) *flight {
+func newFlight(g *Gate, adm admitted) *flight {
 	return &flight{
 		g:       g,
-		id:      msg.ID,
-		msg:     msg,
-		arrived: g.Clock.Now().Add(-msg.Age),
-		keyed:   msg.Key != "",
+		id:      adm.msg.ID,
+		msg:     adm.msg,
+		arrived: adm.arrived,
+		keyed:   adm.msg.Key != "",
 		changed: make(chan struct{}),
 		left:    make(chan struct{}),
 	}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -32,7 +32,7 @@
 	var f *flight
 	BeforeEach(func() {
 		g := New(context.Background(), Options{Clock: clockwork.NewFakeClock(), Logger: zap.NewNop()})
-		f = newFlight(g, peer.Submit{ID: "h1.x"})
+		f = newFlight(g, admitted{msg: peer.Submit{ID: "h1.x"}})
 	})
 	It("drops repeated parts and marks a missing one", func() {
 		f.onChunk(chunk(0, 2))
@@ -44,6 +44,16 @@
 		Expect(f.since(0).tokens).To(Equal(3))
 		Expect(f.since(0).gap).To(BeTrue())
 	})
+	It("counts the time of its claim against its deadlines", func() {
+		clock := clockwork.NewFakeClock()
+		g := New(context.Background(), Options{Clock: clock, Logger: zap.NewNop()})
+		adm := admitted{msg: peer.Submit{FirstTokenIn: time.Second, DueIn: time.Minute}, arrived: clock.Now()}
+		clock.Advance(300 * time.Millisecond)
+		msg := newFlight(g, adm).aged(clock.Now())
+		Expect(msg.Age).To(Equal(300 * time.Millisecond))
+		Expect(msg.FirstTokenIn).To(Equal(700 * time.Millisecond))
+		Expect(msg.DueIn).To(Equal(time.Minute - 300*time.Millisecond))
+	})
 	It("keeps its first outcome", func() {
 		f.finish(peer.Finished{Kind: errkind.Overloaded})
 		f.finish(peer.Finished{Kind: errkind.None})
--- a/internal/gate/join.go
+++ b/internal/gate/join.go
@@ -27,7 +27,7 @@
 	if f := g.find(result.Holder); f != nil {
 		return f
 	}
-	f := newFlight(g, adm.msg)
+	f := newFlight(g, adm)
 	f.id = result.Holder
 	f.msg.ID = result.Holder
 	if f.setRecorded(result.Outcome) {
--- a/internal/model/measure_test.go
+++ b/internal/model/measure_test.go
@@ -31,6 +31,15 @@
 			Expect(r.P99).To(BeNumerically("<", 3*time.Second), "asks time out after three seconds")
 		}
 	})
+	It("start keyed requests no later for deadlines that count from the arrival", func() {
+		claims := model.ClaimTimes(1, model.Window{ClaimsPerSecond: claimsPerSecond, Append: 5 * time.Millisecond, AppendsPerSecond: appendBudget / shards})
+		for _, load := range []float64{0.5, 0.9, 1.0} {
+			before := model.MeasureClaimWait(1, model.ClaimWait{Load: load, Claims: claims})
+			after := model.MeasureClaimWait(1, model.ClaimWait{Load: load, Claims: claims, FromArrival: true})
+			GinkgoWriter.Printf("| %.1f | claim | %v | %v |\n| %.1f | arrival | %v | %v |\n", load, before.Keyed, before.Unkeyed, load, after.Keyed, after.Unkeyed)
+			Expect(after.Keyed.Mean).To(BeNumerically("<=", before.Keyed.Mean))
+		}
+	})
 	It("lose no call between log claims and host-minted keys", func() {
 		for _, minutes := range []time.Duration{0, 5, 20} {
 			for _, life := range []time.Duration{1, 8} {
--- a/internal/model/window.go
+++ b/internal/model/window.go
@@ -58,8 +58,25 @@
 	polled bool
 }
 
+// ClaimTimes plays a shard under steady load and returns the times of its claims
+// in order of their end.
+func ClaimTimes(seed uint64, win Window) []time.Duration {
+	return playWindow(seed, win).took
+}
+
 // MeasureWindow plays a shard under steady load in virtual time.
 func MeasureWindow(seed uint64, win Window) WindowResult {
+	r := playWindow(seed, win)
+	slices.Sort(r.took)
+	return WindowResult{
+		Median:           r.took[len(r.took)/2],
+		P99:              r.took[len(r.took)*99/100],
+		AppendsPerSecond: float64(r.appends) / windowDuration.Seconds(),
+		BytesPerSecond:   float64(r.bytes) / windowDuration.Seconds(),
+	}
+}
+
+func playWindow(seed uint64, win Window) *windowRun {
 	r := &windowRun{
 		Window: win,
 		w:      &world{sim: newSim(seed)},
@@ -73,13 +90,7 @@
 	}
 	r.arrive()
 	r.w.sim.run(epoch.Add(windowDuration))
-	slices.Sort(r.took)
-	return WindowResult{
-		Median:           r.took[len(r.took)/2],
-		P99:              r.took[len(r.took)*99/100],
-		AppendsPerSecond: float64(r.appends) / windowDuration.Seconds(),
-		BytesPerSecond:   float64(r.bytes) / windowDuration.Seconds(),
-	}
+	return r
 }
 
 func (r *windowRun) arrive() {
