Keep whole what is taken over in its middle, and count it at its target

Cause: a dispatcher that took over an answer knew only the part from then on, so that the whole could be looked up at the gate alone and went with it. The job had no row, so that its target seemed to have a free place; the host that took it over was any host, not the owner whose window counts; its key's outcome was never recorded; a crash of its target was nobody's fault.

Change: attach carries the part that the gate has and what describes the request; the gate asks the owner of the target first; a job taken over has a row that runs. An attach with a part that ends inside a chunk gets the rest of it, and nothing when its text differs.

Both tests fail without the change.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -196,6 +196,38 @@
 			Expect(end().Kind).To(Equal(errkind.None))
 			Expect(gate.offsets()).To(Equal([]int{2, 3, 4, 5}))
 		})
+		It("keeps the whole of an answer that it took over in its middle", func() {
+			site.engine.resume = func(offset int) (target.Stream, error) { return answer(offset, whole, whole, io.EOF), nil }
+			var r peer.AttachResult
+			q := peer.Attach{ID: "g1.x", Target: "e1", Offset: 2, Text: "0 1 ", Key: "k"}
+			Expect(conn.Call(ctx, peer.MethodAttach, q, &r)).To(Succeed())
+			Expect(end().Kind).To(Equal(errkind.None))
+			var o peer.Outcome
+			Expect(conn.Call(ctx, peer.MethodLookup, peer.Lookup{ID: "g1.x"}, &o)).To(Succeed())
+			Expect(o.BodyKept).To(BeTrue())
+			Expect(string(o.Body)).To(Equal("0 1 2 3 4 5 "))
+			Eventually(site.recorded).WithTimeout(bound).Should(HaveLen(1))
+			By("giving the rest to who has a part that ends elsewhere, and nothing to who has another text")
+			q.Offset, q.Text, q.Target = 1, "0 ", ""
+			Expect(conn.Call(ctx, peer.MethodAttach, q, &r)).To(Succeed())
+			Expect(r.Known).To(BeTrue())
+			Eventually(gate.offsets).WithTimeout(bound).Should(Equal([]int{2, 3, 4, 5, 1, 2, 3, 4, 5}))
+			q.Text = "x "
+			Expect(conn.Call(ctx, peer.MethodAttach, q, &r)).To(Succeed())
+			Expect(r.Known).To(BeFalse())
+		})
+		It("counts what it took over against the window of the target", func() {
+			rest := make(chan target.Chunk)
+			site.engine.resume = func(int) (target.Stream, error) { return live(rest), nil }
+			site.engine.generate = func() (target.Stream, error) { return answer(0, whole, whole, io.EOF), nil }
+			_, err := attach()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(d.Summary(ctx)[0].Free).To(BeZero())
+			submit()
+			Consistently(func() int { n, _, _ := site.engine.counts(); return n }).Should(BeZero())
+			rest <- target.Chunk{Offset: 2, Tokens: whole - 2, Final: true}
+			Eventually(gate.ends).WithTimeout(bound).Should(HaveLen(2))
+		})
 		It("passes on that the target does not know it", func() {
 			r, err := attach()
 			Expect(err).NotTo(HaveOccurred())
--- a/internal/dispatcher/fakes_test.go
+++ b/internal/dispatcher/fakes_test.go
@@ -78,6 +78,20 @@
 
 func (w *words) Close() error { return nil }
 
+// live is a stream whose chunks come from a channel.
+type live chan target.Chunk
+
+func (l live) Next(ctx context.Context) (target.Chunk, error) {
+	select {
+	case c := <-l:
+		return c, nil
+	case <-ctx.Done():
+		return target.Chunk{}, errReset
+	}
+}
+
+func (l live) Close() error { return nil }
+
 var errReset = fmt.Errorf("%w: connection reset", target.ErrUnknown)
 
 var errNoStream = fmt.Errorf("%w: unknown dispatch", target.ErrNotAdmitted)
@@ -88,6 +102,7 @@
 
 	mu      sync.Mutex
 	crashes []dispatcher.Suspect
+	records []peer.Record
 }
 
 func (s *fakeSite) Engine(string) target.Engine                          { return s.engine }
@@ -95,7 +110,6 @@
 func (s *fakeSite) Owner(tables.TargetID, tables.DomainID) tables.HostID { return "h1" }
 func (s *fakeSite) TargetState(tables.TargetID) tables.HostState         { return tables.HostLive }
 func (s *fakeSite) Check(tables.Fingerprint) (refused, alone bool)       { return false, false }
-func (s *fakeSite) Record(context.Context, peer.Record) error            { return nil }
 func (s *fakeSite) Dispatched(tables.ServiceID, int, time.Duration)      {}
 func (s *fakeSite) Ended(*tables.Request, peer.Finished, time.Time)      {}
 
@@ -108,6 +122,19 @@
 	return told
 }
 
+func (s *fakeSite) Record(_ context.Context, r peer.Record) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = append(s.records, r)
+	return nil
+}
+
+func (s *fakeSite) recorded() []peer.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]peer.Record(nil), s.records...)
+}
+
 func (s *fakeSite) crashed() []dispatcher.Suspect {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -21,7 +22,8 @@
 // job is one request in the hands of the dispatcher.
 type job struct {
 	msg peer.Submit
-	// row is nil for a job that was taken over from another dispatcher.
+	// row is nil for a job that was taken over from another dispatcher. The
+	// row in the request table then only counts it at its target.
 	row     *tables.Request
 	target  tables.TargetID
 	started bool
@@ -29,7 +31,7 @@
 	reason errkind.Kind
 	chunks []target.Chunk
 	// from is the token offset of the first chunk; above zero when the answer
-	// was taken over in its middle.
+	// was taken over in its middle and its beginning is not known.
 	from    int
 	tokens  int
 	outcome *peer.Finished
@@ -45,16 +47,55 @@
 	span trace.Span
 }
 
-// listen sends the answer from a token offset on to conn.
-func (d *Dispatcher) listen(j *job, conn *peer.Conn, offset int) {
-	if j.started {
-		conn.Post(peer.NotifyStarted, peer.Started{ID: j.msg.ID, Target: j.target})
+// rest returns the parts so far that follow a token offset, for a gate that has
+// the text before it. It reports false when they can't be told or the text is
+// not that of this answer.
+func (j *job) rest(offset int, text string) ([]target.Chunk, bool) {
+	if offset < j.from {
+		return nil, false
 	}
-	for _, c := range j.chunks {
+	if j.from > 0 || offset == 0 || offset > j.tokens || text == "" {
+		return j.following(offset)
+	}
+	var all []byte
+	end := 0
+	for i, c := range j.chunks {
+		all = append(all, c.Text...)
+		end = c.Offset + c.Tokens
+		if end < offset {
+			continue
+		}
+		tail, same := bytes.CutPrefix(all, []byte(text))
+		if !same || end == offset && len(tail) > 0 {
+			return nil, false
+		}
+		if end == offset {
+			return j.chunks[i+1:], true
+		}
+		first := target.Chunk{Offset: offset, Text: string(tail), Tokens: end - offset, Final: c.Final}
+		return append([]target.Chunk{first}, j.chunks[i+1:]...), true
+	}
+	return nil, false
+}
+
+// following returns the parts from a token offset on, when one begins there.
+func (j *job) following(offset int) ([]target.Chunk, bool) {
+	for i, c := range j.chunks {
 		if c.Offset >= offset {
-			conn.Post(peer.NotifyChunk, peer.Chunk{ID: j.msg.ID, Chunk: c})
+			return j.chunks[i:], c.Offset == offset
 		}
 	}
+	return nil, offset >= j.tokens
+}
+
+// listen sends parts of the answer to conn, and what follows them.
+func (d *Dispatcher) listen(j *job, conn *peer.Conn, parts []target.Chunk) {
+	if j.started {
+		conn.Post(peer.NotifyStarted, peer.Started{ID: j.msg.ID, Target: j.target})
+	}
+	for _, c := range parts {
+		conn.Post(peer.NotifyChunk, peer.Chunk{ID: j.msg.ID, Chunk: c})
+	}
 	if j.outcome != nil {
 		conn.Post(peer.NotifyFinished, *j.outcome)
 		return
@@ -156,7 +197,10 @@
 }
 
 func (d *Dispatcher) leaveTables(now time.Time, j *job, f peer.Finished) {
-	delete(d.jobs, j.msg.ID)
+	if d.jobs[j.msg.ID] == j {
+		delete(d.jobs, j.msg.ID)
+		d.state.Requests.Delete(j.msg.ID)
+	}
 	d.kept.Add(j.msg.ID, j)
 	if j.row == nil {
 		return
@@ -168,7 +212,6 @@
 		d.state.Lengths.Observe(j.row, j.tokens)
 	}
 	j.row.State = tables.Finished
-	d.state.Requests.Delete(j.msg.ID)
 	d.endTrace(j, f.Kind)
 	d.Observer.Ended(j.row, f, now)
 }
--- a/internal/dispatcher/recover.go
+++ b/internal/dispatcher/recover.go
@@ -105,11 +105,14 @@
 
 func (d *Dispatcher) attachKnown(conn *peer.Conn, q peer.Attach) bool {
 	j := d.known(q.ID)
-	if j == nil || j.from > q.Offset {
+	if j == nil {
 		return false
 	}
-	d.listen(j, conn, q.Offset)
-	return true
+	rest, ok := j.rest(q.Offset, q.Text)
+	if ok {
+		d.listen(j, conn, rest)
+	}
+	return ok
 }
 
 // takeOver resumes the answer of a dispatch at its target from the token offset
@@ -166,11 +169,26 @@
 	return errkind.Wrap(cause, errkind.OutcomeUnknown, fmt.Sprintf("target %q did not answer", id))
 }
 
-// adopt makes a job for a dispatch of another dispatcher.
+// adopt makes a job for a dispatch of another dispatcher. It counts against the
+// window of its target.
 func (d *Dispatcher) adopt(conn *peer.Conn, q peer.Attach, plain bool) *job {
-	j := &job{msg: peer.Submit{ID: q.ID, Customer: q.Customer, Service: q.Service, Plain: plain}, target: q.Target, started: true, from: q.Offset, tokens: q.Offset}
+	j := &job{
+		msg: peer.Submit{
+			ID: q.ID, Customer: q.Customer, Service: q.Service, Plain: plain,
+			Tier: q.Tier, Fingerprint: q.Fingerprint, Key: q.Key,
+		},
+		target: q.Target, started: true, from: q.Offset, tokens: q.Offset,
+	}
+	if q.Offset > 0 && q.Text != "" {
+		j.from = 0
+		j.chunks = []target.Chunk{{Text: q.Text, Tokens: q.Offset}}
+	}
 	d.jobs[q.ID] = j
-	d.listen(j, conn, q.Offset)
+	d.state.Requests.Put(&tables.Request{
+		ID: q.ID, Customer: q.Customer, Service: q.Service, Tier: q.Tier, Plain: plain,
+		Fingerprint: q.Fingerprint, State: tables.Running, Target: q.Target, Started: d.Clock.Now(),
+	})
+	d.listen(j, conn, nil)
 	return j
 }
 
@@ -181,8 +199,8 @@
 		return
 	}
 	j.reason = reason
-	if j.row != nil {
-		j.row.Cancelling = true
+	if r := d.state.Requests.Get(j.msg.ID); r != nil {
+		r.Cancelling = true
 	}
 	at, ok := d.locate(j.target)
 	if !ok {
--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -42,7 +42,7 @@
 		return peer.SubmitResult{Kind: kind, Detail: detail, Pool: d.summary()}
 	}
 	if j := d.known(msg.ID); j != nil && !j.refusedUnsent() {
-		d.listen(j, conn, 0)
+		d.listen(j, conn, j.chunks)
 		return peer.SubmitResult{Pool: d.summary()}
 	}
 	if d.tombstones.Contains(msg.ID) {
@@ -62,7 +62,7 @@
 	d.trace(j)
 	d.jobs[msg.ID] = j
 	d.state.Requests.Put(row)
-	d.listen(j, conn, 0)
+	d.listen(j, conn, nil)
 	return peer.SubmitResult{Pool: d.summary()}
 }
 
--- a/internal/dispatcher/targets.go
+++ b/internal/dispatcher/targets.go
@@ -134,12 +134,13 @@
 // returns the channel that is closed once the peers know, or nil.
 func (d *Dispatcher) crashed(j *job) <-chan struct{} {
 	t := d.state.Targets.Get(j.target)
-	if t == nil || j.row == nil {
+	r := d.state.Requests.Get(j.msg.ID)
+	if t == nil || r == nil {
 		return nil
 	}
 	now := d.Clock.Now()
 	t.DownUntil = now.Add(downFor)
-	if !t.LastCrash.IsZero() && !j.row.Started.After(t.LastCrash) {
+	if !t.LastCrash.IsZero() && !r.Started.After(t.LastCrash) {
 		return d.warned[t.ID]
 	}
 	t.LastCrash = now
@@ -154,16 +155,15 @@
 func (d *Dispatcher) inFlight(id tables.TargetID) []Suspect {
 	found := make(map[tables.Fingerprint]Suspect)
 	for _, j := range d.jobs {
-		if !j.started || j.target != id || j.row == nil {
+		m := &j.msg
+		if !j.started || j.target != id || m.Fingerprint == 0 {
 			continue
 		}
-		old, ok := found[j.row.Fingerprint]
-		if ok && old.Request < j.row.ID {
+		old, ok := found[m.Fingerprint]
+		if ok && old.Request < m.ID {
 			continue
 		}
-		found[j.row.Fingerprint] = Suspect{
-			Fingerprint: j.row.Fingerprint, Customer: j.row.Customer, Service: j.row.Service, Request: j.row.ID,
-		}
+		found[m.Fingerprint] = Suspect{Fingerprint: m.Fingerprint, Customer: m.Customer, Service: m.Service, Request: m.ID}
 	}
 	return slices.Collect(maps.Values(found))
 }
--- a/internal/gate/join.go
+++ b/internal/gate/join.go
@@ -126,7 +126,10 @@
 // followAtTarget reports whether a target had the holder's whole answer.
 func (g *Gate) followAtTarget(f *flight) bool {
 	for _, v := range g.views(g.Document(), string(f.msg.Service)) {
-		conn := g.helper("", f.id, 0)
+		conn := g.askOwner("", v.Target, 0)
+		if conn == nil {
+			conn = g.helper("", f.id, 0)
+		}
 		if conn == nil {
 			return false
 		}
--- a/internal/gate/settle.go
+++ b/internal/gate/settle.go
@@ -105,13 +105,21 @@
 	ctx, cancel := context.WithTimeout(g.ctx, askTimeout)
 	defer cancel()
 	var result peer.AttachResult
-	err := conn.Call(ctx, peer.MethodAttach, peer.Attach{
-		ID: f.id, Target: at, Offset: f.since(0).tokens,
-		Customer: f.msg.Customer, Service: f.msg.Service,
-	}, &result)
+	err := conn.Call(ctx, peer.MethodAttach, f.attachment(at), &result)
 	return result, err
 }
 
+// attachment asks for the rest of the answer.
+func (f *flight) attachment(at tables.TargetID) peer.Attach {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return peer.Attach{
+		ID: f.id, Target: at, Offset: f.tokens, Text: string(f.text()),
+		Customer: f.msg.Customer, Service: f.msg.Service, Tier: f.msg.Tier,
+		Fingerprint: f.msg.Fingerprint, Key: f.msg.Key,
+	}
+}
+
 // carryOut does one step and reports whether the flight has its outcome.
 func (g *Gate) carryOut(f *flight, avoid tables.HostID, facts *settle.Facts, step settle.Step, lostAt time.Time) bool {
 	switch step.Action {
@@ -120,11 +128,11 @@
 		facts.SenderStopped = true
 	case settle.Cancel:
 		for _, id := range step.Targets {
-			g.askCancel(f, g.awaitHelper(avoid, f.id, facts.Account(id).Failures, lostAt), facts, id)
+			g.askCancel(f, g.awaitHelper(avoid, f.id, id, facts.Account(id).Failures, lostAt), facts, id)
 		}
 	case settle.Resume, settle.Fetch:
 		for _, id := range step.Targets {
-			if g.askStream(f, g.awaitHelper(avoid, f.id, facts.Account(id).Failures, lostAt), facts, id) {
+			if g.askStream(f, g.awaitHelper(avoid, f.id, id, facts.Account(id).Failures, lostAt), facts, id) {
 				return true
 			}
 		}
@@ -200,10 +208,14 @@
 	g.pauseUntil(g.Clock.Now().Add(pause))
 }
 
-// awaitHelper is helper, and waits for one until helperFor after lostAt.
-func (g *Gate) awaitHelper(avoid tables.HostID, id tables.RequestID, failures int, lostAt time.Time) *peer.Conn {
+// awaitHelper returns a connection to the owner of a target, or after a failure
+// to another host. It waits for one until helperFor after lostAt.
+func (g *Gate) awaitHelper(avoid tables.HostID, id tables.RequestID, at tables.TargetID, failures int, lostAt time.Time) *peer.Conn {
 	for {
-		conn := g.helper(avoid, id, failures)
+		conn := g.askOwner(avoid, at, failures)
+		if conn == nil {
+			conn = g.helper(avoid, id, failures)
+		}
 		now := g.Clock.Now()
 		if conn != nil || now.After(lostAt.Add(helperFor)) || g.ctx.Err() != nil {
 			return conn
@@ -212,6 +224,20 @@
 	}
 }
 
+// askOwner returns a connection to the owner of a target, which counts what it
+// takes over there, or nil after a failure.
+func (g *Gate) askOwner(avoid tables.HostID, at tables.TargetID, failures int) *peer.Conn {
+	doc := g.Document()
+	if doc == nil || failures > 0 {
+		return nil
+	}
+	owner := g.Membership.Owner(at, tables.DomainID(doc.Targets[string(at)].FailureDomain))
+	if owner == avoid {
+		return nil
+	}
+	return g.reachNamed(owner, g.Membership.Live())
+}
+
 // helper returns a connection to a live dispatcher, another one after each
 // failure and the lost one last, or nil.
 func (g *Gate) helper(avoid tables.HostID, id tables.RequestID, failures int) *peer.Conn {
@@ -229,7 +255,8 @@
 	return g.reachNamed(avoid, hosts)
 }
 
-// reachNamed connects to the lost host itself, where a new process may run.
+// reachNamed connects to a host by its name; nil when it is not among hosts or
+// does not answer.
 func (g *Gate) reachNamed(id tables.HostID, hosts []tables.Host) *peer.Conn {
 	for _, h := range hosts {
 		if h.ID == id {
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -134,9 +134,15 @@
 	ID     tables.RequestID `json:"id"`
 	Target tables.TargetID  `json:"target"`
 	Offset int              `json:"offset"`
-	// Customer and Service describe the request for later look-ups.
-	Customer tables.CustomerID `json:"customer,omitempty"`
-	Service  tables.ServiceID  `json:"service,omitempty"`
+	// Text is the part of the answer before Offset.
+	Text string `json:"text,omitempty"`
+	// Customer, Service, Tier, Fingerprint and Key describe the request to a
+	// dispatcher that takes it over.
+	Customer    tables.CustomerID  `json:"customer,omitempty"`
+	Service     tables.ServiceID   `json:"service,omitempty"`
+	Tier        int                `json:"tier,omitempty"`
+	Fingerprint tables.Fingerprint `json:"fingerprint,omitempty"`
+	Key         string             `json:"key,omitempty"`
 }
 
 // AttachResult answers Attach. When Known is set, the parts of the answer from
