Settle the holder of a key whose gate is gone, where that is provable

Cause: settle.HolderStopped was used by the model only. A key held by a request whose gate died stayed outcome_unknown until it expired. The digest in its claim did not bind the gate either: each round picked targets anew.

Change: a keyed submission carries the time until which it may be sent (5 min from admission, by the clocks of hosts) and the addresses of its targets; the dispatcher checks both before it writes. The claim's digest is of all targets of the service with their addresses, and the gate sends nowhere else. A repeat that finds no host with the holder asks all of them once 6 min 5 s have passed, and records the end. So does a gate that settled a lost dispatcher's request.

Conclusion: keys of dead gates are freed or answered where the targets can tell. In a rolling upgrade, new dispatchers refuse keyed requests of old gates as not run, because these carry no time.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -75,15 +75,17 @@
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(func() []tables.PoolSummary { return d.Summary(ctx) }).WithTimeout(bound).ShouldNot(BeEmpty())
 	})
-	submit := func() (peer.Submit, peer.SubmitResult) {
+	submitWith := func(change func(*peer.Submit)) (peer.Submit, peer.SubmitResult) {
 		msg := peer.Submit{
 			ID: tables.NewRequestID("g1", uuid.Must(uuid.NewV7())), Service: "report", Model: "m", Body: []byte("prompt"),
 			FirstTokenIn: time.Minute, DueIn: time.Minute, MaxTokens: whole, Allowed: []tables.TargetID{"e1"}, Fingerprint: 7,
 		}
+		change(&msg)
 		var r peer.SubmitResult
 		Expect(conn.Call(ctx, peer.MethodSubmit, msg, &r)).To(Succeed())
 		return msg, r
 	}
+	submit := func() (peer.Submit, peer.SubmitResult) { return submitWith(func(*peer.Submit) {}) }
 	end := func() peer.Finished {
 		Eventually(gate.ends).WithTimeout(bound).Should(HaveLen(1))
 		return gate.ends()[0]
@@ -157,6 +159,22 @@
 		Eventually(gate.ends).WithTimeout(bound).Should(HaveLen(2))
 		Expect(gate.ends()[1].Kind).To(Equal(errkind.None))
 	})
+	DescribeTable("sends a keyed request only where and as long as its claim allows",
+		func(late time.Duration, address string, kind errkind.Kind, sent int) {
+			site.engine.generate = func() (target.Stream, error) { return answer(0, whole, whole, io.EOF), nil }
+			submitWith(func(m *peer.Submit) {
+				m.Key = "k"
+				m.SendBy = time.Now().Add(time.Minute - late)
+				m.Addresses = map[tables.TargetID]string{"e1": address}
+			})
+			Expect(end().Kind).To(Equal(kind))
+			generates, _, _ := site.engine.counts()
+			Expect(generates).To(Equal(sent))
+		},
+		Entry("in time", time.Duration(0), "127.0.0.1:1", errkind.None, 1),
+		Entry("too late", time.Minute, "127.0.0.1:1", errkind.CancelledBeforeRun, 0),
+		Entry("elsewhere", time.Duration(0), "127.0.0.1:2", errkind.NoTarget, 0),
+	)
 	It("takes a second submission of a running request for the first", func() {
 		stream := make(chan target.Stream)
 		site.engine.generate = func() (target.Stream, error) { return <-stream, nil }
--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -35,17 +35,16 @@
 func (d *Dispatcher) start(j *job, id tables.TargetID) {
 	permit := d.permit(j)
 	if !permit() {
-		d.finish(j, peer.Finished{Kind: errkind.CancelledBeforeRun, Detail: "the gate of the request is gone"})
+		d.finish(j, peer.Finished{Kind: errkind.CancelledBeforeRun, Detail: "the gate of the request is gone, or its time is over"})
 		return
 	}
-	j.started = true
-	j.target = id
 	at, ok := d.locate(id)
-	if !ok {
-		j.started = false
+	if claimed, keyed := j.msg.Addresses[id]; !ok || keyed && claimed != at.address {
 		d.finish(j, peer.Finished{Kind: errkind.NoTarget})
 		return
 	}
+	j.started = true
+	j.target = id
 	d.Observer.Dispatched(j.row.Service, j.row.Tier, d.Clock.Now().Sub(j.row.Arrived))
 	j.notify(peer.NotifyStarted, peer.Started{ID: j.msg.ID, Target: id})
 	ctx, span := d.Tracer.Start(httpcall.WithPermit(j.ctx, permit), "target", trace.WithSpanKind(trace.SpanKindClient),
@@ -63,10 +62,14 @@
 // permit returns whether j may still be sent: its gate has answered a ping that
 // was sent within the send lease, so that it cannot have settled j as not run.
 // What was merely read lately may have waited in a buffer while this process
-// was paused. It is called from the goroutine that sends.
+// was paused. A keyed request may be sent until its SendBy alone, after which
+// others may settle it. It is called from the goroutine that sends.
 func (d *Dispatcher) permit(j *job) func() bool {
 	conns := slices.Collect(maps.Keys(j.listeners))
 	return func() bool {
+		if j.msg.Key != "" && !d.Clock.Now().Before(j.msg.SendBy) {
+			return false
+		}
 		oldest := d.Clock.Now().Add(-settle.SendLease)
 		return slices.ContainsFunc(conns, func(c *peer.Conn) bool { return c.Confirmed().After(oldest) })
 	}
--- a/internal/gate/admit.go
+++ b/internal/gate/admit.go
@@ -44,6 +44,9 @@
 	// pick chooses dispatchers by what is known at the time of the call.
 	pick     func() []route.Choice
 	lifetime time.Duration
+	// claimed are the targets that the claim of a keyed request speaks of; it
+	// is sent to no other ones.
+	claimed targetSet
 	// arrived is when the request was admitted; its deadlines count from here,
 	// also while its key is claimed.
 	arrived time.Time
@@ -70,10 +73,15 @@
 	msg := g.message(ctx, a, service, tier, doc.Customers[string(a.customer)])
 	arrived := g.Clock.Now()
 	request := g.describe(msg, arrived)
+	var claimed targetSet
+	if a.key != "" {
+		claimed = targetsOf(doc, a.service)
+	}
 	pick := func() []route.Choice {
-		return route.Pick(g.Clock.Now(), request, g.views(g.Document(), a.service))
+		now := g.Document()
+		return route.Pick(g.Clock.Now(), request, claimed.only(now, g.views(now, a.service)))
 	}
-	return admitted{msg: msg, pick: pick, lifetime: service.KeyLifetime(), arrived: arrived}, nil
+	return admitted{msg: msg, pick: pick, claimed: claimed, lifetime: service.KeyLifetime(), arrived: arrived}, nil
 }
 
 func findService(doc *config.Document, a ask) (config.Service, error) {
--- a/internal/gate/begin.go
+++ b/internal/gate/begin.go
@@ -72,7 +72,7 @@
 	defer cancel()
 	err = conn.Call(ctx, peer.MethodAcquire, peer.Acquire{
 		Customer: msg.Customer, Service: msg.Service, Key: msg.Key, Request: msg.ID,
-		Fingerprint: msg.Fingerprint, Lifetime: adm.lifetime, TargetsDigest: claim.TargetsDigest(targetsOf(adm.pick())),
+		Fingerprint: msg.Fingerprint, Lifetime: adm.lifetime, TargetsDigest: adm.claimed.digest(),
 	}, &result)
 	if err != nil {
 		go g.release(msg, errkind.ClaimsUnavailable)
@@ -109,21 +109,32 @@
 	g.register(f)
 	go func() {
 		g.drive(f, adm.pick)
-		g.recordRefusal(f)
+		g.recordEnd(f)
 	}()
 	return f
 }
 
-func (g *Gate) recordRefusal(f *flight) {
+// recordEnd records the outcome of a keyed request that no dispatcher records: a
+// proof of "not run", and what the gate found out at the targets.
+func (g *Gate) recordEnd(f *flight) {
 	end := f.since(0).outcome
-	if end != nil && end.Kind.Answer().Ran == errkind.RanNo {
+	switch {
+	case end == nil:
+	case end.Kind.Answer().Ran == errkind.RanNo:
 		g.release(f.msg, end.Kind)
+	case f.settled && end.Kind.Answer().Ran == errkind.RanYes:
+		g.record(f.msg, f.known())
 	}
 }
 
 // release tells the home of a key that a request was not and will not be
 // dispatched, which frees the key if the request holds it.
 func (g *Gate) release(msg peer.Submit, kind errkind.Kind) {
+	g.record(msg, peer.Outcome{ID: msg.ID, Known: true, Done: true, Kind: kind})
+}
+
+// record tells the home of a key the outcome of a request.
+func (g *Gate) record(msg peer.Submit, o peer.Outcome) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(g.ctx), recordTimeout)
 	defer cancel()
 	conn, err := g.claimHome(ctx, msg)
@@ -131,8 +142,7 @@
 		return
 	}
 	_ = conn.Call(ctx, peer.MethodRecord, peer.Record{
-		Customer: msg.Customer, Service: msg.Service, Key: msg.Key,
-		Outcome: peer.Outcome{ID: msg.ID, Known: true, Done: true, Kind: kind},
+		Customer: msg.Customer, Service: msg.Service, Key: msg.Key, Outcome: o,
 	}, nil)
 }
 
--- a/internal/gate/drive.go
+++ b/internal/gate/drive.go
@@ -10,6 +10,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/systems/route"
+	"github.com/bluebellseam/bluebellseam/internal/systems/settle"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -113,6 +114,8 @@
 	}
 	msg := f.aged(g.Clock.Now())
 	msg.Allowed = c.Targets
+	msg.SendBy = f.arrived.Add(settle.SendWithin)
+	msg.Addresses = f.claimed.addresses(c.Targets)
 	f.update(func() { f.verdict = nil })
 	var result peer.SubmitResult
 	if err := conn.Call(g.ctx, peer.MethodSubmit, msg, &result); err != nil {
--- a/internal/gate/flight.go
+++ b/internal/gate/flight.go
@@ -23,6 +23,10 @@
 	msg     peer.Submit
 	arrived time.Time
 	keyed   bool
+	claimed targetSet
+	// settled is set when the gate itself found the outcome at the targets; the
+	// driver alone uses it.
+	settled bool
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -47,6 +51,7 @@
 		msg:     adm.msg,
 		arrived: adm.arrived,
 		keyed:   adm.msg.Key != "",
+		claimed: adm.claimed,
 		changed: make(chan struct{}),
 		left:    make(chan struct{}),
 	}
--- a/internal/gate/join.go
+++ b/internal/gate/join.go
@@ -9,7 +9,6 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
-	"github.com/bluebellseam/bluebellseam/internal/systems/route"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
@@ -57,7 +56,7 @@
 			deadline = now.Add(joinFor)
 		}
 		if !now.Before(deadline) {
-			g.concludeHolder(f, result)
+			g.concludeHolder(f, adm, result)
 			return
 		}
 		g.pauseUntil(now.Add(joinPause))
@@ -111,8 +110,8 @@
 }
 
 // concludeHolder ends the search: the targets of the service are asked last,
-// without changing anything there.
-func (g *Gate) concludeHolder(f *flight, result peer.AcquireResult) {
+// without changing anything there unless nobody can send the request any more.
+func (g *Gate) concludeHolder(f *flight, adm admitted, result peer.AcquireResult) {
 	if g.followAtTarget(f) {
 		return
 	}
@@ -120,6 +119,10 @@
 		f.finish(peer.Finished{Kind: errkind.AnswerNotKept, Detail: fmt.Sprintf("request %s ran to its end", f.id), Sent: true})
 		return
 	}
+	if g.holderStopped(adm, result) {
+		g.settleHolder(f, adm)
+		return
+	}
 	f.finish(peer.Finished{Kind: errkind.OutcomeUnknown, Detail: fmt.Sprintf("request %s holds the key and no host knows its outcome", f.id), Sent: true})
 }
 
@@ -173,12 +176,3 @@
 	})
 	return filled
 }
-
-// targetsOf lists the targets of all choices.
-func targetsOf(choices []route.Choice) []tables.TargetID {
-	var out []tables.TargetID
-	for _, c := range choices {
-		out = append(out, c.Targets...)
-	}
-	return out
-}
--- a/internal/gate/settle.go
+++ b/internal/gate/settle.go
@@ -38,13 +38,20 @@
 		Plain: f.msg.Plain, MayBeSent: true, Allowed: c.Targets,
 		Started: p.target, Offset: p.tokens, CallerLeft: f.callerLeft(),
 	}
+	g.settleAtTargets(f, c.Owner, facts, lostAt)
+}
+
+// settleAtTargets asks the targets through other dispatchers than avoid until
+// the flight has its outcome.
+func (g *Gate) settleAtTargets(f *flight, avoid tables.HostID, facts *settle.Facts, lostAt time.Time) {
 	for g.ctx.Err() == nil {
 		step := settle.Next(facts)
 		if step.Action == settle.Finish {
+			f.settled = true
 			f.finish(peer.Finished{Kind: step.Kind, Detail: "the dispatcher of the request was lost", Sent: true})
 			return
 		}
-		if g.carryOut(f, c.Owner, facts, step, lostAt) {
+		if g.carryOut(f, avoid, facts, step, lostAt) {
 			return
 		}
 		facts.Offset = f.since(0).tokens
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -67,8 +67,14 @@
 	PromptTokens int               `json:"prompt_tokens,omitempty"`
 	Allowed      []tables.TargetID `json:"allowed"`
 	// Key is the idempotency key, if the caller gave one.
-	Key   string            `json:"key,omitempty"`
-	Trace map[string]string `json:"trace,omitempty"`
+	Key string `json:"key,omitempty"`
+	// Addresses are those of the allowed targets when the key was claimed; a
+	// keyed request is sent to no other address.
+	Addresses map[tables.TargetID]string `json:"addresses,omitempty"`
+	// SendBy is when a keyed request may be sent at the latest, by the clocks of
+	// hosts, so that no pause and no late message prolongs it.
+	SendBy time.Time         `json:"send_by,omitzero"`
+	Trace  map[string]string `json:"trace,omitempty"`
 }
 
 // SubmitResult answers Submit.
--- a/internal/systems/settle/facts.go
+++ b/internal/systems/settle/facts.go
@@ -22,6 +22,11 @@
 // dispatcher sets Facts.SenderStopped once this time has passed.
 const SendLease = 5 * time.Second
 
+// SendWithin bounds the time from a gate's acquire call to the last send of the
+// request that it claimed the key for, each by the clock of its host. Dispatchers
+// send no keyed request later.
+const SendWithin = 5 * time.Minute
+
 // Account is what a target has said about one dispatch ID.
 type Account struct {
 	// Progress is the latest word; empty before the first one.
@@ -112,7 +117,8 @@
 // HolderStopped reports whether nobody can send a request any more that won its
 // key at since, by the log's clock, and whose gate cannot be asked. sendWithin
 // bounds the time from the gate's acquire call to the last possible send: gates
-// and dispatchers drop what is older. skew bounds how far clocks differ.
+// and dispatchers drop what is older. skew bounds how far two clocks differ, of
+// which four matter: those of the gate, the dispatcher, the log and the caller.
 func HolderStopped(now, since time.Time, sendWithin, skew time.Duration) bool {
 	return now.Sub(since) > sendWithin+SendLease+2*skew
 }
