--- a/internal/model/measure_test.go
+++ b/internal/model/measure_test.go
@@ -40,10 +40,30 @@
 			Expect(after.Keyed.Mean).To(BeNumerically("<=", before.Keyed.Mean))
 		}
 	})
+	It("show that a home that decides in memory dispatches twice, and a minting host never", func() {
+		for _, lag := range []time.Duration{0, 1, 5} {
+			for _, partition := range []time.Duration{0, 2} {
+				for scheme, name := range []string{"log claims", "host-minted keys", "home in memory"} {
+					o := model.Outage{
+						Scheme: model.Scheme(scheme), CallsPerSecond: 20, Length: 20 * time.Minute, HostLife: 8 * time.Hour,
+						Think: 30 * time.Second, LostReply: 0.01, Partition: partition * time.Minute, ViewLag: lag * time.Second,
+					}
+					r := model.MeasureOutage(1, o)
+					GinkgoWriter.Println(fmt.Sprintf("| %d s | %d min | %s | %v |", lag, partition, name, r))
+					if o.Scheme != model.HomeMemory {
+						Expect(r.Doubled).To(BeZero())
+					}
+					if o.Scheme == model.HomeMemory && partition > 0 {
+						Expect(r.Doubled).To(BeNumerically(">", 0))
+					}
+				}
+			}
+		}
+	})
 	It("lose no call between log claims and host-minted keys", func() {
 		for _, minutes := range []time.Duration{0, 5, 20} {
 			for _, life := range []time.Duration{1, 8} {
-				for scheme, name := range []string{"log claims", "host-minted keys"} {
+				for scheme, name := range []string{"log claims", "host-minted keys", "home in memory"} {
 					o := model.Outage{
 						Scheme: model.Scheme(scheme), CallsPerSecond: 2, Length: minutes * time.Minute,
 						HostLife: life * time.Hour, Think: 30 * time.Second, LostReply: 0.01,
--- a/internal/model/outage.go
+++ b/internal/model/outage.go
@@ -15,6 +15,9 @@
 	// HostKeys: a host mints the key, is its only authority, and takes it with
 	// it when it is replaced.
 	HostKeys
+	// HomeMemory: the home of a key decides in memory when, by its own view of
+	// the hosts, it has been home since before the key was made.
+	HomeMemory
 )
 
 // Outage is a day's load of non-idempotent calls with one log outage.
@@ -30,6 +33,11 @@
 	Think time.Duration
 	// LostReply is the part of replies that do not reach the caller.
 	LostReply float64
+	// Partition is how long half of the hosts do not hear the other half; it
+	// begins with the outage.
+	Partition time.Duration
+	// ViewLag is the longest time until a host sees that another one came or went.
+	ViewLag time.Duration
 }
 
 // OutageResult counts calls by what their callers know in the end.
@@ -38,6 +46,8 @@
 	// WantedInOutage and DoneInOutage are the calls that were wanted while
 	// the log was down, and those of them that were done before it was up.
 	WantedInOutage, DoneInOutage int
+	// Doubled are the calls that were dispatched twice.
+	Doubled int
 }
 
 const (
@@ -64,6 +74,9 @@
 	// unsure is set when a reply to a send that may have run was lost.
 	unsure bool
 	ended  bool
+	// shard is the part of the key space, and runs counts the dispatches.
+	shard int
+	runs  int
 }
 
 // outageWorld is one run.
@@ -71,12 +84,14 @@
 	Outage
 	sim    *sim
 	hosts  [outageHosts]outageHost
+	homes  *homeViews
 	result OutageResult
 }
 
 // MeasureOutage plays a run in virtual time.
 func MeasureOutage(seed uint64, o Outage) OutageResult {
 	w := &outageWorld{Outage: o, sim: newSim(seed)}
+	w.homes = newHomeViews(w)
 	for i := range w.hosts {
 		w.replaceLater(i)
 	}
@@ -88,6 +103,7 @@
 func (w *outageWorld) replaceLater(i int) {
 	w.sim.after(time.Duration(w.sim.rng.ExpFloat64()*float64(w.HostLife)), func() {
 		w.hosts[i].incarnation++
+		w.homes.replaced(i)
 		w.replaceLater(i)
 	})
 }
@@ -103,7 +119,7 @@
 		if w.sim.time.Sub(epoch) >= outageRun {
 			return
 		}
-		c := &outageCall{wanted: w.sim.time, minter: w.sim.rng.IntN(outageHosts)}
+		c := &outageCall{wanted: w.sim.time, minter: w.sim.rng.IntN(outageHosts), shard: w.sim.rng.IntN(homeShards)}
 		c.minted = w.hosts[c.minter].incarnation
 		w.result.Wanted++
 		if w.down() {
@@ -116,11 +132,14 @@
 
 // send is one send of the caller, to any host.
 func (w *outageWorld) send(c *outageCall) {
-	if w.Scheme == HostKeys {
+	switch w.Scheme {
+	case HostKeys:
 		w.sendMinted(c)
-		return
+	case HomeMemory:
+		w.sendHome(c)
+	case LogClaims:
+		w.sendClaimed(c)
 	}
-	w.sendClaimed(c)
 }
 
 // sendMinted asks the host of the key. When that host was replaced, nobody can
@@ -189,5 +208,5 @@
 
 // String returns the result as cells of a Markdown table.
 func (r OutageResult) String() string {
-	return fmt.Sprintf("%d | %d | %d | %d | %d of %d", r.Wanted, r.Done, r.NotRun, r.Unknown, r.DoneInOutage, r.WantedInOutage)
+	return fmt.Sprintf("%d | %d | %d | %d | %d | %d of %d", r.Wanted, r.Done, r.NotRun, r.Unknown, r.Doubled, r.DoneInOutage, r.WantedInOutage)
 }
