Let hosts make keys that need no log, for requests that may be repeated

Cause: in a log outage every keyed generation was refused.

Change: POST /v1/keys. The dispatcher that made a key decides about it in memory (claim.Authority) and is the only one ever asked; a process with another incarnation answers key_expired.

Runs: scenario log-down-minted: with the log down, a generation under a minted key ran once and its two repeats got the whole answer; one under a caller's own key was refused as before. After its host was lost and replaced: not run, first claims_unavailable and then key_expired.

--- a/internal/api/callers/oas_client_gen.go
+++ b/internal/api/callers/oas_client_gen.go
@@ -48,6 +48,12 @@
 	//
 	// GET /v1/requests/{id}
 	GetRequest(ctx context.Context, params GetRequestParams) (*RequestStatus, error)
+	// MintKey invokes mintKey operation.
+	//
+	// An idempotency key that one host decides about, also while the log is down.
+	//
+	// POST /v1/keys
+	MintKey(ctx context.Context) (*MintedKey, error)
 }
 
 // Client implements OAS client.
@@ -541,3 +547,116 @@
 
 	return result, nil
 }
+
+// MintKey invokes mintKey operation.
+//
+// An idempotency key that one host decides about, also while the log is down.
+//
+// POST /v1/keys
+func (c *Client) MintKey(ctx context.Context) (*MintedKey, error) {
+	res, err := c.sendMintKey(ctx)
+	return res, err
+}
+
+func (c *Client) sendMintKey(ctx context.Context) (res *MintedKey, err error) {
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("mintKey"),
+		semconv.HTTPRequestMethodKey.String("POST"),
+		semconv.URLTemplateKey.String("/v1/keys"),
+	}
+	otelAttrs = append(otelAttrs, c.cfg.Attributes...)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		elapsedDuration := time.Since(startTime)
+		c.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), metric.WithAttributes(otelAttrs...))
+	}()
+
+	// Increment request counter.
+	c.requests.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+
+	// Start a span for this request.
+	ctx, span := c.cfg.Tracer.Start(ctx, MintKeyOperation,
+		trace.WithAttributes(otelAttrs...),
+		clientSpanKind,
+	)
+	// Track stage for error reporting.
+	var stage string
+	defer func() {
+		if err != nil {
+			span.RecordError(err)
+			span.SetStatus(codes.Error, stage)
+			c.errors.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+		}
+		span.End()
+	}()
+
+	stage = "BuildURL"
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/keys"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	stage = "EncodeRequest"
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			stage = "Security:CustomerKey"
+			switch err := c.securityCustomerKey(ctx, MintKeyOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"CustomerKey\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	stage = "SendRequest"
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	stage = "DecodeResponse"
+	result, err := decodeMintKeyResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
--- a/internal/api/callers/oas_handlers_gen.go
+++ b/internal/api/callers/oas_handlers_gen.go
@@ -659,3 +659,188 @@
 		return
 	}
 }
+
+// handleMintKeyRequest handles mintKey operation.
+//
+// An idempotency key that one host decides about, also while the log is down.
+//
+// POST /v1/keys
+func (s *Server) handleMintKeyRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("mintKey"),
+		semconv.HTTPRequestMethodKey.String("POST"),
+		semconv.HTTPRouteKey.String("/v1/keys"),
+	}
+	// Add attributes from config.
+	otelAttrs = append(otelAttrs, s.cfg.Attributes...)
+
+	// Start a span for this request.
+	ctx, span := s.cfg.Tracer.Start(r.Context(), MintKeyOperation,
+		trace.WithAttributes(otelAttrs...),
+		serverSpanKind,
+	)
+	defer span.End()
+
+	// Add Labeler to context.
+	labeler := &Labeler{attrs: otelAttrs}
+	ctx = contextWithLabeler(ctx, labeler)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		elapsedDuration := time.Since(startTime)
+
+		attrSet := labeler.AttributeSet()
+		attrs := attrSet.ToSlice()
+		code := statusWriter.status
+		if code != 0 {
+			codeAttr := semconv.HTTPResponseStatusCode(code)
+			attrs = append(attrs, codeAttr)
+			span.SetAttributes(attrs...)
+		}
+		attrOpt := metric.WithAttributes(attrs...)
+
+		// Increment request counter.
+		s.requests.Add(ctx, 1, attrOpt)
+
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		s.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), attrOpt)
+	}()
+
+	var (
+		recordError = func(stage string, err error) {
+			span.RecordError(err)
+
+			// https://opentelemetry.io/docs/specs/semconv/http/http-spans/#status
+			// Span Status MUST be left unset if HTTP status code was in the 1xx, 2xx or 3xx ranges,
+			// unless there was another error (e.g., network error receiving the response body; or 3xx codes with
+			// max redirects exceeded), in which case status MUST be set to Error.
+			code := statusWriter.status
+			if code < 100 || code >= 500 {
+				span.SetStatus(codes.Error, stage)
+			}
+
+			attrSet := labeler.AttributeSet()
+			attrs := attrSet.ToSlice()
+			if code != 0 {
+				attrs = append(attrs, semconv.HTTPResponseStatusCode(code))
+			}
+
+			s.errors.Add(ctx, 1, metric.WithAttributes(attrs...))
+		}
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: MintKeyOperation,
+			ID:   "mintKey",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityCustomerKey(ctx, MintKeyOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "CustomerKey",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+					defer recordError("Security:CustomerKey", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+
+	var rawBody []byte
+
+	var response *MintedKey
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    MintKeyOperation,
+			OperationSummary: "An idempotency key that one host decides about, also while the log is down.",
+			OperationID:      "mintKey",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *MintedKey
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.MintKey(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.MintKey(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCodeWithHeaders](err); ok {
+			if err := encodeErrorResponse(errRes, w, span); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w, span); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeMintKeyResponse(response, w, span); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
--- a/internal/api/callers/oas_json_gen.go
+++ b/internal/api/callers/oas_json_gen.go
@@ -158,6 +158,102 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *MintedKey) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *MintedKey) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("key")
+		e.Str(s.Key)
+	}
+}
+
+var jsonFieldsNameOfMintedKey = [1]string{
+	0: "key",
+}
+
+// Decode decodes MintedKey from json.
+func (s *MintedKey) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode MintedKey to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "key":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Key = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"key\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode MintedKey")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfMintedKey) {
+					name = jsonFieldsNameOfMintedKey[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *MintedKey) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *MintedKey) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes int as json.
 func (o OptInt) Encode(e *jx.Encoder) {
 	if !o.Set {
--- a/internal/api/callers/oas_operations_gen.go
+++ b/internal/api/callers/oas_operations_gen.go
@@ -9,4 +9,5 @@
 	CallOperation       OperationName = "Call"
 	GenerateOperation   OperationName = "Generate"
 	GetRequestOperation OperationName = "GetRequest"
+	MintKeyOperation    OperationName = "MintKey"
 )
--- a/internal/api/callers/oas_parameters_gen.go
+++ b/internal/api/callers/oas_parameters_gen.go
@@ -226,7 +226,7 @@
 						if err := (validate.String{
 							MinLength:     0,
 							MinLengthSet:  false,
-							MaxLength:     64,
+							MaxLength:     256,
 							MaxLengthSet:  true,
 							Email:         false,
 							Hostname:      false,
@@ -454,7 +454,7 @@
 						if err := (validate.String{
 							MinLength:     0,
 							MinLengthSet:  false,
-							MaxLength:     64,
+							MaxLength:     256,
 							MaxLengthSet:  true,
 							Email:         false,
 							Hostname:      false,
--- a/internal/api/callers/oas_response_decoders_gen.go
+++ b/internal/api/callers/oas_response_decoders_gen.go
@@ -484,3 +484,170 @@
 	}
 	return res, errors.Wrap(defRes, "error")
 }
+
+func decodeMintKeyResponse(resp *http.Response) (res *MintedKey, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response MintedKey
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCodeWithHeaders, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			var wrapper ProblemStatusCodeWithHeaders
+			wrapper.Response = response
+			wrapper.StatusCode = resp.StatusCode
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "Bluebell-Request-Id" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Bluebell-Request-Id",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotBluebellRequestIDVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotBluebellRequestIDVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.BluebellRequestID.SetTo(wrapperDotBluebellRequestIDVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Bluebell-Request-Id header")
+				}
+			}
+			// Parse "Retry-After" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Retry-After",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotRetryAfterVal int
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToInt(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotRetryAfterVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.RetryAfter.SetTo(wrapperDotRetryAfterVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Retry-After header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
--- a/internal/api/callers/oas_response_encoders_gen.go
+++ b/internal/api/callers/oas_response_encoders_gen.go
@@ -41,6 +41,19 @@
 	return nil
 }
 
+func encodeMintKeyResponse(response *MintedKey, w http.ResponseWriter, span trace.Span) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeErrorResponse(response *ProblemStatusCodeWithHeaders, w http.ResponseWriter, span trace.Span) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.Header().Set("Access-Control-Expose-Headers", "Bluebell-Request-Id,Retry-After")
--- a/internal/api/callers/oas_router_gen.go
+++ b/internal/api/callers/oas_router_gen.go
@@ -11,6 +11,9 @@
 )
 
 var (
+	rn10AllowedHeaders = map[string]string{
+		"POST": "Authorization",
+	}
 	rn9AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
@@ -73,6 +76,31 @@
 				break
 			}
 			switch elem[0] {
+			case 'k': // Prefix: "keys"
+
+				if l := len("keys"); len(elem) >= l && elem[0:l] == "keys" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch r.Method {
+					case "POST":
+						s.handleMintKeyRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "POST",
+							allowedHeaders: rn10AllowedHeaders,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+
 			case 'r': // Prefix: "requests/"
 
 				if l := len("requests/"); len(elem) >= l && elem[0:l] == "requests/" {
@@ -310,6 +338,31 @@
 				break
 			}
 			switch elem[0] {
+			case 'k': // Prefix: "keys"
+
+				if l := len("keys"); len(elem) >= l && elem[0:l] == "keys" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch method {
+					case "POST":
+						r.name = MintKeyOperation
+						r.summary = "An idempotency key that one host decides about, also while the log is down."
+						r.operationID = "mintKey"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/keys"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+
 			case 'r': // Prefix: "requests/"
 
 				if l := len("requests/"); len(elem) >= l && elem[0:l] == "requests/" {
--- a/internal/api/callers/oas_schemas_gen.go
+++ b/internal/api/callers/oas_schemas_gen.go
@@ -188,6 +188,21 @@
 	s.DeadlineMs = val
 }
 
+// Ref: #/components/schemas/MintedKey
+type MintedKey struct {
+	Key string `json:"key"`
+}
+
+// GetKey returns the value of Key.
+func (s *MintedKey) GetKey() string {
+	return s.Key
+}
+
+// SetKey sets the value of Key.
+func (s *MintedKey) SetKey(val string) {
+	s.Key = val
+}
+
 // NewOptInt returns new OptInt with value set to v.
 func NewOptInt(v int) OptInt {
 	return OptInt{
--- a/internal/api/callers/oas_security_gen.go
+++ b/internal/api/callers/oas_security_gen.go
@@ -37,6 +37,7 @@
 	CallOperation:       []string{},
 	GenerateOperation:   []string{},
 	GetRequestOperation: []string{},
+	MintKeyOperation:    []string{},
 }
 
 // GetRolesForCustomerKey returns the required roles for the given operation.
--- a/internal/api/callers/oas_server_gen.go
+++ b/internal/api/callers/oas_server_gen.go
@@ -17,6 +17,12 @@
 	//
 	// GET /v1/requests/{id}
 	GetRequest(ctx context.Context, params GetRequestParams) (*RequestStatus, error)
+	// MintKey implements mintKey operation.
+	//
+	// An idempotency key that one host decides about, also while the log is down.
+	//
+	// POST /v1/keys
+	MintKey(ctx context.Context) (*MintedKey, error)
 	// NewError creates *ProblemStatusCodeWithHeaders from error returned by handler.
 	//
 	// Used for common default response.
--- a/internal/api/callers/oas_unimplemented_gen.go
+++ b/internal/api/callers/oas_unimplemented_gen.go
@@ -43,6 +43,15 @@
 	return r, ht.ErrNotImplemented
 }
 
+// MintKey implements mintKey operation.
+//
+// An idempotency key that one host decides about, also while the log is down.
+//
+// POST /v1/keys
+func (UnimplementedHandler) MintKey(ctx context.Context) (r *MintedKey, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // NewError creates *ProblemStatusCodeWithHeaders from error returned by handler.
 //
 // Used for common default response.
--- a/internal/claims/home.go
+++ b/internal/claims/home.go
@@ -28,6 +28,7 @@
 	cancel context.CancelFunc
 
 	mu      sync.Mutex
+	minted  *claim.Authority
 	shards  map[int]*shard
 	running sync.WaitGroup
 }
@@ -51,6 +52,7 @@
 		outcomes: cache,
 		ctx:      ctx,
 		cancel:   cancel,
+		minted:   claim.NewAuthority(o.Host, o.Incarnation, claim.Limits{Window: o.Window, Skew: o.Skew}),
 		shards:   make(map[int]*shard),
 	}
 }
@@ -87,20 +89,17 @@
 // Record with a kind that means "not run" when the answer was lost. Refusals
 // are in the result; the error is only that of ctx.
 func (h *Home) Acquire(ctx context.Context, a peer.Acquire) (peer.AcquireResult, error) {
-	key, err := claim.ParseKey(a.Customer, a.Service, a.Key)
-	if err != nil {
-		return refusal(err), nil
-	}
 	if _, err := a.Request.Home(); err != nil {
 		return refusal(errkind.Wrap(err, errkind.MalformedRequest, "claim without a request ID")), nil
 	}
-	ask := claim.Ask{
-		Key:           key,
-		Request:       a.Request,
-		Fingerprint:   a.Fingerprint,
-		Lifetime:      a.Lifetime,
-		TargetsDigest: a.TargetsDigest,
+	if claim.IsMinted(a.Key) {
+		return h.acquireMinted(a), nil
+	}
+	key, err := claim.ParseKey(a.Customer, a.Service, a.Key)
+	if err != nil {
+		return refusal(err), nil
 	}
+	ask := askOf(a, key)
 	s := h.shard(key.Shard(h.opts.Shards))
 	if s.isClosed() {
 		s = h.shard(s.number)
@@ -115,20 +114,33 @@
 	return h.result(ctx, key, answer), nil
 }
 
+func askOf(a peer.Acquire, key claim.Key) claim.Ask {
+	return claim.Ask{
+		Key:           key,
+		Request:       a.Request,
+		Fingerprint:   a.Fingerprint,
+		Lifetime:      a.Lifetime,
+		TargetsDigest: a.TargetsDigest,
+	}
+}
+
 // Record writes the outcome of a request that holds a key, and returns when
 // the log has it. After an error of kind ClaimsUnavailable or of ctx the
 // outcome is still written later, unless the process ends before.
 func (h *Home) Record(ctx context.Context, r peer.Record) error {
-	key, err := claim.ParseKey(r.Customer, r.Service, r.Key)
-	if err != nil {
-		return err
-	}
 	if _, err := r.Outcome.ID.Home(); err != nil {
 		return errkind.Wrap(err, errkind.MalformedRequest, "outcome without a request ID")
 	}
 	if r.Outcome.Kind != errkind.None && !r.Outcome.Kind.Valid() {
 		return errkind.New(errkind.MalformedRequest, fmt.Sprintf("outcome of unknown kind %q", r.Outcome.Kind))
 	}
+	if claim.IsMinted(r.Key) {
+		return h.recordMinted(r)
+	}
+	key, err := claim.ParseKey(r.Customer, r.Service, r.Key)
+	if err != nil {
+		return err
+	}
 	if err := h.shard(key.Shard(h.opts.Shards)).record(ctx, toRecord(key, r.Outcome)); err != nil {
 		return err
 	}
@@ -211,18 +223,23 @@
 
 // result turns an answer of the claim system into that of the protocol.
 func (h *Home) result(ctx context.Context, key claim.Key, a claim.Answer) peer.AcquireResult {
+	r := decision(a)
+	if a.Holder != nil && a.Holder.HasOutcome && a.Err == nil {
+		o := h.outcome(ctx, key, *a.Holder)
+		r.Outcome = &o
+	}
+	return r
+}
+
+// decision is a result without the recorded outcome of the holder.
+func decision(a claim.Answer) peer.AcquireResult {
 	r := refusal(a.Err)
 	r.Won = a.Won
 	r.Freed = a.Freed
-	if a.Holder == nil {
-		return r
-	}
-	r.Holder = a.Holder.Request
-	r.TargetsDigest = a.Holder.TargetsDigest
-	r.HeldSince = a.Holder.Since
-	if a.Holder.HasOutcome && a.Err == nil {
-		o := h.outcome(ctx, key, *a.Holder)
-		r.Outcome = &o
+	if a.Holder != nil {
+		r.Holder = a.Holder.Request
+		r.TargetsDigest = a.Holder.TargetsDigest
+		r.HeldSince = a.Holder.Since
 	}
 	return r
 }
--- a/internal/gate/admit.go
+++ b/internal/gate/admit.go
@@ -13,6 +13,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/systems/claim"
 	"github.com/bluebellseam/bluebellseam/internal/systems/route"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
@@ -129,6 +130,9 @@
 		}
 		return nil
 	}
+	if claim.IsMinted(a.key) {
+		return checkMinted(service.Operations[a.operation].NonIdempotent, a)
+	}
 	id, err := uuid.Parse(a.key)
 	if err != nil || id.Version() != 7 || id.String() != a.key {
 		return errkind.New(errkind.KeyMalformed, fmt.Sprintf("key %q is not a lower-case UUID of version 7", a.key))
--- a/internal/gate/begin.go
+++ b/internal/gate/begin.go
@@ -87,6 +87,9 @@
 // claimHome connects to the home of a key. When it is out of reach another host
 // stands in: a home only saves reads and appends, the log decides.
 func (g *Gate) claimHome(ctx context.Context, msg peer.Submit) (*peer.Conn, error) {
+	if claim.IsMinted(msg.Key) {
+		return g.minter(ctx, msg.Key)
+	}
 	shard := shardOf(msg, g.ClaimShards)
 	home := g.Membership.ClaimHome(shard)
 	address, ok := g.address(home)
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -16,6 +16,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/quarantine"
 	"github.com/bluebellseam/bluebellseam/internal/settings"
+	"github.com/bluebellseam/bluebellseam/internal/systems/claim"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -76,6 +77,9 @@
 	peer.Handle(n.proc.mux, peer.MethodAcquire, func(ctx context.Context, _ *peer.Conn, a peer.Acquire) (peer.AcquireResult, error) {
 		return n.home.Acquire(ctx, a)
 	})
+	peer.Handle(n.proc.mux, peer.MethodMint, func(context.Context, *peer.Conn, struct{}) (peer.Minted, error) {
+		return n.home.Mint()
+	})
 	peer.Handle(n.proc.mux, peer.MethodRecord, func(ctx context.Context, _ *peer.Conn, r peer.Record) (struct{}, error) {
 		return struct{}{}, n.home.Record(ctx, r)
 	})
@@ -172,8 +176,10 @@
 
 func (r recorder) once(ctx context.Context, rec peer.Record) error {
 	p := r.n.proc
-	shard := r.n.home.ShardOf(rec.Customer, rec.Service, rec.Key)
-	home := p.members.ClaimHome(shard)
+	home := p.members.ClaimHome(r.n.home.ShardOf(rec.Customer, rec.Service, rec.Key))
+	if k, err := claim.ParseMinted(rec.Key); err == nil {
+		home = k.Host
+	}
 	if home == p.settings.Host || home == "" {
 		return r.n.home.Record(ctx, rec)
 	}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -20,6 +20,7 @@
 	MethodLookup    = "request.lookup"
 	MethodAcquire   = "claim.acquire"
 	MethodRecord    = "claim.record"
+	MethodMint      = "claim.mint"
 	MethodConfig    = "config.fetch"
 	MethodShare     = "quarantine.share"
 )
@@ -226,6 +227,12 @@
 	HeldSince time.Time `json:"held_since,omitzero"`
 }
 
+// Minted answers MethodMint with a key that the answering process alone decides
+// about.
+type Minted struct {
+	Key string `json:"key"`
+}
+
 // Record writes the outcome of a key's holder. An outcome that proves "not
 // run" frees the key.
 type Record struct {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -94,7 +94,7 @@
 		"hosts": startHosts, "restart": restartHost, "crash": crashHost, "shutdown": shutDownHost, "stopped": awaitStopped,
 		"engine": addEngine, "plain": addPlain, "list": markListed,
 		"configure": configure, "publish": publish, "version": awaitVersion,
-		"send": send, "resend": resend, "retry": retry, "leave": leave,
+		"mint": mint, "send": send, "resend": resend, "retry": retry, "leave": leave,
 		"tokens": awaitTokens, "running": awaitRunning, "result": awaitResult, "lookup": lookUp,
 		"fault": fault, "lost": awaitLost,
 		"runs": checkRuns, "ran-at": checkRanAt, "ended": awaitEnded, "leaving-seen": awaitLeaving, "queued": awaitQueued,
