Put streamed answers together in one system, and hear one connection only

Cause: gate and dispatcher each assembled an answer from parts by code of their own, which no model check could play. A gate took ends and parts from any connection, so that a late refusal of an earlier attempt could have looked like one of the dispatcher that runs the request now, and sent it to a third.

Change: internal/systems/stream holds the answer so far: what continues it, what is repeated, what leaves a gap, and what follows a part cut elsewhere. A flight hears the connection of its present attempt alone. A gate waits up to 2 s for the host that made a key.

Runs: with the check of the connection switched off, the new spec of the flight fails.

--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"bytes"
 	"context"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/systems/measure"
+	"github.com/bluebellseam/bluebellseam/internal/systems/stream"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
@@ -28,12 +28,8 @@
 	target  tables.TargetID
 	started bool
 	// reason is why a cancel was sent; empty without one.
-	reason errkind.Kind
-	chunks []target.Chunk
-	// from is the token offset of the first chunk; above zero when the answer
-	// was taken over in its middle and its beginning is not known.
-	from    int
-	tokens  int
+	reason  errkind.Kind
+	parts   stream.Answer
 	outcome *peer.Finished
 	// listeners are the connections that get the answer, with the function
 	// that ends the watch on each.
@@ -47,47 +43,6 @@
 	span trace.Span
 }
 
-// rest returns the parts so far that follow a token offset, for a gate that has
-// the text before it. It reports false when they can't be told or the text is
-// not that of this answer.
-func (j *job) rest(offset int, text string) ([]target.Chunk, bool) {
-	if offset < j.from {
-		return nil, false
-	}
-	if j.from > 0 || offset == 0 || offset > j.tokens || text == "" {
-		return j.following(offset)
-	}
-	var all []byte
-	end := 0
-	for i, c := range j.chunks {
-		all = append(all, c.Text...)
-		end = c.Offset + c.Tokens
-		if end < offset {
-			continue
-		}
-		tail, same := bytes.CutPrefix(all, []byte(text))
-		if !same || end == offset && len(tail) > 0 {
-			return nil, false
-		}
-		if end == offset {
-			return j.chunks[i+1:], true
-		}
-		first := target.Chunk{Offset: offset, Text: string(tail), Tokens: end - offset, Final: c.Final}
-		return append([]target.Chunk{first}, j.chunks[i+1:]...), true
-	}
-	return nil, false
-}
-
-// following returns the parts from a token offset on, when one begins there.
-func (j *job) following(offset int) ([]target.Chunk, bool) {
-	for i, c := range j.chunks {
-		if c.Offset >= offset {
-			return j.chunks[i:], c.Offset == offset
-		}
-	}
-	return nil, offset >= j.tokens
-}
-
 // listen sends parts of the answer to conn, and what follows them.
 func (d *Dispatcher) listen(j *job, conn *peer.Conn, parts []target.Chunk) {
 	if j.started {
@@ -161,11 +116,9 @@
 
 // addChunk appends c when it continues the answer and drops a repeated part.
 func (d *Dispatcher) addChunk(j *job, c target.Chunk) {
-	if j.outcome != nil || c.Offset != j.tokens {
+	if j.outcome != nil || j.parts.Add(c) != stream.Next {
 		return
 	}
-	j.chunks = append(j.chunks, c)
-	j.tokens += c.Tokens
 	if j.row != nil {
 		if c.Offset == 0 {
 			d.state.Prefixes.Observed(j.target, j.row.CachedTokens, c.CachedTokens)
@@ -186,7 +139,7 @@
 	now := d.Clock.Now()
 	f.ID = j.msg.ID
 	f.Target = j.target
-	f.Tokens = j.tokens
+	f.Tokens = j.parts.Tokens()
 	d.leaveTables(now, j, f)
 	f.Pool = d.summary()
 	j.outcome = &f
@@ -209,7 +162,7 @@
 		measure.Finished(now, t, j.row, f.Kind)
 	}
 	if f.Kind == errkind.None && !j.row.Plain {
-		d.state.Lengths.Observe(j.row, j.tokens)
+		d.state.Lengths.Observe(j.row, j.parts.Tokens())
 	}
 	j.row.State = tables.Finished
 	d.endTrace(j, f.Kind)
@@ -228,7 +181,7 @@
 		zap.String("request", string(j.msg.ID)),
 		zap.String("kind", string(f.Kind)),
 		zap.String("target", string(j.target)),
-		zap.Int("tokens", j.tokens),
+		zap.Int("tokens", j.parts.Tokens()),
 		zap.String("detail", f.Detail))
 }
 
@@ -250,7 +203,7 @@
 
 // outcomeOf describes what is known of j.
 func (d *Dispatcher) outcomeOf(j *job) peer.Outcome {
-	o := peer.Outcome{ID: j.msg.ID, Known: true, Target: j.target, Tokens: j.tokens, TraceID: j.traceID, Key: j.msg.Key}
+	o := peer.Outcome{ID: j.msg.ID, Known: true, Target: j.target, Tokens: j.parts.Tokens(), TraceID: j.traceID, Key: j.msg.Key}
 	if j.outcome == nil {
 		return o
 	}
@@ -259,7 +212,7 @@
 	o.Kind = j.outcome.Kind
 	o.Detail = j.outcome.Detail
 	o.Status = j.outcome.Status
-	if j.outcome.Kind == errkind.None && j.from == 0 {
+	if j.outcome.Kind == errkind.None && j.parts.FromStart() {
 		o.Body = j.answer()
 		o.BodyKept = true
 	}
@@ -271,9 +224,5 @@
 	if j.msg.Plain {
 		return j.outcome.Body
 	}
-	var b []byte
-	for _, c := range j.chunks {
-		b = append(b, c.Text...)
-	}
-	return b
+	return j.parts.Text()
 }
--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -164,7 +164,7 @@
 // takeChunk adds c and reports whether j has an outcome now.
 func (d *Dispatcher) takeChunk(j *job, c target.Chunk) bool {
 	d.addChunk(j, c)
-	if c.Final && j.outcome == nil && c.Offset+c.Tokens == j.tokens {
+	if j.outcome == nil && j.parts.EndsWith(c) {
 		d.finish(j, peer.Finished{Kind: errkind.None, Sent: true})
 	}
 	return j.outcome != nil
--- a/internal/dispatcher/recover.go
+++ b/internal/dispatcher/recover.go
@@ -8,6 +8,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/systems/stream"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
@@ -108,7 +109,7 @@
 	if j == nil {
 		return false
 	}
-	rest, ok := j.rest(q.Offset, q.Text)
+	rest, ok := j.parts.Rest(q.Offset, q.Text)
 	if ok {
 		d.listen(j, conn, rest)
 	}
@@ -177,11 +178,7 @@
 			ID: q.ID, Customer: q.Customer, Service: q.Service, Plain: plain,
 			Tier: q.Tier, Fingerprint: q.Fingerprint, Key: q.Key,
 		},
-		target: q.Target, started: true, from: q.Offset, tokens: q.Offset,
-	}
-	if q.Offset > 0 && q.Text != "" {
-		j.from = 0
-		j.chunks = []target.Chunk{{Text: q.Text, Tokens: q.Offset}}
+		target: q.Target, started: true, parts: stream.After(q.Offset, q.Text),
 	}
 	d.jobs[q.ID] = j
 	d.state.Requests.Put(&tables.Request{
--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -42,7 +42,7 @@
 		return peer.SubmitResult{Kind: kind, Detail: detail, Pool: d.summary()}
 	}
 	if j := d.known(msg.ID); j != nil && !j.refusedUnsent() {
-		d.listen(j, conn, j.chunks)
+		d.listen(j, conn, j.parts.Chunks())
 		return peer.SubmitResult{Pool: d.summary()}
 	}
 	if d.tombstones.Contains(msg.ID) {
--- a/internal/dispatcher/settler.go
+++ b/internal/dispatcher/settler.go
@@ -66,7 +66,7 @@
 // refresh reads the progress of the job and reports whether it is still open.
 func (s *settler) refresh() bool {
 	open, err := ask(s.d.ctx, s.d, func() bool {
-		s.facts.Offset = s.j.tokens
+		s.facts.Offset = s.j.parts.Tokens()
 		s.facts.CallerLeft = s.j.reason == errkind.CancelledWhileRun
 		return s.j.outcome == nil
 	})
--- a/internal/gate/drive.go
+++ b/internal/gate/drive.go
@@ -116,7 +116,7 @@
 	msg.Allowed = c.Targets
 	msg.SendBy = f.arrived.Add(settle.SendWithin)
 	msg.Addresses = f.claimed.addresses(c.Targets)
-	f.update(func() { f.verdict = nil })
+	f.listen(conn)
 	var result peer.SubmitResult
 	if err := conn.Call(g.ctx, peer.MethodSubmit, msg, &result); err != nil {
 		return lost
--- a/internal/gate/flight.go
+++ b/internal/gate/flight.go
@@ -11,6 +11,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/systems/stream"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
@@ -30,9 +31,11 @@
 
 	mu      sync.Mutex
 	changed chan struct{}
-	target  tables.TargetID
-	chunks  []target.Chunk
-	tokens  int
+	// source is the connection that the flight listens to. What others still
+	// deliver is about an attempt that is over.
+	source *peer.Conn
+	target tables.TargetID
+	parts  stream.Answer
 	// verdict is the end that a dispatcher gave; the driver makes it the
 	// outcome or tries another dispatcher.
 	verdict *peer.Finished
@@ -66,27 +69,41 @@
 	f.changed = make(chan struct{})
 }
 
-func (f *flight) onStarted(s peer.Started) {
-	f.update(func() { f.target = s.Target })
+// listen makes conn the source of the flight and forgets the end that an earlier
+// one told.
+func (f *flight) listen(conn *peer.Conn) {
+	f.update(func() {
+		f.source = conn
+		f.verdict = nil
+		f.gap = false
+	})
+}
+
+// heard changes the flight by a message that came over conn.
+func (f *flight) heard(conn *peer.Conn, change func()) {
+	f.update(func() {
+		if f.source == conn {
+			change()
+		}
+	})
+}
+
+func (f *flight) onStarted(conn *peer.Conn, s peer.Started) {
+	f.heard(conn, func() { f.target = s.Target })
 }
 
 // onChunk appends c when it continues the answer. A part that is already here
 // is dropped, and a part from further on marks a gap.
-func (f *flight) onChunk(c target.Chunk) {
-	f.update(func() {
-		switch {
-		case f.outcome != nil || c.Offset < f.tokens:
-		case c.Offset > f.tokens:
+func (f *flight) onChunk(conn *peer.Conn, c target.Chunk) {
+	f.heard(conn, func() {
+		if f.outcome == nil && f.parts.Add(c) == stream.Gap {
 			f.gap = true
-		default:
-			f.chunks = append(f.chunks, c)
-			f.tokens += c.Tokens
 		}
 	})
 }
 
-func (f *flight) onFinished(end peer.Finished) {
-	f.update(func() { f.verdict = &end })
+func (f *flight) onFinished(conn *peer.Conn, end peer.Finished) {
+	f.heard(conn, func() { f.verdict = &end })
 }
 
 // finish sets the outcome; the first one stands. A gate that was killed tells
@@ -99,7 +116,7 @@
 	f.update(func() {
 		if f.outcome == nil {
 			end = f.wholeOrFailed(end)
-			end.Tokens = f.tokens
+			end.Tokens = f.parts.Tokens()
 			if end.Target == "" {
 				end.Target = f.target
 			}
@@ -112,13 +129,13 @@
 // wholeOrFailed makes a success of which a part is missing here a failure, so
 // that no reader takes a part for the whole.
 func (f *flight) wholeOrFailed(end peer.Finished) peer.Finished {
-	if end.Kind != errkind.None || f.msg.Plain || end.Tokens == f.tokens {
+	if end.Kind != errkind.None || f.msg.Plain || end.Tokens == f.parts.Tokens() {
 		return end
 	}
 	event.InvariantFailed.Log(f.g.Logger, zap.String("request", string(f.id)),
-		zap.Int("tokens", f.tokens), zap.Int("whole", end.Tokens))
+		zap.Int("tokens", f.parts.Tokens()), zap.Int("whole", end.Tokens))
 	end.Kind = errkind.RanFailed
-	end.Detail = fmt.Sprintf("%d of %d tokens of the answer arrived", f.tokens, end.Tokens)
+	end.Detail = fmt.Sprintf("%d of %d tokens of the answer arrived", f.parts.Tokens(), end.Tokens)
 	return end
 }
 
@@ -138,8 +155,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return progress{
-		chunks:  f.chunks[index:],
-		tokens:  f.tokens,
+		chunks:  f.parts.Chunks()[index:],
+		tokens:  f.parts.Tokens(),
 		target:  f.target,
 		verdict: f.verdict,
 		outcome: f.outcome,
@@ -194,16 +211,7 @@
 func (f *flight) whole() []byte {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.text()
-}
-
-// text joins the parts so far; f.mu is held.
-func (f *flight) text() []byte {
-	var b []byte
-	for _, c := range f.chunks {
-		b = append(b, c.Text...)
-	}
-	return b
+	return f.parts.Text()
 }
 
 // error converts a refusal or failure to an error of its kind, or nil.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -117,16 +117,16 @@
 
 // Register adds to mux the notifications that dispatchers send to gates.
 func (g *Gate) Register(mux *peer.Mux) {
-	peer.Handle(mux, peer.NotifyStarted, func(_ context.Context, _ *peer.Conn, s peer.Started) (struct{}, error) {
-		g.deliver(s.ID, func(f *flight) { f.onStarted(s) })
+	peer.Handle(mux, peer.NotifyStarted, func(_ context.Context, conn *peer.Conn, s peer.Started) (struct{}, error) {
+		g.deliver(s.ID, func(f *flight) { f.onStarted(conn, s) })
 		return struct{}{}, nil
 	})
-	peer.Handle(mux, peer.NotifyChunk, func(_ context.Context, _ *peer.Conn, c peer.Chunk) (struct{}, error) {
-		g.deliver(c.ID, func(f *flight) { f.onChunk(c.Chunk) })
+	peer.Handle(mux, peer.NotifyChunk, func(_ context.Context, conn *peer.Conn, c peer.Chunk) (struct{}, error) {
+		g.deliver(c.ID, func(f *flight) { f.onChunk(conn, c.Chunk) })
 		return struct{}{}, nil
 	})
-	peer.Handle(mux, peer.NotifyFinished, func(_ context.Context, _ *peer.Conn, end peer.Finished) (struct{}, error) {
-		g.deliver(end.ID, func(f *flight) { f.onFinished(end) })
+	peer.Handle(mux, peer.NotifyFinished, func(_ context.Context, conn *peer.Conn, end peer.Finished) (struct{}, error) {
+		g.deliver(end.ID, func(f *flight) { f.onFinished(conn, end) })
 		return struct{}{}, nil
 	})
 }
--- a/internal/gate/join.go
+++ b/internal/gate/join.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"bytes"
 	"fmt"
 	"time"
 
@@ -10,7 +9,6 @@
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
-	"github.com/bluebellseam/bluebellseam/internal/target"
 )
 
 const (
@@ -163,16 +161,6 @@
 // come as a stream. It reports whether the flight has the whole answer.
 func (f *flight) fill(o *peer.Outcome) bool {
 	filled := false
-	f.update(func() {
-		rest, ok := bytes.CutPrefix(o.Body, f.text())
-		switch {
-		case !ok, (len(rest) > 0) != (o.Tokens > f.tokens):
-			return
-		case len(rest) > 0:
-			f.chunks = append(f.chunks, target.Chunk{Offset: f.tokens, Text: string(rest), Tokens: o.Tokens - f.tokens, Final: true})
-			f.tokens = o.Tokens
-		}
-		filled = o.Tokens == f.tokens
-	})
+	f.update(func() { filled = f.parts.Fill(o.Body, o.Tokens) })
 	return filled
 }
--- a/internal/gate/mint.go
+++ b/internal/gate/mint.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/api/callers"
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/systems/claim"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
 // MintKey makes a key that one host decides about without the log: this one, or
@@ -29,20 +31,36 @@
 	return &callers.MintedKey{Key: minted.Key}, nil
 }
 
+// minterFor is how long the host that made a key is waited for, since the
+// membership table may not know it yet.
+const minterFor = 2 * time.Second
+
 // minter connects to the host that made a key. Nobody can stand in for it.
 func (g *Gate) minter(ctx context.Context, key string) (*peer.Conn, error) {
 	k, err := claim.ParseMinted(key)
 	if err != nil {
 		return nil, err
 	}
-	address, ok := g.address(k.Host)
+	until := g.Clock.Now().Add(minterFor)
+	for {
+		conn, err := g.reachMinter(ctx, k.Host)
+		now := g.Clock.Now()
+		if err == nil || !now.Before(until) || ctx.Err() != nil {
+			return conn, err
+		}
+		g.pauseUntil(now.Add(askPause))
+	}
+}
+
+func (g *Gate) reachMinter(ctx context.Context, host tables.HostID) (*peer.Conn, error) {
+	address, ok := g.address(host)
 	if !ok {
-		return nil, fmt.Errorf("host %q, which made the key, is not live", k.Host)
+		return nil, fmt.Errorf("host %q, which made the key, is not live", host)
 	}
 	conn, err := g.Peers.Get(ctx, address)
 	if err != nil {
-		g.Membership.Suspect(k.Host)
-		return nil, fmt.Errorf("host %q, which made the key, does not answer: %w", k.Host, err)
+		g.Membership.Suspect(host)
+		return nil, fmt.Errorf("host %q, which made the key, does not answer: %w", host, err)
 	}
 	return conn, nil
 }
--- a/internal/gate/settle.go
+++ b/internal/gate/settle.go
@@ -105,10 +105,7 @@
 // attach asks for the answer from where it broke off. The end that a lost
 // connection told no longer counts.
 func (g *Gate) attach(f *flight, conn *peer.Conn, at tables.TargetID) (peer.AttachResult, error) {
-	f.update(func() {
-		f.verdict = nil
-		f.gap = false
-	})
+	f.listen(conn)
 	ctx, cancel := context.WithTimeout(g.ctx, askTimeout)
 	defer cancel()
 	var result peer.AttachResult
@@ -121,7 +118,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return peer.Attach{
-		ID: f.id, Target: at, Offset: f.tokens, Text: string(f.text()),
+		ID: f.id, Target: at, Offset: f.parts.Tokens(), Text: string(f.parts.Text()),
 		Customer: f.msg.Customer, Service: f.msg.Service, Tier: f.msg.Tier,
 		Fingerprint: f.msg.Fingerprint, Key: f.msg.Key,
 	}
