Take a refusal for the word about the submission that it answers alone

Cause: a dispatcher keeps a request that it refused unsent. Its gate submits it elsewhere; when that dispatcher is lost, the first one may be asked about the request. It then passed its old refusal on as the end of the later attempt, and answered a cancel at a target with "never started" out of its own refusal, without asking the target: the caller was told not_run while the request ran, and could run it twice.

Change: submissions are numbered and an attach names its own; a dispatcher that refused a request asks the target on a cancel, and takes the answer over.

Runs: the new spec of the dispatcher fails without the change.

An older peer that sends no number is answered as before.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -175,6 +175,27 @@
 		Entry("too late", time.Minute, "127.0.0.1:1", errkind.CancelledBeforeRun, 0),
 		Entry("elsewhere", time.Duration(0), "127.0.0.1:2", errkind.NoTarget, 0),
 	)
+	It("lets its refusal of one attempt say nothing of a later one", func() {
+		site.engine.generate = func() (target.Stream, error) { return nil, fmt.Errorf("%w: not loaded", target.ErrNotAdmitted) }
+		msg, _ := submitWith(func(m *peer.Submit) { m.Attempt = 1 })
+		Expect(end().Retryable()).To(BeTrue())
+		By("asked about the present attempt on a new connection")
+		var known peer.AttachResult
+		Expect(conn.Call(ctx, peer.MethodAttach, peer.Attach{ID: msg.ID, Attempt: 2}, &known)).To(Succeed())
+		Expect(known.Known).To(BeFalse())
+		Expect(conn.Call(ctx, peer.MethodAttach, peer.Attach{ID: msg.ID, Attempt: 1}, &known)).To(Succeed())
+		Expect(known.Known).To(BeTrue())
+		By("asked to cancel at the target that another dispatcher sent it to")
+		site.engine.cancel = func() (target.Progress, error) { return target.InProgress, nil }
+		var c peer.CancelResult
+		Expect(conn.Call(ctx, peer.MethodCancel, peer.CancelRequest{ID: msg.ID, Targets: []tables.TargetID{"e1"}}, &c)).To(Succeed())
+		Expect(c.Progress).To(Equal(target.InProgress))
+		By("asked to take the answer over from that target")
+		site.engine.resume = func(offset int) (target.Stream, error) { return answer(offset, whole, whole, io.EOF), nil }
+		Expect(conn.Call(ctx, peer.MethodAttach, peer.Attach{ID: msg.ID, Target: "e1"}, &known)).To(Succeed())
+		Eventually(gate.ends).WithTimeout(bound).Should(HaveLen(3))
+		Expect(gate.ends()[2].Kind).To(Equal(errkind.None))
+	})
 	It("takes a second submission of a running request for the first", func() {
 		stream := make(chan target.Stream)
 		site.engine.generate = func() (target.Stream, error) { return <-stream, nil }
--- a/internal/dispatcher/recover.go
+++ b/internal/dispatcher/recover.go
@@ -106,7 +106,7 @@
 
 func (d *Dispatcher) attachKnown(conn *peer.Conn, q peer.Attach) bool {
 	j := d.known(q.ID)
-	if j == nil {
+	if j == nil || j.refusedUnsent() && !j.answersTo(q) {
 		return false
 	}
 	rest, ok := j.parts.Rest(q.Offset, q.Text)
@@ -116,6 +116,12 @@
 	return ok
 }
 
+// answersTo reports whether the refusal of j is what q asks about. Another
+// dispatcher may have sent the request since.
+func (j *job) answersTo(q peer.Attach) bool {
+	return q.Target == "" && (q.Attempt == 0 || q.Attempt == j.msg.Attempt)
+}
+
 // takeOver resumes the answer of a dispatch at its target from the token offset
 // that the gate has. Parts from elsewhere may be cut at other tokens, so that
 // an earlier start would overlap.
--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -131,11 +131,12 @@
 }
 
 // cancelKnown cancels a job of this dispatcher. It returns nil and leaves a
-// tombstone when there is none.
+// tombstone when there is none, or only one that was refused unsent: another
+// dispatcher may have sent the request since, and only the targets can tell.
 func (d *Dispatcher) cancelKnown(id tables.RequestID) *peer.CancelResult {
 	j := d.known(id)
 	switch {
-	case j == nil:
+	case j == nil, j.refusedUnsent():
 		d.tombstones.Add(id, struct{}{})
 		return nil
 	case j.outcome != nil:
--- a/internal/gate/drive.go
+++ b/internal/gate/drive.go
@@ -113,6 +113,8 @@
 		return notSent
 	}
 	msg := f.aged(g.Clock.Now())
+	f.attempt++
+	msg.Attempt = f.attempt
 	msg.Allowed = c.Targets
 	msg.SendBy = f.arrived.Add(settle.SendWithin)
 	msg.Addresses = f.claimed.addresses(c.Targets)
--- a/internal/gate/flight.go
+++ b/internal/gate/flight.go
@@ -25,6 +25,8 @@
 	arrived time.Time
 	keyed   bool
 	claimed targetSet
+	// attempt counts the submissions; the driver alone uses it.
+	attempt int
 	// settled is set when the gate itself found the outcome at the targets; the
 	// driver alone uses it.
 	settled bool
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -76,6 +76,8 @@
 	// hosts, so that no pause and no late message prolongs it.
 	SendBy time.Time         `json:"send_by,omitzero"`
 	Trace  map[string]string `json:"trace,omitempty"`
+	// Attempt numbers the submissions of a request from one.
+	Attempt int `json:"attempt,omitempty"`
 }
 
 // SubmitResult answers Submit.
@@ -141,6 +143,9 @@
 	ID     tables.RequestID `json:"id"`
 	Target tables.TargetID  `json:"target"`
 	Offset int              `json:"offset"`
+	// Attempt is the submission that the gate waits for; a refusal of an earlier
+	// one says nothing of it. Zero means any.
+	Attempt int `json:"attempt,omitempty"`
 	// Text is the part of the answer before Offset.
 	Text string `json:"text,omitempty"`
 	// Customer, Service, Tier, Fingerprint and Key describe the request to a
