Play generations in the model check

Cause: the model played plain calls only: no parts, offsets, take-overs or second submissions.

Change: model.RunStreams plays histories of generations over stream.Answer and the settle system: parts cut in several ways, late, lost and repeated, streams resumed at the target, connections to the gate opened anew, requests given back and submitted elsewhere, answers taken over. Invariants: what a caller got is the beginning of the target's own text for that dispatch, and an answer told as whole is all of it; dispatch, run and not_run as for calls.

internal/model: RunMany and FirstBroken take the history to play; the old specs call them with Run and are otherwise as they were.

--- a/internal/model/batch.go
+++ b/internal/model/batch.go
@@ -19,14 +19,17 @@
 
 const maxFailures = 20
 
+// Play plays the history of a seed, as Run does.
+type Play func(seed uint64, rules Rules) (Count, []string)
+
 // RunMany plays n histories from the seed first on, with workers at once.
-func RunMany(first, n uint64, workers int, rules Rules) Result {
+func RunMany(play Play, first, n uint64, workers int, rules Rules) Result {
 	results := make([]Result, workers)
 	var g errgroup.Group
 	for i := range results {
 		g.Go(func() error {
 			for seed := first + uint64(i); seed < first+n; seed += uint64(workers) {
-				c, failures := Run(seed, rules)
+				c, failures := play(seed, rules)
 				results[i].add(Result{Histories: 1, Count: c, Broken: min(1, len(failures)), Failures: withSeed(seed, failures)})
 			}
 			return nil
@@ -42,9 +45,9 @@
 
 // FirstBroken plays up to n histories from the seed first on, until one breaks a
 // promise, and returns what it broke.
-func FirstBroken(first, n uint64, rules Rules) []string {
+func FirstBroken(play Play, first, n uint64, rules Rules) []string {
 	for seed := first; seed < first+n; seed++ {
-		if _, failures := Run(seed, rules); len(failures) > 0 {
+		if _, failures := play(seed, rules); len(failures) > 0 {
 			return withSeed(seed, failures)
 		}
 	}
--- a/internal/model/dispatch.go
+++ b/internal/model/dispatch.go
@@ -48,12 +48,17 @@
 // dispatch is the dispatcher's side: it picks a connection, checks that it may
 // still send, and writes. It may pause between any two of these.
 func (h *host) dispatch(f *flight) {
+	refuse := func() { h.call(f.gate, func() { f.end(errkind.DeadlineUnmeetable, "") }) }
+	h.sendOnce(f, refuse, func(t *modelTarget, connected int) { h.send(f, t, connected) })
+}
+
+func (h *host) sendOnce(f *flight, refuse func(), send func(t *modelTarget, connected int)) {
 	t := f.w.anyTarget()
 	connected := t.incarnation
 	h.maybePause()
 	h.post(func() {
 		if !f.maySend(h) {
-			h.call(f.gate, func() { f.end(errkind.DeadlineUnmeetable, "") })
+			refuse()
 			return
 		}
 		if !f.w.rules.ConnectFirst {
@@ -64,7 +69,7 @@
 				connected = t.incarnation
 			}
 			h.maybePause()
-			h.post(func() { h.send(f, t, connected) })
+			h.post(func() { send(t, connected) })
 		})
 	})
 }
@@ -81,6 +86,9 @@
 		heard = later(heard, dispatcher.pausedUntil)
 	}
 	leased := f.lostAt.IsZero() || f.w.sim.time.Before(heard.Add(settle.SendLease))
+	if f.w.streams {
+		return leased && dispatcher.now().Before(f.sendBy)
+	}
 	return leased && f.w.sim.time.Before(f.submitted.Add(dueWithin))
 }
 
--- a/internal/model/gate.go
+++ b/internal/model/gate.go
@@ -44,11 +44,13 @@
 	// the gate stopped answering its heartbeats.
 	submitted time.Time
 	lostAt    time.Time
+	streamed
 }
 
 // request is a caller's send of a key to a gate.
 func (h *host) request(key claim.Key) {
 	f := &flight{w: h.w, gate: h, key: key, id: h.w.newRequest(h), began: h.w.sim.time}
+	f.sendBy = h.now().Add(submitWithin + dueWithin)
 	h.flights[f.id] = f
 	home := h.w.anyHost()
 	ask := claim.Ask{Key: key, Request: f.id, Fingerprint: 1, TargetsDigest: h.w.digest}
@@ -81,6 +83,8 @@
 		f.w.fail("answer %+v decides nothing", a)
 	case f.w.rules.SubmitWithin && f.w.sim.time.Sub(f.began) >= submitWithin:
 		f.end(errkind.ClaimsUnavailable, "")
+	case f.w.streams:
+		f.submitStream()
 	default:
 		f.submit()
 	}
@@ -93,7 +97,7 @@
 	}
 	f.done, f.kind, f.body = true, k, body
 	f.tell(k, body, f.id)
-	f.gate.recordAnywhere(claim.Outcome{Key: f.key, Request: f.id, Kind: k, Body: []byte(body), BodyKept: body != ""})
+	f.gate.recordAnywhere(claim.Outcome{Key: f.key, Request: f.id, Kind: k, Body: []byte(body), BodyKept: k == errkind.None && body != ""})
 }
 
 // tell answers the caller once.
@@ -173,6 +177,10 @@
 		return
 	}
 	f.w.count.OrphansSettled++
+	if f.w.streams {
+		f.settleOrphanStream(holder)
+		return
+	}
 	facts := &settle.Facts{Plain: true, MayBeSent: true, SenderStopped: true, Allowed: f.w.targetIDs()}
 	f.gate.settle(facts, holder.Request, time.Time{}, func(k errkind.Kind, body string) {
 		f.gate.recordAnywhere(claim.Outcome{Key: f.key, Request: holder.Request, Kind: k, Body: []byte(body), BodyKept: body != ""})
--- a/internal/model/history.go
+++ b/internal/model/history.go
@@ -23,7 +23,17 @@
 // Run plays the history of a seed to its end and returns what happened, and
 // each broken promise as one line.
 func Run(seed uint64, rules Rules) (Count, []string) {
+	return newWorld(seed, rules).play()
+}
+
+// RunStreams is Run with generations in place of plain calls.
+func RunStreams(seed uint64, rules Rules) (Count, []string) {
 	w := newWorld(seed, rules)
+	w.streams = true
+	return w.play()
+}
+
+func (w *world) play() (Count, []string) {
 	w.planFaults()
 	for range keyCount {
 		w.planKey()
@@ -40,6 +50,7 @@
 		targets:    make(map[tables.TargetID]*modelTarget),
 		dispatches: make(map[tables.RequestID]int),
 		runs:       make(map[tables.RequestID]int),
+		own:        make(map[tables.RequestID]string),
 		keyRuns:    make(map[claim.Key][]tables.RequestID),
 	}
 	w.count.Replies = make(map[errkind.Kind]int)
@@ -159,6 +170,10 @@
 			w.fail("request %s was told %q about %s, which did not run", r.id, r.kind, r.about)
 		}
 	}
+	if w.streams {
+		w.checkStream(r)
+		return
+	}
 	if r.kind == errkind.None && r.body != answerOf(r.about) {
 		w.fail("request %s got the answer %q of %s", r.id, r.body, r.about)
 	}
--- a/internal/model/host.go
+++ b/internal/model/host.go
@@ -31,6 +31,7 @@
 	pumping bool
 
 	flights map[tables.RequestID]*flight
+	jobs    map[tables.RequestID]*job
 }
 
 // start begins a new process with empty memory.
@@ -48,6 +49,7 @@
 	}, &claim.Sequences{})
 	h.replies = make(map[claim.Ticket]func(claim.Answer))
 	h.flights = make(map[tables.RequestID]*flight)
+	h.jobs = make(map[tables.RequestID]*job)
 	h.from, h.started, h.ready, h.pumping = 0, false, false, false
 	h.readSoon(h.w.sim.delay())
 }
--- a/internal/model/target.go
+++ b/internal/model/target.go
@@ -24,11 +24,18 @@
 type modelCall struct {
 	progress target.Progress
 	ended    time.Time
+	// tokens are the parts of a stream that are computed, of size.
+	tokens  int
+	size    int
+	readers []*reader
 }
 
 func (t *modelTarget) restart() {
 	t.w.count.TargetRestarts++
 	t.incarnation++
+	for _, c := range t.calls {
+		c.dropReaders()
+	}
 	t.calls = make(map[tables.RequestID]*modelCall)
 	t.tombstones = make(map[tables.RequestID]bool)
 }
@@ -62,6 +69,10 @@
 // cancel leaves a tombstone.
 func (t *modelTarget) cancel(id tables.RequestID) target.Progress {
 	t.tombstones[id] = true
+	if c := t.calls[id]; c != nil && c.size > 0 && c.progress == target.InProgress {
+		c.progress = target.Cancelled
+		c.dropReaders()
+	}
 	return t.progress(id)
 }
 
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -26,11 +26,25 @@
 	// HolderLapse: the request of a dead gate is settled only after every
 	// bound on its send has passed.
 	HolderLapse bool
+	// OffsetCheck: a part counts only where it continues the answer.
+	OffsetCheck bool
+	// WholeCheck: an answer is whole only with every token that its end names.
+	WholeCheck bool
+	// SourceOnly: a gate hears the connection of its present attempt alone.
+	SourceOnly bool
+	// ResumeAtOffset: an answer is taken over at the token that the gate has.
+	ResumeAtOffset bool
+	// PresentAttempt: a refusal counts for the submission that it answers alone.
+	PresentAttempt bool
+	// AskTarget: a dispatcher that refused a request asks the target when it is
+	// to cancel it.
+	AskTarget bool
 }
 
 // AllRules are the rules in force.
 func AllRules() Rules {
-	return Rules{SendLease: true, LeaseFromSend: true, ConnectFirst: true, SubmitWithin: true, HolderLapse: true}
+	return Rules{SendLease: true, LeaseFromSend: true, ConnectFirst: true, SubmitWithin: true, HolderLapse: true,
+		OffsetCheck: true, WholeCheck: true, SourceOnly: true, ResumeAtOffset: true, PresentAttempt: true, AskTarget: true}
 }
 
 // Count tells what happened in a history.
@@ -39,6 +53,7 @@
 	LostAnswers, LostAppends, LateAppends, LostMessages                int
 	Truncations, Settled, SettledNotRun, OrphansSettled, Resends       int
 	RepeatsAnswered                                                    int
+	Resumes, Reattached, TakenOver, Resubmitted, LateParts, Gaps       int
 	Replies, Refused                                                   map[errkind.Kind]int
 }
 
@@ -55,6 +70,11 @@
 	log    *modelLog
 	hosts  []*host
 
+	// streams makes every request a generation.
+	streams bool
+	// own is the target's own text of each dispatch, as far as it got.
+	own map[tables.RequestID]string
+
 	targets map[tables.TargetID]*modelTarget
 	ids     []tables.TargetID
 	digest  uint64
