Cancel a lower tier again when the first cancel had no effect

Cause: a preempted request was marked as about to leave, and the mark stayed when its cancel got lost or changed nothing. The scheduler then counted on its place for as long as it ran, and a higher tier waited behind it.

Change: the mark goes half a second after a cancel that did not end the request.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -207,6 +207,23 @@
 		generates, _, _ := site.engine.counts()
 		Expect(generates).To(Equal(1))
 	})
+	It("cancels a lower tier again when the first cancel was lost", func() {
+		site.engine.generate = func() (target.Stream, error) { return live(make(chan target.Chunk)), nil }
+		site.engine.resume = func(int) (target.Stream, error) { return live(make(chan target.Chunk)), nil }
+		lost := true
+		site.engine.cancel = func() (target.Progress, error) {
+			if lost {
+				lost = false
+				return "", errReset
+			}
+			return target.Cancelled, nil
+		}
+		submitWith(func(m *peer.Submit) { m.Tier = 1 })
+		Eventually(func() int { n, _, _ := site.engine.counts(); return n }).WithTimeout(bound).Should(Equal(1))
+		submitWith(func(m *peer.Submit) { m.Tier, m.FirstTokenIn = 0, time.Second })
+		Expect(end().Kind).To(Equal(errkind.Preempted))
+		Eventually(func() int { n, _, _ := site.engine.counts(); return n }).WithTimeout(bound).Should(Equal(2))
+	})
 	It("refuses what was cancelled before it arrived", func() {
 		id := tables.NewRequestID("g1", uuid.Must(uuid.NewV7()))
 		var cancelled peer.CancelResult
--- a/internal/dispatcher/recover.go
+++ b/internal/dispatcher/recover.go
@@ -16,6 +16,9 @@
 // targetTimeout bounds one short question to a target.
 const targetTimeout = 2 * time.Second
 
+// cancelPause is the time after a cancel without effect before another one.
+const cancelPause = 500 * time.Millisecond
+
 // cancelAtTargets asks every named target itself and returns the strongest
 // word: a run anywhere, else doubt, else the proof that none has started it. A
 // target that did not answer is an error of kind OutcomeUnknown.
@@ -217,10 +220,29 @@
 	defer cancel()
 	progress, err := d.Targets.Engine(at.address).Cancel(ctx, j.msg.ID)
 	if err != nil {
-		d.post(func() { j.reason = errkind.None })
+		progress = target.NotKnown
+	}
+	ended, err := ask(d.ctx, d, func() bool {
+		d.finishCancelled(j, progress)
+		return j.outcome != nil
+	})
+	if ended || err != nil {
 		return
 	}
-	d.post(func() { d.finishCancelled(j, progress) })
+	select {
+	case <-d.Clock.After(cancelPause):
+		d.post(func() { d.cancelFailed(j) })
+	case <-d.ctx.Done():
+	}
+}
+
+// cancelFailed lets a request that a cancel did not end be cancelled again. Until
+// then the scheduler counts on its place.
+func (d *Dispatcher) cancelFailed(j *job) {
+	r := d.state.Requests.Get(j.msg.ID)
+	if r != nil && j.outcome == nil && j.reason == errkind.None {
+		r.Cancelling = false
+	}
 }
 
 // finishCancelled ends j by the target's word on its cancel. A completed
