Ask the permit before the first byte of a call leaves

Ruled out: a race in the test alone; a raw listener received the header as well. Change: a client of NewGuarded asks in the first write of its connection. A client that cannot ask is refused as unsent instead of ignoring the permit.

--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -33,8 +33,8 @@
 
 // Error is a call that got no whole answer.
 type Error struct {
-	// Sent is false when no connection was ever handed to the call, which
-	// proves that the peer has seen nothing of it.
+	// Sent is false when no byte of the call left the process, which proves
+	// that the peer has seen nothing of it.
 	Sent  bool
 	cause error
 }
@@ -49,15 +49,13 @@
 // caller closes the body. The W3C trace context of ctx goes along. Errors are
 // of type *Error.
 func Start(ctx context.Context, c *http.Client, r Request) (*http.Response, error) {
-	var sent atomic.Bool
-	hooks := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(permitOf(ctx) == nil) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, hooks), r.Method, r.URL, bytes.NewReader(r.Body))
+	ctx, sent, err := observeSend(ctx, c)
 	if err != nil {
 		return nil, &Error{cause: err}
 	}
-	permit := permitOf(ctx)
-	if permit != nil {
-		guard(req, r.Body, permit, &sent)
+	req, err := http.NewRequestWithContext(ctx, r.Method, r.URL, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, &Error{cause: err}
 	}
 	for name, values := range r.Header {
 		req.Header[name] = values
@@ -71,6 +69,22 @@
 	return resp, nil
 }
 
+// observeSend returns the context of one call and a flag that is true once a
+// byte of the call may have left the process: when it wrote with its permit, or,
+// without one, when it was handed a connection. The error is ErrUnguarded.
+func observeSend(ctx context.Context, c *http.Client) (context.Context, *atomic.Bool, error) {
+	if permit := permitOf(ctx); permit != nil {
+		if _, guarded := c.Transport.(guardedTransport); !guarded {
+			return nil, nil, ErrUnguarded
+		}
+		call := &guardedCall{permit: permit}
+		return context.WithValue(ctx, callKey{}, call), &call.sent, nil
+	}
+	var sent atomic.Bool
+	hooks := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	return httptrace.WithClientTrace(ctx, hooks), &sent, nil
+}
+
 // Do sends r and reads the whole answer, of which the body may have up to
 // maxBody bytes. Errors are of type *Error.
 func Do(ctx context.Context, c *http.Client, r Request, maxBody int64) (Response, error) {
--- a/internal/httpcall/permit_test.go
+++ b/internal/httpcall/permit_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -27,11 +30,12 @@
 		server = httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived.Add(1) }))
 		DeferCleanup(server.Close)
 	})
-	post := func(permit func() bool) error {
+	postBy := func(client *http.Client, permit func() bool) error {
 		ctx := httpcall.WithPermit(context.Background(), permit)
-		_, err := httpcall.Do(ctx, &http.Client{}, httpcall.Request{Method: http.MethodPost, URL: server.URL, Body: []byte("body")}, 1<<10)
+		_, err := httpcall.Do(ctx, client, httpcall.Request{Method: http.MethodPost, URL: server.URL, Body: []byte("body")}, 1<<10)
 		return err
 	}
+	post := func(permit func() bool) error { return postBy(httpcall.NewGuarded(time.Second), permit) }
 	It("sends when the permit holds", func() {
 		Expect(post(func() bool { return true })).To(Succeed())
 		Expect(arrived.Load()).To(BeEquivalentTo(1))
@@ -42,6 +46,44 @@
 		Expect(errors.As(err, &failed)).To(BeTrue())
 		Expect(failed.Sent).To(BeFalse())
 		Expect(err).To(MatchError(httpcall.ErrNotPermitted))
+		// Close waits for every connection that the server has taken.
+		server.Close()
 		Expect(arrived.Load()).To(BeZero())
 	})
+	It("writes nothing at all when the permit has lapsed", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		received := make(chan []byte, 1)
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			data, _ := io.ReadAll(conn)
+			received <- data
+		}()
+		ctx := httpcall.WithPermit(context.Background(), func() bool { return false })
+		_, err = httpcall.Do(ctx, httpcall.NewGuarded(time.Second), httpcall.Request{
+			Method: http.MethodPost, URL: "http://" + l.Addr().String(), Body: []byte("body"),
+		}, 1<<10)
+		Expect(err).To(MatchError(httpcall.ErrNotPermitted))
+		Eventually(received, "10s").Should(Receive(BeEmpty()))
+	})
+	It("refuses a client that cannot ask, and proves that nothing was sent", func() {
+		err := postBy(&http.Client{}, func() bool { return true })
+		var failed *httpcall.Error
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		Expect(failed.Sent).To(BeFalse())
+		Expect(err).To(MatchError(httpcall.ErrUnguarded))
+	})
+	It("counts a call as sent when the answer is lost after the write", func() {
+		breaker := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+		DeferCleanup(breaker.Close)
+		server = breaker
+		err := post(func() bool { return true })
+		var failed *httpcall.Error
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		Expect(failed.Sent).To(BeTrue())
+	})
 })
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -36,7 +36,7 @@
 	return connections{
 		base:   "http://" + address,
 		pooled: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: idleTimeout}},
-		fresh:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}},
+		fresh:  httpcall.NewGuarded(dialTimeout),
 	}
 }
 
