--- a/internal/ctl/site_test.go
+++ b/internal/ctl/site_test.go
@@ -62,6 +62,7 @@
 		document, err := json.Marshal(h.StandardDocument())
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(func() int { return ctl(first, "", "config", "get") }, "20s").Should(Equal(ExitOK))
+		Eventually(func() []api.HostStatus { return status().Hosts }, "20s").Should(HaveLen(2), "the list of hosts lags")
 		Expect(ctl(first, string(document), "publish", "--base", "0", "--dry-run")).To(Equal(ExitOK), stderr.String())
 		Expect(ctl(first, string(document), "publish", "--base", "0", "--wait")).To(Equal(ExitOK), stderr.String())
 		Expect(stdout.String()).To(Equal("version 1 accepted\n"))
