Give the stand-ins of targets one process life

Cause: the engine and the plain service each had their own listening, crash, restart and silence. Change: endpoint.Process has them; a stand-in supplies what it forgets in a crash.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -13,17 +13,14 @@
 
 // Engine is one model engine. Its methods may be called concurrently.
 type Engine struct {
-	opts   Options
-	faults endpoint.Faults
+	*endpoint.Process
+	endpoint.Faults
+	opts Options
 
 	mu       sync.Mutex
-	endpoint *endpoint.Endpoint
-	// incarnation grows with every crash.
-	incarnation int
-	down        bool
-	straggle    float64
-	crashOn     string
-	stepping    bool
+	straggle float64
+	crashOn  string
+	stepping bool
 	// active holds the sequences in order of arrival.
 	active     []*dispatch
 	dispatches map[tables.RequestID]*dispatch
@@ -58,6 +55,10 @@
 // New returns an engine that has no address yet.
 func New(opts Options) *Engine {
 	e := &Engine{opts: opts.withDefaults(), straggle: 1, records: newRecords()}
+	e.Process = endpoint.NewProcess(endpoint.ProcessOptions{
+		Name: fmt.Sprintf("engine %q", e.opts.ID), Clock: e.opts.Clock, Handler: e.handler(),
+		RestartAfter: e.opts.RestartAfter, Forget: e.forget,
+	})
 	e.reset()
 	return e
 }
@@ -76,32 +77,6 @@
 	e.loads = loadHistory{}
 }
 
-// Listen serves the engine on address and returns host:port; port 0 takes a
-// free port.
-func (e *Engine) Listen(address string) (string, error) {
-	ep, err := endpoint.Listen(address, e.Handler())
-	if err != nil {
-		return "", fmt.Errorf("engine %q: %w", e.opts.ID, err)
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.endpoint = ep
-	return ep.Address(), nil
-}
-
-// Close stops listening and cuts all connections.
-func (e *Engine) Close() {
-	if ep := e.listening(); ep != nil {
-		ep.Close()
-	}
-}
-
-func (e *Engine) listening() *endpoint.Endpoint {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.endpoint
-}
-
 // admit starts a generation, or refuses it with a code.
 func (e *Engine) admit(g target.Generation) (*dispatch, string) {
 	e.mu.Lock()
@@ -156,7 +131,7 @@
 // unknownProgress is the word on a dispatch that the engine has no memory of:
 // after a restart it cannot tell what ran before.
 func (e *Engine) unknownProgress() target.Progress {
-	if e.incarnation > 0 {
+	if e.Incarnation() > 0 {
 		return target.NotKnown
 	}
 	return target.NeverStarted
@@ -201,10 +176,10 @@
 		return
 	}
 	e.stepping = true
-	go e.stepWhileActive(e.incarnation)
+	go e.stepWhileActive(e.Incarnation())
 }
 
-func (e *Engine) stepWhileActive(incarnation int) {
+func (e *Engine) stepWhileActive(incarnation int64) {
 	for {
 		s, ok := e.beginStep(incarnation)
 		if !ok {
@@ -219,10 +194,10 @@
 }
 
 // beginStep takes the batch and computes the prefill of its new sequences.
-func (e *Engine) beginStep(incarnation int) (step, bool) {
+func (e *Engine) beginStep(incarnation int64) (step, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.incarnation != incarnation {
+	if e.Incarnation() != incarnation {
 		return step{}, false
 	}
 	if len(e.active) == 0 {
@@ -255,10 +230,10 @@
 
 // endStep gives each sequence of the batch its token and reports whether one
 // of them crashes the engine.
-func (e *Engine) endStep(incarnation int, s step) (crash bool) {
+func (e *Engine) endStep(incarnation int64, s step) (crash bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.incarnation != incarnation {
+	if e.Incarnation() != incarnation {
 		return false
 	}
 	for _, d := range s.batch {
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -10,29 +10,17 @@
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
 
-// Handler serves the engine over HTTP; docs/protocols.md has the wire format.
-func (e *Engine) Handler() http.Handler {
+// handler serves the engine over HTTP; docs/protocols.md has the wire format.
+func (e *Engine) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/completions", e.faults.Wrap(e.serveCompletion))
+	mux.HandleFunc("POST /v1/completions", e.Wrap(e.serveCompletion))
 	mux.HandleFunc("GET /v1/dispatches/{id}/stream", e.serveResume)
 	mux.HandleFunc("POST /v1/dispatches/{id}/cancel", e.serveCancel)
 	mux.HandleFunc("GET /v1/load", e.serveLoad)
 	mux.HandleFunc("GET /v1/cache/events", e.serveCacheEvents)
 	mux.HandleFunc("PUT /v1/order", e.serveApply)
 	mux.HandleFunc("GET /v1/order", e.serveOrder)
-	return e.refuseWhileDown(mux)
-}
-
-func (e *Engine) refuseWhileDown(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		e.mu.Lock()
-		down := e.down
-		e.mu.Unlock()
-		if down {
-			panic(http.ErrAbortHandler)
-		}
-		next.ServeHTTP(w, r)
-	})
+	return mux
 }
 
 var refusalStatus = map[string]int{
--- a/internal/standin/plain/handler.go
+++ b/internal/standin/plain/handler.go
@@ -8,25 +8,13 @@
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
 
-// Handler serves the service over HTTP; docs/protocols.md has the wire format.
-func (s *Service) Handler() http.Handler {
+// handler serves the service over HTTP; docs/protocols.md has the wire format.
+func (s *Service) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/services/{service}/operations/{operation}", s.faults.Wrap(s.serveCall))
+	mux.HandleFunc("POST /v1/services/{service}/operations/{operation}", s.Wrap(s.serveCall))
 	mux.HandleFunc("POST /v1/dispatches/{id}/cancel", s.serveCancel)
 	mux.HandleFunc("GET /v1/dispatches/{id}", s.serveOutcome)
-	return s.refuseWhileDown(mux)
-}
-
-func (s *Service) refuseWhileDown(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		down := s.down
-		s.mu.Unlock()
-		if down {
-			panic(http.ErrAbortHandler)
-		}
-		next.ServeHTTP(w, r)
-	})
+	return mux
 }
 
 var refusalStatus = map[string]int{
--- a/internal/standin/plain/service.go
+++ b/internal/standin/plain/service.go
@@ -16,19 +16,17 @@
 
 // Service is one plain service. Its methods may be called concurrently.
 type Service struct {
-	opts   Options
-	faults endpoint.Faults
-
-	mu          sync.Mutex
-	endpoint    *endpoint.Endpoint
-	incarnation int
-	down        bool
-	crashOn     string
-	failRuns    int
-	calls       map[tables.RequestID]*call
-	tombstones  map[tables.RequestID]bool
-	records     map[tables.RequestID]*Record
-	crashes     int
+	*endpoint.Process
+	endpoint.Faults
+	opts Options
+
+	mu         sync.Mutex
+	crashOn    string
+	failRuns   int
+	calls      map[tables.RequestID]*call
+	tombstones map[tables.RequestID]bool
+	records    map[tables.RequestID]*Record
+	crashes    int
 }
 
 // call is one call that started.
@@ -57,6 +55,10 @@
 // New returns a service that has no address yet.
 func New(opts Options) *Service {
 	s := &Service{opts: opts.withDefaults(), records: make(map[tables.RequestID]*Record)}
+	s.Process = endpoint.NewProcess(endpoint.ProcessOptions{
+		Name: fmt.Sprintf("plain service %q", s.opts.ID), Clock: s.opts.Clock, Handler: s.handler(),
+		RestartAfter: s.opts.RestartAfter, Forget: s.forget,
+	})
 	s.reset()
 	return s
 }
@@ -67,32 +69,6 @@
 	s.tombstones = make(map[tables.RequestID]bool)
 }
 
-// Listen serves the service on address and returns host:port; port 0 takes a
-// free port.
-func (s *Service) Listen(address string) (string, error) {
-	ep, err := endpoint.Listen(address, s.Handler())
-	if err != nil {
-		return "", fmt.Errorf("plain service %q: %w", s.opts.ID, err)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.endpoint = ep
-	return ep.Address(), nil
-}
-
-// Close stops listening and cuts all connections.
-func (s *Service) Close() {
-	if ep := s.listening(); ep != nil {
-		ep.Close()
-	}
-}
-
-func (s *Service) listening() *endpoint.Endpoint {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.endpoint
-}
-
 // admit starts a call, or refuses it with a code.
 func (s *Service) admit(id tables.RequestID, operation string, body []byte) (*call, string) {
 	s.mu.Lock()
@@ -119,15 +95,13 @@
 // run waits for the operation to take its time and finishes the call. It
 // returns false when the process crashed meanwhile.
 func (s *Service) run(c *call, id tables.RequestID, operation string, body []byte) bool {
-	s.mu.Lock()
-	incarnation := s.incarnation
-	s.mu.Unlock()
+	incarnation := s.Incarnation()
 	if d := s.opts.delay(operation); d > 0 {
 		<-s.opts.Clock.After(d)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.incarnation != incarnation {
+	if s.Incarnation() != incarnation {
 		return false
 	}
 	s.finish(c, id, operation, body)
@@ -163,7 +137,7 @@
 // unknownProgress is the word on a call that the service has no memory of:
 // after a restart it cannot tell what ran before.
 func (s *Service) unknownProgress() target.Progress {
-	if s.incarnation > 0 {
+	if s.Incarnation() > 0 {
 		return target.NotKnown
 	}
 	return target.NeverStarted
