Add a soak whose faults are drawn from the seed

Cause: the soak brings about each fault once, at a fixed time and place; faults that meet by chance are what the promises must survive. The report lists the faults and the longest call of each end.

--- a/cmd/bluebell-soak/main.go
+++ b/cmd/bluebell-soak/main.go
@@ -34,6 +34,7 @@
 	flaggy.Duration(&o.Duration, "", "duration", "how long load is offered")
 	flaggy.Float64(&o.RequestsPerSecond, "", "rate", "mean rate of requests per second")
 	flaggy.Bool(&o.NoFaults, "", "no-faults", "offer load without faults")
+	flaggy.Bool(&o.RandomFaults, "", "random-faults", "draw kinds, moments and victims of the faults from the seed")
 	flaggy.UInt64(&o.Seed, "", "seed", "seed of load and faults")
 	flaggy.String(&logFile, "", "log-file", "file for the hosts' events")
 	flaggy.Parse()
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -20,16 +20,27 @@
 	// Tiers and Kinds count calls.
 	Tiers []TierCount
 	Kinds map[errkind.Kind]int
+	// Longest are the calls that took longest to their end, by the kind of it.
+	// errkind.None stands for whole answers.
+	Longest map[errkind.Kind]LongCall
 	// Dispatches, Runs and Identities are the targets' own counts.
 	Identities int
 	Dispatches int
 	Runs       int
 	Appends    int
 	Stops      int
+	// Faults are the steps of the plan in order of time, each a line.
+	Faults []string
 	// Violations are the broken promises.
 	Violations []harness.Violation
 }
 
+// LongCall is a call that took long to its end.
+type LongCall struct {
+	Name     string
+	Duration time.Duration
+}
+
 // TierCount counts the calls of one tier.
 type TierCount struct {
 	Tier   string
@@ -61,8 +72,10 @@
 	out := &Outcome{
 		Elapsed:    time.Since(r.start),
 		Kinds:      make(map[errkind.Kind]int),
+		Longest:    make(map[errkind.Kind]LongCall),
 		Appends:    r.h.Log.Appends(),
 		Stops:      r.plannedStops,
+		Faults:     r.faultLines(),
 		Violations: append(r.h.Audit(), r.violations...),
 	}
 	for _, run := range r.h.Runs() {
@@ -77,6 +90,15 @@
 	return out
 }
 
+func (r *run) faultLines() []string {
+	lines := make([]string, 0, len(r.steps))
+	for _, s := range r.steps {
+		at := time.Duration(s.at * float64(r.opts.Duration))
+		lines = append(lines, fmt.Sprintf("%v %s", at.Round(time.Millisecond), s.name))
+	}
+	return lines
+}
+
 func (o *Outcome) countCalls(calls []*harness.Call) {
 	byTier := make(map[string]*TierCount)
 	for _, t := range tiers {
@@ -87,6 +109,9 @@
 		if !result.Whole {
 			o.Kinds[result.Kind]++
 		}
+		if took := result.Ended.Sub(result.Sent); took > o.Longest[result.Kind].Duration {
+			o.Longest[result.Kind] = LongCall{c.Request.Name, took}
+		}
 		byTier[c.Request.Tier].count(result)
 	}
 	for _, t := range tiers {
@@ -117,9 +142,10 @@
 	for _, t := range o.Tiers {
 		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%v\t%v\n", t.Tier, t.Sent, t.Whole, t.NotRun, t.Overtaken, quantile(t.FirstByte, 50), quantile(t.FirstByte, 99))
 	}
-	fmt.Fprintf(table, "\nend without a whole answer\tcalls\n")
+	fmt.Fprintf(table, "\nend without a whole answer\tcalls\tlongest\n")
 	for _, k := range slices.Sorted(maps.Keys(o.Kinds)) {
-		fmt.Fprintf(table, "%s\t%d\n", k, o.Kinds[k])
+		long := o.Longest[k]
+		fmt.Fprintf(table, "%s\t%d\t%v %s\n", k, o.Kinds[k], long.Duration.Round(time.Millisecond), long.Name)
 	}
 	fmt.Fprintf(table, "\npromise\tviolations\n")
 	for _, promise := range promises {
@@ -128,6 +154,9 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
+	for _, line := range o.Faults {
+		fmt.Fprintf(w, "fault %s\n", line)
+	}
 	for _, v := range o.Violations {
 		fmt.Fprintf(w, "VIOLATION %s\n", v)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -30,6 +30,9 @@
 	RequestsPerSecond float64
 	// NoFaults leaves out the faults and the rolling restart.
 	NoFaults bool
+	// RandomFaults draws kinds, moments and victims of the faults from the seed
+	// instead of bringing about each kind once.
+	RandomFaults bool
 	// Seed drives the load and the choice of victims.
 	Seed uint64
 	// Logger gets the hosts' events; nil drops them.
@@ -59,9 +62,11 @@
 	opts  Options
 	h     *harness.Harness
 	start time.Time
+	// steps are the faults to come.
+	steps []step
 
-	// locks holds one lock for each host, so that one host is stopped, killed
-	// and started by one step at a time.
+	// locks holds one lock for each host, engine and switch of the platform, so
+	// that one of them is changed by one step at a time.
 	locks map[string]*sync.Mutex
 
 	mu sync.Mutex
@@ -94,18 +99,24 @@
 		leavingSince: make(map[string]time.Time),
 		locks:        make(map[string]*sync.Mutex),
 	}
+	for _, name := range []string{switchLog, switchList, switchWeights} {
+		r.locks[name] = &sync.Mutex{}
+	}
 	if err := r.install(ctx); err != nil {
 		return nil, err
 	}
+	r.steps = r.plan()
 	return r.execute(ctx)
 }
 
 func (r *run) install(ctx context.Context) error {
 	for i := range r.opts.Engines {
 		o := engine.Options{Step: engineStep, BatchMax: engineBatch, RestartAfter: engineRestart, EventLag: listLag, LoadLag: listLag, EventGapEvery: 7}
-		if _, err := r.h.AddEngine(fmt.Sprintf("e%d", i+1), domainOf(i), o); err != nil {
+		name := fmt.Sprintf("e%d", i+1)
+		if _, err := r.h.AddEngine(name, domainOf(i), o); err != nil {
 			return err
 		}
+		r.locks[name] = &sync.Mutex{}
 	}
 	for i := range r.opts.Plains {
 		o := plain.Options{Delay: plainDelay, RestartAfter: engineRestart}
@@ -140,9 +151,7 @@
 	var load, samples sync.WaitGroup
 	load.Go(func() { r.offerLoad(loadCtx) })
 	samples.Go(func() { r.sampleVersions(sampleCtx) })
-	if !r.opts.NoFaults {
-		r.carryOut(planCtx)
-	}
+	r.carryOut(planCtx)
 	wait(ctx, r.opts.Duration-time.Since(r.start))
 	stopLoad()
 	load.Wait()
