--- a/internal/dispatcher/recover.go
+++ b/internal/dispatcher/recover.go
@@ -8,6 +8,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/systems/stream"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
@@ -105,11 +106,20 @@
 
 func (d *Dispatcher) attachKnown(conn *peer.Conn, q peer.Attach) bool {
 	j := d.known(q.ID)
-	if j == nil || j.from > q.Offset {
+	if j == nil || j.refusedUnsent() && !j.answersTo(q) {
 		return false
 	}
-	d.listen(j, conn, q.Offset)
-	return true
+	rest, ok := j.parts.Rest(q.Offset, q.Text)
+	if ok {
+		d.listen(j, conn, rest)
+	}
+	return ok
+}
+
+// answersTo reports whether the refusal of j is what q asks about. Another
+// dispatcher may have sent the request since.
+func (j *job) answersTo(q peer.Attach) bool {
+	return q.Target == "" && (q.Attempt == 0 || q.Attempt == j.msg.Attempt)
 }
 
 // takeOver resumes the answer of a dispatch at its target from the token offset
@@ -166,11 +176,22 @@
 	return errkind.Wrap(cause, errkind.OutcomeUnknown, fmt.Sprintf("target %q did not answer", id))
 }
 
-// adopt makes a job for a dispatch of another dispatcher.
+// adopt makes a job for a dispatch of another dispatcher. It counts against the
+// window of its target.
 func (d *Dispatcher) adopt(conn *peer.Conn, q peer.Attach, plain bool) *job {
-	j := &job{msg: peer.Submit{ID: q.ID, Customer: q.Customer, Service: q.Service, Plain: plain}, target: q.Target, started: true, from: q.Offset, tokens: q.Offset}
+	j := &job{
+		msg: peer.Submit{
+			ID: q.ID, Customer: q.Customer, Service: q.Service, Plain: plain,
+			Tier: q.Tier, Fingerprint: q.Fingerprint, Key: q.Key,
+		},
+		target: q.Target, started: true, parts: stream.After(q.Offset, q.Text),
+	}
 	d.jobs[q.ID] = j
-	d.listen(j, conn, q.Offset)
+	d.state.Requests.Put(&tables.Request{
+		ID: q.ID, Customer: q.Customer, Service: q.Service, Tier: q.Tier, Plain: plain,
+		Fingerprint: q.Fingerprint, State: tables.Running, Target: q.Target, Started: d.Clock.Now(),
+	})
+	d.listen(j, conn, nil)
 	return j
 }
 
@@ -181,8 +202,8 @@
 		return
 	}
 	j.reason = reason
-	if j.row != nil {
-		j.row.Cancelling = true
+	if r := d.state.Requests.Get(j.msg.ID); r != nil {
+		r.Cancelling = true
 	}
 	at, ok := d.locate(j.target)
 	if !ok {
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -20,6 +20,7 @@
 	MethodLookup    = "request.lookup"
 	MethodAcquire   = "claim.acquire"
 	MethodRecord    = "claim.record"
+	MethodMint      = "claim.mint"
 	MethodConfig    = "config.fetch"
 	MethodShare     = "quarantine.share"
 )
@@ -67,8 +68,16 @@
 	PromptTokens int               `json:"prompt_tokens,omitempty"`
 	Allowed      []tables.TargetID `json:"allowed"`
 	// Key is the idempotency key, if the caller gave one.
-	Key   string            `json:"key,omitempty"`
-	Trace map[string]string `json:"trace,omitempty"`
+	Key string `json:"key,omitempty"`
+	// Addresses are those of the allowed targets when the key was claimed; a
+	// keyed request is sent to no other address.
+	Addresses map[tables.TargetID]string `json:"addresses,omitempty"`
+	// SendBy is when a keyed request may be sent at the latest, by the clocks of
+	// hosts, so that no pause and no late message prolongs it.
+	SendBy time.Time         `json:"send_by,omitzero"`
+	Trace  map[string]string `json:"trace,omitempty"`
+	// Attempt numbers the submissions of a request from one.
+	Attempt int `json:"attempt,omitempty"`
 }
 
 // SubmitResult answers Submit.
@@ -134,9 +143,18 @@
 	ID     tables.RequestID `json:"id"`
 	Target tables.TargetID  `json:"target"`
 	Offset int              `json:"offset"`
-	// Customer and Service describe the request for later look-ups.
-	Customer tables.CustomerID `json:"customer,omitempty"`
-	Service  tables.ServiceID  `json:"service,omitempty"`
+	// Attempt is the submission that the gate waits for; a refusal of an earlier
+	// one says nothing of it. Zero means any.
+	Attempt int `json:"attempt,omitempty"`
+	// Text is the part of the answer before Offset.
+	Text string `json:"text,omitempty"`
+	// Customer, Service, Tier, Fingerprint and Key describe the request to a
+	// dispatcher that takes it over.
+	Customer    tables.CustomerID  `json:"customer,omitempty"`
+	Service     tables.ServiceID   `json:"service,omitempty"`
+	Tier        int                `json:"tier,omitempty"`
+	Fingerprint tables.Fingerprint `json:"fingerprint,omitempty"`
+	Key         string             `json:"key,omitempty"`
 }
 
 // AttachResult answers Attach. When Known is set, the parts of the answer from
@@ -214,6 +232,12 @@
 	HeldSince time.Time `json:"held_since,omitzero"`
 }
 
+// Minted answers MethodMint with a key that the answering process alone decides
+// about.
+type Minted struct {
+	Key string `json:"key"`
+}
+
 // Record writes the outcome of a key's holder. An outcome that proves "not
 // run" frees the key.
 type Record struct {
