Show that a holder paused past its lease does no lasting harm

Cause: no scenario paused a lease holder between its check and its order; the harness could neither freeze a process nor cut a group of hosts off. Change: a freezer stops a controller at its clock, at the log and where its orders leave it; connections of hosts go through a network that can cut hosts off from the platform and the others; every harness watches that no process's version falls, and the audit reports it. In internal/node and internal/peer only a dialer and a wrapper of the engine are wired.

--- a/internal/harness/audit.go
+++ b/internal/harness/audit.go
@@ -114,9 +114,10 @@
 	PromiseOwnAnswer   = "whole own answer"
 )
 
-// Audit checks every finished call against the targets' records.
+// Audit checks every finished call against the targets' records, and that no
+// version has fallen.
 func (h *Harness) Audit() []Violation {
-	return auditCalls(h.Calls(), h.Runs())
+	return append(auditCalls(h.Calls(), h.Runs()), h.versions.violations()...)
 }
 
 func auditCalls(calls []*Call, runs map[tables.RequestID]Run) []Violation {
--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -70,7 +70,11 @@
 	Weights *weightstore.Store
 
 	services map[string]*endpoint.Endpoint
-	callers  *http.Client
+	network  *network
+	versions *versionWatch
+	// closed ends the watch of the versions.
+	closed  chan struct{}
+	callers *http.Client
 
 	mu      sync.Mutex
 	targets map[string]*Target
@@ -107,6 +111,9 @@
 		List:     hostlist.New(clock, o.ListLag),
 		Weights:  weightstore.New(clock, weightstore.Options{}),
 		services: make(map[string]*endpoint.Endpoint),
+		network:  newNetwork(),
+		versions: &versionWatch{highest: make(map[process]uint64)},
+		closed:   make(chan struct{}),
 		callers:  newCallerClient(),
 		targets:  make(map[string]*Target),
 		hosts:    make(map[string]*Host),
@@ -122,6 +129,7 @@
 		}
 		h.services[name] = e
 	}
+	go h.watchVersions()
 	return h, nil
 }
 
@@ -135,6 +143,13 @@
 // SilenceLog makes the open connections to the log service silent for good.
 func (h *Harness) SilenceLog() { h.services[serviceLog].Silence() }
 
+// SetRetention sets how long the log keeps records, also in the settings of
+// hosts that start later.
+func (h *Harness) SetRetention(d time.Duration) {
+	h.opts.Log.Retention = d
+	h.Log.SetRetention(d)
+}
+
 // AddEngine starts a model engine and lists it as live.
 func (h *Harness) AddEngine(name, domain string, o engine.Options) (*Target, error) {
 	o.ID = tables.TargetID(name)
@@ -217,6 +232,7 @@
 
 // Close ends everything.
 func (h *Harness) Close() {
+	close(h.closed)
 	for _, host := range h.Hosts() {
 		host.Kill()
 	}
--- a/internal/harness/host.go
+++ b/internal/harness/host.go
@@ -17,6 +17,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/settings"
 	"github.com/bluebellseam/bluebellseam/internal/standin/endpoint"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
+	"github.com/bluebellseam/bluebellseam/internal/target"
 )
 
 // Names of the processes of a host.
@@ -47,6 +48,9 @@
 	gate      *node.Gate
 	operators string
 	peers     *endpoint.Listener
+	// freezer stops the controller; frozen is set while it does.
+	freezer freezer
+	frozen  bool
 }
 
 // StartHost starts a host of a new name, or one that was stopped or killed,
@@ -92,6 +96,7 @@
 		return err
 	}
 	n.peers = endpoint.NewListener(l)
+	n.h.network.listens(n.ID, l.Addr().String())
 	n.h.List.PutHost(tables.Host{
 		ID: n.ID, Domain: tables.DomainID(n.Domain), PeerAddress: l.Addr().String(), Listed: tables.HostLive,
 	})
@@ -106,22 +111,30 @@
 func (n *Host) common() settings.Common {
 	return settings.Common{
 		Host: n.ID, FailureDomain: tables.DomainID(n.Domain),
-		PeerKey: peerKey, MetricsAddress: n.h.loopback,
+		PeerKey: peerKey, MetricsAddress: n.h.loopback, LogRetention: n.h.opts.Log.Retention,
 		StopBound: n.h.opts.StopBound, BalancerWait: n.h.opts.BalancerWait,
 	}
 }
 
 func (n *Host) env(part string) node.Env {
 	services := n.h.services
-	return node.Env{
-		Clock:   clockwork.NewRealClock(),
-		Logger:  n.h.opts.Logger.With(zap.String("node", string(n.ID)), zap.String("program", part)),
-		Tracer:  n.h.opts.Tracer,
-		Log:     platform.NewLogClient(services[serviceLog].URL(), nil),
-		List:    platform.NewHostListClient(services[serviceList].URL(), nil),
-		Weights: platform.NewWeightClient(services[serviceWeights].URL(), nil),
-		Close:   func(context.Context) error { return nil },
-	}
+	client := n.h.network.client(n.ID)
+	e := node.Env{
+		Clock:    clockwork.NewRealClock(),
+		Logger:   n.h.opts.Logger.With(zap.String("node", string(n.ID)), zap.String("program", part)),
+		Tracer:   n.h.opts.Tracer,
+		Log:      platform.NewLogClient(services[serviceLog].URL(), client),
+		List:     platform.NewHostListClient(services[serviceList].URL(), client),
+		Weights:  platform.NewWeightClient(services[serviceWeights].URL(), client),
+		DialPeer: n.h.network.dial(n.ID),
+		Close:    func(context.Context) error { return nil },
+	}
+	if part == PartController {
+		e.Clock = frozenClock{e.Clock, &n.freezer}
+		e.Log = frozenLog{e.Log, &n.freezer}
+		e.OrderThrough = func(inner target.Engine) target.Engine { return heldEngine{inner, &n.freezer} }
+	}
+	return e
 }
 
 // CallerAddress returns host:port of the callers' API.
@@ -154,6 +167,13 @@
 	return n.processes[part] != nil
 }
 
+// running returns the running processes.
+func (n *Host) running() map[string]process {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return maps.Clone(n.processes)
+}
+
 func (n *Host) take(parts ...string) map[string]process {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -172,6 +192,9 @@
 
 // Kill ends the named processes at once, or all of them.
 func (n *Host) Kill(parts ...string) {
+	if len(parts) == 0 || slices.Contains(parts, PartController) {
+		n.freezer.end()
+	}
 	for _, p := range n.take(parts...) {
 		p.Kill()
 	}
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -23,6 +23,7 @@
 	stopOrders func()
 	server     *http.Server
 	address    string
+	running    *orders.Controller
 }
 
 // StartController starts a controller. The error is that of a listener.
@@ -51,9 +52,10 @@
 		cancel()
 		<-done
 	}
+	n.running = n.orders(s)
 	n.proc.spawn(func() {
 		defer close(done)
-		_ = n.orders(s).Run(ctx)
+		_ = n.running.Run(ctx)
 	})
 }
 
@@ -63,11 +65,24 @@
 	return orders.New(orders.Options{
 		Self: tables.Host{ID: s.Host, Domain: s.FailureDomain},
 		Log:  p.Log, Clock: p.Clock, Logger: p.Logger, Config: p.document, Live: p.members.Live,
-		Engine:  func(_ tables.TargetID, address string) target.Engine { return n.clients.Engine(address) },
+		Engine:  func(_ tables.TargetID, address string) target.Engine { return n.engine(address) },
 		Weights: p.Weights,
 	})
 }
 
+// engine returns what orders to the engine at address go through.
+func (n *Controller) engine(address string) target.Engine {
+	client := n.clients.Engine(address)
+	if through := n.proc.OrderThrough; through != nil {
+		return through(client)
+	}
+	return client
+}
+
+// Leases returns the names of the leases that the controller may act on now,
+// sorted.
+func (n *Controller) Leases() []string { return n.running.Holds() }
+
 func (n *Controller) listen(s settings.Controller) error {
 	l, err := net.Listen("tcp", s.PeerAddress)
 	if err != nil {
--- a/internal/node/env.go
+++ b/internal/node/env.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -28,6 +29,11 @@
 	Log     platform.Log
 	List    platform.HostList
 	Weights platform.WeightStore
+	// DialPeer opens connections to peers; nil means TCP.
+	DialPeer func(ctx context.Context, network, address string) (net.Conn, error)
+	// OrderThrough returns the engine to which the controller's orders go, for
+	// the client of the engine; nil means the client itself.
+	OrderThrough func(target.Engine) target.Engine
 	// Close writes out what is buffered; it is called last.
 	Close func(context.Context) error
 }
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -59,6 +59,7 @@
 	proc.metrics = observe.NewMetrics()
 	hello := peer.Hello{Host: s.Host, Role: role, Key: s.PeerKey}
 	proc.pool = peer.NewPool(ctx, hello, proc.mux, env.Clock)
+	proc.pool.Dial = env.DialPeer
 	proc.follower = follow.New(follow.Options{
 		Host: s.Host, Log: env.Log, Clock: env.Clock, Logger: env.Logger,
 		Peers: fetcher{proc}, SkipSnapshots: role != "controller", Retention: s.LogRetention,
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -18,6 +18,8 @@
 	hello Hello
 	mux   *Mux
 	clock clockwork.Clock
+	// Dial opens connections; nil means TCP. Set it before the first call.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu    sync.Mutex
 	slots map[string]*slot
@@ -86,8 +88,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	socket, err := dialer.DialContext(ctx, "tcp", address)
+	socket, err := p.open(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("dial peer %s: %w: %w", address, ErrNotSent, err)
 	}
@@ -101,6 +102,16 @@
 	return conn, nil
 }
 
+func (p *Pool) open(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if p.Dial != nil {
+		return p.Dial(ctx, "tcp", address)
+	}
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 func isDone(c *Conn) bool {
 	select {
 	case <-c.Done():
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -98,6 +98,9 @@
 		"tokens": awaitTokens, "running": awaitRunning, "result": awaitResult, "lookup": lookUp,
 		"fault": fault, "lost": awaitLost,
 		"runs": checkRuns, "ran-at": checkRanAt, "ended": awaitEnded, "leaving-seen": awaitLeaving, "queued": awaitQueued,
+		"retention": setRetention, "cut": cutHosts, "mend": mendHosts,
+		"hold-orders": holdOrders, "pause": pauseHost, "wake": wakeHost,
+		"held": awaitHeld, "standing": awaitStanding,
 		"appends": checkAppends, "audit": audit,
 	}
 	out := make(map[string]func(*testscript.TestScript, bool, []string), len(table))
--- a/internal/standin/endpoint/conn.go
+++ b/internal/standin/endpoint/conn.go
@@ -10,12 +10,12 @@
 	net.Listener
 
 	mu    sync.Mutex
-	conns map[*conn]struct{}
+	conns map[*Conn]struct{}
 }
 
 // NewListener wraps inner.
 func NewListener(inner net.Listener) *Listener {
-	return &Listener{Listener: inner, conns: make(map[*conn]struct{})}
+	return &Listener{Listener: inner, conns: make(map[*Conn]struct{})}
 }
 
 // Accept returns the next connection, wrapped so that it can be silenced.
@@ -24,7 +24,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: inner, listener: l, silenced: make(chan struct{}), closed: make(chan struct{})}
+	var c *Conn
+	c = NewConn(inner, func() { l.forget(c) })
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = struct{}{}
@@ -37,31 +38,38 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		c.silence()
+		c.Silence()
 	}
 }
 
-func (l *Listener) forget(c *conn) {
+func (l *Listener) forget(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.conns, c)
 }
 
-// conn is a connection that can stop delivering while it stays open.
-type conn struct {
+// Conn is a connection that can stop delivering while it stays open.
+type Conn struct {
 	net.Conn
-	listener  *Listener
+	onClose   func()
 	once      sync.Once
 	closeOnce sync.Once
 	silenced  chan struct{}
 	closed    chan struct{}
 }
 
-func (c *conn) silence() {
+// NewConn wraps inner; onClose is called by each Close.
+func NewConn(inner net.Conn, onClose func()) *Conn {
+	return &Conn{Conn: inner, onClose: onClose, silenced: make(chan struct{}), closed: make(chan struct{})}
+}
+
+// Silence makes the connection deliver nothing more in either direction while
+// it stays open.
+func (c *Conn) Silence() {
 	c.once.Do(func() { close(c.silenced) })
 }
 
-func (c *conn) isSilent() bool {
+func (c *Conn) isSilent() bool {
 	select {
 	case <-c.silenced:
 		return true
@@ -72,7 +80,7 @@
 
 // Read blocks until Close once the connection is silent; bytes that arrive
 // meanwhile are dropped.
-func (c *conn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if !c.isSilent() {
 		return n, err
@@ -82,7 +90,7 @@
 }
 
 // Write drops p once the connection is silent.
-func (c *conn) Write(p []byte) (int, error) {
+func (c *Conn) Write(p []byte) (int, error) {
 	if c.isSilent() {
 		return len(p), nil
 	}
@@ -90,8 +98,8 @@
 }
 
 // Close closes the connection, also a silent one.
-func (c *conn) Close() error {
+func (c *Conn) Close() error {
 	c.closeOnce.Do(func() { close(c.closed) })
-	c.listener.forget(c)
+	c.onClose()
 	return c.Conn.Close()
 }
--- a/internal/standin/logstore/faults.go
+++ b/internal/standin/logstore/faults.go
@@ -62,3 +62,10 @@
 	defer s.mu.Unlock()
 	s.faults.loseRequests = n
 }
+
+// SetRetention changes how long a record is kept; zero keeps all records.
+func (s *Store) SetRetention(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.opts.Retention = d
+}
