--- a/internal/scenario/checks.go
+++ b/internal/scenario/checks.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
@@ -26,14 +28,15 @@
 	return nil
 }
 
-// checkRanAt checks which target ran a request: "ran-at NAME TARGET".
+// checkRanAt checks which target ran a request: "ran-at NAME TARGET", or one of
+// several: "ran-at NAME TARGET,TARGET".
 func checkRanAt(_ context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
 	c, expected, err := s.callAndWord(a, "target")
 	if err != nil {
 		return err
 	}
 	run := s.h.Runs()[c.Result().ID]
-	if len(run.Targets) != 1 || string(run.Targets[0]) != expected {
+	if len(run.Targets) != 1 || !slices.Contains(strings.Split(expected, ","), string(run.Targets[0])) {
 		return fmt.Errorf("request %q ran at %v and not at %s", c.Request.Name, run.Targets, expected)
 	}
 	return nil
