--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -98,7 +98,7 @@
 		"tokens": awaitTokens, "running": awaitRunning, "result": awaitResult, "lookup": lookUp,
 		"fault": fault, "lost": awaitLost,
 		"runs": checkRuns, "ran-at": checkRanAt, "ended": awaitEnded, "leaving-seen": awaitLeaving, "queued": awaitQueued,
-		"retention": setRetention, "cut": cutHosts, "mend": mendHosts,
+		"retention": setRetention, "dropped": awaitDropped, "cut": cutHosts, "mend": mendHosts,
 		"hold-orders": holdOrders, "pause": pauseHost, "wake": wakeHost,
 		"held": awaitHeld, "standing": awaitStanding,
 		"appends": checkAppends, "audit": audit,
--- a/internal/scenario/stale.go
+++ b/internal/scenario/stale.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/bluebellseam/bluebellseam/internal/harness"
+	"github.com/bluebellseam/bluebellseam/internal/platform"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -51,6 +53,28 @@
 	return out, nil
 }
 
+// awaitDropped waits until the log has dropped every record of a stream that it
+// has at the beginning of the command: "dropped config".
+func awaitDropped(ctx context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
+	stream, err := a.word("stream")
+	if err != nil {
+		return err
+	}
+	page, err := s.h.Log.Read(ctx, stream, 0, 0)
+	if err != nil && !errors.Is(err, platform.ErrTruncated) {
+		return err
+	}
+	last := page.Next - 1
+	gone := func() bool {
+		_, err := s.h.Log.Read(ctx, stream, last, 0)
+		return errors.Is(err, platform.ErrTruncated)
+	}
+	if !harness.Await(ctx, gone) {
+		return fmt.Errorf("the log keeps record %d of stream %q", last, stream)
+	}
+	return nil
+}
+
 // holdOrders keeps the orders of a host's controller until wake; with orders=N
 // it waits until so many are held that were sent since an earlier hold-orders.
 func holdOrders(ctx context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
