Place models by measured demand

Cause: the placement counted all services equal, since nothing supplied the demand; a model that no engine of a failure domain held was not placed while its demand was unknown, as a gain of 1 is below the hysteresis; and one request in an idle system outweighed a model without any by more than any hysteresis. Change: each dispatcher measures tokens asked for by service with a time constant of 10 min. The holder of a domain's lease asks its dispatchers every 15 s and writes the sum into a renewal every 30 s; all controllers add up what the renewals in the log say, so that they plan from the same demand and a new holder goes on with it. A model without an engine comes first, and below 10 tokens/s for each engine a model counts as unused. Both new placement specs fail on the old placement.

--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -10,7 +10,9 @@
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/operators"
 	"github.com/bluebellseam/bluebellseam/internal/orders"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/settings"
+	"github.com/bluebellseam/bluebellseam/internal/systems/demand"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
@@ -66,10 +68,17 @@
 		Self: tables.Host{ID: s.Host, Domain: s.FailureDomain},
 		Log:  p.Log, Clock: p.Clock, Logger: p.Logger, Config: p.document, Live: p.members.Live,
 		Engine:  func(_ tables.TargetID, address string) target.Engine { return n.engine(address) },
-		Weights: p.Weights,
+		Weights: p.Weights, Measure: n.measure,
 	})
 }
 
+// measure asks the dispatcher of a host for its demand.
+func (n *Controller) measure(ctx context.Context, h tables.Host) (demand.Rates, error) {
+	var answer peer.Demand
+	err := n.proc.pool.Call(ctx, h.PeerAddress, peer.MethodDemand, peer.DemandRequest{}, &answer)
+	return answer.Rates, err
+}
+
 // engine returns what orders to the engine at address go through.
 func (n *Controller) engine(address string) target.Engine {
 	client := n.clients.Engine(address)
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -27,6 +27,7 @@
 	quarantine *quarantine.Quarantine
 	clients    *clients
 	listener   net.Listener
+	demand     *demandMeter
 }
 
 // StartDispatcher starts a dispatcher on the peer listener of the settings.
@@ -41,7 +42,7 @@
 
 // StartDispatcherOn starts a dispatcher on an open peer listener.
 func StartDispatcherOn(l net.Listener, s settings.Dispatcher, env Env) (*Dispatcher, error) {
-	n := &Dispatcher{listener: l, clients: newClients()}
+	n := &Dispatcher{listener: l, clients: newClients(), demand: newDemandMeter(env.Clock)}
 	n.proc = newProcess("dispatcher", s.Common, env, part{
 		self: tables.Host{
 			ID: s.Host, Domain: s.FailureDomain, PeerAddress: l.Addr().String(),
@@ -55,7 +56,7 @@
 	n.dispatcher = dispatcher.New(p.ctx, dispatcher.Options{
 		Host: s.Host, Clock: env.Clock, Logger: env.Logger, Tracer: env.Tracer.Tracer("bluebell-dispatcher"),
 		Document: p.document, Membership: p.members, Quarantine: n.quarantine,
-		Outcomes: recorder{n}, Targets: n.clients, Observer: dispatcherMetrics{p.metrics},
+		Outcomes: recorder{n}, Targets: n.clients, Observer: dispatcherMetrics{p.metrics, n.demand},
 	})
 	n.register()
 	if err := p.serveMetrics(); err != nil {
@@ -73,6 +74,9 @@
 	peer.Handle(n.proc.mux, peer.MethodShare, func(ctx context.Context, _ *peer.Conn, s peer.Share) (peer.Share, error) {
 		return n.quarantine.Share(ctx, s)
 	})
+	peer.Handle(n.proc.mux, peer.MethodDemand, func(context.Context, *peer.Conn, peer.DemandRequest) (peer.Demand, error) {
+		return peer.Demand{Rates: n.demand.rates()}, nil
+	})
 	peer.Handle(n.proc.mux, peer.MethodAcquire, func(ctx context.Context, _ *peer.Conn, a peer.Acquire) (peer.AcquireResult, error) {
 		return n.home.Acquire(ctx, a)
 	})
@@ -188,6 +192,7 @@
 // dispatcherMetrics feeds what the dispatcher does into the metrics.
 type dispatcherMetrics struct {
 	metrics *observe.Metrics
+	demand  *demandMeter
 }
 
 // Dispatched implements dispatcher.Observer.
@@ -198,6 +203,7 @@
 
 // Ended implements dispatcher.Observer.
 func (m dispatcherMetrics) Ended(r *tables.Request, f peer.Finished, _ time.Time) {
+	m.demand.ended(r)
 	computed := r.PromptTokens - r.CachedTokens
 	switch f.Kind {
 	case errkind.Preempted, errkind.CancelledWhileRun:
--- a/internal/orders/keeper.go
+++ b/internal/orders/keeper.go
@@ -15,6 +15,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/systems/demand"
 	"github.com/bluebellseam/bluebellseam/internal/systems/lease"
 )
 
@@ -46,6 +47,9 @@
 	name string
 	// preferred is set when this host is the first choice.
 	preferred bool
+	// demand is what the next renewal that is due to carry it says; nil for
+	// nothing.
+	demand demand.Rates
 }
 
 // keeper follows the lease stream and holds leases. It is safe for concurrent
@@ -61,7 +65,9 @@
 	caughtUp bool
 	holds    map[string]lease.Hold
 	renewed  map[string]time.Time
-	pending  map[string]pending
+	// carried is when a renewal last carried the demand.
+	carried map[string]time.Time
+	pending map[string]pending
 	// freeSince is when a wanted lease was first seen free.
 	freeSince map[string]time.Time
 }
@@ -71,6 +77,7 @@
 		opts:      opts,
 		holds:     make(map[string]lease.Hold),
 		renewed:   make(map[string]time.Time),
+		carried:   make(map[string]time.Time),
 		pending:   make(map[string]pending),
 		freeSince: make(map[string]time.Time),
 	}
@@ -327,7 +334,7 @@
 			return pending{}, false
 		}
 		k.renewed[w.name] = now
-		return k.begin(now, lease.Renew, w.name, h.Fence), true
+		return k.renewal(now, w, h.Fence), true
 	}
 	free := k.table.Free(now, w.name)
 	if !free || !k.caughtUp {
@@ -343,6 +350,27 @@
 	return k.begin(now, lease.Acquire, w.name, lease.None), true
 }
 
+// renewal begins a renewal, which carries the demand now and then; k.mu is held.
+func (k *keeper) renewal(now time.Time, w wish, fence platform.Offset) pending {
+	p := k.begin(now, lease.Renew, w.name, fence)
+	if w.demand != nil && now.Sub(k.carried[w.name]) >= lease.DemandEvery {
+		k.carried[w.name] = now
+		p.record.Demand = w.demand
+	}
+	return p
+}
+
+// demand returns what the holders of all leases have said of demand; false
+// while none has.
+func (k *keeper) demand() (demand.Rates, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.table == nil {
+		return nil, false
+	}
+	return k.table.Demand()
+}
+
 // begin notes a record that is about to be appended; k.mu is held.
 func (k *keeper) begin(now time.Time, kind lease.Kind, name string, fence platform.Offset) pending {
 	after, afterTime := k.table.After(name)
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -13,6 +13,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/systems/demand"
 	"github.com/bluebellseam/bluebellseam/internal/systems/placement"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
@@ -41,9 +42,9 @@
 	Engine func(id tables.TargetID, address string) target.Engine
 	// Weights is the weight store; nil when loads need no permit.
 	Weights platform.WeightStore
-	// Demand returns the work asked for by service in tokens per second; nil
-	// stands for equal demand.
-	Demand func() map[tables.ServiceID]float64
+	// Measure returns the work asked for at the dispatcher of a host; nil stands
+	// for equal demand of all services.
+	Measure func(ctx context.Context, h tables.Host) (demand.Rates, error)
 }
 
 // Controller holds leases on failure domains and keeps their engines as
@@ -62,6 +63,8 @@
 	fence   platform.Offset
 	plan    *placement.Plan
 	engines map[tables.TargetID]*engine
+	// measured is the demand here.
+	measured measured
 }
 
 // engine is what the controller knows of one engine.
@@ -137,6 +140,12 @@
 	}
 	c.plan(doc)
 	c.leases.keep(ctx, c.wantedLeases(doc))
+	for _, id := range c.dueMeasurements() {
+		work.TryGo(func() error {
+			c.measure(ctx, id)
+			return nil
+		})
+	}
 	for _, job := range c.due() {
 		started := work.TryGo(func() error {
 			c.reconcile(ctx, job)
--- a/internal/orders/plan.go
+++ b/internal/orders/plan.go
@@ -32,6 +32,11 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for i, id := range domainsOf(doc) {
+		if d := c.domains[id]; d != nil {
+			out[i].demand = d.measured.sum()
+		}
+	}
 	for _, name := range slices.Sorted(maps.Keys(c.weightsInUse())) {
 		out = append(out, wish{name: name, preferred: true})
 	}
@@ -80,18 +85,6 @@
 	}
 }
 
-// demand returns the demand by service; equal for all while it is unknown.
-func (c *Controller) demand(doc *config.Document) map[tables.ServiceID]float64 {
-	if c.opts.Demand != nil {
-		return c.opts.Demand()
-	}
-	out := make(map[tables.ServiceID]float64)
-	for name := range doc.Services {
-		out[tables.ServiceID(name)] = 1
-	}
-	return out
-}
-
 func engineTargets(doc *config.Document, id tables.DomainID) map[tables.TargetID]config.Target {
 	out := make(map[tables.TargetID]config.Target)
 	for name, t := range doc.Targets {
--- a/internal/orders/world_test.go
+++ b/internal/orders/world_test.go
@@ -19,6 +19,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/orders"
 	"github.com/bluebellseam/bluebellseam/internal/platform"
 	"github.com/bluebellseam/bluebellseam/internal/standin/logstore"
+	"github.com/bluebellseam/bluebellseam/internal/systems/demand"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
@@ -192,6 +193,10 @@
 	version int
 	permits int
 	faults  []string
+	// change alters the configuration, and measure is the demand of hosts; nil
+	// stands for none.
+	change  func(*config.Document)
+	measure func(context.Context, tables.Host) (demand.Rates, error)
 }
 
 func (w *world) wrong(format string, args ...any) {
@@ -212,6 +217,9 @@
 		doc.Targets[name] = config.Target{Address: name, FailureDomain: name[:1], Generation: "g", Services: []string{"s"},
 			ModelVersion: fmt.Sprint("v", w.version)}
 	}
+	if w.change != nil {
+		w.change(doc)
+	}
 	return doc
 }
 
@@ -250,7 +258,7 @@
 	self := h.self
 	self.Incarnation = time.Now().UnixNano()
 	c := orders.New(orders.Options{
-		Self: self, Log: h, Config: h.w.document, Live: h.w.live, Weights: h.weights,
+		Self: self, Log: h, Config: h.w.document, Live: h.w.live, Weights: h.weights, Measure: h.w.measure,
 		Engine: func(_ tables.TargetID, address string) target.Engine { return lateEngine{h.w.engines[address], h} },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/systems/demand"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
@@ -22,6 +23,7 @@
 	MethodRecord    = "claim.record"
 	MethodConfig    = "config.fetch"
 	MethodShare     = "quarantine.share"
+	MethodDemand    = "dispatcher.demand"
 )
 
 // Notifications from a dispatcher to a gate.
@@ -239,6 +241,14 @@
 	WantAll bool `json:"want_all,omitempty"`
 }
 
+// DemandRequest asks a dispatcher for the work asked for at its targets.
+type DemandRequest struct{}
+
+// Demand is the work asked for by service, in tokens per second.
+type Demand struct {
+	Rates demand.Rates `json:"rates"`
+}
+
 // ConfigRequest asks a peer for its configuration.
 type ConfigRequest struct {
 	Have uint64 `json:"have"`
--- a/internal/systems/lease/lease.go
+++ b/internal/systems/lease/lease.go
@@ -6,9 +6,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/systems/demand"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -20,6 +23,8 @@
 	ActFor = 10 * time.Second
 	// RenewEvery is the time between two renewals.
 	RenewEvery = 3 * time.Second
+	// DemandEvery is the time between two renewals that carry the demand.
+	DemandEvery = 30 * time.Second
 	// OrderTimeout bounds one order to an engine.
 	OrderTimeout = 3 * time.Second
 	// SettleTime is how long a new holder waits for orders of the last one.
@@ -60,6 +65,9 @@
 	AfterTime time.Time `json:"after_time,omitzero"`
 	// Fence is the fencing number of a lease that is renewed or released.
 	Fence platform.Offset `json:"fence"`
+	// Demand is the work of the failure domain's targets, which a renewal may
+	// carry; nil leaves what an earlier record said.
+	Demand demand.Rates `json:"demand,omitempty"`
 }
 
 // Encode returns the log data of r.
@@ -87,6 +95,10 @@
 	logTime time.Time
 	// base is After of the latest record.
 	base platform.Offset
+	// demand is the latest that a record carried, and demandTime the log's time
+	// of that record.
+	demand     demand.Rates
+	demandTime time.Time
 }
 
 // Step is what one record did.
@@ -107,7 +119,9 @@
 	// settles is the log's time from which every lease was read from its
 	// beginning; zero before the first record.
 	settles time.Time
-	leases  map[string]Lease
+	// latest is the log's time of the latest record that counted.
+	latest time.Time
+	leases map[string]Lease
 }
 
 // NewTable returns the table of a reader that starts at an offset.
@@ -140,6 +154,23 @@
 	return l.Last, l.logTime
 }
 
+// Demand returns the sum of what the renewals of all leases said lately, by the
+// log's time; false means that none did. It is the same for all readers of the
+// same records.
+func (t *Table) Demand() (demand.Rates, bool) {
+	sum := make(demand.Rates)
+	known := false
+	for _, name := range slices.Sorted(maps.Keys(t.leases)) {
+		l := t.leases[name]
+		if l.demand == nil || t.latest.Sub(l.demandTime) >= VoidAfter {
+			continue
+		}
+		known = true
+		sum.Add(l.demand)
+	}
+	return sum, known
+}
+
 // Fold applies the record at Next, read at now.
 func (t *Table) Fold(now time.Time, rec platform.Record) Step {
 	t.next = rec.Offset + 1
@@ -162,7 +193,7 @@
 	if !t.counts(current, held, r, rec.Time) {
 		return step
 	}
-	t.leases[r.Name] = Lease{
+	next := Lease{
 		Name:        r.Name,
 		Fence:       fenceOf(r, rec.Offset),
 		Last:        rec.Offset,
@@ -172,7 +203,14 @@
 		Seen:        now,
 		logTime:     rec.Time,
 		base:        r.After,
+		demand:      current.demand,
+		demandTime:  current.demandTime,
+	}
+	if r.Demand != nil {
+		next.demand, next.demandTime = r.Demand, rec.Time
 	}
+	t.leases[r.Name] = next
+	t.latest = rec.Time
 	step.Accepted = true
 	if held {
 		step.Before = &current
--- a/internal/systems/placement/placement.go
+++ b/internal/systems/placement/placement.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -201,25 +202,24 @@
 	return best, best.engine != ""
 }
 
-// gain is the demand per engine of in after a swap over that of out before it;
-// false when the swap would leave out without an engine.
+// gain is the demand per engine of in after a swap over that of out after it;
+// false when the swap would leave out without an engine. A model that no engine
+// holds comes before any other.
 func (p *Plan) gain(in, out string, demand map[string]float64) (float64, bool) {
 	if p.holders(out) <= 1 {
 		return 0, false
 	}
-	to := p.pressure(in, demand, 1)
-	if to == 0 {
-		return 0, false
+	if p.holders(in) == 0 {
+		return math.Inf(1), true
 	}
+	to := p.pressure(in, demand, 1)
 	from := p.pressure(out, demand, -1)
-	if from == 0 {
-		return to / minPressure, true
-	}
-	return to / from, true
+	return to / max(from, minPressure), true
 }
 
-// minPressure stands for the demand of a model that nobody asks for.
-const minPressure = 1e-9
+// minPressure is the demand per engine, in tokens per second, below which a
+// model counts as one that nobody asks for.
+const minPressure = 10
 
 // pressure is the demand per engine of a model with extra more engines.
 func (p *Plan) pressure(model string, demand map[string]float64, extra int) float64 {
--- a/internal/systems/placement/placement_test.go
+++ b/internal/systems/placement/placement_test.go
@@ -118,3 +118,24 @@
 		})
 	})
 })
+
+var _ = Describe("Demand of a model", func() {
+	It("moves nothing for a model that almost nobody asks for", func() {
+		p := placement.NewPlan()
+		in := placement.Input{Engines: engines(4, 1, 2), Demand: map[tables.ServiceID]float64{"s0": 100, "s1": 100}}
+		Expect(holders(p, start, in)).To(Equal(map[string]int{"m0": 2, "m1": 2}))
+		in.Demand = map[tables.ServiceID]float64{"s0": 5}
+		for i := range 120 {
+			Expect(holders(p, start.Add(time.Duration(i)*time.Minute), in)).To(HaveKeyWithValue("m0", 2))
+		}
+	})
+	It("gives an engine to a model that none holds, whatever its demand", func() {
+		p := placement.NewPlan()
+		in := placement.Input{Engines: engines(2, 1, 2), Demand: map[tables.ServiceID]float64{"s1": 500}}
+		p.Adopt(start, "e0", []string{"m1"})
+		p.Adopt(start, "e1", []string{"m1"})
+		now := start.Add(placement.Dwell)
+		Expect(holders(p, now, in)).To(Equal(map[string]int{"m1": 2}))
+		Expect(holders(p, now.Add(placement.Sustain), in)).To(Equal(map[string]int{"m0": 1, "m1": 1}))
+	})
+})
