Send requests only to engines that hold their model

Cause: a gate and an owner took every engine that is configured for a service for one that holds its model; with model_slots that is false, and the engine refused the request. Change: the owner reads every 2 s what its engines hold and offers only the services whose model and adapter they have; summaries name the others and gates pass over them. A refusal as model_not_loaded is proof of not admitted: the owner keeps the service off the target until it states what it holds, and the request goes on. While an engine loads, what it held before counts. Audit: a send that an engine refused because it lacks the model is no second dispatch when it came before the run; the check still fails for every other second send, and now for one after the run. Conclusion: routing follows what engines hold, with a lag of 2 s.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -109,7 +109,9 @@
 	kept       *expirable.LRU[tables.RequestID, *job]
 	tombstones *expirable.LRU[tables.RequestID, struct{}]
 	// warned holds, by target, the channel of the latest crash.
-	warned   map[tables.TargetID]<-chan struct{}
+	warned map[tables.TargetID]<-chan struct{}
+	// held is the order that each engine last stated as carried out.
+	held     map[tables.TargetID]target.Order
 	leaving  bool
 	measured time.Time
 	running  sync.WaitGroup
@@ -123,6 +125,7 @@
 		posts:      make(chan func(), postLength),
 		state:      schedule.NewState(),
 		warned:     make(map[tables.TargetID]<-chan struct{}),
+		held:       make(map[tables.TargetID]target.Order),
 		jobs:       make(map[tables.RequestID]*job),
 		kept:       expirable.NewLRU[tables.RequestID, *job](keepCount, nil, keepFinished),
 		tombstones: expirable.NewLRU[tables.RequestID, struct{}](keepCount, nil, keepFinished),
@@ -232,5 +235,5 @@
 }
 
 func (d *Dispatcher) summary() []tables.PoolSummary {
-	return schedule.Summary(d.Clock.Now(), d.state)
+	return d.nameUnloaded(schedule.Summary(d.Clock.Now(), d.state))
 }
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -157,6 +157,16 @@
 		Eventually(gate.ends).WithTimeout(bound).Should(HaveLen(2))
 		Expect(gate.ends()[1].Kind).To(Equal(errkind.None))
 	})
+	It("keeps a service off a target that said that it lacks the model", func() {
+		site.engine.generate = func() (target.Stream, error) { return nil, target.ErrModelNotLoaded }
+		submit()
+		Expect(end().Retryable()).To(BeTrue())
+		_, again := submit()
+		Expect(again.Kind).To(Equal(errkind.NoTarget))
+		Expect(again.Pool).To(ConsistOf(HaveField("Unloaded", ConsistOf(tables.ServiceID("report")))))
+		generates, _, _ := site.engine.counts()
+		Expect(generates).To(Equal(1))
+	})
 	It("takes a second submission of a running request for the first", func() {
 		stream := make(chan target.Stream)
 		site.engine.generate = func() (target.Stream, error) { return <-stream, nil }
--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -134,6 +134,7 @@
 		if isRefusedDial(cause) {
 			d.markDown(j.target)
 		}
+		d.withhold(j, cause)
 		d.finish(j, peer.Finished{Kind: errkind.NotAdmitted, Detail: cause.Error()})
 	})
 }
--- a/internal/dispatcher/targets.go
+++ b/internal/dispatcher/targets.go
@@ -51,6 +51,7 @@
 		d.state.Targets.Put(row)
 	}
 	describe(row, doc, t)
+	d.offer(row, doc, t)
 	d.setLeaving(row, d.Membership.TargetState(id) == tables.HostLeaving)
 	d.setOwned(row, d.Membership.Owner(id, row.Domain) == d.Host)
 }
@@ -61,10 +62,6 @@
 	row.Domain = tables.DomainID(t.FailureDomain)
 	row.Generation = t.Generation
 	row.Plain = isPlain(doc, t)
-	row.Services = make(map[tables.ServiceID]bool, len(t.Services))
-	for _, s := range t.Services {
-		row.Services[tables.ServiceID(s)] = true
-	}
 	row.ChecksFencing = t.ChecksFencing
 	row.Drained = t.Drained
 	row.WindowMin, row.WindowMax = t.Window()
@@ -108,6 +105,7 @@
 	for _, id := range gone {
 		d.state.Targets.Delete(id)
 		delete(d.warned, id)
+		delete(d.held, id)
 		d.state.Prefixes.Forget(id)
 	}
 }
--- a/internal/dispatcher/watch.go
+++ b/internal/dispatcher/watch.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// watchPeriod is the time between two reads of an engine's load report
-	// and cache events.
+	// watchPeriod is the time between two reads of an engine's load report,
+	// of what it holds and of its cache events.
 	watchPeriod = 2 * time.Second
 	// watchedAtOnce bounds the engines that are read at the same time.
 	watchedAtOnce = 8
@@ -79,6 +79,9 @@
 	if load, err := engine.Load(ctx); err == nil {
 		d.post(func() { d.takeLoad(w.id, load) })
 	}
+	if state, err := engine.State(ctx); err == nil {
+		d.post(func() { d.takeState(w.id, state) })
+	}
 	events, err := engine.CacheEvents(ctx, w.after)
 	if err != nil || len(events) == 0 {
 		return w.after
--- a/internal/harness/audit_test.go
+++ b/internal/harness/audit_test.go
@@ -53,6 +53,14 @@
 		Expect(promises(build())).To(BeEmpty())
 	})
 
+	It("allows another engine after one that did not hold the model", func() {
+		w := build()
+		run := w.runs["h2.b"]
+		run.Dispatches, run.Refused, run.NotLoaded, run.LastNotLoaded = 2, 1, 1, run.Started.Add(-time.Second)
+		w.runs["h2.b"] = run
+		Expect(promises(w)).To(BeEmpty())
+	})
+
 	DescribeTable("catches each broken promise", func(damage func(w world), promise string) {
 		w := build()
 		damage(w)
@@ -63,6 +71,11 @@
 			run.Dispatches, run.Refused = 2, 1
 			w.runs["h2.b"] = run
 		}, PromiseOneDispatch),
+		Entry("a second dispatch after the run to an engine without the model", func(w world) {
+			run := w.runs["h2.b"]
+			run.Dispatches, run.Refused, run.NotLoaded, run.LastNotLoaded = 2, 1, 1, run.Started.Add(time.Second)
+			w.runs["h2.b"] = run
+		}, PromiseOneDispatch),
 		Entry("a second run of a key under another ID", func(w world) {
 			w.runs["h3.c"] = w.runs["h1.a"]
 		}, PromiseOneRun),
--- a/internal/harness/leases.go
+++ b/internal/harness/leases.go
@@ -91,3 +91,17 @@
 	s.Current = s.Order.Fence == newest.Fence
 	return s
 }
+
+// Unloaded reports whether the owner of a target knows that it does not hold
+// the model of a service.
+func (h *Harness) Unloaded(target tables.TargetID, service tables.ServiceID) bool {
+	for _, host := range h.Hosts() {
+		d, ok := host.running()[PartDispatcher].(interface {
+			Unloaded(tables.TargetID) []tables.ServiceID
+		})
+		if ok && slices.Contains(d.Unloaded(target), service) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/harness/publish.go
+++ b/internal/harness/publish.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 
+	jsonpatch "github.com/evanphx/json-patch/v5"
 	"github.com/google/uuid"
 
 	"github.com/bluebellseam/bluebellseam/internal/config"
@@ -148,10 +149,21 @@
 // is in force everywhere. Later changes of it are published as patches against
 // the version in force there.
 func (h *Harness) Configure(ctx context.Context, host string) error {
+	return h.ConfigureWith(ctx, host, nil)
+}
+
+// ConfigureWith is Configure with a merge patch of the standard configuration;
+// nil changes nothing.
+func (h *Harness) ConfigureWith(ctx context.Context, host string, change []byte) error {
 	merge, err := json.Marshal(h.StandardDocument())
 	if err != nil {
 		return fmt.Errorf("standard configuration: %w", err)
 	}
+	if change != nil {
+		if merge, err = jsonpatch.MergePatch(merge, change); err != nil {
+			return fmt.Errorf("change of the standard configuration: %w", err)
+		}
+	}
 	at, err := h.Host(host)
 	if err != nil {
 		return err
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -219,3 +219,14 @@
 func (n *Dispatcher) TargetClosed(id tables.TargetID) bool {
 	return n.dispatcher.Closed(n.proc.ctx, id)
 }
+
+// Unloaded returns the services that an owned target does not offer, since it
+// does not hold their models.
+func (n *Dispatcher) Unloaded(id tables.TargetID) []tables.ServiceID {
+	for _, s := range n.dispatcher.Summary(n.proc.ctx) {
+		if s.Target == id {
+			return s.Unloaded
+		}
+	}
+	return nil
+}
--- a/internal/orders/demand_test.go
+++ b/internal/orders/demand_test.go
@@ -139,7 +139,7 @@
 				w.watchLoads(2 * moveWithin)
 				engines, later := w.holding("n")
 				Expect(engines).To(Equal(9))
-				Expect(later - orders).To(Equal(6), "no model moves to and fro")
+				Expect(later-orders).To(Equal(6), "no model moves to and fro")
 			})
 		})
 	}
--- a/internal/scenario/checks.go
+++ b/internal/scenario/checks.go
@@ -9,6 +9,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/bluebellseam/bluebellseam/internal/harness"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
 
@@ -143,6 +144,43 @@
 	return nil
 }
 
+// awaitUnloaded waits until the owner of a target knows that it lacks the model
+// of a service: "unloaded e1 brief".
+func awaitUnloaded(ctx context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
+	name, err := a.word("target")
+	if err != nil {
+		return err
+	}
+	service, err := a.word("service")
+	if err != nil {
+		return err
+	}
+	if !harness.Await(ctx, func() bool { return s.h.Unloaded(tables.TargetID(name), tables.ServiceID(service)) }) {
+		return fmt.Errorf("the owner of target %q takes it to hold the model of service %q", name, service)
+	}
+	return nil
+}
+
+// checkNotLoaded compares the sends that engines refused for their models.
+func checkNotLoaded(_ context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
+	text, err := a.word("count")
+	if err != nil {
+		return err
+	}
+	expected, err := parseSpan(text)
+	if err != nil {
+		return err
+	}
+	total := 0
+	for _, run := range s.h.Runs() {
+		total += run.NotLoaded
+	}
+	if !expected.contains(total) {
+		return fmt.Errorf("engines refused %d sends for their models and not %s", total, text)
+	}
+	return nil
+}
+
 // audit waits until every request has ended and no target runs anything, and
 // then checks the promises against the targets' records.
 func audit(ctx context.Context, s *state, ts *testscript.TestScript, _ *arguments) error {
--- a/internal/scenario/cluster.go
+++ b/internal/scenario/cluster.go
@@ -162,13 +162,18 @@
 	return nil
 }
 
-// configure publishes the standard configuration and waits for it.
-func configure(ctx context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
+// configure publishes the standard configuration, with the merge patch of a
+// file if the option with names one, and waits for it.
+func configure(ctx context.Context, s *state, ts *testscript.TestScript, a *arguments) error {
 	hosts := s.h.Hosts()
 	if len(hosts) == 0 {
 		return fmt.Errorf("no host runs")
 	}
-	return s.h.Configure(ctx, a.option("at", string(hosts[0].ID)))
+	var change []byte
+	if file := a.option("with", ""); file != "" {
+		change = []byte(ts.ReadFile(file))
+	}
+	return s.h.ConfigureWith(ctx, a.option("at", string(hosts[0].ID)), change)
 }
 
 // publish publishes a merge patch from a file, in which $NAME stands for the
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -118,6 +118,8 @@
 	}
 	if !e.order.serves(e.opts.Clock.Now(), g.Model, g.Adapter) {
 		rec.Refused++
+		rec.NotLoaded++
+		rec.LastNotLoaded = e.opts.Clock.Now()
 		return nil, target.CodeModelNotLoaded
 	}
 	d := &dispatch{
--- a/internal/standin/engine/records.go
+++ b/internal/standin/engine/records.go
@@ -36,7 +36,11 @@
 	// started nothing, and Runs those that started.
 	Dispatches int
 	Refused    int
-	Runs       int
+	// NotLoaded counts those of Refused for which the model was not held, and
+	// LastNotLoaded is the time of the latest.
+	NotLoaded     int
+	LastNotLoaded time.Time
+	Runs      int
 	// Tombstones counts the cancels that came before a send.
 	Tombstones int
 	Generation target.Generation
--- a/internal/systems/route/route_test.go
+++ b/internal/systems/route/route_test.go
@@ -94,3 +94,13 @@
 		}
 	})
 })
+
+var _ = Describe("Loaded", func() {
+	It("keeps the targets that hold the model, and all when none does", func() {
+		without, with := view("e1", "h1"), view("e2", "h1")
+		without.Summary.Unloaded = []tables.ServiceID{"s"}
+		Expect(route.Loaded("s", []route.View{without, with})).To(Equal([]route.View{with}))
+		Expect(route.Loaded("t", []route.View{without, with})).To(Equal([]route.View{without, with}))
+		Expect(route.Loaded("s", []route.View{without})).To(Equal([]route.View{without}))
+	})
+})
--- a/internal/tables/decision.go
+++ b/internal/tables/decision.go
@@ -49,4 +49,6 @@
 	// Held names shared prompt parts in the target's cache by the low half of
 	// the hash of their last block.
 	Held []uint32 `json:"held,omitempty"`
+	// Unloaded lists services of the target whose model it does not hold now.
+	Unloaded []ServiceID `json:"unloaded,omitempty"`
 }
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -76,8 +76,10 @@
 
 func meaningOf(code string) error {
 	switch code {
-	case CodeNotAdmitted, CodeTombstoned, CodeMalformed, CodeModelNotLoaded, CodeUnknownDispatch:
+	case CodeNotAdmitted, CodeTombstoned, CodeMalformed, CodeUnknownDispatch:
 		return ErrNotAdmitted
+	case CodeModelNotLoaded:
+		return ErrModelNotLoaded
 	case CodeCancelled, CodeFailed:
 		return ErrFailed
 	case CodeFenced:
--- a/internal/target/ports.go
+++ b/internal/target/ports.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -16,6 +17,10 @@
 // sent, or the target said so.
 var ErrNotAdmitted = errors.New("target did not admit the request")
 
+// ErrModelNotLoaded is wrapped by the errors of an engine that does not hold the
+// model or adapter of a request. It is an ErrNotAdmitted.
+var ErrModelNotLoaded = fmt.Errorf("%w: model not loaded", ErrNotAdmitted)
+
 // ErrUnknown is wrapped by errors after which the request may have run.
 var ErrUnknown = errors.New("target outcome unknown")
 
