Read the log in one place; cut the lease keeper by job

Change: package logread has the loop, the bounded read and the check; keeper.go holds the state, read.go folds the stream and renew.go writes to it. The keeper no longer waits after a truncation, as the follower did not. Conclusion: no change of behaviour but that wait.

--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -3,64 +3,44 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/event"
+	"github.com/bluebellseam/bluebellseam/internal/logread"
 	"github.com/bluebellseam/bluebellseam/internal/platform"
 )
 
-const (
-	// readWait is how long the log holds a read open for the next record.
-	readWait = 5 * time.Second
-	// readTimeout bounds one read, so that a silent connection is dropped.
-	readTimeout = readWait + 3*time.Second
-	// retryFirst and retryMax bound the wait after a failed read.
-	retryFirst = 100 * time.Millisecond
-	retryMax   = 2 * time.Second
-	// searchPause is the wait between searches for a snapshot.
-	searchPause = 1 * time.Second
-)
+// searchPause is the wait between searches for a snapshot.
+const searchPause = 1 * time.Second
 
 // errNoSnapshot means that the log keeps no point to start from.
 var errNoSnapshot = errors.New("log keeps no usable configuration snapshot")
 
 func (f *Follower) readLoop(ctx context.Context) error {
-	retry := backoff.NewExponentialBackOff()
-	retry.InitialInterval = retryFirst
-	retry.MaxInterval = retryMax
-	for ctx.Err() == nil {
-		err := f.readOnce(ctx)
-		if ctx.Err() != nil {
-			break
-		}
-		pause := time.Duration(0)
-		switch {
-		case err == nil:
-			retry.Reset()
-			f.setReachable(true, nil)
-		case errors.Is(err, platform.ErrTruncated):
-			f.detach(err)
-		case errors.Is(err, errNoSnapshot):
-			f.setReachable(true, nil)
-			f.signal()
-			pause = searchPause
-		default:
-			f.setReachable(false, err)
-			pause = retry.NextBackOff()
-		}
-		if pause > 0 {
-			_ = f.sleep(ctx, pause)
-		}
+	return f.stream().Follow(ctx, logread.Handlers{Step: f.step, Truncated: f.detach, Reached: f.reached})
+}
+
+func (f *Follower) stream() logread.Stream {
+	return logread.Stream{Log: f.opts.Log, Clock: f.opts.Clock, Name: platform.ConfigStream}
+}
+
+// step reads once. A log without a snapshot was reached; peers are asked.
+func (f *Follower) step(ctx context.Context) error {
+	err := f.readOnce(ctx)
+	if !errors.Is(err, errNoSnapshot) {
+		return err
 	}
-	return ctx.Err()
+	f.setReachable(true, nil)
+	f.signal()
+	_ = f.sleep(ctx, searchPause)
+	return nil
 }
 
+func (f *Follower) reached(err error) { f.setReachable(err == nil, err) }
+
 func (f *Follower) readOnce(ctx context.Context) error {
 	f.mu.Lock()
 	attached, from := f.attached, f.fold.Next
@@ -68,37 +48,23 @@
 	if !attached {
 		return f.attach(ctx)
 	}
-	page, err := f.read(ctx, from, readWait)
+	page, err := f.stream().Read(ctx, from, logread.Wait)
 	if err != nil {
 		return err
 	}
 	return f.foldPage(page)
 }
 
-func (f *Follower) read(ctx context.Context, from platform.Offset, wait time.Duration) (platform.Page, error) {
-	ctx, cancel := clockwork.WithTimeout(ctx, f.opts.Clock, readTimeout)
-	defer cancel()
-	return f.opts.Log.Read(ctx, platform.ConfigStream, from, wait)
-}
-
 // foldPage applies a page to the state. It returns an error that wraps
 // platform.ErrTruncated when records before the page are missing.
 func (f *Follower) foldPage(page platform.Page) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if page.First > f.fold.Next || page.Next < f.fold.Next {
-		return fmt.Errorf("offset %d is outside of %d to %d: %w", f.fold.Next, page.First, page.Next, platform.ErrTruncated)
-	}
-	for _, rec := range page.Records {
-		if rec.Offset < f.fold.Next {
-			continue
-		}
-		if rec.Offset > f.fold.Next {
-			return fmt.Errorf("record %d follows offset %d: %w", rec.Offset, f.fold.Next-1, platform.ErrTruncated)
-		}
-		f.foldRecord(rec)
+	caughtUp, err := logread.Apply(page, f.fold.Next, f.foldRecord)
+	if err != nil {
+		return err
 	}
-	f.caughtUp = f.fold.Next >= page.Next
+	f.caughtUp = caughtUp
 	if len(page.Records) > 0 {
 		f.announceFold()
 	}
@@ -141,13 +107,13 @@
 
 // attach finds the state to start from.
 func (f *Follower) attach(ctx context.Context) error {
-	first, err := platform.FirstOffset(ctx, f.opts.Log, platform.ConfigStream)
+	first, err := f.stream().First(ctx)
 	if err != nil {
 		return err
 	}
 	scan := config.NewScan(first)
 	for {
-		page, err := f.read(ctx, scan.Next(), 0)
+		page, err := f.stream().Read(ctx, scan.Next(), 0)
 		if err != nil {
 			return err
 		}
--- a/internal/harness/audit.go
+++ b/internal/harness/audit.go
@@ -24,8 +24,8 @@
 	// time of the latest.
 	NotLoaded     int
 	LastNotLoaded time.Time
-	Content   string
-	MaxTokens int
+	Content       string
+	MaxTokens     int
 	// Started and Ended are of the latest run; Ended is zero while it runs.
 	Started, Ended time.Time
 	Progress       target.Progress
--- /dev/null
+++ b/internal/orders/read.go
@@ -0,0 +1,115 @@
+package orders
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/event"
+	"github.com/bluebellseam/bluebellseam/internal/logread"
+	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/systems/lease"
+)
+
+func (k *keeper) readLoop(ctx context.Context) error {
+	return k.stream.Follow(ctx, logread.Handlers{Step: k.readOnce, Truncated: k.restart})
+}
+
+// restart forgets the stream; holds end, as their records are unknown.
+func (k *keeper) restart(cause error) {
+	event.LogTruncated.Log(k.opts.Logger, zap.String("stream", k.stream.Name), zap.Error(cause))
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.table = nil
+	k.caughtUp = false
+	clear(k.holds)
+	clear(k.pending)
+	clear(k.freeSince)
+}
+
+func (k *keeper) readOnce(ctx context.Context) error {
+	k.mu.Lock()
+	started, next := k.table != nil, platform.Offset(0)
+	if started {
+		next = k.table.Next()
+	}
+	k.mu.Unlock()
+	if !started {
+		return k.start(ctx)
+	}
+	page, err := k.stream.Read(ctx, next, logread.Wait)
+	if err != nil {
+		return err
+	}
+	return k.fold(page)
+}
+
+// start begins at the oldest record that the stream keeps.
+func (k *keeper) start(ctx context.Context) error {
+	first, err := k.stream.First(ctx)
+	if err != nil {
+		return err
+	}
+	page, err := k.stream.Read(ctx, first, 0)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	k.table = lease.NewTable(first)
+	now := k.opts.Clock.Now()
+	k.settled = now
+	if first > 0 && len(page.Records) > 0 {
+		k.settled = page.Records[0].Time.Add(lease.SettleAfter)
+	}
+	k.mu.Unlock()
+	return k.fold(page)
+}
+
+func (k *keeper) fold(page platform.Page) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.opts.Clock.Now()
+	caughtUp, err := logread.Apply(page, k.table.Next(), func(rec platform.Record) { k.folded(now, rec) })
+	k.caughtUp = caughtUp
+	return err
+}
+
+// folded applies one record and what it means for this process; k.mu is held.
+func (k *keeper) folded(now time.Time, rec platform.Record) {
+	step := k.table.Fold(now, rec)
+	if step.Err != nil {
+		event.RecordIgnored.Log(k.opts.Logger, zap.Int64("offset", int64(rec.Offset)), zap.Error(step.Err))
+		return
+	}
+	name := step.Record.Name
+	own, mine := k.pending[name]
+	mine = mine && own.record.ID == step.Record.ID
+	if mine {
+		delete(k.pending, name)
+	}
+	if !step.Accepted {
+		return
+	}
+	delete(k.freeSince, name)
+	switch {
+	case mine && step.Record.Kind == lease.Acquire:
+		k.holds[name] = lease.NewHold(now, own.began, rec.Offset, step)
+		k.renewed[name] = own.began
+		event.LeaseTaken.Log(k.opts.Logger, zap.String("lease", name), zap.Int64("fence", int64(rec.Offset)))
+	case mine && step.Record.Kind == lease.Renew:
+		k.holds[name] = k.holds[name].Renewed(own.began)
+	default:
+		k.drop(name)
+	}
+}
+
+// drop ends a hold that another record replaced or released; k.mu is held.
+func (k *keeper) drop(name string) {
+	h, held := k.holds[name]
+	if !held {
+		return
+	}
+	delete(k.holds, name)
+	event.LeaseLost.Log(k.opts.Logger, zap.String("lease", name), zap.Int64("fence", int64(h.Fence)))
+}
--- a/internal/orders/release.go
+++ b/internal/orders/release.go
@@ -69,7 +69,7 @@
 	next := k.table.Next()
 	k.mu.Unlock()
 	for {
-		page, err := k.read(ctx, next, 0)
+		page, err := k.stream.Read(ctx, next, 0)
 		if err != nil || len(page.Records) == 0 || k.fold(page) != nil {
 			return
 		}
--- a/internal/standin/engine/records.go
+++ b/internal/standin/engine/records.go
@@ -40,7 +40,7 @@
 	// LastNotLoaded is the time of the latest.
 	NotLoaded     int
 	LastNotLoaded time.Time
-	Runs      int
+	Runs          int
 	// Tombstones counts the cancels that came before a send.
 	Tombstones int
 	Generation target.Generation
