--- a/internal/harness/host.go
+++ b/internal/harness/host.go
@@ -215,6 +215,20 @@
 	n.h.List.MarkHost(n.ID, "")
 }
 
+// StopInOrder ends the named processes gracefully, each once the one before has
+// ended, as a planned stop of a host with dependent units does.
+func (n *Host) StopInOrder(ctx context.Context, parts ...string) {
+	n.h.List.MarkHost(n.ID, tables.HostLeaving)
+	ctx, cancel := context.WithTimeout(ctx, n.h.opts.StopBound)
+	defer cancel()
+	for _, part := range parts {
+		for _, p := range n.take(part) {
+			p.Stop(ctx)
+		}
+	}
+	n.h.List.MarkHost(n.ID, "")
+}
+
 // Host returns the host of a name.
 func (h *Harness) Host(name string) (*Host, error) {
 	h.mu.Lock()
--- a/internal/scenario/cluster.go
+++ b/internal/scenario/cluster.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
@@ -46,17 +47,22 @@
 	return nil
 }
 
-// shutDownHost starts a graceful shutdown.
+// shutDownHost starts a graceful shutdown of all processes at once, or one after
+// the other: "shutdown h1 order=gate,dispatcher,controller".
 func shutDownHost(_ context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
 	host, err := s.hostOf(a)
 	if err != nil {
 		return err
 	}
+	stop := host.Stop
+	if order := a.option("order", ""); order != "" {
+		stop = func(ctx context.Context) { host.StopInOrder(ctx, strings.Split(order, ",")...) }
+	}
 	done := make(chan struct{})
 	s.stopping[string(host.ID)] = done
 	go func() {
 		defer close(done)
-		host.Stop(context.Background())
+		stop(context.Background())
 	}()
 	return nil
 }
