--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -124,6 +124,16 @@
 		Entry("too late", time.Minute, "127.0.0.1:1", errkind.CancelledBeforeRun, 0),
 		Entry("elsewhere", time.Duration(0), "127.0.0.1:2", errkind.NoTarget, 0),
 	)
+	It("keeps a service off a target that said that it lacks the model", func() {
+		site.engine.generate = func() (target.Stream, error) { return nil, target.ErrModelNotLoaded }
+		r.submit()
+		Expect(r.end().Retryable()).To(BeTrue())
+		_, again := r.submit()
+		Expect(again.Kind).To(Equal(errkind.NoTarget))
+		Expect(again.Pool).To(ConsistOf(HaveField("Unloaded", ConsistOf(tables.ServiceID("report")))))
+		generates, _, _ := site.engine.counts()
+		Expect(generates).To(Equal(1))
+	})
 	It("takes a second submission of a running request for the first", func() {
 		stream := make(chan target.Stream)
 		site.engine.generate = func() (target.Stream, error) { return <-stream, nil }
