Fold a patch of named entries at the cost of the entries

Cause: a patch was merged into the text of the whole document, which was parsed, validated and written anew; the merge alone took half of the time.

Change: entries that a patch names are merged, decoded and put into a copy of their map; the result is validated and written as before. Any other patch, and each that is not accepted this way, is decided by the old way, so that every release rejects with the same reason. The validator joins the parts of a path only for a fault.

Test: random patches, with names given twice, nulls, unknown and oddly written fields and broken JSON, are decided alike by both ways and come to the same text.

--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 
@@ -97,7 +98,7 @@
 		r.Reason = fmt.Sprintf("base is version %d, version %d is in force", p.Base, s.Version)
 		return s, r
 	}
-	doc, err := applyTo(s.canonical, p.Merge)
+	doc, err := s.apply(p.Merge)
 	if err != nil {
 		r.Kind = errkind.InvalidConfig
 		r.Reason = shorten(errkind.DetailOf(err), maxReasonBytes)
@@ -114,6 +115,15 @@
 	return next, r
 }
 
+// apply returns the document changed by a merge patch, validated. Errors are of
+// kind errkind.InvalidConfig.
+func (s State) apply(merge json.RawMessage) (*Document, error) {
+	if doc, ok := applyEntries(s.Document, len(s.canonical), merge); ok {
+		return doc, nil
+	}
+	return applyTo(s.canonical, merge)
+}
+
 func (s State) with(v Version, doc *Document) (State, error) {
 	text, err := Canonical(doc)
 	if err != nil {
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -46,33 +46,35 @@
 	err      error
 }
 
-func (v *validator) check(ok bool, path, format string, args ...any) {
+// check keeps the fault of the field of an entry at path. The two parts of its
+// path are joined for a fault only: a document has thousands of fields.
+func (v *validator) check(ok bool, path, field, format string, args ...any) {
 	if ok || v.err != nil {
 		return
 	}
-	v.err = errkind.New(errkind.InvalidConfig, path+": "+fmt.Sprintf(format, args...))
+	v.err = errkind.New(errkind.InvalidConfig, path+field+": "+fmt.Sprintf(format, args...))
 }
 
-func (v *validator) name(path, name string) {
-	v.check(name != "", path, "name is empty")
-	v.check(len(name) <= maxNameBytes, path, "name has %d bytes, more than %d", len(name), maxNameBytes)
+func (v *validator) name(path, field, name string) {
+	v.check(name != "", path, field, "name is empty")
+	v.check(len(name) <= maxNameBytes, path, field, "name has %d bytes, more than %d", len(name), maxNameBytes)
 	bad := strings.IndexFunc(name, func(r rune) bool {
 		return r == '/' || r == unicode.ReplacementChar || unicode.IsSpace(r) || unicode.IsControl(r)
 	})
-	v.check(bad < 0, path, "name %q holds a slash, a blank or a control character", name)
+	v.check(bad < 0, path, field, "name %q holds a slash, a blank or a control character", name)
 }
 
 func (v *validator) tiers() {
 	byRank := make(map[int]string)
 	for _, name := range sortedNames(v.doc.Tiers) {
 		t, path := v.doc.Tiers[name], "tiers."+name
-		v.name(path, name)
-		v.check(t.Rank >= 0, path+".rank", "%d is negative", t.Rank)
-		v.check(byRank[t.Rank] == "", path+".rank", "%d is also the rank of tier %q", t.Rank, byRank[t.Rank])
+		v.name(path, "", name)
+		v.check(t.Rank >= 0, path, ".rank", "%d is negative", t.Rank)
+		v.check(byRank[t.Rank] == "", path, ".rank", "%d is also the rank of tier %q", t.Rank, byRank[t.Rank])
 		byRank[t.Rank] = name
-		v.check(t.DeadlineMillis > 0 && t.DeadlineMillis <= maxDeadlineMillis, path+".deadline_ms",
+		v.check(t.DeadlineMillis > 0 && t.DeadlineMillis <= maxDeadlineMillis, path, ".deadline_ms",
 			"%d is not between 1 and %d", t.DeadlineMillis, maxDeadlineMillis)
-		v.check(t.FirstTokenMillis > 0 && t.FirstTokenMillis <= t.DeadlineMillis, path+".first_token_ms",
+		v.check(t.FirstTokenMillis > 0 && t.FirstTokenMillis <= t.DeadlineMillis, path, ".first_token_ms",
 			"%d is not between 1 and deadline_ms %d", t.FirstTokenMillis, t.DeadlineMillis)
 	}
 }
@@ -80,21 +82,21 @@
 func (v *validator) generations() {
 	for _, name := range sortedNames(v.doc.Generations) {
 		g, path := v.doc.Generations[name], "generations."+name
-		v.name(path, name)
-		v.check(g.PrefillTokensPerSecond > 0, path+".prefill_tokens_per_second", "%v is not positive", g.PrefillTokensPerSecond)
-		v.check(g.StepMillis > 0, path+".step_ms", "%v is not positive", g.StepMillis)
-		v.check(g.StepMillisPerSequence >= 0, path+".step_ms_per_sequence", "%v is negative", g.StepMillisPerSequence)
+		v.name(path, "", name)
+		v.check(g.PrefillTokensPerSecond > 0, path, ".prefill_tokens_per_second", "%v is not positive", g.PrefillTokensPerSecond)
+		v.check(g.StepMillis > 0, path, ".step_ms", "%v is not positive", g.StepMillis)
+		v.check(g.StepMillisPerSequence >= 0, path, ".step_ms_per_sequence", "%v is negative", g.StepMillisPerSequence)
 	}
 }
 
 func (v *validator) services() {
 	for _, name := range sortedNames(v.doc.Services) {
 		s, path := v.doc.Services[name], "services."+name
-		v.name(path, name)
-		v.check(has(v.doc.Tiers, s.Tier), path+".tier", "tier %q does not exist", s.Tier)
-		v.check(s.MaxBodyBytes >= 0 && s.MaxBodyBytes <= maxBodyBytes, path+".max_body_bytes",
+		v.name(path, "", name)
+		v.check(has(v.doc.Tiers, s.Tier), path, ".tier", "tier %q does not exist", s.Tier)
+		v.check(s.MaxBodyBytes >= 0 && s.MaxBodyBytes <= maxBodyBytes, path, ".max_body_bytes",
 			"%d is not between 0 and %d", s.MaxBodyBytes, maxBodyBytes)
-		v.check(s.KeyLifetimeSeconds >= 0 && s.KeyLifetimeSeconds <= maxKeyLifetime, path+".key_lifetime_s",
+		v.check(s.KeyLifetimeSeconds >= 0 && s.KeyLifetimeSeconds <= maxKeyLifetime, path, ".key_lifetime_s",
 			"%d is not between 0 and %d", s.KeyLifetimeSeconds, maxKeyLifetime)
 		v.serviceKind(path, s)
 	}
@@ -103,17 +105,17 @@
 func (v *validator) serviceKind(path string, s Service) {
 	switch s.Kind {
 	case ModelService:
-		v.check(s.Model != "", path+".model", "a model service names no model")
-		v.check(len(s.Operations) == 0, path+".operations", "a model service has no operations")
+		v.check(s.Model != "", path, ".model", "a model service names no model")
+		v.check(len(s.Operations) == 0, path, ".operations", "a model service has no operations")
 	case PlainService:
-		v.check(s.Model == "", path+".model", "a plain service has no model")
-		v.check(s.Adapter == "", path+".adapter", "a plain service has no adapter")
-		v.check(len(s.Operations) > 0, path+".operations", "a plain service names no operation")
+		v.check(s.Model == "", path, ".model", "a plain service has no model")
+		v.check(s.Adapter == "", path, ".adapter", "a plain service has no adapter")
+		v.check(len(s.Operations) > 0, path, ".operations", "a plain service names no operation")
 	default:
-		v.check(false, path+".kind", "%q is neither %q nor %q", s.Kind, ModelService, PlainService)
+		v.check(false, path, ".kind", "%q is neither %q nor %q", s.Kind, ModelService, PlainService)
 	}
 	for _, op := range sortedNames(s.Operations) {
-		v.name(path+".operations."+op, op)
+		v.name(path, ".operations."+op, op)
 	}
 }
 
@@ -121,18 +123,18 @@
 	byAddress := make(map[string]string)
 	for _, name := range sortedNames(v.doc.Targets) {
 		t, path := v.doc.Targets[name], "targets."+name
-		v.name(path, name)
+		v.name(path, "", name)
 		addr, err := netip.ParseAddrPort(t.Address)
-		v.check(err == nil, path+".address", "%q is not an IP number and a port", t.Address)
-		v.check(err != nil || addr.Port() != 0, path+".address", "%q has port 0", t.Address)
-		v.check(byAddress[t.Address] == "", path+".address", "%q is also the address of target %q", t.Address, byAddress[t.Address])
+		v.check(err == nil, path, ".address", "%q is not an IP number and a port", t.Address)
+		v.check(err != nil || addr.Port() != 0, path, ".address", "%q has port 0", t.Address)
+		v.check(byAddress[t.Address] == "", path, ".address", "%q is also the address of target %q", t.Address, byAddress[t.Address])
 		byAddress[t.Address] = name
-		v.name(path+".failure_domain", t.FailureDomain)
-		v.check(t.WindowMin >= 0 && t.WindowMin <= maxWindow, path+".window_min", "%d is not between 0 and %d", t.WindowMin, maxWindow)
-		v.check(t.WindowMax >= 0 && t.WindowMax <= maxWindow, path+".window_max", "%d is not between 0 and %d", t.WindowMax, maxWindow)
-		v.check(t.WindowMax == 0 || t.WindowMin <= t.WindowMax, path+".window_min", "%d exceeds window_max %d", t.WindowMin, t.WindowMax)
-		v.check(t.ModelSlots >= 0, path+".model_slots", "%d is negative", t.ModelSlots)
-		v.check(slices.Contains(roles, t.Role), path+".role", "%q is none of mixed, prefill and decode", t.Role)
+		v.name(path, ".failure_domain", t.FailureDomain)
+		v.check(t.WindowMin >= 0 && t.WindowMin <= maxWindow, path, ".window_min", "%d is not between 0 and %d", t.WindowMin, maxWindow)
+		v.check(t.WindowMax >= 0 && t.WindowMax <= maxWindow, path, ".window_max", "%d is not between 0 and %d", t.WindowMax, maxWindow)
+		v.check(t.WindowMax == 0 || t.WindowMin <= t.WindowMax, path, ".window_min", "%d exceeds window_max %d", t.WindowMin, t.WindowMax)
+		v.check(t.ModelSlots >= 0, path, ".model_slots", "%d is negative", t.ModelSlots)
+		v.check(slices.Contains(roles, t.Role), path, ".role", "%q is none of mixed, prefill and decode", t.Role)
 		v.targetServices(path, t)
 	}
 }
@@ -141,28 +143,28 @@
 	kinds := make(map[ServiceKind]bool)
 	for i, name := range t.Services {
 		at := fmt.Sprintf("%s.services[%d]", path, i)
-		v.check(has(v.doc.Services, name), at, "service %q does not exist", name)
-		v.check(slices.Index(t.Services, name) == i, at, "service %q is listed twice", name)
+		v.check(has(v.doc.Services, name), at, "", "service %q does not exist", name)
+		v.check(slices.Index(t.Services, name) == i, at, "", "service %q is listed twice", name)
 		kinds[v.doc.Services[name].Kind] = true
 	}
-	v.check(len(kinds) <= 1, path+".services", "a target serves either model services or plain services")
+	v.check(len(kinds) <= 1, path, ".services", "a target serves either model services or plain services")
 	if kinds[ModelService] || t.Generation != "" {
-		v.check(has(v.doc.Generations, t.Generation), path+".generation", "generation %q does not exist", t.Generation)
+		v.check(has(v.doc.Generations, t.Generation), path, ".generation", "generation %q does not exist", t.Generation)
 	}
 	if kinds[PlainService] {
-		v.check(t.Generation == "", path+".generation", "a target of plain services has no generation")
+		v.check(t.Generation == "", path, ".generation", "a target of plain services has no generation")
 	}
 }
 
 func (v *validator) customers() {
 	for _, name := range sortedNames(v.doc.Customers) {
 		c, path := v.doc.Customers[name], "customers."+name
-		v.name(path, name)
-		v.check(c.Share > 0, path+".share", "%v is not positive", c.Share)
-		v.check(c.MaxInFlight >= 0, path+".max_in_flight", "%d is negative", c.MaxInFlight)
-		v.check(c.TokensPerSecond >= 0, path+".tokens_per_second", "%v is negative", c.TokensPerSecond)
+		v.name(path, "", name)
+		v.check(c.Share > 0, path, ".share", "%v is not positive", c.Share)
+		v.check(c.MaxInFlight >= 0, path, ".max_in_flight", "%d is negative", c.MaxInFlight)
+		v.check(c.TokensPerSecond >= 0, path, ".tokens_per_second", "%v is negative", c.TokensPerSecond)
 		for i, tier := range c.Tiers {
-			v.check(has(v.doc.Tiers, tier), fmt.Sprintf("%s.tiers[%d]", path, i), "tier %q does not exist", tier)
+			v.check(has(v.doc.Tiers, tier), fmt.Sprintf("%s.tiers[%d]", path, i), "", "tier %q does not exist", tier)
 		}
 		v.keys(path, c.KeySHA256)
 	}
@@ -171,7 +173,7 @@
 func (v *validator) operators() {
 	for _, name := range sortedNames(v.doc.Operators) {
 		path := "operators." + name
-		v.name(path, name)
+		v.name(path, "", name)
 		v.keys(path, v.doc.Operators[name].KeySHA256)
 	}
 }
@@ -179,20 +181,20 @@
 func (v *validator) keys(path string, keys map[string]string) {
 	for _, label := range sortedNames(keys) {
 		at := path + ".key_sha256." + label
-		v.name(at, label)
+		v.name(at, "", label)
 		hash := keys[label]
 		raw, err := hex.DecodeString(hash)
-		v.check(err == nil && len(raw) == keyHashBytes && hash == strings.ToLower(hash), at,
+		v.check(err == nil && len(raw) == keyHashBytes && hash == strings.ToLower(hash), at, "",
 			"%q is not a SHA-256 in lower-case hex", hash)
-		v.check(v.keyOwner[hash] == "", at, "the key is also that of %s", v.keyOwner[hash])
+		v.check(v.keyOwner[hash] == "", at, "", "the key is also that of %s", v.keyOwner[hash])
 		v.keyOwner[hash] = at
 	}
 }
 
 func (v *validator) limits() {
 	l := v.doc.Limits
-	v.check(l.MaxQueuedPerTarget >= 0, "limits.max_queued_per_target", "%d is negative", l.MaxQueuedPerTarget)
-	v.check(l.WeightLoadsAtOnce >= 0, "limits.weight_loads_at_once", "%d is negative", l.WeightLoadsAtOnce)
+	v.check(l.MaxQueuedPerTarget >= 0, "limits", ".max_queued_per_target", "%d is negative", l.MaxQueuedPerTarget)
+	v.check(l.WeightLoadsAtOnce >= 0, "limits", ".weight_loads_at_once", "%d is negative", l.WeightLoadsAtOnce)
 }
 
 func sortedNames[V any](m map[string]V) []string {
