Feed gate and controller from the dispatcher of their host

Change: the dispatcher answers a long poll of gate and controller with the listing, the rows of its membership table, recent heartbeats and the configuration records that it has read, each with its age. They read for themselves when an answer is 1.3 s late, when the listing is older than that or the end of the log than 6 s, and take everything anew when they are fed again. The poll also tells the dispatcher which version is in force in the process. BLUEBELL_PEER_ADDRESS names the dispatcher in all three.

Tests in virtual time: dispatcher dead, silent, late, cut off from the gate or the platform, restarted without the log; a lagging list; a start without the log; random faults.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -37,6 +37,8 @@
 	OrderSent     = Event{1208, zapcore.InfoLevel, "order sent", "An order was accepted by an engine."}
 	OrderRefused  = Event{1209, zapcore.WarnLevel, "order refused", "An engine refused an order, for example for an old fencing number."}
 	PeerState     = Event{1210, zapcore.InfoLevel, "peer state changed", "A host is leaving, or is in the host list no longer or not yet."}
+	FeedTaken     = Event{1211, zapcore.InfoLevel, "dispatcher feeds", "This process takes hosts and configuration from the dispatcher of its host."}
+	FeedLost      = Event{1212, zapcore.WarnLevel, "dispatcher feeds no longer", "The dispatcher of this host is silent; this process reads the list and the log itself."}
 )
 
 // Requests: 1300 to 1399.
@@ -65,7 +67,7 @@
 	return []Event{
 		ProcessStarted, SettingsInForce, StopRequested, StopBoundPassed, ProcessStopped, ListenerFailed,
 		ConfigInForce, PatchRejected, LogUnreachable, LogTruncated, LogReachable, SnapshotAppended, RecordIgnored,
-		PeerUp, PeerDown, TargetLeaving, TargetOwned, TargetLost, LeaseTaken, LeaseLost, OrderSent, OrderRefused, PeerState,
+		PeerUp, PeerDown, TargetLeaving, TargetOwned, TargetLost, LeaseTaken, LeaseLost, OrderSent, OrderRefused, PeerState, FeedTaken, FeedLost,
 		RequestRefused, RequestFinished, RequestUnknown, StreamResumed, StreamSilent, DispatcherLost, ClaimLost,
 		QuarantineAdded, QuarantineLifted, InvariantFailed,
 		TargetCrashed, TargetStraggles, TargetRecovered,
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -139,9 +139,15 @@
 	event.LogTruncated.Log(f.opts.Logger, zap.Int64("offset", int64(next)), zap.Error(cause))
 }
 
+func (f *Follower) firstOffset(ctx context.Context) (platform.Offset, error) {
+	ctx, cancel := clockwork.WithTimeout(ctx, f.opts.Clock, readTimeout)
+	defer cancel()
+	return platform.FirstOffset(ctx, f.opts.Log, platform.ConfigStream)
+}
+
 // attach finds the state to start from.
 func (f *Follower) attach(ctx context.Context) error {
-	first, err := platform.FirstOffset(ctx, f.opts.Log, platform.ConfigStream)
+	first, err := f.firstOffset(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/harness/host.go
+++ b/internal/harness/host.go
@@ -67,7 +67,7 @@
 	if err := n.startDispatcher(); err != nil {
 		return err
 	}
-	gate, err := node.StartGate(settings.Gate{Common: n.common(), CallerAddress: n.h.loopback}, n.env(PartGate))
+	gate, err := node.StartGate(settings.Gate{Common: n.common(), CallerAddress: n.h.loopback, DispatcherAddress: n.peers.Addr().String()}, n.env(PartGate))
 	if err != nil {
 		return err
 	}
@@ -75,6 +75,7 @@
 	n.processes[PartGate] = gate
 	controller, err := node.StartController(settings.Controller{
 		Common: n.common(), OperatorAddress: n.h.loopback, PeerAddress: n.h.loopback, BootstrapOperator: digestOf(OperatorKey),
+		DispatcherAddress: n.peers.Addr().String(),
 	}, n.env(PartController))
 	if err != nil {
 		return err
--- a/internal/members/beat.go
+++ b/internal/members/beat.go
@@ -57,7 +57,9 @@
 func (m *Members) Suspect(id tables.HostID) {
 	m.mu.Lock()
 	m.order = append([]tables.HostID{id}, m.order...)
+	m.suspected[id] = true
 	m.mu.Unlock()
+	m.opts.Feed.Suspect(id)
 	m.beatSoon()
 }
 
@@ -154,7 +156,12 @@
 
 // partners returns the next host of a shuffled round over all hosts, more for
 // an announcement, and one host that others could not reach.
+//
+// A process that is fed tries only the hosts that did not answer it.
 func (m *Members) partners() []tables.Host {
+	if suspects := m.suspects(); m.opts.Feed.Fed() {
+		return suspects
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	hosts := make(map[tables.HostID]tables.Host)
@@ -274,17 +281,23 @@
 	hb := m.opts.Heartbeat()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.opts.Observer {
-		m.table.Self(hb.Leaving, hb.ConfigVersion)
-		m.settle(m.opts.Clock.Now(), false)
-		hb.Host = m.opts.Self.ID
-		hb.Incarnation = m.opts.Self.Incarnation
-		hb.Sequence = m.table.Sequence()
-	}
+	m.identify(&hb)
 	hb.Reports = m.table.Reports(to, reportLimit)
 	return hb
 }
 
+// identify fills in the host that a heartbeat speaks for; m.mu is held.
+func (m *Members) identify(hb *peer.Heartbeat) {
+	if m.opts.Observer {
+		return
+	}
+	m.table.Self(hb.Leaving, hb.ConfigVersion)
+	m.settle(m.opts.Clock.Now(), false)
+	hb.Host = m.opts.Self.ID
+	hb.Incarnation = m.opts.Self.Incarnation
+	hb.Sequence = m.table.Sequence()
+}
+
 // take notes what a peer says of itself and of others. News is passed on
 // at once.
 func (m *Members) take(hb peer.Heartbeat) {
--- a/internal/members/list.go
+++ b/internal/members/list.go
@@ -26,6 +26,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-m.opts.Feed.Changed():
 		case <-ticker.Chan():
 		}
 	}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -46,6 +46,9 @@
 	Heartbeat func() peer.Heartbeat
 	// OnHeartbeat is called with what peers say of themselves.
 	OnHeartbeat func(peer.Heartbeat)
+	// Feed is the dispatcher of this host; nil in processes that read for
+	// themselves only. Only observers are fed.
+	Feed Feed
 }
 
 // Members is the membership table of one process. It is safe for concurrent
@@ -65,6 +68,8 @@
 	homes []tables.HostID
 	// burst is how many peers the next heartbeat goes to.
 	burst int
+	// suspected are the hosts that did not answer a request of this process.
+	suspected map[tables.HostID]bool
 	// introduced is set once a peer has told about every host.
 	introduced bool
 }
@@ -83,6 +88,9 @@
 	if opts.OnHeartbeat == nil {
 		opts.OnHeartbeat = func(peer.Heartbeat) {}
 	}
+	if opts.Feed == nil {
+		opts.Feed = unfed{}
+	}
 	now := opts.Clock.Now()
 	if opts.Self.Incarnation == 0 && !opts.Observer {
 		opts.Self.Incarnation = now.UnixNano()
@@ -94,6 +102,8 @@
 		changed: make(chan struct{}),
 		soon:    make(chan struct{}, 1),
 		owners:  make(map[tables.TargetID]tables.HostID),
+
+		suspected: make(map[tables.HostID]bool),
 	}
 }
 
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -28,9 +28,9 @@
 // StartController starts a controller. The error is that of a listener.
 func StartController(s settings.Controller, env Env) (*Controller, error) {
 	n := &Controller{clients: newClients()}
-	n.proc = newProcess("controller", s.Common, env, part{
+	n.proc = newProcess(roleController, s.Common, env, part{
 		self:     tables.Host{ID: s.Host, Domain: s.FailureDomain},
-		observer: true,
+		observer: true, dispatcher: s.DispatcherAddress,
 	})
 	n.proc.registerCommon()
 	if err := n.listen(s); err != nil {
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -42,7 +42,7 @@
 // StartDispatcherOn starts a dispatcher on an open peer listener.
 func StartDispatcherOn(l net.Listener, s settings.Dispatcher, env Env) (*Dispatcher, error) {
 	n := &Dispatcher{listener: l, clients: newClients()}
-	n.proc = newProcess("dispatcher", s.Common, env, part{
+	n.proc = newProcess(roleDispatcher, s.Common, env, part{
 		self: tables.Host{
 			ID: s.Host, Domain: s.FailureDomain, PeerAddress: l.Addr().String(),
 			Incarnation: env.Clock.Now().UnixNano(),
@@ -69,6 +69,7 @@
 
 func (n *Dispatcher) register() {
 	n.proc.registerCommon()
+	n.proc.source.Serve(n.proc.mux, n.proc.members)
 	n.dispatcher.Register(n.proc.mux)
 	peer.Handle(n.proc.mux, peer.MethodShare, func(ctx context.Context, _ *peer.Conn, s peer.Share) (peer.Share, error) {
 		return n.quarantine.Share(ctx, s)
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -29,10 +29,10 @@
 // StartGate starts a gate. The error is that of a listener.
 func StartGate(s settings.Gate, env Env) (*Gate, error) {
 	n := &Gate{}
-	n.proc = newProcess("gate", s.Common, env, part{
+	n.proc = newProcess(roleGate, s.Common, env, part{
 		self:     tables.Host{ID: s.Host, Domain: s.FailureDomain},
-		observer: true,
-		heard:    func(h peer.Heartbeat) { n.gate.Heard(h) },
+		observer: true, dispatcher: s.DispatcherAddress,
+		heard: func(h peer.Heartbeat) { n.gate.Heard(h) },
 	})
 	p := n.proc
 	n.gate = gate.New(p.ctx, gate.Options{
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -14,6 +14,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/event"
+	"github.com/bluebellseam/bluebellseam/internal/feed"
 	"github.com/bluebellseam/bluebellseam/internal/follow"
 	"github.com/bluebellseam/bluebellseam/internal/members"
 	"github.com/bluebellseam/bluebellseam/internal/observe"
@@ -36,15 +37,23 @@
 	members  *members.Members
 	metrics  *observe.Metrics
 	log      *closableLog
-	leaving  atomic.Bool
-	running  sync.WaitGroup
-	servers  []*http.Server
+	// source feeds the other processes of the host; nil but in a dispatcher.
+	source *feed.Source
+	// fed takes from the dispatcher; nil in a dispatcher, and in a process that
+	// reads for itself only.
+	fed     *feed.Client
+	leaving atomic.Bool
+	running sync.WaitGroup
+	servers []*http.Server
 }
 
 // part is what a role adds to the common process.
 type part struct {
 	self     tables.Host
 	observer bool
+	// dispatcher is the peer listener of this host's dispatcher; empty in the
+	// dispatcher itself.
+	dispatcher string
 	// pool returns the summaries that go with heartbeats; may be nil.
 	pool func() []tables.PoolSummary
 	// heard takes the heartbeats of peers; may be nil.
@@ -53,18 +62,19 @@
 
 func newProcess(role string, s settings.Common, env Env, p part) *process {
 	ctx, cancel := context.WithCancel(context.Background())
-	log := &closableLog{log: env.Log}
-	env.Log = log
-	proc := &process{Env: env, log: log, settings: s, role: role, ctx: ctx, cancel: cancel, mux: peer.NewMux()}
+	closable := &closableLog{log: env.Log}
+	env.Log = closable
+	proc := &process{Env: env, log: closable, settings: s, role: role, ctx: ctx, cancel: cancel, mux: peer.NewMux()}
 	proc.metrics = observe.NewMetrics()
 	hello := peer.Hello{Host: s.Host, Role: role, Key: s.PeerKey}
 	proc.pool = peer.NewPool(ctx, hello, proc.mux, env.Clock)
+	log, list := proc.connectFeed(p)
 	proc.follower = follow.New(follow.Options{
-		Host: s.Host, Log: env.Log, Clock: env.Clock, Logger: env.Logger,
-		Peers: fetcher{proc}, SkipSnapshots: role != "controller", Retention: s.LogRetention,
+		Host: s.Host, Log: log, Clock: env.Clock, Logger: env.Logger,
+		Peers: fetcher{proc}, SkipSnapshots: role != roleController, Retention: s.LogRetention,
 	})
 	proc.members = members.New(members.Options{
-		Self: p.self, Observer: p.observer, List: env.List, Caller: proc.pool,
+		Self: p.self, Observer: p.observer, List: list, Feed: proc.feedOfMembers(), Caller: proc.pool,
 		Clock: env.Clock, Logger: env.Logger, ClaimShards: claims.DefaultShards,
 		Heartbeat:   func() peer.Heartbeat { return proc.heartbeat(p) },
 		OnHeartbeat: func(h peer.Heartbeat) { proc.heard(p, h) },
@@ -87,6 +97,9 @@
 		ConfigDigest:  current.Digest,
 		Leaving:       p.leaving.Load(),
 	}
+	if p.source != nil {
+		h.LowestVersion, h.Unheard = p.source.Lowest(h.ConfigVersion)
+	}
 	if q.pool != nil {
 		h.Pool = q.pool()
 	}
@@ -95,6 +108,9 @@
 
 func (p *process) heard(q part, h peer.Heartbeat) {
 	p.follower.Heard(config.Version(h.ConfigVersion), h.ConfigDigest)
+	if p.source != nil {
+		p.source.Heard(h)
+	}
 	if q.heard != nil {
 		q.heard(h)
 	}
@@ -114,6 +130,9 @@
 	p.spawn(func() { _ = p.follower.Run(p.ctx) })
 	p.spawn(func() { _ = p.members.Run(p.ctx) })
 	p.spawn(p.watchMetrics)
+	if p.fed != nil {
+		p.spawn(func() { _ = p.fed.Run(p.ctx, p.members) })
+	}
 }
 
 func (p *process) spawn(f func()) {
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -17,7 +17,7 @@
 func (p *process) peerAddresses() []string {
 	var out []string
 	for _, h := range p.members.Live() {
-		if h.PeerAddress != "" && (h.ID != p.settings.Host || p.role != "dispatcher") {
+		if h.PeerAddress != "" && (h.ID != p.settings.Host || p.role != roleDispatcher) {
 			out = append(out, h.PeerAddress)
 		}
 	}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -237,6 +237,11 @@
 	Reports []tables.MemberReport `json:"reports,omitempty"`
 	// WantAll asks for a report on every host in the answer.
 	WantAll bool `json:"want_all,omitempty"`
+	// LowestVersion is the lowest configuration version in force in the
+	// processes of the host that have been heard.
+	LowestVersion uint64 `json:"lowest_version,omitempty"`
+	// Unheard are the roles of the host's processes that have not been heard.
+	Unheard []string `json:"unheard,omitempty"`
 }
 
 // ConfigRequest asks a peer for its configuration.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,7 +44,10 @@
 // Gate are the settings of bluebell-gate.
 type Gate struct {
 	Common
-	CallerAddress string `env:"BLUEBELL_CALLER_ADDRESS" envDefault:"127.0.0.1:8080" flag:"caller-address" usage:"listener of the callers' API, as IP:port"`
+	// DispatcherAddress has the variable of the dispatcher's own setting, so
+	// that the processes of a host agree.
+	DispatcherAddress string `env:"BLUEBELL_PEER_ADDRESS" envDefault:"127.0.0.1:7070" flag:"dispatcher-address" usage:"peer listener of this host's dispatcher, as IP:port"`
+	CallerAddress     string `env:"BLUEBELL_CALLER_ADDRESS" envDefault:"127.0.0.1:8080" flag:"caller-address" usage:"listener of the callers' API, as IP:port"`
 }
 
 // Dispatcher are the settings of bluebell-dispatcher.
@@ -56,8 +59,10 @@
 // Controller are the settings of bluebell-controller.
 type Controller struct {
 	Common
-	OperatorAddress string `env:"BLUEBELL_OPERATOR_ADDRESS" envDefault:"127.0.0.1:8090" flag:"operator-address" usage:"listener of the operators' API, as IP:port"`
-	PeerAddress     string `env:"BLUEBELL_CONTROLLER_PEER_ADDRESS" envDefault:"127.0.0.1:7071" flag:"peer-address" usage:"listener for peers, as IP:port"`
+	// DispatcherAddress is that of Gate.
+	DispatcherAddress string `env:"BLUEBELL_PEER_ADDRESS" envDefault:"127.0.0.1:7070" flag:"dispatcher-address" usage:"peer listener of this host's dispatcher, as IP:port"`
+	OperatorAddress   string `env:"BLUEBELL_OPERATOR_ADDRESS" envDefault:"127.0.0.1:8090" flag:"operator-address" usage:"listener of the operators' API, as IP:port"`
+	PeerAddress       string `env:"BLUEBELL_CONTROLLER_PEER_ADDRESS" envDefault:"127.0.0.1:7071" flag:"peer-address" usage:"listener for peers, as IP:port"`
 	// BootstrapOperator lets the first operator publish: it counts only while
 	// the configuration names no operator.
 	BootstrapOperator string `env:"BLUEBELL_BOOTSTRAP_OPERATOR_SHA256" flag:"bootstrap-operator-sha256" usage:"hex SHA-256 of the key that publishes the first configuration"`
@@ -70,7 +75,7 @@
 	if err := load("bluebell-gate", &s, args, environ); err != nil {
 		return Gate{}, err
 	}
-	return s, checkAll(checkCommon(&s.Common), checkListener("--caller-address", s.CallerAddress))
+	return s, checkAll(checkCommon(&s.Common), checkListener("--caller-address", s.CallerAddress), checkListener("--dispatcher-address", s.DispatcherAddress))
 }
 
 // LoadDispatcher reads the settings of bluebell-dispatcher, like LoadGate.
@@ -92,6 +97,7 @@
 		checkCommon(&s.Common),
 		checkURL("--weight-store-url", "BLUEBELL_WEIGHT_STORE_URL", s.WeightStoreURL),
 		checkListener("--operator-address", s.OperatorAddress),
+		checkListener("--dispatcher-address", s.DispatcherAddress),
 		checkListener("--peer-address", s.PeerAddress),
 		checkDigest("--bootstrap-operator-sha256", s.BootstrapOperator),
 	)
