--- a/internal/api/operators/oas_json_gen.go
+++ b/internal/api/operators/oas_json_gen.go
@@ -224,6 +224,16 @@
 		e.FieldStart("version")
 		e.Int64(s.Version)
 	}
+	{
+		if s.Unheard != nil {
+			e.FieldStart("unheard")
+			e.ArrStart()
+			for _, elem := range s.Unheard {
+				e.Str(elem)
+			}
+			e.ArrEnd()
+		}
+	}
 	{
 		if s.HeardMsAgo.Set {
 			e.FieldStart("heard_ms_ago")
@@ -232,12 +242,13 @@
 	}
 }
 
-var jsonFieldsNameOfHostStatus = [5]string{
+var jsonFieldsNameOfHostStatus = [6]string{
 	0: "id",
 	1: "failure_domain",
 	2: "state",
 	3: "version",
-	4: "heard_ms_ago",
+	4: "unheard",
+	5: "heard_ms_ago",
 }
 
 // Decode decodes HostStatus from json.
@@ -295,6 +306,25 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"version\"")
 			}
+		case "unheard":
+			if err := func() error {
+				s.Unheard = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Unheard = append(s.Unheard, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"unheard\"")
+			}
 		case "heard_ms_ago":
 			if err := func() error {
 				s.HeardMsAgo.Reset()
--- a/internal/api/operators/oas_schemas_gen.go
+++ b/internal/api/operators/oas_schemas_gen.go
@@ -68,8 +68,11 @@
 	ID            string          `json:"id"`
 	FailureDomain string          `json:"failure_domain"`
 	State         HostStatusState `json:"state"`
-	Version       int64           `json:"version"`
-	HeardMsAgo    OptInt          `json:"heard_ms_ago"`
+	// The lowest version in force in the processes of the host that were heard.
+	Version int64 `json:"version"`
+	// The processes of the host that its dispatcher has not heard of late; absent when it has heard all.
+	Unheard    []string `json:"unheard"`
+	HeardMsAgo OptInt   `json:"heard_ms_ago"`
 }
 
 // GetID returns the value of ID.
@@ -92,6 +95,11 @@
 	return s.Version
 }
 
+// GetUnheard returns the value of Unheard.
+func (s *HostStatus) GetUnheard() []string {
+	return s.Unheard
+}
+
 // GetHeardMsAgo returns the value of HeardMsAgo.
 func (s *HostStatus) GetHeardMsAgo() OptInt {
 	return s.HeardMsAgo
@@ -117,6 +125,11 @@
 	s.Version = val
 }
 
+// SetUnheard sets the value of Unheard.
+func (s *HostStatus) SetUnheard(val []string) {
+	s.Unheard = val
+}
+
 // SetHeardMsAgo sets the value of HeardMsAgo.
 func (s *HostStatus) SetHeardMsAgo(val OptInt) {
 	s.HeardMsAgo = val
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -221,6 +221,18 @@
 			Entry("leaving and behind", api.HostStatusStateLeaving, int64(7)),
 			Entry("listed but silent", api.HostStatusStateDown, int64(8)),
 		)
+		It("names the processes that a host has not heard", func() {
+			h.status = func() *api.Status {
+				status := hosts(8, api.HostStatusStateLive)
+				status.Hosts[1].Unheard = []string{"controller", "gate"}
+				return status
+			}
+			stdin = "{}"
+			Expect(start("publish", "--base", "7", "--wait", "--wait-timeout", "0s")).To(Equal(ExitNotEverywhere))
+			Expect(stderr.String()).To(ContainSubstring("b (live, version 8, controller and gate not heard)"))
+			Expect(start("status")).To(Equal(ExitOK))
+			Expect(stdout.String()).To(ContainSubstring("controller and gate not heard"))
+		})
 		It("ends at once when the key loses its force, as the bootstrap key does", func() {
 			h.publish = func(p *api.Patch) (*api.PatchResult, error) {
 				h.key = "new-key"
--- a/internal/ctl/site_test.go
+++ b/internal/ctl/site_test.go
@@ -120,9 +120,14 @@
 		h.Log.SetDown(false)
 		Eventually(func() int { return ctl(first, `{"limits": {}}`, "publish", "--base", "5") }, "20s").Should(Equal(ExitOK))
 	})
+	It("does not call a version in force everywhere while a gate is not heard", func() {
+		second.Kill(harness.PartGate)
+		Expect(ctl(first, "{}", "publish", "--base", "6", "--wait", "--wait-timeout", "5s")).To(Equal(ExitNotEverywhere))
+		Expect(stderr.String()).To(ContainSubstring("h2 (live, version 7, gate not heard)"))
+	})
 	It("does not call a version in force everywhere while a listed host is silent", func() {
 		second.Kill()
-		Expect(ctl(first, "{}", "publish", "--base", "6", "--wait", "--wait-timeout", "1s")).To(Equal(ExitNotEverywhere))
+		Expect(ctl(first, "{}", "publish", "--base", "7", "--wait", "--wait-timeout", "1s")).To(Equal(ExitNotEverywhere))
 		Expect(stderr.String()).To(ContainSubstring("h2 (down"))
 	})
 })
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -45,9 +45,9 @@
 
 func heard(h api.HostStatus) string {
 	if !h.HeardMsAgo.Set {
-		return "never"
+		return "never" + unheard(h)
 	}
-	return fmt.Sprintf("%d ms ago", h.HeardMsAgo.Value)
+	return fmt.Sprintf("%d ms ago%s", h.HeardMsAgo.Value, unheard(h))
 }
 
 func counts(numbers []int) string {
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -56,19 +56,34 @@
 	}
 }
 
-// behind names the hosts that are not known to have version in force. A host
-// that is listed and not heard counts as behind; one that is no longer
-// listed does not count.
+// confirmed reports whether a host is known to have version in force in every
+// process.
+func confirmed(h api.HostStatus, version int64) bool {
+	return h.Version >= version && h.State != api.HostStatusStateDown && len(h.Unheard) == 0
+}
+
+// unheard names the processes of a host that are not heard.
+func unheard(h api.HostStatus) string {
+	if len(h.Unheard) == 0 {
+		return ""
+	}
+	return ", " + strings.Join(h.Unheard, " and ") + " not heard"
+}
+
+// behind names the hosts that are not known to have version in force in every
+// process. A host that is listed and not heard counts as behind, and so does
+// one with a process that is not heard; one that is no longer listed does not
+// count.
 func behind(s *api.Status, version int64) string {
 	var names []string
 	if s.Version < version {
 		names = append(names, fmt.Sprintf("%s (this host, version %d)", s.Host, s.Version))
 	}
 	for _, h := range s.Hosts {
-		if h.State == api.HostStatusStateUnlisted || h.Version >= version && h.State != api.HostStatusStateDown {
+		if h.State == api.HostStatusStateUnlisted || confirmed(h, version) {
 			continue
 		}
-		names = append(names, fmt.Sprintf("%s (%s, version %d)", h.ID, h.State, h.Version))
+		names = append(names, fmt.Sprintf("%s (%s, version %d%s)", h.ID, h.State, h.Version, unheard(h)))
 	}
 	if len(names) > maxNamed {
 		names = append(names[:maxNamed], fmt.Sprintf("and %d more", len(names)-maxNamed))
--- a/internal/feed/world_test.go
+++ b/internal/feed/world_test.go
@@ -72,7 +72,8 @@
 	follower *follow.Follower
 	members  *members.Members
 	client   *feed.Client
-	stop     context.CancelFunc
+	// stall ends the follower alone; stop ends all.
+	stall, stop context.CancelFunc
 	// versions are those that were in force, one after the other.
 	mu       sync.Mutex
 	versions []config.Version
@@ -180,7 +181,9 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
-	go func() { _ = p.follower.Run(ctx) }()
+	following, stall := context.WithCancel(ctx)
+	p.stall = stall
+	go func() { _ = p.follower.Run(following) }()
 	go func() { _ = p.members.Run(ctx) }()
 	go p.watch(ctx)
 }
--- a/internal/operators/operators_test.go
+++ b/internal/operators/operators_test.go
@@ -136,8 +136,8 @@
 			{ID: "d"},
 		}
 		s.beats = map[string]peer.Heartbeat{
-			"1": {ConfigVersion: 7, Pool: []tables.PoolSummary{{Target: "engine-2", Free: 2, RunningByTier: []int{1, 1}, QueuedByTier: []int{0, 3}, Straggler: true}}},
-			"2": {ConfigVersion: 6, Leaving: true, Pool: []tables.PoolSummary{{Target: "engine-2", Free: 1}}},
+			"1": {ConfigVersion: 7, LowestVersion: 7, Pool: []tables.PoolSummary{{Target: "engine-2", Free: 2, RunningByTier: []int{1, 1}, QueuedByTier: []int{0, 3}, Straggler: true}}},
+			"2": {ConfigVersion: 6, LowestVersion: 6, Leaving: true, Pool: []tables.PoolSummary{{Target: "engine-2", Free: 1}}},
 		}
 		h := &operators.Handler{Host: "a", Configuration: s, Members: s, Peers: s, Quarantine: s, Clock: clock}
 		handler, err := operators.NewServer(h, operators.NewKeys(s, digest("first-key")), noop.NewTracerProvider())
@@ -227,6 +227,16 @@
 			Straggler: api.NewOptBool(true), Leaving: api.NewOptBool(false), Drained: api.NewOptBool(false)}))
 		Expect(st.Targets[2].Owner).To(Equal("b"))
 	})
+	It("shows the lowest version of a host's processes and those not heard", func() {
+		s.beats["1"] = peer.Heartbeat{ConfigVersion: 7, LowestVersion: 5}
+		s.beats["2"] = peer.Heartbeat{ConfigVersion: 7, LowestVersion: 7, Unheard: []string{"gate"}}
+		st, err := client("eva-key").GetStatus(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(st.Hosts[0].Version).To(BeEquivalentTo(5))
+		Expect(st.Hosts[0].Unheard).To(BeEmpty())
+		Expect(st.Hosts[1].Version).To(BeEquivalentTo(7))
+		Expect(st.Hosts[1].Unheard).To(Equal([]string{"gate"}))
+	})
 	It("lists history and quarantine and releases an entry", func() {
 		history, err := client("eva-key").GetConfigHistory(ctx)
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/operators/status.go
+++ b/internal/operators/status.go
@@ -50,7 +50,8 @@
 	}
 	switch {
 	case answer != nil:
-		s.Version = int64(answer.ConfigVersion)
+		s.Version = int64(min(answer.ConfigVersion, answer.LowestVersion))
+		s.Unheard = answer.Unheard
 		s.HeardMsAgo = api.NewOptInt(0)
 	case !host.LastHeard.IsZero():
 		s.HeardMsAgo = api.NewOptInt(int(now.Sub(host.LastHeard).Milliseconds()))
