Look at idle peer connections only to close them

Cause: each end of a connection woke once a second; a node of the target size has some 190 ends, most of them idle.

Change: the next look at an idle connection is when it has to be closed. Use of an idle connection brings its probe forward to half a second.

Tests: a silent connection on which every call gives up early is still closed (fails when use puts a probe off); an idle one is closed after a minute.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -21,6 +21,9 @@
 const (
 	// pingAfter is the silence after which a busy connection is probed.
 	pingAfter = 1 * time.Second
+	// probeFirst is the time from the first use of an idle connection to its
+	// first probe.
+	probeFirst = 500 * time.Millisecond
 	// confirmEvery is the time between probes of a busy connection that is not
 	// silent.
 	confirmEvery = 2 * time.Second
@@ -45,6 +48,8 @@
 	// nanoseconds; zero before the first.
 	confirmed atomic.Int64
 	busy      atomic.Int64
+	// used delivers when an idle connection becomes busy.
+	used chan struct{}
 	outbox    *outbox
 	// ready is closed once rpc is set; its reader starts before that.
 	ready chan struct{}
@@ -53,7 +58,7 @@
 // newConn starts a connection on socket. A connection that was accepted
 // serves no method before a Hello with the right key.
 func newConn(ctx context.Context, socket net.Conn, mux *Mux, key string, clock clockwork.Clock, greeted bool) *Conn {
-	c := &Conn{clock: clock, mux: mux, key: key, outbox: newOutbox(), ready: make(chan struct{})}
+	c := &Conn{clock: clock, mux: mux, key: key, outbox: newOutbox(), ready: make(chan struct{}), used: make(chan struct{}, 1)}
 	c.greeted.Store(greeted)
 	c.lastHeard.Store(clock.Now().UnixNano())
 	stream := jsonrpc2.NewBufferedStream(&deadlineSocket{socket}, jsonrpc2.VarintObjectCodec{})
@@ -108,7 +113,12 @@
 // Hold marks the connection as busy until the returned function is called, so
 // that silence on it is probed.
 func (c *Conn) Hold() (release func()) {
-	c.busy.Add(1)
+	if c.busy.Add(1) == 1 {
+		select {
+		case c.used <- struct{}{}:
+		default:
+		}
+	}
 	var once atomic.Bool
 	return func() {
 		if once.CompareAndSwap(false, true) {
@@ -185,10 +195,12 @@
 }
 
 // watch probes a busy connection that has gone silent and closes it when the
-// probe is not answered, because an open socket proves nothing.
+// probe is not answered, because an open socket proves nothing. An idle one is
+// looked at only to close it.
 func (c *Conn) watch(ctx context.Context) {
-	ticker := c.clock.NewTicker(pingAfter)
-	defer ticker.Stop()
+	timer := c.clock.NewTimer(probeFirst)
+	defer timer.Stop()
+	next := c.clock.Now().Add(probeFirst)
 	for {
 		select {
 		case <-ctx.Done():
@@ -196,12 +208,29 @@
 			return
 		case <-c.Done():
 			return
-		case <-ticker.Chan():
+		case <-c.used:
+			// Use brings a probe forward and never puts it off, or calls that
+			// give up early would keep a silent connection.
+			if first := c.clock.Now().Add(probeFirst); first.Before(next) {
+				next = first
+				timer.Reset(probeFirst)
+			}
+		case <-timer.Chan():
 			c.probe(ctx)
+			wait := c.untilProbe()
+			next = c.clock.Now().Add(wait)
+			timer.Reset(wait)
 		}
 	}
 }
 
+func (c *Conn) untilProbe() time.Duration {
+	if c.busy.Load() > 0 {
+		return pingAfter
+	}
+	return max(pingAfter, idleAfter-c.clock.Now().Sub(c.LastHeard()))
+}
+
 func (c *Conn) probe(ctx context.Context) {
 	now := c.clock.Now()
 	silent := now.Sub(c.LastHeard())
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -97,6 +97,35 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(again).NotTo(BeIdenticalTo(conn))
 	})
+	It("closes a silent connection on which every call gives up before a probe", func() {
+		clock := clockwork.NewFakeClock()
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		relay := newRelay(l, serve(ctx, mux, clockwork.NewRealClock()))
+		conn, err := peer.NewPool(ctx, peer.Hello{Host: "a", Key: key}, peer.NewMux(), clock).Get(ctx, l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		relay.freeze()
+		begun := clock.Now()
+		release := conn.Hold()
+		Eventually(func() <-chan struct{} {
+			release()
+			release = conn.Hold()
+			clock.Advance(callStep)
+			return conn.Done()
+		}).Should(BeClosed())
+		Expect(clock.Since(begun)).To(BeNumerically("<", idleTime/2))
+	})
+	It("closes an idle connection after a minute and not before", func() {
+		clock := clockwork.NewFakeClock()
+		conn, err := peer.NewPool(ctx, peer.Hello{Host: "a", Key: key}, peer.NewMux(), clock).Get(ctx, serve(ctx, mux, clockwork.NewRealClock()))
+		Expect(err).NotTo(HaveOccurred())
+		clock.Advance(idleTime - callStep)
+		Consistently(conn.Done(), "50ms").ShouldNot(BeClosed())
+		Eventually(func() <-chan struct{} {
+			clock.Advance(callStep)
+			return conn.Done()
+		}).Should(BeClosed())
+	})
 })
 
 var _ = Describe("Conn", func() {
--- a/internal/peer/relay_test.go
+++ b/internal/peer/relay_test.go
@@ -9,6 +9,13 @@
 // pingStep moves the fake clock past one probe interval.
 const pingStep = 2 * time.Second
 
+const (
+	// callStep is shorter than the time to the first probe of a connection.
+	callStep = 300 * time.Millisecond
+	// idleTime is how long an unused connection stays open.
+	idleTime = 60 * time.Second
+)
+
 // relay forwards bytes between a listener and a server and can stop doing so
 // while all sockets stay open.
 type relay struct {
