Measure the feed and count it apart; look at hosts once a second for it

Cause: a poll without news cost 1.2 ms and 841 B at the target size, because each answer looked at 410 rows and carried the own heartbeat.

Change: the dispatcher looks at its table once a second or when a host's state changes, sends its heartbeat when it has changed, and answers at once only for a host's state, a listing or a record. make capacity measures polls, rows and new connections; the budget has a column for bytes within a node.

--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -33,6 +33,9 @@
 	// host leaves and joins.
 	changesOfList = 2
 	secondsPerDay = 24 * 60 * 60
+	// pollsOfFeed is the number of answers that a fed process gets a second
+	// without news: one after each read of the host list.
+	pollsOfFeed = readsOfList
 )
 
 // Row is what one mechanism costs a node.
@@ -41,16 +44,19 @@
 	// Load is the arithmetic in words.
 	Load string
 	// Core is a share of one core.
-	Core        float64
-	BytesPerSec float64
-	MemoryBytes float64
+	Core float64
+	// BytesPerSec passes between nodes and to and from the platform;
+	// LocalBytesPerSec passes between the processes of a node.
+	BytesPerSec      float64
+	LocalBytesPerSec float64
+	MemoryBytes      float64
 }
 
 // ControlRows returns what a node spends for control at a size.
 func ControlRows(s Size, m Slopes) []Row {
-	processes := float64(s.ProcessesOfNode)
-	reads := processes * readsOfList
-	exchanges := 2 * processes / beatInterval(s).Seconds()
+	processes, readers := float64(s.ProcessesOfNode), float64(s.ReadersOfNode)
+	reads := readers * readsOfList
+	exchanges := 2 * readers / beatInterval(s).Seconds()
 	changes := s.ChangesPerDay / secondsPerDay
 	snapshots := float64(snapshotsPerHour) / time.Hour.Seconds()
 	listings := changesOfList * s.RestartsPerDay / secondsPerDay
@@ -59,24 +65,30 @@
 	quiet := m.Value("wire.heartbeat_bytes") - 2*m.Value("members.reports_bytes")
 	return []Row{
 		{
-			Work: "host list", Load: fmt.Sprintf("%g processes ask for it %d times a second and get it when it has changed", processes, readsOfList),
+			Work: "host list", Load: fmt.Sprintf("%g of %g processes asks for it %d times a second and gets it when it has changed", readers, processes, readsOfList),
 			Core:        reads*m.Value("members.unchanged_time") + processes*listings*m.Value("members.take_listing"),
-			BytesPerSec: reads*m.Value("members.unchanged_bytes") + processes*listings*m.Value("members.listing_bytes"),
+			BytesPerSec: reads*m.Value("members.unchanged_bytes") + readers*listings*m.Value("members.listing_bytes"),
 			MemoryBytes: processes * m.Value("members.table_memory"),
 		},
 		{
 			Work: "heartbeats", Load: fmt.Sprintf("%g exchanges a second, half of them asked by others; one process asks every %s", exchanges, beatInterval(s)),
-			Core: exchanges * (m.Value("wire.heartbeat_time")/2 + m.Value("members.take_heartbeat")), BytesPerSec: exchanges*quiet + processes*listings*newsCopies*m.Value("members.reports_bytes")/reportsInHeartbeat,
+			Core:        exchanges * (m.Value("wire.heartbeat_time")/2 + m.Value("members.take_heartbeat")),
+			BytesPerSec: exchanges*quiet + readers*listings*newsCopies*m.Value("members.reports_bytes")/reportsInHeartbeat,
 		},
+		{
+			Work: "new connections", Load: fmt.Sprintf("one for each exchange, because a partner comes again after %s", beatInterval(s)*time.Duration(s.Nodes)),
+			Core: exchanges * m.Value("wire.dial_time") / 2, BytesPerSec: exchanges * m.Value("wire.dial_bytes"),
+		},
+		feedRow(s, m, exchanges, changes, listings, snapshots),
 		{
 			Work: "changes of configuration", Load: fmt.Sprintf("%.3f a second, folded by %g processes", changes, processes),
 			Core:        changes * (processes*m.Value("config.fold_patch") + 2*m.Value("config.index_keys")),
-			BytesPerSec: processes * changes * m.Value("config.patch_record") * base64Growth,
+			BytesPerSec: readers * changes * m.Value("config.patch_record") * base64Growth,
 			MemoryBytes: processes * m.Value("config.state_memory"),
 		},
 		{
-			Work: "configuration snapshots", Load: fmt.Sprintf("%d an hour, read by %g processes", snapshotsPerHour, processes),
-			Core: processes * snapshots * m.Value("config.fold_snapshot"), BytesPerSec: processes * snapshots * m.Value("config.snapshot_record") * base64Growth,
+			Work: "configuration snapshots", Load: fmt.Sprintf("%d an hour, read by %g and passed on to %g processes", snapshotsPerHour, readers, processes-readers),
+			Core: processes * snapshots * m.Value("config.fold_snapshot"), BytesPerSec: readers * snapshots * m.Value("config.snapshot_record") * base64Growth,
 		},
 		{
 			Work: "owners of targets", Load: fmt.Sprintf("%.4f changes of the list a second, worked out by %g processes", listings, processes),
@@ -93,6 +105,22 @@
 	}
 }
 
+// feedRow returns what the processes of a node that do not read spend on
+// taking from the one that does.
+func feedRow(s Size, m Slopes, exchanges, changes, listings, snapshots float64) Row {
+	fed := float64(s.ProcessesOfNode - s.ReadersOfNode)
+	polls := pollsOfFeed + changes + listings + snapshots
+	heartbeat := m.Value("members.heartbeat_bytes") - m.Value("members.reports_bytes")
+	records := changes*m.Value("config.patch_record") + snapshots*m.Value("config.snapshot_record")
+	return Row{
+		Work: "feed within the node", Load: fmt.Sprintf("%g processes poll the dispatcher %.2f times a second", fed, polls),
+		Core: fed * polls * (m.Value("feed.poll_time") + 2*m.Value("members.take_heartbeat")),
+		LocalBytesPerSec: fed * (polls*m.Value("feed.poll_bytes") +
+			exchanges*(heartbeat+m.Value("feed.row_bytes")) +
+			records*base64Growth + listings*m.Value("members.listing_bytes")),
+	}
+}
+
 // RequestRows returns what a node spends on its share of the requests.
 func RequestRows(s Size, m Slopes) []Row {
 	requests := s.RequestsPerSec / float64(s.Nodes)
@@ -132,7 +160,7 @@
 	others := float64(s.Nodes - 1)
 	heartbeats := min(others, idleConnection.Seconds()/beatInterval(s).Seconds())
 	requests := distinct(others, s.RequestsPerSec/float64(s.Nodes)*idleConnection.Seconds())
-	return 2 * (float64(s.ProcessesOfNode)*heartbeats + requests)
+	return 2 * (float64(s.ReadersOfNode)*heartbeats + requests + float64(s.ProcessesOfNode-s.ReadersOfNode))
 }
 
 // distinct returns how many of n places are hit by random draws.
@@ -146,6 +174,7 @@
 	for _, r := range rows {
 		sum.Core += r.Core
 		sum.BytesPerSec += r.BytesPerSec
+		sum.LocalBytesPerSec += r.LocalBytesPerSec
 		sum.MemoryBytes += r.MemoryBytes
 	}
 	return sum
@@ -162,7 +191,7 @@
 	p.total("sum", Total(control))
 	limit := TargetBudget()
 	p.total("**budget**", Row{Core: limit.Core, BytesPerSec: limit.BytesPerSec, MemoryBytes: limit.MemoryBytes})
-	p.print("\nThe memory is heap and stacks; the Go runtime and the program text of three\nprocesses come on top, see `docs/CAPACITY.md`.\n\n## Requests\n\n")
+	p.print("\nThe budget of bytes is for what passes between nodes and to and from the platform;\nwhat passes between the processes of a node, on its loopback, has a column of its\nown. Bytes are those of the connections, without TCP headers.\n\nThe memory is heap and stacks; the Go runtime and the program text of three\nprocesses come on top, see `docs/CAPACITY.md`.\n\n## Requests\n\n")
 	p.rows(RequestRows(s, m))
 	return p.err
 }
@@ -180,14 +209,14 @@
 }
 
 func (p *page) rows(rows []Row) {
-	p.print("| work | load | %% of a core | bytes/s | memory in MB |\n|---|---|---|---|---|\n")
+	p.print("| work | load | %% of a core | bytes/s | bytes/s within the node | memory in MB |\n|---|---|---|---|---|---|\n")
 	for _, r := range rows {
-		p.print("| %s | %s | %s | %s | %s |\n", r.Work, r.Load, number(r.Core*100), number(r.BytesPerSec), number(r.MemoryBytes/1e6))
+		p.print("| %s | %s | %s | %s | %s | %s |\n", r.Work, r.Load, number(r.Core*100), number(r.BytesPerSec), number(r.LocalBytesPerSec), number(r.MemoryBytes/1e6))
 	}
 }
 
 func (p *page) total(name string, r Row) {
-	p.print("| %s | | %s | %s | %s |\n", name, number(r.Core*100), number(r.BytesPerSec), number(r.MemoryBytes/1e6))
+	p.print("| %s | | %s | %s | %s | %s |\n", name, number(r.Core*100), number(r.BytesPerSec), number(r.LocalBytesPerSec), number(r.MemoryBytes/1e6))
 }
 
 // number writes a value with three digits; nothing stands for zero.
--- /dev/null
+++ b/internal/capacity/feed.go
@@ -0,0 +1,114 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/bluebellseam/bluebellseam/internal/feed"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/standin/hostlist"
+	"github.com/bluebellseam/bluebellseam/internal/standin/logstore"
+	"github.com/bluebellseam/bluebellseam/internal/systems/membership"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+// feedPolls is the number of polls that a slope is averaged over.
+const feedPolls = 1000
+
+// fixedMembers is a membership table that does not change.
+type fixedMembers struct {
+	table *membership.Table
+	now   time.Time
+	own   peer.Heartbeat
+}
+
+// Views returns the rows of the table.
+func (f fixedMembers) Views() []tables.HostView { return f.table.Views(f.now) }
+
+// Own returns the heartbeat of the feeding host.
+func (f fixedMembers) Own() peer.Heartbeat { return f.own }
+
+// Changed never delivers.
+func (f fixedMembers) Changed() <-chan struct{} { return nil }
+
+// Suspect does nothing.
+func (f fixedMembers) Suspect(tables.HostID) {}
+
+// feedSlopes measures what a process of a host takes from the dispatcher.
+func feedSlopes(s Size) ([]Slope, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), wireTimeout)
+	defer cancel()
+	l, err := openFeed(ctx, s)
+	if err != nil {
+		return nil, err
+	}
+	var last peer.Feed
+	first, err := l.measure(1, func() error { return l.poll(ctx, &last, 1) })
+	if err != nil {
+		return nil, err
+	}
+	quiet, err := l.measure(feedPolls, func() error { return l.poll(ctx, &last, feedPolls) })
+	if err != nil {
+		return nil, err
+	}
+	now := time.Unix(1_800_000_000, 0)
+	row, err := json.Marshal(s.memberTable(now).Views(now)[0])
+	if err != nil {
+		return nil, err
+	}
+	return []Slope{
+		{"feed.first_bytes", first.bytes, Bytes, "first poll of a process", "one call over loopback at the target size"},
+		{"feed.poll_bytes", quiet.bytes, Bytes, "poll without news, both ways", "1000 calls over loopback at the target size"},
+		{"feed.poll_time", quiet.seconds, Seconds, "poll without news, both ends", "processor time of 1000 calls over loopback at the target size"},
+		{"feed.row_bytes", float64(len(row)), Bytes, "changed row of the membership table", "JSON"},
+	}, nil
+}
+
+// openFeed serves a feed at the target size on loopback.
+func openFeed(ctx context.Context, s Size) (*link, error) {
+	clock := clockwork.NewRealClock()
+	list := hostlist.New(clock, 0)
+	list.SetHosts(s.listing().Hosts)
+	list.SetTargets(s.listing().Targets)
+	source := feed.NewSource(feed.SourceOptions{Host: "entry-000", Clock: clock, Log: logstore.New(clock, logstore.Options{}), List: list})
+	if _, err := source.List().List(ctx); err != nil {
+		return nil, fmt.Errorf("list: %w", err)
+	}
+	if _, err := source.Log().Read(ctx, platform.ConfigStream, 0, 0); err != nil {
+		return nil, fmt.Errorf("log: %w", err)
+	}
+	now := time.Unix(1_800_000_000, 0)
+	own := s.heartbeat()
+	own.Reports = nil
+	mux := peer.NewMux()
+	source.Serve(mux, fixedMembers{table: s.memberTable(now), now: now, own: own})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	l := &link{bytes: new(atomic.Int64), address: listener.Addr().String()}
+	counted := &countingListener{Listener: listener, bytes: l.bytes}
+	go func() { _ = peer.Serve(ctx, counted, mux, wireKey, clock) }()
+	l.pool = peer.NewPool(ctx, peer.Hello{Host: "entry-000", Role: "gate", Key: wireKey}, peer.NewMux(), clock)
+	_, err = l.pool.Get(ctx, l.address)
+	return l, err
+}
+
+// poll asks for what is new, again and again without a wait.
+func (l *link) poll(ctx context.Context, last *peer.Feed, times int) error {
+	for range times {
+		q := peer.FeedRequest{Role: "gate", ConfigVersion: 123_456, Source: last.Source, Seen: last.Revision}
+		*last = peer.Feed{}
+		if err := l.pool.Call(ctx, l.address, peer.MethodFeed, q, last); err != nil {
+			return fmt.Errorf("poll: %w", err)
+		}
+	}
+	return nil
+}
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -14,6 +14,7 @@
 		{"claims", claimSlopes},
 		{"schedule", scheduleSlopes},
 		{"wire", wireSlopes},
+		{"feed", feedSlopes},
 		{"hosts", hostSlopes},
 	}
 	var all []Slope
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -26,6 +26,9 @@
 	ChangesPerDay   float64
 	RestartsPerDay  float64
 	ProcessesOfNode int
+	// ReadersOfNode are the processes of a node that read the host list and the
+	// log and exchange heartbeats; the others take these from them.
+	ReadersOfNode int
 }
 
 // Target is the size that the system is designed for.
@@ -44,6 +47,7 @@
 		ChangesPerDay:   5100,
 		RestartsPerDay:  130,
 		ProcessesOfNode: 3,
+		ReadersOfNode:   1,
 	}
 }
 
--- a/internal/capacity/wire.go
+++ b/internal/capacity/wire.go
@@ -19,6 +19,7 @@
 	wireCalls       = 2000
 	wireChunks      = 50_000
 	wireConnections = 64
+	wireDials       = 200
 	wireTimeout     = time.Minute
 	wireKey         = "key of the capacity measurement"
 )
@@ -86,6 +87,10 @@
 	if err != nil {
 		return nil, err
 	}
+	dial, err := l.measure(wireDials, func() error { return l.dialAnew(ctx) })
+	if err != nil {
+		return nil, err
+	}
 	chunk, err := l.measure(wireChunks, func() error { return l.receiveChunks(ctx) })
 	if err != nil {
 		return nil, err
@@ -97,6 +102,8 @@
 	return []Slope{
 		{"wire.heartbeat_bytes", heartbeat.bytes, Bytes, "heartbeat with its answer, both ways", "2000 calls over loopback"},
 		{"wire.heartbeat_time", heartbeat.seconds, Seconds, "heartbeat with its answer, both ends", "processor time of 2000 calls over loopback"},
+		{"wire.dial_bytes", dial.bytes, Bytes, "new connection, both ways", "200 connections over loopback, their greeting"},
+		{"wire.dial_time", dial.seconds, Seconds, "new connection, both ends", "processor time of 200 connections over loopback"},
 		{"wire.chunk_bytes", chunk.bytes, Bytes, "chunk of one token", "50000 notifications over loopback"},
 		{"wire.chunk_time", chunk.seconds, Seconds, "chunk of one token, both ends", "processor time of 50000 notifications over loopback"},
 		{"wire.connection_memory", memory, Bytes, "connection, one end", "heap and stacks of 64 idle connections, halved"},
@@ -136,6 +143,16 @@
 	return nil
 }
 
+// dialAnew opens connections one after the other.
+func (l *link) dialAnew(ctx context.Context) error {
+	for range wireDials {
+		if _, err := l.pool.Fresh(ctx, l.address); err != nil {
+			return fmt.Errorf("dial: %w", err)
+		}
+	}
+	return nil
+}
+
 func (l *link) receiveChunks(ctx context.Context) error {
 	request := requestOf(1, time.Unix(1_800_000_000, 0))
 	if err := l.pool.Call(ctx, l.address, peer.MethodAttach, peer.Attach{ID: request}, nil); err != nil {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -28,6 +28,9 @@
 	retryPause = 500 * time.Millisecond
 	// processBound is how long a process counts as heard after its poll.
 	processBound = 3 * time.Second
+	// viewEvery is the longest time between two looks at the membership table;
+	// a change of a host's state is looked at at once.
+	viewEvery = 1 * time.Second
 	// beatBound is the greatest age of a heartbeat that is passed on.
 	beatBound = 2 * time.Second
 	// suspectsAtOnce bounds the suspects that wait to be passed on.
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"reflect"
 	"slices"
 	"sync"
 	"time"
@@ -46,10 +47,18 @@
 
 	mu       sync.Mutex
 	revision uint64
-	listed   listedAt
-	rows     map[tables.HostID]rowAt
-	beats    map[tables.HostID]beatAt
-	polled   map[string]pollAt
+	// views are those of the last look at the table, and joined what tells of
+	// the change after it.
+	views  []tables.HostView
+	viewed time.Time
+	joined <-chan struct{}
+	// urgent is the revision of the last change of a host's state.
+	urgent uint64
+	own    beatAt
+	listed listedAt
+	rows   map[tables.HostID]rowAt
+	beats  map[tables.HostID]beatAt
+	polled map[string]pollAt
 }
 
 // The latest entries, with the revision that brought them.
@@ -127,7 +136,7 @@
 	listed := s.list.waiting()
 	for {
 		joined, read := s.members.Changed(), s.log.tail.waiting()
-		if out := s.compose(q); s.worth(q, out) {
+		if out, urgent := s.compose(q); urgent || q.Wait == 0 {
 			out.Held = s.opts.Clock.Now().Sub(begun)
 			return out
 		}
@@ -144,49 +153,53 @@
 	}
 }
 
-// worth reports whether an answer is sent at once: it has news that must not
-// wait, or the wait is over.
-func (s *Source) worth(q peer.FeedRequest, out peer.Feed) bool {
-	first := q.Source != s.started
-	return first || q.Wait == 0 || out.Listing != nil || len(out.Hosts) > 0 || out.Log != nil && len(out.Log.Records) > 0
-}
-
-func (s *Source) compose(q peer.FeedRequest) peer.Feed {
+// compose returns the answer as of now, and whether it has news that must not
+// wait.
+func (s *Source) compose(q peer.FeedRequest) (out peer.Feed, urgent bool) {
 	own := s.members.Own()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	listing, listAge := s.list.latest()
-	views := s.members.Views()
-	s.observe(listing, views)
+	s.observeListing(listing)
+	s.observeHosts()
+	s.observeOwn(own)
 	seen := q.Seen
 	if q.Source != s.started {
 		seen = 0
 	}
-	out := peer.Feed{Host: s.opts.Host, Source: s.started, Revision: s.revision, ListAge: listAge, LogAge: s.log.tail.age()}
+	out = peer.Feed{Host: s.opts.Host, Source: s.started, Revision: s.revision, ListAge: listAge, LogAge: s.log.tail.age()}
 	if s.listed.revision > seen {
 		out.Listing = &listing
 	}
-	for _, v := range views {
-		if s.rows[v.Host].revision > seen {
-			out.Hosts = append(out.Hosts, v)
-		}
-	}
-	out.Beats = append(s.recent(seen), own)
+	out.Hosts = s.changedHosts(seen)
+	out.Beats = s.recent(seen)
 	if page, ok := s.log.tail.page(q.LogNext); ok {
 		out.Log = &page
 	}
-	return out
+	urgent = q.Source != s.started || s.urgent > seen || out.Listing != nil || out.Log != nil && len(out.Log.Records) > 0
+	return out, urgent
 }
 
-// observe gives what has changed a new revision; s.mu is held.
-func (s *Source) observe(listing platform.Listing, views []tables.HostView) {
-	next := s.revision + 1
-	if listing.Targets != nil && (!s.listed.have || s.listed.version != listing.Version) {
-		s.listed = listedAt{revision: next, version: listing.Version, have: true}
-		s.revision = next
+// observeListing gives a new listing a revision; s.mu is held.
+func (s *Source) observeListing(listing platform.Listing) {
+	if listing.Targets == nil || s.listed.have && s.listed.version == listing.Version {
+		return
 	}
-	now := s.opts.Clock.Now()
-	for _, v := range views {
+	s.revision++
+	s.listed = listedAt{revision: s.revision, version: listing.Version, have: true}
+}
+
+// observeHosts gives the rows that have changed a new revision; s.mu is held.
+func (s *Source) observeHosts() {
+	joined, now := s.members.Changed(), s.opts.Clock.Now()
+	if joined == s.joined && !s.viewed.IsZero() && now.Sub(s.viewed) < viewEvery {
+		return
+	}
+	changed := joined != s.joined
+	s.joined, s.viewed = joined, now
+	s.views = s.members.Views()
+	next := s.revision + 1
+	for _, v := range s.views {
 		heard := now.Add(-v.HeardAgo)
 		v.HeardAgo = min(v.HeardAgo, 0)
 		old := s.rows[v.Host]
@@ -196,10 +209,42 @@
 		s.rows[v.Host] = rowAt{revision: next, view: v, heard: heard}
 		s.revision = next
 	}
+	if changed {
+		s.urgent = s.revision
+	}
 }
 
-// recent returns the heartbeats after a revision that are still recent, and
-// forgets the others; s.mu is held.
+// observeOwn gives the own heartbeat a new revision when it has changed; s.mu
+// is held.
+func (s *Source) observeOwn(own peer.Heartbeat) {
+	if s.own.revision > 0 && reflect.DeepEqual(s.own.beat, own) {
+		return
+	}
+	s.revision++
+	s.own = beatAt{revision: s.revision, beat: own}
+}
+
+// changedHosts returns the rows after a revision; s.mu is held.
+func (s *Source) changedHosts(seen uint64) []tables.HostView {
+	if seen == s.revision {
+		return nil
+	}
+	var out []tables.HostView
+	since := s.opts.Clock.Now().Sub(s.viewed)
+	for _, v := range s.views {
+		if s.rows[v.Host].revision <= seen {
+			continue
+		}
+		if v.HeardAgo >= 0 {
+			v.HeardAgo += since
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+// recent returns the heartbeats after a revision that are still recent, the own
+// one included, and forgets the others; s.mu is held.
 func (s *Source) recent(seen uint64) []peer.Heartbeat {
 	var out []peer.Heartbeat
 	now := s.opts.Clock.Now()
@@ -212,6 +257,9 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b peer.Heartbeat) int { return cmp.Compare(a.Host, b.Host) })
+	if s.own.revision > seen {
+		out = append(out, s.own.beat)
+	}
 	return out
 }
 
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -49,8 +49,8 @@
 	confirmed atomic.Int64
 	busy      atomic.Int64
 	// used delivers when an idle connection becomes busy.
-	used chan struct{}
-	outbox    *outbox
+	used   chan struct{}
+	outbox *outbox
 	// ready is closed once rpc is set; its reader starts before that.
 	ready chan struct{}
 }
