--- a/internal/logread/logread.go
+++ b/internal/logread/logread.go
@@ -101,6 +101,8 @@
 // First returns the oldest offset that the stream keeps. Errors wrap
 // platform.ErrUnavailable.
 func (s Stream) First(ctx context.Context) (platform.Offset, error) {
+	ctx, cancel := clockwork.WithTimeout(ctx, s.Clock, timeout)
+	defer cancel()
 	return platform.FirstOffset(ctx, s.Log, s.Name)
 }
 
