Set up the demand specs before the controllers run

Cause: the race detector found that the specs of the demand changed the world's configuration while controllers read it (a fault of the specs). Change: the controllers are stopped first.

--- a/internal/orders/demand_test.go
+++ b/internal/orders/demand_test.go
@@ -98,9 +98,11 @@
 	names := []string{"a01x", "a02", "a03x", "a04", "a05", "a06", "a07", "a08", "a09", "a10", "a11", "a12"}
 	inWorld(seed, names, func(w *world) {
 		l := newLoad(w, rates)
-		w.change, w.measure = twoModels, l.Measure
 		for _, h := range w.hosts {
 			h.end()
+		}
+		w.change, w.measure = twoModels, l.Measure
+		for _, h := range w.hosts {
 			h.start()
 		}
 		ctx, cancel := context.WithCancel(context.Background())
