--- a/internal/scenario/arguments.go
+++ b/internal/scenario/arguments.go
@@ -113,4 +113,21 @@
 	return span{low, high}, nil
 }
 
+// span takes the next plain word as a range of counts.
+func (a *arguments) span() (span, error) {
+	text, err := a.word("count")
+	if err != nil {
+		return span{}, err
+	}
+	return parseSpan(text)
+}
+
+// String returns the range as it is written.
+func (s span) String() string {
+	if s.low == s.high {
+		return strconv.Itoa(s.low)
+	}
+	return fmt.Sprintf("%d-%d", s.low, s.high)
+}
+
 func (s span) contains(n int) bool { return n >= s.low && n <= s.high }
--- a/internal/scenario/checks.go
+++ b/internal/scenario/checks.go
@@ -97,11 +97,7 @@
 	if err != nil {
 		return err
 	}
-	text, err := a.word("count")
-	if err != nil {
-		return err
-	}
-	expected, err := parseSpan(text)
+	expected, err := a.span()
 	if err != nil {
 		return err
 	}
@@ -115,7 +111,7 @@
 		return err == nil && expected.contains(seen)
 	})
 	if !holds {
-		return fmt.Errorf("host %q shows %d queued requests at %q and not %s: %v", at, seen, name, text, last)
+		return fmt.Errorf("host %q shows %d queued requests at %q and not %s: %v", at, seen, name, expected, last)
 	}
 	return nil
 }
@@ -130,16 +126,12 @@
 
 // checkAppends compares the records that the log has taken.
 func checkAppends(_ context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
-	text, err := a.word("count")
-	if err != nil {
-		return err
-	}
-	expected, err := parseSpan(text)
+	expected, err := a.span()
 	if err != nil {
 		return err
 	}
 	if n := s.h.Log.Appends(); !expected.contains(n) {
-		return fmt.Errorf("the log took %d records and not %s", n, text)
+		return fmt.Errorf("the log took %d records and not %s", n, expected)
 	}
 	return nil
 }
@@ -163,11 +155,7 @@
 
 // checkNotLoaded compares the sends that engines refused for their models.
 func checkNotLoaded(_ context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
-	text, err := a.word("count")
-	if err != nil {
-		return err
-	}
-	expected, err := parseSpan(text)
+	expected, err := a.span()
 	if err != nil {
 		return err
 	}
@@ -176,7 +164,7 @@
 		total += run.NotLoaded
 	}
 	if !expected.contains(total) {
-		return fmt.Errorf("engines refused %d sends for their models and not %s", total, text)
+		return fmt.Errorf("engines refused %d sends for their models and not %s", total, expected)
 	}
 	return nil
 }
--- a/internal/scenario/stale.go
+++ b/internal/scenario/stale.go
@@ -78,11 +78,7 @@
 // holdOrders keeps the orders of a host's controller until wake; with orders=N
 // it waits until so many are held that were sent since an earlier hold-orders.
 func holdOrders(ctx context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
-	host, err := s.hostOf(a)
-	if err != nil {
-		return err
-	}
-	orders, err := a.number("orders", 0)
+	host, orders, err := s.hostAndOrders(a)
 	if err != nil {
 		return err
 	}
@@ -90,13 +86,18 @@
 	return host.AwaitHeldOrders(ctx, orders)
 }
 
-// pauseHost freezes a controller once orders=N orders are held.
-func pauseHost(ctx context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
+func (s *state) hostAndOrders(a *arguments) (*harness.Host, int, error) {
 	host, err := s.hostOf(a)
 	if err != nil {
-		return err
+		return nil, 0, err
 	}
 	orders, err := a.number("orders", 0)
+	return host, orders, err
+}
+
+// pauseHost freezes a controller once orders=N orders are held.
+func pauseHost(ctx context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
+	host, orders, err := s.hostAndOrders(a)
 	if err != nil {
 		return err
 	}
