--- a/internal/gate/join.go
+++ b/internal/gate/join.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"bytes"
 	"fmt"
 	"time"
 
@@ -9,9 +8,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
-	"github.com/bluebellseam/bluebellseam/internal/systems/route"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
-	"github.com/bluebellseam/bluebellseam/internal/target"
 )
 
 const (
@@ -27,7 +24,7 @@
 	if f := g.find(result.Holder); f != nil {
 		return f
 	}
-	f := newFlight(g, adm.msg)
+	f := newFlight(g, adm)
 	f.id = result.Holder
 	f.msg.ID = result.Holder
 	if f.setRecorded(result.Outcome) {
@@ -57,7 +54,7 @@
 			deadline = now.Add(joinFor)
 		}
 		if !now.Before(deadline) {
-			g.concludeHolder(f, result)
+			g.concludeHolder(f, adm, result)
 			return
 		}
 		g.pauseUntil(now.Add(joinPause))
@@ -111,8 +108,8 @@
 }
 
 // concludeHolder ends the search: the targets of the service are asked last,
-// without changing anything there.
-func (g *Gate) concludeHolder(f *flight, result peer.AcquireResult) {
+// without changing anything there unless nobody can send the request any more.
+func (g *Gate) concludeHolder(f *flight, adm admitted, result peer.AcquireResult) {
 	if g.followAtTarget(f) {
 		return
 	}
@@ -120,13 +117,20 @@
 		f.finish(peer.Finished{Kind: errkind.AnswerNotKept, Detail: fmt.Sprintf("request %s ran to its end", f.id), Sent: true})
 		return
 	}
+	if g.holderStopped(adm, result) {
+		g.settleHolder(f, adm)
+		return
+	}
 	f.finish(peer.Finished{Kind: errkind.OutcomeUnknown, Detail: fmt.Sprintf("request %s holds the key and no host knows its outcome", f.id), Sent: true})
 }
 
 // followAtTarget reports whether a target had the holder's whole answer.
 func (g *Gate) followAtTarget(f *flight) bool {
 	for _, v := range g.views(g.Document(), string(f.msg.Service)) {
-		conn := g.helper("", f.id, 0)
+		conn := g.askOwner("", v.Target, 0)
+		if conn == nil {
+			conn = g.helper("", f.id, 0)
+		}
 		if conn == nil {
 			return false
 		}
@@ -157,25 +161,6 @@
 // come as a stream. It reports whether the flight has the whole answer.
 func (f *flight) fill(o *peer.Outcome) bool {
 	filled := false
-	f.update(func() {
-		rest, ok := bytes.CutPrefix(o.Body, f.text())
-		switch {
-		case !ok, (len(rest) > 0) != (o.Tokens > f.tokens):
-			return
-		case len(rest) > 0:
-			f.chunks = append(f.chunks, target.Chunk{Offset: f.tokens, Text: string(rest), Tokens: o.Tokens - f.tokens, Final: true})
-			f.tokens = o.Tokens
-		}
-		filled = o.Tokens == f.tokens
-	})
+	f.update(func() { filled = f.parts.Fill(o.Body, o.Tokens) })
 	return filled
 }
-
-// targetsOf lists the targets of all choices.
-func targetsOf(choices []route.Choice) []tables.TargetID {
-	var out []tables.TargetID
-	for _, c := range choices {
-		out = append(out, c.Targets...)
-	}
-	return out
-}
