Answer a poll that comes after a read of the list at once

Cause: a read of the list between an answer and the next poll, which may come 50 ms later, brought no answer; the listing was then up to 2 s old in the fed process, which read the list itself. Seen as a flaky test: once in about ten runs under the race detector.

Change: a read of the list is news with a revision like other news.

Test: pairs of news at every moment between two reads; it failed before.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -33,9 +33,14 @@
 		s.startBoth()
 		list, log := s.count("gate list"), s.count("gate log")
 		time.Sleep(time.Minute)
-		s.publish(0)
-		time.Sleep(100 * time.Millisecond)
-		Expect(s.gate.version()).To(BeEquivalentTo(1))
+		for i := range config.Version(50) {
+			// News comes in pairs, at every moment between two reads of the list.
+			s.publish(2 * i)
+			time.Sleep(time.Millisecond)
+			s.publish(2*i + 1)
+			time.Sleep(1970 * time.Millisecond)
+			Expect(s.gate.version()).To(Equal(2*i + 2))
+		}
 		s.closes()
 		Expect(s.gate.members.Live()).To(HaveLen(1))
 		Expect(s.gate.members.State("h1")).To(Equal(membership.Live))
--- a/internal/feed/list.go
+++ b/internal/feed/list.go
@@ -47,15 +47,12 @@
 	return l.changed
 }
 
-// latest returns the last listing and its age; negative while the list cannot
-// be read.
-func (l *sourceList) latest() (platform.Listing, time.Duration) {
+// latest returns the last listing and the time of its read; zero while the list
+// cannot be read.
+func (l *sourceList) latest() (platform.Listing, time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.read.IsZero() {
-		return l.last, -1
-	}
-	return l.last, l.clock.Now().Sub(l.read)
+	return l.last, l.read
 }
 
 // clientList is the host list of a process that is fed.
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -52,13 +52,15 @@
 	views  []tables.HostView
 	viewed time.Time
 	joined <-chan struct{}
-	// urgent is the revision of the last change of a host's state.
-	urgent uint64
-	own    beatAt
-	listed listedAt
-	rows   map[tables.HostID]rowAt
-	beats  map[tables.HostID]beatAt
-	polled map[string]pollAt
+	// urgent is the revision of the last news that must not wait: a change of
+	// a host's state, or a read of the list, at listRead.
+	urgent   uint64
+	listRead time.Time
+	own      beatAt
+	listed   listedAt
+	rows     map[tables.HostID]rowAt
+	beats    map[tables.HostID]beatAt
+	polled   map[string]pollAt
 }
 
 // The latest entries, with the revision that brought them.
@@ -133,9 +135,8 @@
 	s.mu.Unlock()
 	timer := s.opts.Clock.NewTimer(min(q.Wait, pollWait))
 	defer timer.Stop()
-	listed := s.list.waiting()
 	for {
-		joined, read := s.members.Changed(), s.log.tail.waiting()
+		joined, listed, read := s.members.Changed(), s.list.waiting(), s.log.tail.waiting()
 		if out, urgent := s.compose(q); urgent || q.Wait == 0 {
 			out.Held = s.opts.Clock.Now().Sub(begun)
 			return out
@@ -144,7 +145,6 @@
 		case <-joined:
 		case <-read:
 		case <-listed:
-			q.Wait = 0
 		case <-timer.Chan():
 			q.Wait = 0
 		case <-ctx.Done():
@@ -159,15 +159,15 @@
 	own := s.members.Own()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	listing, listAge := s.list.latest()
-	s.observeListing(listing)
+	listing, read := s.list.latest()
+	s.observeListing(listing, read)
 	s.observeHosts()
 	s.observeOwn(own)
 	seen := q.Seen
 	if q.Source != s.started {
 		seen = 0
 	}
-	out = peer.Feed{Host: s.opts.Host, Source: s.started, Revision: s.revision, ListAge: listAge, LogAge: s.log.tail.age()}
+	out = peer.Feed{Host: s.opts.Host, Source: s.started, Revision: s.revision, ListAge: s.since(read), LogAge: s.log.tail.age()}
 	if s.listed.revision > seen {
 		out.Listing = &listing
 	}
@@ -180,8 +180,21 @@
 	return out, urgent
 }
 
-// observeListing gives a new listing a revision; s.mu is held.
-func (s *Source) observeListing(listing platform.Listing) {
+// since returns the time since t; negative for the zero time.
+func (s *Source) since(t time.Time) time.Duration {
+	if t.IsZero() {
+		return -1
+	}
+	return s.opts.Clock.Now().Sub(t)
+}
+
+// observeListing gives a read of the list, and a new listing, a revision; s.mu
+// is held.
+func (s *Source) observeListing(listing platform.Listing, read time.Time) {
+	if !read.Equal(s.listRead) {
+		s.revision++
+		s.listRead, s.urgent = read, s.revision
+	}
 	if listing.Targets == nil || s.listed.have && s.listed.version == listing.Version {
 		return
 	}
