Count leases, idle reads, engine reports and new connections as control traffic

Cause: the budget counted the host list, heartbeats and the configuration only. A look at the log of 24 idle hosts showed eight renewals of leases a second, which every controller reads.

--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/claims"
+	"github.com/bluebellseam/bluebellseam/internal/systems/lease"
 )
 
 // Rates that the code sets; each names the constant it repeats.
@@ -36,6 +37,14 @@
 	// pollsOfFeed is the number of answers that a fed process gets a second
 	// without news: one after each read of the host list.
 	pollsOfFeed = readsOfList
+	// streamWait is how long a read of the configuration, the leases or a claim
+	// stream waits for a record (follow.readWait); quarantineWait is that of the
+	// quarantine, which two processes read.
+	streamWait     = 5 * time.Second
+	quarantineWait = 30 * time.Second
+	// engineReads is the time between two reads of an engine's reports
+	// (dispatcher.watchPeriod).
+	engineReads = 2 * time.Second
 )
 
 // Row is what one mechanism costs a node.
@@ -80,6 +89,9 @@
 			Core: exchanges * m.Value("wire.dial_time") / 2, BytesPerSec: exchanges * m.Value("wire.dial_bytes"),
 		},
 		feedRow(s, m, exchanges, changes, listings, snapshots),
+		streamRow(s, m),
+		leaseRow(s, m),
+		engineRow(s, m),
 		{
 			Work: "changes of configuration", Load: fmt.Sprintf("%.3f a second, folded by %g processes", changes, processes),
 			Core:        changes * (processes*m.Value("config.fold_patch") + 2*m.Value("config.index_keys")),
@@ -121,6 +133,36 @@
 	}
 }
 
+// streamRow returns what reading the ends of streams costs while they bring
+// nothing.
+func streamRow(s Size, m Slopes) Row {
+	streams := float64(s.ReadersOfNode) + 1 + float64(claims.DefaultShards)/float64(s.Nodes)
+	polls := streams/streamWait.Seconds() + 2/quarantineWait.Seconds()
+	return Row{
+		Work: "ends of streams", Load: fmt.Sprintf("%.2f reads a second of configuration, leases, claims and quarantine", polls),
+		BytesPerSec: polls * m.Value("log.poll_bytes"),
+	}
+}
+
+// leaseRow returns what the leases of all failure domains cost each controller,
+// which reads every renewal.
+func leaseRow(s Size, m Slopes) Row {
+	renewals := float64(s.FailureDomains) / lease.RenewEvery.Seconds()
+	return Row{
+		Work: "leases", Load: fmt.Sprintf("%.3g renewals a second in %d failure domains, each read by every controller", renewals, s.FailureDomains),
+		BytesPerSec: renewals * m.Value("lease.read_bytes"),
+	}
+}
+
+// engineRow returns what a dispatcher reads of its engines.
+func engineRow(s Size, m Slopes) Row {
+	engines := float64(s.Engines) / float64(s.Nodes)
+	return Row{
+		Work: "reports of engines", Load: fmt.Sprintf("load report and cache events of %.1f engines every %s, without news", engines, engineReads),
+		BytesPerSec: engines / engineReads.Seconds() * m.Value("engine.poll_bytes"),
+	}
+}
+
 // RequestRows returns what a node spends on its share of the requests.
 func RequestRows(s Size, m Slopes) []Row {
 	requests := s.RequestsPerSec / float64(s.Nodes)
--- a/internal/capacity/cite.go
+++ b/internal/capacity/cite.go
@@ -9,7 +9,7 @@
 
 // citation is the name of a slope in a page, with its value in the unit that
 // follows it.
-var citation = regexp.MustCompile("`((?:config|members|claims|dispatcher|gate|wire|host|path)\\.[a-z0-9_.]+)`" +
+var citation = regexp.MustCompile("`((?:config|members|claims|dispatcher|gate|wire|host|path|feed|log|lease|engine)\\.[a-z0-9_.]+)`" +
 	`(\s+)([0-9.]+)(\s*(?:µs|ms|s|B|KB|MB|%)?)`)
 
 // unitFactors turn values of pages into values of slopes.
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -15,6 +15,7 @@
 		{"schedule", scheduleSlopes},
 		{"wire", wireSlopes},
 		{"feed", feedSlopes},
+		{"polls", pollSlopes},
 		{"hosts", hostSlopes},
 	}
 	var all []Slope
