--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -75,15 +75,17 @@
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(func() []tables.PoolSummary { return d.Summary(ctx) }).WithTimeout(bound).ShouldNot(BeEmpty())
 	})
-	submit := func() (peer.Submit, peer.SubmitResult) {
+	submitWith := func(change func(*peer.Submit)) (peer.Submit, peer.SubmitResult) {
 		msg := peer.Submit{
 			ID: tables.NewRequestID("g1", uuid.Must(uuid.NewV7())), Service: "report", Model: "m", Body: []byte("prompt"),
 			FirstTokenIn: time.Minute, DueIn: time.Minute, MaxTokens: whole, Allowed: []tables.TargetID{"e1"}, Fingerprint: 7,
 		}
+		change(&msg)
 		var r peer.SubmitResult
 		Expect(conn.Call(ctx, peer.MethodSubmit, msg, &r)).To(Succeed())
 		return msg, r
 	}
+	submit := func() (peer.Submit, peer.SubmitResult) { return submitWith(func(*peer.Submit) {}) }
 	end := func() peer.Finished {
 		Eventually(gate.ends).WithTimeout(bound).Should(HaveLen(1))
 		return gate.ends()[0]
@@ -157,6 +159,53 @@
 		Eventually(gate.ends).WithTimeout(bound).Should(HaveLen(2))
 		Expect(gate.ends()[1].Kind).To(Equal(errkind.None))
 	})
+	DescribeTable("sends a keyed request only where and as long as its claim allows",
+		func(late time.Duration, address string, kind errkind.Kind, sent int) {
+			site.engine.generate = func() (target.Stream, error) { return answer(0, whole, whole, io.EOF), nil }
+			submitWith(func(m *peer.Submit) {
+				m.Key = "k"
+				m.SendBy = time.Now().Add(time.Minute - late)
+				m.Addresses = map[tables.TargetID]string{"e1": address}
+			})
+			Expect(end().Kind).To(Equal(kind))
+			generates, _, _ := site.engine.counts()
+			Expect(generates).To(Equal(sent))
+		},
+		Entry("in time", time.Duration(0), "127.0.0.1:1", errkind.None, 1),
+		Entry("too late", time.Minute, "127.0.0.1:1", errkind.CancelledBeforeRun, 0),
+		Entry("elsewhere", time.Duration(0), "127.0.0.1:2", errkind.NoTarget, 0),
+	)
+	It("lets its refusal of one attempt say nothing of a later one", func() {
+		site.engine.generate = func() (target.Stream, error) { return nil, fmt.Errorf("%w: not loaded", target.ErrNotAdmitted) }
+		msg, _ := submitWith(func(m *peer.Submit) { m.Attempt = 1 })
+		Expect(end().Retryable()).To(BeTrue())
+		By("asked about the present attempt on a new connection")
+		var known peer.AttachResult
+		Expect(conn.Call(ctx, peer.MethodAttach, peer.Attach{ID: msg.ID, Attempt: 2}, &known)).To(Succeed())
+		Expect(known.Known).To(BeFalse())
+		Expect(conn.Call(ctx, peer.MethodAttach, peer.Attach{ID: msg.ID, Attempt: 1}, &known)).To(Succeed())
+		Expect(known.Known).To(BeTrue())
+		By("asked to cancel at the target that another dispatcher sent it to")
+		site.engine.cancel = func() (target.Progress, error) { return target.InProgress, nil }
+		var c peer.CancelResult
+		Expect(conn.Call(ctx, peer.MethodCancel, peer.CancelRequest{ID: msg.ID, Targets: []tables.TargetID{"e1"}}, &c)).To(Succeed())
+		Expect(c.Progress).To(Equal(target.InProgress))
+		By("asked to take the answer over from that target")
+		site.engine.resume = func(offset int) (target.Stream, error) { return answer(offset, whole, whole, io.EOF), nil }
+		Expect(conn.Call(ctx, peer.MethodAttach, peer.Attach{ID: msg.ID, Target: "e1"}, &known)).To(Succeed())
+		Eventually(gate.ends).WithTimeout(bound).Should(HaveLen(3))
+		Expect(gate.ends()[2].Kind).To(Equal(errkind.None))
+	})
+	It("keeps a service off a target that said that it lacks the model", func() {
+		site.engine.generate = func() (target.Stream, error) { return nil, target.ErrModelNotLoaded }
+		submit()
+		Expect(end().Retryable()).To(BeTrue())
+		_, again := submit()
+		Expect(again.Kind).To(Equal(errkind.NoTarget))
+		Expect(again.Pool).To(ConsistOf(HaveField("Unloaded", ConsistOf(tables.ServiceID("report")))))
+		generates, _, _ := site.engine.counts()
+		Expect(generates).To(Equal(1))
+	})
 	It("takes a second submission of a running request for the first", func() {
 		stream := make(chan target.Stream)
 		site.engine.generate = func() (target.Stream, error) { return <-stream, nil }
@@ -196,6 +245,38 @@
 			Expect(end().Kind).To(Equal(errkind.None))
 			Expect(gate.offsets()).To(Equal([]int{2, 3, 4, 5}))
 		})
+		It("keeps the whole of an answer that it took over in its middle", func() {
+			site.engine.resume = func(offset int) (target.Stream, error) { return answer(offset, whole, whole, io.EOF), nil }
+			var r peer.AttachResult
+			q := peer.Attach{ID: "g1.x", Target: "e1", Offset: 2, Text: "0 1 ", Key: "k"}
+			Expect(conn.Call(ctx, peer.MethodAttach, q, &r)).To(Succeed())
+			Expect(end().Kind).To(Equal(errkind.None))
+			var o peer.Outcome
+			Expect(conn.Call(ctx, peer.MethodLookup, peer.Lookup{ID: "g1.x"}, &o)).To(Succeed())
+			Expect(o.BodyKept).To(BeTrue())
+			Expect(string(o.Body)).To(Equal("0 1 2 3 4 5 "))
+			Eventually(site.recorded).WithTimeout(bound).Should(HaveLen(1))
+			By("giving the rest to who has a part that ends elsewhere, and nothing to who has another text")
+			q.Offset, q.Text, q.Target = 1, "0 ", ""
+			Expect(conn.Call(ctx, peer.MethodAttach, q, &r)).To(Succeed())
+			Expect(r.Known).To(BeTrue())
+			Eventually(gate.offsets).WithTimeout(bound).Should(Equal([]int{2, 3, 4, 5, 1, 2, 3, 4, 5}))
+			q.Text = "x "
+			Expect(conn.Call(ctx, peer.MethodAttach, q, &r)).To(Succeed())
+			Expect(r.Known).To(BeFalse())
+		})
+		It("counts what it took over against the window of the target", func() {
+			rest := make(chan target.Chunk)
+			site.engine.resume = func(int) (target.Stream, error) { return live(rest), nil }
+			site.engine.generate = func() (target.Stream, error) { return answer(0, whole, whole, io.EOF), nil }
+			_, err := attach()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(d.Summary(ctx)[0].Free).To(BeZero())
+			submit()
+			Consistently(func() int { n, _, _ := site.engine.counts(); return n }).Should(BeZero())
+			rest <- target.Chunk{Offset: 2, Tokens: whole - 2, Final: true}
+			Eventually(gate.ends).WithTimeout(bound).Should(HaveLen(2))
+		})
 		It("passes on that the target does not know it", func() {
 			r, err := attach()
 			Expect(err).NotTo(HaveOccurred())
--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -42,7 +42,7 @@
 		return peer.SubmitResult{Kind: kind, Detail: detail, Pool: d.summary()}
 	}
 	if j := d.known(msg.ID); j != nil && !j.refusedUnsent() {
-		d.listen(j, conn, 0)
+		d.listen(j, conn, j.parts.Chunks())
 		return peer.SubmitResult{Pool: d.summary()}
 	}
 	if d.tombstones.Contains(msg.ID) {
@@ -62,7 +62,7 @@
 	d.trace(j)
 	d.jobs[msg.ID] = j
 	d.state.Requests.Put(row)
-	d.listen(j, conn, 0)
+	d.listen(j, conn, nil)
 	return peer.SubmitResult{Pool: d.summary()}
 }
 
@@ -131,11 +131,12 @@
 }
 
 // cancelKnown cancels a job of this dispatcher. It returns nil and leaves a
-// tombstone when there is none.
+// tombstone when there is none, or only one that was refused unsent: another
+// dispatcher may have sent the request since, and only the targets can tell.
 func (d *Dispatcher) cancelKnown(id tables.RequestID) *peer.CancelResult {
 	j := d.known(id)
 	switch {
-	case j == nil:
+	case j == nil, j.refusedUnsent():
 		d.tombstones.Add(id, struct{}{})
 		return nil
 	case j.outcome != nil:
--- a/internal/gate/admit.go
+++ b/internal/gate/admit.go
@@ -13,6 +13,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/systems/claim"
 	"github.com/bluebellseam/bluebellseam/internal/systems/route"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
@@ -44,6 +45,12 @@
 	// pick chooses dispatchers by what is known at the time of the call.
 	pick     func() []route.Choice
 	lifetime time.Duration
+	// claimed are the targets that the claim of a keyed request speaks of; it
+	// is sent to no other ones.
+	claimed targetSet
+	// arrived is when the request was admitted; its deadlines count from here,
+	// also while its key is claimed.
+	arrived time.Time
 }
 
 // admit checks a against configuration and limits. Every error proves that the
@@ -65,11 +72,17 @@
 		return admitted{}, err
 	}
 	msg := g.message(ctx, a, service, tier, doc.Customers[string(a.customer)])
-	request := g.describe(msg, g.Clock.Now())
+	arrived := g.Clock.Now()
+	request := g.describe(msg, arrived)
+	var claimed targetSet
+	if a.key != "" {
+		claimed = targetsOf(doc, a.service)
+	}
 	pick := func() []route.Choice {
-		return route.Pick(g.Clock.Now(), request, g.views(g.Document(), a.service))
+		now := g.Document()
+		return route.Pick(g.Clock.Now(), request, claimed.only(now, g.views(now, a.service)))
 	}
-	return admitted{msg: msg, pick: pick, lifetime: service.KeyLifetime()}, nil
+	return admitted{msg: msg, pick: pick, claimed: claimed, lifetime: service.KeyLifetime(), arrived: arrived}, nil
 }
 
 func findService(doc *config.Document, a ask) (config.Service, error) {
@@ -117,6 +130,9 @@
 		}
 		return nil
 	}
+	if claim.IsMinted(a.key) {
+		return checkMinted(service.Operations[a.operation].NonIdempotent, a)
+	}
 	id, err := uuid.Parse(a.key)
 	if err != nil || id.Version() != 7 || id.String() != a.key {
 		return errkind.New(errkind.KeyMalformed, fmt.Sprintf("key %q is not a lower-case UUID of version 7", a.key))
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -16,6 +16,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/quarantine"
 	"github.com/bluebellseam/bluebellseam/internal/settings"
+	"github.com/bluebellseam/bluebellseam/internal/systems/claim"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -27,6 +28,7 @@
 	quarantine *quarantine.Quarantine
 	clients    *clients
 	listener   net.Listener
+	demand     *demandMeter
 }
 
 // StartDispatcher starts a dispatcher on the peer listener of the settings.
@@ -41,7 +43,7 @@
 
 // StartDispatcherOn starts a dispatcher on an open peer listener.
 func StartDispatcherOn(l net.Listener, s settings.Dispatcher, env Env) (*Dispatcher, error) {
-	n := &Dispatcher{listener: l, clients: newClients()}
+	n := &Dispatcher{listener: l, clients: newClients(), demand: newDemandMeter(env.Clock)}
 	n.proc = newProcess(roleDispatcher, s.Common, env, part{
 		self: tables.Host{
 			ID: s.Host, Domain: s.FailureDomain, PeerAddress: l.Addr().String(),
@@ -55,7 +57,7 @@
 	n.dispatcher = dispatcher.New(p.ctx, dispatcher.Options{
 		Host: s.Host, Clock: env.Clock, Logger: env.Logger, Tracer: env.Tracer.Tracer("bluebell-dispatcher"),
 		Document: p.document, Membership: p.members, Quarantine: n.quarantine,
-		Outcomes: recorder{n}, Targets: n.clients, Observer: dispatcherMetrics{p.metrics},
+		Outcomes: recorder{n}, Targets: n.clients, Observer: dispatcherMetrics{p.metrics, n.demand},
 	})
 	n.register()
 	if err := p.serveMetrics(); err != nil {
@@ -74,9 +76,15 @@
 	peer.Handle(n.proc.mux, peer.MethodShare, func(ctx context.Context, _ *peer.Conn, s peer.Share) (peer.Share, error) {
 		return n.quarantine.Share(ctx, s)
 	})
+	peer.Handle(n.proc.mux, peer.MethodDemand, func(context.Context, *peer.Conn, peer.DemandRequest) (peer.Demand, error) {
+		return peer.Demand{Rates: n.demand.rates()}, nil
+	})
 	peer.Handle(n.proc.mux, peer.MethodAcquire, func(ctx context.Context, _ *peer.Conn, a peer.Acquire) (peer.AcquireResult, error) {
 		return n.home.Acquire(ctx, a)
 	})
+	peer.Handle(n.proc.mux, peer.MethodMint, func(context.Context, *peer.Conn, struct{}) (peer.Minted, error) {
+		return n.home.Mint()
+	})
 	peer.Handle(n.proc.mux, peer.MethodRecord, func(ctx context.Context, _ *peer.Conn, r peer.Record) (struct{}, error) {
 		return struct{}{}, n.home.Record(ctx, r)
 	})
@@ -173,8 +181,10 @@
 
 func (r recorder) once(ctx context.Context, rec peer.Record) error {
 	p := r.n.proc
-	shard := r.n.home.ShardOf(rec.Customer, rec.Service, rec.Key)
-	home := p.members.ClaimHome(shard)
+	home := p.members.ClaimHome(r.n.home.ShardOf(rec.Customer, rec.Service, rec.Key))
+	if k, err := claim.ParseMinted(rec.Key); err == nil {
+		home = k.Host
+	}
 	if home == p.settings.Host || home == "" {
 		return r.n.home.Record(ctx, rec)
 	}
@@ -189,6 +199,7 @@
 // dispatcherMetrics feeds what the dispatcher does into the metrics.
 type dispatcherMetrics struct {
 	metrics *observe.Metrics
+	demand  *demandMeter
 }
 
 // Dispatched implements dispatcher.Observer.
@@ -199,6 +210,7 @@
 
 // Ended implements dispatcher.Observer.
 func (m dispatcherMetrics) Ended(r *tables.Request, f peer.Finished, _ time.Time) {
+	m.demand.ended(r)
 	computed := r.PromptTokens - r.CachedTokens
 	switch f.Kind {
 	case errkind.Preempted, errkind.CancelledWhileRun:
@@ -214,3 +226,14 @@
 func (n *Dispatcher) TargetClosed(id tables.TargetID) bool {
 	return n.dispatcher.Closed(n.proc.ctx, id)
 }
+
+// Unloaded returns the services that an owned target does not offer, since it
+// does not hold their models.
+func (n *Dispatcher) Unloaded(id tables.TargetID) []tables.ServiceID {
+	for _, s := range n.dispatcher.Summary(n.proc.ctx) {
+		if s.Target == id {
+			return s.Unloaded
+		}
+	}
+	return nil
+}
--- a/internal/scenario/cluster.go
+++ b/internal/scenario/cluster.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
@@ -46,17 +47,22 @@
 	return nil
 }
 
-// shutDownHost starts a graceful shutdown.
+// shutDownHost starts a graceful shutdown of all processes at once, or one after
+// the other: "shutdown h1 order=gate,dispatcher,controller".
 func shutDownHost(_ context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
 	host, err := s.hostOf(a)
 	if err != nil {
 		return err
 	}
+	stop := host.Stop
+	if order := a.option("order", ""); order != "" {
+		stop = func(ctx context.Context) { host.StopInOrder(ctx, strings.Split(order, ",")...) }
+	}
 	done := make(chan struct{})
 	s.stopping[string(host.ID)] = done
 	go func() {
 		defer close(done)
-		host.Stop(context.Background())
+		stop(context.Background())
 	}()
 	return nil
 }
@@ -162,13 +168,18 @@
 	return nil
 }
 
-// configure publishes the standard configuration and waits for it.
-func configure(ctx context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
+// configure publishes the standard configuration, with the merge patch of a
+// file if the option with names one, and waits for it.
+func configure(ctx context.Context, s *state, ts *testscript.TestScript, a *arguments) error {
 	hosts := s.h.Hosts()
 	if len(hosts) == 0 {
 		return fmt.Errorf("no host runs")
 	}
-	return s.h.Configure(ctx, a.option("at", string(hosts[0].ID)))
+	var change []byte
+	if file := a.option("with", ""); file != "" {
+		change = []byte(ts.ReadFile(file))
+	}
+	return s.h.ConfigureWith(ctx, a.option("at", string(hosts[0].ID)), change)
 }
 
 // publish publishes a merge patch from a file, in which $NAME stands for the
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -94,11 +94,14 @@
 		"hosts": startHosts, "restart": restartHost, "crash": crashHost, "shutdown": shutDownHost, "stopped": awaitStopped,
 		"engine": addEngine, "plain": addPlain, "list": markListed,
 		"configure": configure, "publish": publish, "version": awaitVersion,
-		"send": send, "resend": resend, "retry": retry, "leave": leave,
+		"mint": mint, "send": send, "resend": resend, "retry": retry, "leave": leave,
 		"tokens": awaitTokens, "running": awaitRunning, "result": awaitResult, "lookup": lookUp,
 		"fault": fault, "lost": awaitLost,
 		"runs": checkRuns, "ran-at": checkRanAt, "ended": awaitEnded, "leaving-seen": awaitLeaving, "queued": awaitQueued,
-		"appends": checkAppends, "audit": audit,
+		"retention": setRetention, "dropped": awaitDropped, "cut": cutHosts, "mend": mendHosts,
+		"hold-orders": holdOrders, "pause": pauseHost, "wake": wakeHost,
+		"held": awaitHeld, "standing": awaitStanding,
+		"appends": checkAppends, "unloaded": awaitUnloaded, "not-loaded": checkNotLoaded, "audit": audit,
 	}
 	out := make(map[string]func(*testscript.TestScript, bool, []string), len(table))
 	for name, c := range table {
