--- a/internal/capacity/polls.go
+++ b/internal/capacity/polls.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httputil"
+	"net/url"
 	"sync/atomic"
 	"time"
 
@@ -40,7 +42,14 @@
 	if err != nil {
 		return nil, err
 	}
-	reports, err := bytesOfPoll(engine.New(engine.Options{}).Handler(), func(ctx context.Context, address string) func() error {
+	e := engine.New(engine.Options{})
+	address, err := e.Listen("127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	defer e.Close()
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: address})
+	reports, err := bytesOfPoll(proxy, func(ctx context.Context, address string) func() error {
 		c := target.NewEngineClient(address)
 		return func() error {
 			if _, err := c.Load(ctx); err != nil {
