Keep lower tiers from a target until every gate can know its new owner

Cause: hosts learn of a lost owner one after another.

Change: each tier waits one second longer at a gained target than the tier above it, unless a lower one runs there that would give way. A dispatcher answers such a request as one that does not own the target, so that the gate asks again. Targets that a process owns since it first knew of them are not held.

Touches the dispatcher in two places: who is servable, and when a target was gained.

--- a/internal/bench/seam.go
+++ b/internal/bench/seam.go
@@ -134,6 +134,7 @@
 		gained := owner == h.index && !t.Owned
 		t.Owned = owner == h.index
 		if gained && s.now > 0 {
+			t.Gained = s.clock()
 			t.RampUntil = s.clock().Add(rampTime)
 			p.adopt(s, h, v.Target)
 		}
@@ -233,7 +234,7 @@
 	}
 	owner := p.byID[c.Owner]
 	h := p.hosts[owner]
-	allowed := h.owned(c.Targets)
+	allowed := h.accepting(s, c.Targets, j.tier)
 	if s.down[owner] || len(allowed) == 0 {
 		j.incomplete = true
 		p.next(s, j)
@@ -251,10 +252,10 @@
 	p.tick(s, h)
 }
 
-func (h *seamHost) owned(ids []tables.TargetID) []tables.TargetID {
+func (h *seamHost) accepting(s *sim, ids []tables.TargetID, tier int) []tables.TargetID {
 	var out []tables.TargetID
 	for _, id := range ids {
-		if h.state.Targets.Get(id).Owned {
+		if h.state.Accepts(s.clock(), id, tier) {
 			out = append(out, id)
 		}
 	}
--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -89,12 +89,12 @@
 	return row
 }
 
-// servable reports whether an allowed target is owned and open.
+// servable reports whether an allowed target is open and takes r in.
 func (d *Dispatcher) servable(r *tables.Request) bool {
 	now := d.Clock.Now()
 	for _, id := range r.Allowed {
 		t := d.state.Targets.Get(id)
-		if t != nil && t.Owned && t.Open(now) && t.Fits(r) {
+		if t != nil && d.state.Accepts(now, id, r.Tier) && t.Open(now) && t.Fits(r) {
 			return true
 		}
 	}
--- a/internal/dispatcher/targets.go
+++ b/internal/dispatcher/targets.go
@@ -46,13 +46,17 @@
 
 func (d *Dispatcher) syncTarget(doc *config.Document, id tables.TargetID, t config.Target) {
 	row := d.state.Targets.Get(id)
-	if row == nil {
+	known := row != nil
+	if !known {
 		row = &tables.Target{ID: id}
 		d.state.Targets.Put(row)
 	}
 	describe(row, doc, t)
 	d.setLeaving(row, d.Membership.TargetState(id) == tables.HostLeaving)
-	d.setOwned(row, d.Membership.Owner(id, row.Domain) == d.Host)
+	gained := d.setOwned(row, d.Membership.Owner(id, row.Domain) == d.Host)
+	if gained && known {
+		row.Gained = d.Clock.Now()
+	}
 }
 
 // describe copies what configuration says of t to its row.
@@ -85,17 +89,19 @@
 	row.Leaving = leaving
 }
 
-func (d *Dispatcher) setOwned(row *tables.Target, owned bool) {
+// setOwned reports whether this host became the owner.
+func (d *Dispatcher) setOwned(row *tables.Target, owned bool) bool {
 	if owned == row.Owned {
-		return
+		return false
 	}
 	row.Owned = owned
 	if owned {
 		row.RampUntil = d.Clock.Now().Add(rampTime)
 		event.TargetOwned.Log(d.Logger, zap.String("target", string(row.ID)))
-		return
+		return true
 	}
 	event.TargetLost.Log(d.Logger, zap.String("target", string(row.ID)))
+	return false
 }
 
 func (d *Dispatcher) dropTargets(doc *config.Document) {
--- a/internal/systems/schedule/overload.go
+++ b/internal/systems/schedule/overload.go
@@ -86,10 +86,8 @@
 // lowerRunning reports whether a tier below tier runs at a target of g.
 func (g *group) lowerRunning(tier int) bool {
 	for _, sl := range g.slots {
-		for i := tier + 1; i < len(sl.byTier); i++ {
-			if sl.byTier[i] > 0 {
-				return true
-			}
+		if sl.lowerRunning(tier) {
+			return true
 		}
 	}
 	return false
--- a/internal/systems/schedule/slot.go
+++ b/internal/systems/schedule/slot.go
@@ -81,7 +81,7 @@
 // back from lower tiers, so that a burst of higher ones cancels less.
 func (sl *slot) room(p *pass, n, tier int) bool {
 	held := min(tier, n/p.state.Policy.HeldBackPart) + sl.heldFrom(tier, n)
-	return len(sl.running)+held < n && sl.admits(p.now, tier)
+	return len(sl.running)+held < n && sl.admits(p.now, tier) && !takingOver(p.now, sl.t, tier)
 }
 
 // lastRoom reports whether a request that can wait no longer may start at the
@@ -92,6 +92,16 @@
 	return len(sl.running)+held < n && sl.admits(p.now, tier)
 }
 
+// lowerRunning reports whether a tier below tier runs at the slot.
+func (sl *slot) lowerRunning(tier int) bool {
+	for i := tier + 1; i < len(sl.byTier); i++ {
+		if sl.byTier[i] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (sl *slot) admits(now time.Time, tier int) bool {
 	return !sl.floored(now, tier) && !sl.reserved(tier)
 }
--- a/internal/tables/target.go
+++ b/internal/tables/target.go
@@ -22,6 +22,9 @@
 	Leaving bool
 	// Owned is set while this host is the target's owner.
 	Owned bool
+	// Gained is when this host took the target over from another owner; zero
+	// when it has owned it since it first knew of it.
+	Gained time.Time
 	// RampUntil limits the window of a new owner until this time.
 	RampUntil time.Time
 	// DownUntil keeps work off a target that refused connections.
