Start requests first whose prompts a free target holds

Change: within a tier, requests whose prompt a free target holds go before the others; a request waits up to 0.8 s for a place at a target of the same owner that holds its prompt; one that must start soon goes first if its answer may be twice as long as predicted. Groups of more than 8 targets are served as before.

--- a/internal/systems/schedule/overload.go
+++ b/internal/systems/schedule/overload.go
@@ -30,6 +30,7 @@
 	}
 	e.work = work
 	e.startBy = latestStart(now, e.r, work, first)
+	e.longBy = latestStart(now, e.r, time.Duration(longFactor*float64(work)), first)
 	e.second = second(now, e.startBy)
 	e.hopeless = now.Add(noDeadline)
 	if !e.r.Due.IsZero() {
--- a/internal/systems/schedule/queue.go
+++ b/internal/systems/schedule/queue.go
@@ -16,6 +16,8 @@
 	// expected time at a target.
 	startBy time.Time
 	work    time.Duration
+	// longBy is the latest start that meets the deadlines if the answer is long.
+	longBy time.Time
 	// hopeless is when even a fast target could not finish in time.
 	hopeless time.Time
 	pos      int
--- a/internal/systems/schedule/schedule.go
+++ b/internal/systems/schedule/schedule.go
@@ -74,65 +74,20 @@
 func (p *pass) start() {
 	for tier := range p.index.tiers {
 		for {
-			g, q := p.next(tier)
-			if g == nil {
+			e := p.next(tier)
+			if e == nil {
 				break
 			}
-			p.run(g, q.head())
+			p.run(e.group, e)
 		}
 	}
 }
 
-// next returns the group and customer queue whose head starts next, or nil.
-func (p *pass) next(tier int) (*group, *customerQueue) {
-	var bestGroup *group
-	var best *customerQueue
-	for _, g := range p.index.groups {
-		if tier >= len(g.tiers) || g.tiers[tier].count == 0 || !g.hasFree(p, tier) {
-			continue
-		}
-		for _, q := range g.tiers[tier].customers {
-			if q.head() == nil || q.alone && !p.isolate(g, q.head()) {
-				continue
-			}
-			if best == nil || p.before(tier, q, best) {
-				bestGroup, best = g, q
-			}
-		}
-	}
-	return bestGroup, best
-}
-
-// before reports whether the head of a goes before that of b: urgent heads by
-// deadline, then the customer with the least service by share.
-func (p *pass) before(tier int, a, b *customerQueue) bool {
-	x, y := a.head(), b.head()
-	urgentX, urgentY := p.urgent(x), p.urgent(y)
-	if urgentX != urgentY {
-		return urgentX
-	}
-	if !urgentX && a.customer != b.customer {
-		sa, sb := p.index.served(tier, a.customer), p.index.served(tier, b.customer)
-		if sa != sb {
-			return sa < sb
-		}
-	}
-	return x.before(y)
-}
-
-// urgentSlack is the slack below which the deadline orders before fairness.
-const urgentSlack = 1500 * time.Millisecond
-
-// urgent reports whether e must start soon and may still be in time.
-func (p *pass) urgent(e *entry) bool {
-	return e.startBy.Sub(p.now) < urgentSlack && p.now.Before(e.hopeless)
-}
-
 // best returns the free slot of g that finishes r first, and the part of the
 // prompt that it holds in tokens. What another free slot holds weighs more,
 // because computing it again fills a second cache with the same tokens.
 func (p *pass) best(g *group, r *tables.Request) (best *slot, cached int) {
-	most := p.mostHeld(g, r)
+	most := p.mostHeld(g.usable, r)
 	var bestCost time.Duration
 	for _, sl := range g.usable {
 		if r.Alone && len(sl.running) > 0 {
@@ -147,16 +102,6 @@
 	return best, cached
 }
 
-// mostHeld returns the longest part of the prompt of r that a free slot of g
-// holds, in tokens.
-func (p *pass) mostHeld(g *group, r *tables.Request) int {
-	most := 0
-	for _, sl := range g.usable {
-		most = max(most, p.state.Prefixes.Match(sl.id, r.Prefix))
-	}
-	return most
-}
-
 // isolate reports whether a slot of g is empty for e, which runs alone. When e
 // is urgent and none is, the slot with the least work is emptied.
 func (p *pass) isolate(g *group, e *entry) bool {
