Measure overtaken requests, customers and the straggler in the bench

Change: three columns, in the table, the lines and the CSV. "overtaken" counts the requests that waited for more than 1 s while a lower tier started on a target that fits them; "least" is the lowest goodput of a customer; "straggler" the share of the starts since the one engine became slow that went to it.

--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -70,15 +70,15 @@
 // Table writes one row per profile, load, policy and tier with the median and
 // the range over seeds.
 func Table(w io.Writer, results []Result) {
-	fmt.Fprintf(w, "%-9s %4s %-24s %-5s %-22s %-8s %9s %9s %6s %9s %22s %22s %10s\n",
-		"profile", "load", "policy", "tier", "goodput [range]", "lost", "ttft p95", "gap p95", "shed", "cancelled", "wasted [range]", "work [range]", "inversions")
+	fmt.Fprintf(w, "%-9s %4s %-24s %-5s %-22s %-8s %9s %9s %6s %9s %22s %22s %10s %9s %9s %9s\n",
+		"profile", "load", "policy", "tier", "goodput [range]", "lost", "ttft p95", "gap p95", "shed", "cancelled", "wasted [range]", "work [range]", "inversions", "overtaken", "least", "straggler")
 	for _, group := range bySeed(results) {
 		first := group[0]
 		for i := range first.rows() {
 			tier := func(f func(TierResult) float64) []float64 {
 				return collect(group, func(r Result) float64 { return f(r.rows()[i]) })
 			}
-			fmt.Fprintf(w, "%-9s %4.1f %-24s %-5s %-22s %-8.4f %9s %9s %6.0f %9.0f %22s %22s %10.0f\n",
+			fmt.Fprintf(w, "%-9s %4.1f %-24s %-5s %-22s %-8.4f %9s %9s %6.0f %9.0f %22s %22s %10.0f %9.0f %9.4f %9.4f\n",
 				first.Profile, first.Load, first.Policy, rowName(first, i),
 				spread(tier(TierResult.Goodput)), median(tier(TierResult.Lost)),
 				millis(median(tier(func(t TierResult) float64 { return float64(t.FirstTokenP95) }))),
@@ -87,7 +87,10 @@
 				median(tier(func(t TierResult) float64 { return float64(t.Cancelled) })),
 				spread(collect(group, Result.WastedShare)),
 				spread(collect(group, func(r Result) float64 { return r.Work })),
-				median(collect(group, func(r Result) float64 { return float64(r.Inversions) })))
+				median(collect(group, func(r Result) float64 { return float64(r.Inversions) })),
+				median(tier(func(t TierResult) float64 { return float64(t.Overtaken) })),
+				median(tier(func(t TierResult) float64 { return t.LeastCustomer })),
+				median(collect(group, func(r Result) float64 { return r.StragglerStarts })))
 		}
 	}
 }
@@ -140,8 +143,8 @@
 func Lines(w io.Writer, results []Result) {
 	for _, r := range results {
 		for _, t := range r.Tiers {
-			fmt.Fprintf(w, "bench profile=%s load=%.1f seed=%d policy=%s tier=%d goodput=%.4f wasted=%.4f inversions=%d lost=%.4f work=%.4f\n",
-				r.Profile, r.Load, r.Seed, r.Policy, t.Tier, t.Goodput(), r.WastedShare(), r.Inversions, t.Lost(), r.Work)
+			fmt.Fprintf(w, "bench profile=%s load=%.1f seed=%d policy=%s tier=%d goodput=%.4f wasted=%.4f inversions=%d lost=%.4f work=%.4f overtaken=%d least=%.4f straggler=%.4f\n",
+				r.Profile, r.Load, r.Seed, r.Policy, t.Tier, t.Goodput(), r.WastedShare(), r.Inversions, t.Lost(), r.Work, t.Overtaken, t.LeastCustomer, r.StragglerStarts)
 		}
 	}
 }
@@ -150,7 +153,8 @@
 func CSV(w io.Writer, results []Result) error {
 	out := csv.NewWriter(w)
 	records := [][]string{{"profile", "load", "seed", "policy", "tier", "offered", "goodput", "shed", "cancelled", "expired", "late", "failed",
-		"ttft_p95_ms", "gap_p95_ms", "prefill_tokens", "wasted_prefill_tokens", "work", "inversions"}}
+		"ttft_p95_ms", "gap_p95_ms", "prefill_tokens", "wasted_prefill_tokens", "work", "inversions",
+		"overtaken", "least_customer_goodput", "straggler_starts"}}
 	for _, r := range results {
 		for i, t := range r.rows() {
 			records = append(records, record(r, rowName(r, i), t))
@@ -163,5 +167,6 @@
 	return []string{r.Profile, fmt.Sprint(r.Load), fmt.Sprint(r.Seed), r.Policy, row, fmt.Sprint(t.Offered), fmt.Sprintf("%.4f", t.Goodput()),
 		fmt.Sprint(t.Shed), fmt.Sprint(t.Cancelled), fmt.Sprint(t.Expired), fmt.Sprint(t.Late), fmt.Sprint(t.Failed),
 		fmt.Sprint(t.FirstTokenP95.Milliseconds()), fmt.Sprint(t.GapP95.Milliseconds()),
-		fmt.Sprint(r.PrefillTokens), fmt.Sprint(r.WastedPrefill), fmt.Sprintf("%.4f", r.Work), fmt.Sprint(r.Inversions)}
+		fmt.Sprint(r.PrefillTokens), fmt.Sprint(r.WastedPrefill), fmt.Sprintf("%.4f", r.Work), fmt.Sprint(r.Inversions),
+		fmt.Sprint(t.Overtaken), fmt.Sprintf("%.4f", t.LeastCustomer), fmt.Sprintf("%.4f", r.StragglerStarts)}
 }
--- a/internal/bench/score.go
+++ b/internal/bench/score.go
@@ -24,6 +24,9 @@
 	// as a share of the time of all model engines.
 	Work       float64
 	Inversions int
+	// StragglerStarts is the share of the starts since one engine became slow
+	// that went to it.
+	StragglerStarts float64
 }
 
 // TierResult is the outcome of one tier.
@@ -37,6 +40,11 @@
 	Expired int
 	Late    int
 	Failed  int
+	// Overtaken waited for more than a second while a lower tier started on a
+	// target that fits them.
+	Overtaken int
+	// LeastCustomer is the lowest goodput of a customer.
+	LeastCustomer float64
 	// FirstTokenP95 and GapP95 are of answers whole in time.
 	FirstTokenP95 time.Duration
 	GapP95        time.Duration
@@ -88,6 +96,7 @@
 func (c *score) counted(at time.Duration) bool { return at >= warmUp && at < c.sim.length }
 
 func (c *score) offered(j *job) {
+	c.trace.waiting[j] = true
 	if j.original == nil {
 		c.outcome[j] = endExpired
 	}
@@ -141,7 +150,8 @@
 
 func (c *score) result(profile, policy string, load float64, seed uint64) Result {
 	r := Result{Profile: profile, Policy: policy, Load: load, Seed: seed, PrefillTokens: c.prefill, WastedPrefill: c.wasted,
-		Work: float64(c.work) / float64(c.available()), Inversions: c.trace.inversions}
+		Work: float64(c.work) / float64(c.available()), Inversions: c.trace.inversions,
+		StragglerStarts: float64(c.trace.slowStarts) / float64(max(c.trace.starts, 1))}
 	for tier := range c.tiers {
 		r.Tiers = append(r.Tiers, c.tier(tier, func(j *job) bool { return j.tier == tier && !j.class.plain }))
 	}
@@ -153,14 +163,20 @@
 	t := TierResult{Tier: tier, Cancelled: c.tiers[tier].cancelled}
 	t.FirstTokenP95 = time.Duration(c.tiers[tier].first.ValueAtQuantile(95)) * time.Microsecond
 	t.GapP95 = time.Duration(c.tiers[tier].gaps.ValueAtQuantile(95)) * time.Microsecond
+	var byCustomer [customers]TierResult
 	for j, how := range c.outcome {
 		if !member(j) || !c.counted(j.arrived) {
 			continue
 		}
 		t.Offered++
+		byCustomer[j.customer].Offered++
+		if j.overtaken {
+			t.Overtaken++
+		}
 		switch how {
 		case endWhole:
 			t.Good++
+			byCustomer[j.customer].Good++
 		case endShed:
 			t.Shed++
 		case endExpired:
@@ -174,5 +190,9 @@
 		case endCancelled:
 		}
 	}
+	t.LeastCustomer = 1
+	for _, one := range byCustomer {
+		t.LeastCustomer = min(t.LeastCustomer, one.Goodput())
+	}
 	return t
 }
--- a/internal/bench/sim.go
+++ b/internal/bench/sim.go
@@ -45,7 +45,9 @@
 	last     time.Duration
 	// recomputed is the prefix that another fitting engine held, in tokens.
 	recomputed int
-	ended      bool
+	// overtaken is set when a lower tier started while the job waited long.
+	overtaken bool
+	ended     bool
 	// home is the host whose dispatcher holds the job; choices are those that
 	// the gate has not yet tried, and incomplete that one gave no answer;
 	// swept is when the choices were made.
--- a/internal/bench/trace.go
+++ b/internal/bench/trace.go
@@ -1,6 +1,10 @@
 package bench
 
-import "github.com/bluebellseam/bluebellseam/internal/tables"
+import (
+	"time"
+
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
 
 // trace follows what runs and queues where, apart from the policy, and counts
 // inversions: a request was refused, or expired before it started, while a
@@ -11,10 +15,18 @@
 	places     map[*job][]tables.TargetID
 	started    map[*job]bool
 	inversions int
+	// waiting are the jobs that have not started.
+	waiting map[*job]bool
+	// slowStarts are the starts at the straggler out of starts since it is one.
+	starts, slowStarts int
 }
 
+// longWait is the wait from which a job counts as overtaken when a lower tier
+// starts on a target that fits it.
+const longWait = time.Second
+
 func newTrace(s *sim) *trace {
-	t := &trace{sim: s, active: make(map[tables.TargetID]*[3]int), places: make(map[*job][]tables.TargetID), started: make(map[*job]bool)}
+	t := &trace{sim: s, active: make(map[tables.TargetID]*[3]int), places: make(map[*job][]tables.TargetID), started: make(map[*job]bool), waiting: make(map[*job]bool)}
 	for _, e := range s.engines {
 		t.active[e.id] = new([3]int)
 	}
@@ -34,6 +46,24 @@
 func (t *trace) start(j *job, id tables.TargetID) {
 	t.queue(j, []tables.TargetID{id})
 	t.started[j] = true
+	delete(t.waiting, j)
+	t.overtake(j, id)
+	if !j.class.plain && t.sim.now > t.sim.share(stragglerAt) {
+		t.starts++
+		if t.sim.engine(id).slow > 1 {
+			t.slowStarts++
+		}
+	}
+}
+
+// overtake marks the jobs that have waited long while j, of a lower tier, starts
+// on a target that fits them.
+func (t *trace) overtake(j *job, id tables.TargetID) {
+	for k := range t.waiting {
+		if k.tier < j.tier && t.sim.now-k.arrived > longWait && t.sim.engine(id).fits(k.class.service) {
+			k.overtaken = true
+		}
+	}
 }
 
 // leave notes that j neither waits nor runs.
@@ -47,6 +77,7 @@
 // ended checks the end of j.
 func (t *trace) ended(j *job, how ending) {
 	t.leave(j)
+	delete(t.waiting, j)
 	refused := how == endShed || how == endExpired && !t.started[j]
 	delete(t.started, j)
 	if refused && t.lowerActive(j) {
--- a/internal/systems/schedule/choose.go
+++ b/internal/systems/schedule/choose.go
@@ -9,8 +9,6 @@
 const (
 	// urgentSlack is the slack below which the deadline orders before fairness.
 	urgentSlack = 1500 * time.Millisecond
-	// longFactor is the length of a long answer over the predicted one.
-	longFactor = 2.0
 	// holderWait is how long a request waits for a place at a target that holds
 	// its prompt while another has room.
 	holderWait = 800 * time.Millisecond
@@ -72,7 +70,7 @@
 // targets that hold their prompts.
 func (p *pass) first(g *group, q *customerQueue) candidate {
 	served := p.index.served(q.head().r.Tier, q.customer)
-	if q.alone || len(g.slots) > maxHolderSlots {
+	if q.alone || !p.state.Policy.PreferHeld || len(g.slots) > maxHolderSlots {
 		return candidate{e: q.head(), urgent: p.urgent(q.head()), served: served}
 	}
 	var first candidate
--- a/internal/systems/schedule/index.go
+++ b/internal/systems/schedule/index.go
@@ -73,7 +73,7 @@
 		}
 		e := &entry{r: r, group: x.group(s, r)}
 		e.group.refresh(now)
-		e.estimate(now)
+		e.estimate(now, s.Policy)
 		x.entries[r] = e
 		x.arrived = append(x.arrived, e)
 		e.group.push(e)
--- a/internal/systems/schedule/overload.go
+++ b/internal/systems/schedule/overload.go
@@ -21,7 +21,7 @@
 )
 
 // estimate sets the expected work and latest start of e.
-func (e *entry) estimate(now time.Time) {
+func (e *entry) estimate(now time.Time, policy Policy) {
 	r := e.r
 	first := time.Duration(float64(r.PromptTokens)*e.group.prefill + e.group.gap)
 	work := first + time.Duration(float64(r.PredictedTokens)*e.group.gap)
@@ -30,7 +30,7 @@
 	}
 	e.work = work
 	e.startBy = latestStart(now, e.r, work, first)
-	e.longBy = latestStart(now, e.r, time.Duration(longFactor*float64(work)), first)
+	e.longBy = latestStart(now, e.r, time.Duration(policy.LongFactor*float64(work)), first)
 	e.second = second(now, e.startBy)
 	e.hopeless = now.Add(noDeadline)
 	if !e.r.Due.IsZero() {
--- a/internal/systems/schedule/policy.go
+++ b/internal/systems/schedule/policy.go
@@ -11,6 +11,12 @@
 	// ReleasePerEnd how many fewer, each time that one ends of itself.
 	HoldPerCancel float64
 	ReleasePerEnd float64
+	// PreferHeld lets requests whose prompt a free target holds go first, and
+	// the others wait a moment for such a target.
+	PreferHeld bool
+	// LongFactor is the length of a long answer over the predicted one; a
+	// request is urgent if a long answer would be late.
+	LongFactor float64
 }
 
 // maxHeld bounds the places that are held back from a tier after cancels.
@@ -18,10 +24,10 @@
 
 // CurrentPolicy returns the policy in force.
 func CurrentPolicy() Policy {
-	return Policy{HeldBackPart: 4, HoldPerCancel: 2, ReleasePerEnd: 0.1}
+	return Policy{HeldBackPart: 4, HoldPerCancel: 2, ReleasePerEnd: 0.1, PreferHeld: true, LongFactor: 2}
 }
 
 // PreviousPolicy returns the policy before the latest change, for comparison.
 func PreviousPolicy() Policy {
-	return Policy{HeldBackPart: 4, HoldPerCancel: 1, ReleasePerEnd: 0.1}
+	return Policy{HeldBackPart: 4, HoldPerCancel: 2, ReleasePerEnd: 0.1, LongFactor: 1}
 }
