Open the flight of a keyed request before its key is claimed

The gate asked for the key of a request; a repeat at the same gate learned that the request held the key before the answer to the first question came, found no flight of it, opened one under its ID and followed it. The winner's own flight was then never registered, its parts went to the other one, and two ends were counted for one open request. Change: the flight is registered before the question, so that the repeat joins it. A request that does not win ends as not run for whoever joined it. Conclusion: one flight a request ID in a gate, at any order of the answers.

--- a/internal/gate/begin.go
+++ b/internal/gate/begin.go
@@ -43,22 +43,44 @@
 
 // beginKeyed claims the key of a request, or joins the request that holds it.
 func (g *Gate) beginKeyed(ctx context.Context, adm admitted) (*flight, error) {
-	result, err := g.acquire(ctx, adm)
+	f, result, err := g.claim(ctx, adm)
 	for tries := 1; result.Freed && tries < claimTries; tries++ {
 		adm.msg.ID = tables.NewRequestID(g.Host, uuid.Must(uuid.NewV7()))
-		result, err = g.acquire(ctx, adm)
+		f, result, err = g.claim(ctx, adm)
 	}
 	g.Observer.Claimed(result.Won, errkind.Of(err))
 	if err != nil {
 		return nil, err
 	}
 	if result.Won {
-		return g.launchKeyed(adm), nil
+		go g.driveKeyed(f, adm)
+		return f, nil
 	}
 	event.ClaimLost.Log(g.Logger, zap.String("request", string(adm.msg.ID)), zap.String("holder", string(result.Holder)))
 	return g.joinHolder(adm, result), nil
 }
 
+// claim asks for the key of a request. Its flight is open from before the
+// question, because a repeat at this gate may learn that the request holds the
+// key before the answer is here, and joins it then. The flight of a request that
+// did not win has ended as not run.
+func (g *Gate) claim(ctx context.Context, adm admitted) (*flight, peer.AcquireResult, error) {
+	f := newFlight(g, adm)
+	g.register(f)
+	result, err := g.acquire(ctx, adm)
+	if err == nil && result.Won {
+		return f, result, nil
+	}
+	end := peer.Finished{Kind: errkind.NotAdmitted, Detail: "the request did not win its key"}
+	if err != nil {
+		end.Kind = errkind.Of(err)
+		end.Detail = err.Error()
+	}
+	f.finish(end)
+	g.forget(f)
+	return f, result, err
+}
+
 // acquire asks the home of the key for the right to dispatch. No error of it
 // lets the request run.
 func (g *Gate) acquire(ctx context.Context, adm admitted) (peer.AcquireResult, error) {
@@ -105,16 +127,11 @@
 	return nil, fmt.Errorf("neither host %q, home of claim shard %d, nor another one answers", home, shard)
 }
 
-// launchKeyed drives the request that won its key and records a proof of "not
+// driveKeyed drives the request that won its key and records a proof of "not
 // run", so that the key is free again.
-func (g *Gate) launchKeyed(adm admitted) *flight {
-	f := newFlight(g, adm)
-	g.register(f)
-	go func() {
-		g.drive(f, adm.pick)
-		g.recordEnd(f)
-	}()
-	return f
+func (g *Gate) driveKeyed(f *flight, adm admitted) {
+	g.drive(f, adm.pick)
+	g.recordEnd(f)
 }
 
 // recordEnd records the outcome of a keyed request that no dispatcher records: a
