Ask all hosts at once whether they show a target as leaving

Cause: domain-returns-stale failed in 1 of 3 runs at a load average of 17: four hosts were asked one after the other, and each waits up to 2 s for peers whose connections went silent, beyond the 5 s of the check. Change: they are asked at once; the bound is unchanged.

--- a/internal/scenario/checks.go
+++ b/internal/scenario/checks.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/bluebellseam/bluebellseam/internal/harness"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -76,16 +77,22 @@
 	if err != nil {
 		return err
 	}
+	var group errgroup.Group
 	for _, host := range s.h.Hosts() {
-		var last error
-		seen := harness.Await(ctx, func() bool {
-			leaving, err := s.h.TargetLeaving(ctx, string(host.ID), name)
-			last = err
-			return err == nil && leaving
-		})
-		if !seen {
-			return fmt.Errorf("host %q does not show target %q as leaving: %v", host.ID, name, last)
-		}
+		group.Go(func() error { return awaitLeavingAt(ctx, s, string(host.ID), name) })
+	}
+	return group.Wait()
+}
+
+func awaitLeavingAt(ctx context.Context, s *state, host, target string) error {
+	var last error
+	seen := harness.Await(ctx, func() bool {
+		leaving, err := s.h.TargetLeaving(ctx, host, target)
+		last = err
+		return err == nil && leaving
+	})
+	if !seen {
+		return fmt.Errorf("host %q does not show target %q as leaving: %v", host, target, last)
 	}
 	return nil
 }
