Count a second for a place that a lower tier gives up

Cause: a gate counted 0.2 s for a place at a target that runs a lower tier, but an owner cancels that only 0.1 s before the latest start. Gates therefore sent requests of higher tiers to full targets, where they waited while lower ones started elsewhere.

--- a/internal/systems/route/route.go
+++ b/internal/systems/route/route.go
@@ -58,7 +58,7 @@
 	// stragglerPenalty is added to the expected finish time at a straggler.
 	stragglerPenalty = time.Minute
 	// preemptTime is the expected wait for a place that a lower tier gives up.
-	preemptTime = 200 * time.Millisecond
+	preemptTime = time.Second
 	// placeTime is the expected wait for a place behind requests of the same
 	// or a higher tier when no wait was reported.
 	placeTime = time.Second
