--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -14,6 +14,8 @@
 		{"claims", claimSlopes},
 		{"schedule", scheduleSlopes},
 		{"wire", wireSlopes},
+		{"feed", feedSlopes},
+		{"polls", pollSlopes},
 		{"hosts", hostSlopes},
 	}
 	var all []Slope
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -11,6 +11,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/systems/measure"
+	"github.com/bluebellseam/bluebellseam/internal/systems/stream"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
@@ -21,17 +22,14 @@
 // job is one request in the hands of the dispatcher.
 type job struct {
 	msg peer.Submit
-	// row is nil for a job that was taken over from another dispatcher.
+	// row is nil for a job that was taken over from another dispatcher. The
+	// row in the request table then only counts it at its target.
 	row     *tables.Request
 	target  tables.TargetID
 	started bool
 	// reason is why a cancel was sent; empty without one.
-	reason errkind.Kind
-	chunks []target.Chunk
-	// from is the token offset of the first chunk; above zero when the answer
-	// was taken over in its middle.
-	from    int
-	tokens  int
+	reason  errkind.Kind
+	parts   stream.Answer
 	outcome *peer.Finished
 	// listeners are the connections that get the answer, with the function
 	// that ends the watch on each.
@@ -45,15 +43,13 @@
 	span trace.Span
 }
 
-// listen sends the answer from a token offset on to conn.
-func (d *Dispatcher) listen(j *job, conn *peer.Conn, offset int) {
+// listen sends parts of the answer to conn, and what follows them.
+func (d *Dispatcher) listen(j *job, conn *peer.Conn, parts []target.Chunk) {
 	if j.started {
 		conn.Post(peer.NotifyStarted, peer.Started{ID: j.msg.ID, Target: j.target})
 	}
-	for _, c := range j.chunks {
-		if c.Offset >= offset {
-			conn.Post(peer.NotifyChunk, peer.Chunk{ID: j.msg.ID, Chunk: c})
-		}
+	for _, c := range parts {
+		conn.Post(peer.NotifyChunk, peer.Chunk{ID: j.msg.ID, Chunk: c})
 	}
 	if j.outcome != nil {
 		conn.Post(peer.NotifyFinished, *j.outcome)
@@ -120,11 +116,9 @@
 
 // addChunk appends c when it continues the answer and drops a repeated part.
 func (d *Dispatcher) addChunk(j *job, c target.Chunk) {
-	if j.outcome != nil || c.Offset != j.tokens {
+	if j.outcome != nil || j.parts.Add(c) != stream.Next {
 		return
 	}
-	j.chunks = append(j.chunks, c)
-	j.tokens += c.Tokens
 	if j.row != nil {
 		if c.Offset == 0 {
 			d.state.Prefixes.Observed(j.target, j.row.CachedTokens, c.CachedTokens)
@@ -145,7 +139,7 @@
 	now := d.Clock.Now()
 	f.ID = j.msg.ID
 	f.Target = j.target
-	f.Tokens = j.tokens
+	f.Tokens = j.parts.Tokens()
 	d.leaveTables(now, j, f)
 	f.Pool = d.summary()
 	j.outcome = &f
@@ -156,7 +150,10 @@
 }
 
 func (d *Dispatcher) leaveTables(now time.Time, j *job, f peer.Finished) {
-	delete(d.jobs, j.msg.ID)
+	if d.jobs[j.msg.ID] == j {
+		delete(d.jobs, j.msg.ID)
+		d.state.Requests.Delete(j.msg.ID)
+	}
 	d.kept.Add(j.msg.ID, j)
 	if j.row == nil {
 		return
@@ -165,10 +162,9 @@
 		measure.Finished(now, t, j.row, f.Kind)
 	}
 	if f.Kind == errkind.None && !j.row.Plain {
-		d.state.Lengths.Observe(j.row, j.tokens)
+		d.state.Lengths.Observe(j.row, j.parts.Tokens())
 	}
 	j.row.State = tables.Finished
-	d.state.Requests.Delete(j.msg.ID)
 	d.endTrace(j, f.Kind)
 	d.Observer.Ended(j.row, f, now)
 }
@@ -185,7 +181,7 @@
 		zap.String("request", string(j.msg.ID)),
 		zap.String("kind", string(f.Kind)),
 		zap.String("target", string(j.target)),
-		zap.Int("tokens", j.tokens),
+		zap.Int("tokens", j.parts.Tokens()),
 		zap.String("detail", f.Detail))
 }
 
@@ -207,7 +203,7 @@
 
 // outcomeOf describes what is known of j.
 func (d *Dispatcher) outcomeOf(j *job) peer.Outcome {
-	o := peer.Outcome{ID: j.msg.ID, Known: true, Target: j.target, Tokens: j.tokens, TraceID: j.traceID, Key: j.msg.Key}
+	o := peer.Outcome{ID: j.msg.ID, Known: true, Target: j.target, Tokens: j.parts.Tokens(), TraceID: j.traceID, Key: j.msg.Key}
 	if j.outcome == nil {
 		return o
 	}
@@ -216,7 +212,7 @@
 	o.Kind = j.outcome.Kind
 	o.Detail = j.outcome.Detail
 	o.Status = j.outcome.Status
-	if j.outcome.Kind == errkind.None && j.from == 0 {
+	if j.outcome.Kind == errkind.None && j.parts.FromStart() {
 		o.Body = j.answer()
 		o.BodyKept = true
 	}
@@ -228,9 +224,5 @@
 	if j.msg.Plain {
 		return j.outcome.Body
 	}
-	var b []byte
-	for _, c := range j.chunks {
-		b = append(b, c.Text...)
-	}
-	return b
+	return j.parts.Text()
 }
--- a/internal/dispatcher/recover.go
+++ b/internal/dispatcher/recover.go
@@ -8,6 +8,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/systems/stream"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
@@ -15,6 +16,9 @@
 // targetTimeout bounds one short question to a target.
 const targetTimeout = 2 * time.Second
 
+// cancelPause is the time after a cancel without effect before another one.
+const cancelPause = 500 * time.Millisecond
+
 // cancelAtTargets asks every named target itself and returns the strongest
 // word: a run anywhere, else doubt, else the proof that none has started it. A
 // target that did not answer is an error of kind OutcomeUnknown.
@@ -105,11 +109,20 @@
 
 func (d *Dispatcher) attachKnown(conn *peer.Conn, q peer.Attach) bool {
 	j := d.known(q.ID)
-	if j == nil || j.from > q.Offset {
+	if j == nil || j.refusedUnsent() && !j.answersTo(q) {
 		return false
 	}
-	d.listen(j, conn, q.Offset)
-	return true
+	rest, ok := j.parts.Rest(q.Offset, q.Text)
+	if ok {
+		d.listen(j, conn, rest)
+	}
+	return ok
+}
+
+// answersTo reports whether the refusal of j is what q asks about. Another
+// dispatcher may have sent the request since.
+func (j *job) answersTo(q peer.Attach) bool {
+	return q.Target == "" && (q.Attempt == 0 || q.Attempt == j.msg.Attempt)
 }
 
 // takeOver resumes the answer of a dispatch at its target from the token offset
@@ -166,11 +179,22 @@
 	return errkind.Wrap(cause, errkind.OutcomeUnknown, fmt.Sprintf("target %q did not answer", id))
 }
 
-// adopt makes a job for a dispatch of another dispatcher.
+// adopt makes a job for a dispatch of another dispatcher. It counts against the
+// window of its target.
 func (d *Dispatcher) adopt(conn *peer.Conn, q peer.Attach, plain bool) *job {
-	j := &job{msg: peer.Submit{ID: q.ID, Customer: q.Customer, Service: q.Service, Plain: plain}, target: q.Target, started: true, from: q.Offset, tokens: q.Offset}
+	j := &job{
+		msg: peer.Submit{
+			ID: q.ID, Customer: q.Customer, Service: q.Service, Plain: plain,
+			Tier: q.Tier, Fingerprint: q.Fingerprint, Key: q.Key,
+		},
+		target: q.Target, started: true, parts: stream.After(q.Offset, q.Text),
+	}
 	d.jobs[q.ID] = j
-	d.listen(j, conn, q.Offset)
+	d.state.Requests.Put(&tables.Request{
+		ID: q.ID, Customer: q.Customer, Service: q.Service, Tier: q.Tier, Plain: plain,
+		Fingerprint: q.Fingerprint, State: tables.Running, Target: q.Target, Started: d.Clock.Now(),
+	})
+	d.listen(j, conn, nil)
 	return j
 }
 
@@ -181,8 +205,8 @@
 		return
 	}
 	j.reason = reason
-	if j.row != nil {
-		j.row.Cancelling = true
+	if r := d.state.Requests.Get(j.msg.ID); r != nil {
+		r.Cancelling = true
 	}
 	at, ok := d.locate(j.target)
 	if !ok {
@@ -196,10 +220,29 @@
 	defer cancel()
 	progress, err := d.Targets.Engine(at.address).Cancel(ctx, j.msg.ID)
 	if err != nil {
-		d.post(func() { j.reason = errkind.None })
+		progress = target.NotKnown
+	}
+	ended, err := ask(d.ctx, d, func() bool {
+		d.finishCancelled(j, progress)
+		return j.outcome != nil
+	})
+	if ended || err != nil {
 		return
 	}
-	d.post(func() { d.finishCancelled(j, progress) })
+	select {
+	case <-d.Clock.After(cancelPause):
+		d.post(func() { d.cancelFailed(j) })
+	case <-d.ctx.Done():
+	}
+}
+
+// cancelFailed lets a request that a cancel did not end be cancelled again. Until
+// then the scheduler counts on its place.
+func (d *Dispatcher) cancelFailed(j *job) {
+	r := d.state.Requests.Get(j.msg.ID)
+	if r != nil && j.outcome == nil && j.reason == errkind.None {
+		r.Cancelling = false
+	}
 }
 
 // finishCancelled ends j by the target's word on its cancel. A completed
--- a/internal/dispatcher/targets.go
+++ b/internal/dispatcher/targets.go
@@ -52,6 +52,7 @@
 		d.state.Targets.Put(row)
 	}
 	describe(row, doc, t)
+	d.offer(row, doc, t)
 	d.setLeaving(row, d.Membership.TargetState(id) == tables.HostLeaving)
 	gained := d.setOwned(row, d.Membership.Owner(id, row.Domain) == d.Host)
 	if gained && known {
@@ -65,10 +66,6 @@
 	row.Domain = tables.DomainID(t.FailureDomain)
 	row.Generation = t.Generation
 	row.Plain = isPlain(doc, t)
-	row.Services = make(map[tables.ServiceID]bool, len(t.Services))
-	for _, s := range t.Services {
-		row.Services[tables.ServiceID(s)] = true
-	}
 	row.ChecksFencing = t.ChecksFencing
 	row.Drained = t.Drained
 	row.WindowMin, row.WindowMax = t.Window()
@@ -114,6 +111,7 @@
 	for _, id := range gone {
 		d.state.Targets.Delete(id)
 		delete(d.warned, id)
+		delete(d.held, id)
 		d.state.Prefixes.Forget(id)
 	}
 }
@@ -140,12 +138,13 @@
 // returns the channel that is closed once the peers know, or nil.
 func (d *Dispatcher) crashed(j *job) <-chan struct{} {
 	t := d.state.Targets.Get(j.target)
-	if t == nil || j.row == nil {
+	r := d.state.Requests.Get(j.msg.ID)
+	if t == nil || r == nil {
 		return nil
 	}
 	now := d.Clock.Now()
 	t.DownUntil = now.Add(downFor)
-	if !t.LastCrash.IsZero() && !j.row.Started.After(t.LastCrash) {
+	if !t.LastCrash.IsZero() && !r.Started.After(t.LastCrash) {
 		return d.warned[t.ID]
 	}
 	t.LastCrash = now
@@ -160,16 +159,15 @@
 func (d *Dispatcher) inFlight(id tables.TargetID) []Suspect {
 	found := make(map[tables.Fingerprint]Suspect)
 	for _, j := range d.jobs {
-		if !j.started || j.target != id || j.row == nil {
+		m := &j.msg
+		if !j.started || j.target != id || m.Fingerprint == 0 {
 			continue
 		}
-		old, ok := found[j.row.Fingerprint]
-		if ok && old.Request < j.row.ID {
+		old, ok := found[m.Fingerprint]
+		if ok && old.Request < m.ID {
 			continue
 		}
-		found[j.row.Fingerprint] = Suspect{
-			Fingerprint: j.row.Fingerprint, Customer: j.row.Customer, Service: j.row.Service, Request: j.row.ID,
-		}
+		found[m.Fingerprint] = Suspect{Fingerprint: m.Fingerprint, Customer: m.Customer, Service: m.Service, Request: m.ID}
 	}
 	return slices.Collect(maps.Values(found))
 }
--- a/internal/gate/begin.go
+++ b/internal/gate/begin.go
@@ -35,7 +35,7 @@
 
 // launch opens a flight and drives it.
 func (g *Gate) launch(adm admitted) *flight {
-	f := newFlight(g, adm.msg)
+	f := newFlight(g, adm)
 	g.register(f)
 	go g.drive(f, adm.pick)
 	return f
@@ -43,22 +43,44 @@
 
 // beginKeyed claims the key of a request, or joins the request that holds it.
 func (g *Gate) beginKeyed(ctx context.Context, adm admitted) (*flight, error) {
-	result, err := g.acquire(ctx, adm)
+	f, result, err := g.claim(ctx, adm)
 	for tries := 1; result.Freed && tries < claimTries; tries++ {
 		adm.msg.ID = tables.NewRequestID(g.Host, uuid.Must(uuid.NewV7()))
-		result, err = g.acquire(ctx, adm)
+		f, result, err = g.claim(ctx, adm)
 	}
 	g.Observer.Claimed(result.Won, errkind.Of(err))
 	if err != nil {
 		return nil, err
 	}
 	if result.Won {
-		return g.launchKeyed(adm), nil
+		go g.driveKeyed(f, adm)
+		return f, nil
 	}
 	event.ClaimLost.Log(g.Logger, zap.String("request", string(adm.msg.ID)), zap.String("holder", string(result.Holder)))
 	return g.joinHolder(adm, result), nil
 }
 
+// claim asks for the key of a request. Its flight is open from before the
+// question, because a repeat at this gate may learn that the request holds the
+// key before the answer is here, and joins it then. The flight of a request that
+// did not win has ended as not run.
+func (g *Gate) claim(ctx context.Context, adm admitted) (*flight, peer.AcquireResult, error) {
+	f := newFlight(g, adm)
+	g.register(f)
+	result, err := g.acquire(ctx, adm)
+	if err == nil && result.Won {
+		return f, result, nil
+	}
+	end := peer.Finished{Kind: errkind.NotAdmitted, Detail: "the request did not win its key"}
+	if err != nil {
+		end.Kind = errkind.Of(err)
+		end.Detail = err.Error()
+	}
+	f.finish(end)
+	g.forget(f)
+	return f, result, err
+}
+
 // acquire asks the home of the key for the right to dispatch. No error of it
 // lets the request run.
 func (g *Gate) acquire(ctx context.Context, adm admitted) (peer.AcquireResult, error) {
@@ -72,7 +94,7 @@
 	defer cancel()
 	err = conn.Call(ctx, peer.MethodAcquire, peer.Acquire{
 		Customer: msg.Customer, Service: msg.Service, Key: msg.Key, Request: msg.ID,
-		Fingerprint: msg.Fingerprint, Lifetime: adm.lifetime, TargetsDigest: claim.TargetsDigest(targetsOf(adm.pick())),
+		Fingerprint: msg.Fingerprint, Lifetime: adm.lifetime, TargetsDigest: adm.claimed.digest(),
 	}, &result)
 	if err != nil {
 		go g.release(msg, errkind.ClaimsUnavailable)
@@ -87,6 +109,9 @@
 // claimHome connects to the home of a key. When it is out of reach another host
 // stands in: a home only saves reads and appends, the log decides.
 func (g *Gate) claimHome(ctx context.Context, msg peer.Submit) (*peer.Conn, error) {
+	if claim.IsMinted(msg.Key) {
+		return g.minter(ctx, msg.Key)
+	}
 	shard := shardOf(msg, g.ClaimShards)
 	home := g.Membership.ClaimHome(shard)
 	address, ok := g.address(home)
@@ -102,28 +127,34 @@
 	return nil, fmt.Errorf("neither host %q, home of claim shard %d, nor another one answers", home, shard)
 }
 
-// launchKeyed drives the request that won its key and records a proof of "not
+// driveKeyed drives the request that won its key and records a proof of "not
 // run", so that the key is free again.
-func (g *Gate) launchKeyed(adm admitted) *flight {
-	f := newFlight(g, adm.msg)
-	g.register(f)
-	go func() {
-		g.drive(f, adm.pick)
-		g.recordRefusal(f)
-	}()
-	return f
+func (g *Gate) driveKeyed(f *flight, adm admitted) {
+	g.drive(f, adm.pick)
+	g.recordEnd(f)
 }
 
-func (g *Gate) recordRefusal(f *flight) {
+// recordEnd records the outcome of a keyed request that no dispatcher records: a
+// proof of "not run", and what the gate found out at the targets.
+func (g *Gate) recordEnd(f *flight) {
 	end := f.since(0).outcome
-	if end != nil && end.Kind.Answer().Ran == errkind.RanNo {
+	switch {
+	case end == nil:
+	case end.Kind.Answer().Ran == errkind.RanNo:
 		g.release(f.msg, end.Kind)
+	case f.settled && end.Kind.Answer().Ran == errkind.RanYes:
+		g.record(f.msg, f.known())
 	}
 }
 
 // release tells the home of a key that a request was not and will not be
 // dispatched, which frees the key if the request holds it.
 func (g *Gate) release(msg peer.Submit, kind errkind.Kind) {
+	g.record(msg, peer.Outcome{ID: msg.ID, Known: true, Done: true, Kind: kind})
+}
+
+// record tells the home of a key the outcome of a request.
+func (g *Gate) record(msg peer.Submit, o peer.Outcome) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(g.ctx), recordTimeout)
 	defer cancel()
 	conn, err := g.claimHome(ctx, msg)
@@ -131,8 +162,7 @@
 		return
 	}
 	_ = conn.Call(ctx, peer.MethodRecord, peer.Record{
-		Customer: msg.Customer, Service: msg.Service, Key: msg.Key,
-		Outcome: peer.Outcome{ID: msg.ID, Known: true, Done: true, Kind: kind},
+		Customer: msg.Customer, Service: msg.Service, Key: msg.Key, Outcome: o,
 	}, nil)
 }
 
--- a/internal/gate/drive.go
+++ b/internal/gate/drive.go
@@ -10,6 +10,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/systems/route"
+	"github.com/bluebellseam/bluebellseam/internal/systems/settle"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -112,8 +113,12 @@
 		return notSent
 	}
 	msg := f.aged(g.Clock.Now())
+	f.attempt++
+	msg.Attempt = f.attempt
 	msg.Allowed = c.Targets
-	f.update(func() { f.verdict = nil })
+	msg.SendBy = f.arrived.Add(settle.SendWithin)
+	msg.Addresses = f.claimed.addresses(c.Targets)
+	f.listen(conn)
 	var result peer.SubmitResult
 	if err := conn.Call(g.ctx, peer.MethodSubmit, msg, &result); err != nil {
 		return lost
@@ -134,8 +139,8 @@
 // aged returns the message of f with its times as of now.
 func (f *flight) aged(now time.Time) peer.Submit {
 	msg := f.msg
-	waited := now.Sub(f.arrived) - msg.Age
-	msg.Age += waited
+	waited := now.Sub(f.arrived)
+	msg.Age = waited
 	msg.FirstTokenIn -= waited
 	msg.DueIn -= waited
 	return msg
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -10,7 +10,9 @@
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/operators"
 	"github.com/bluebellseam/bluebellseam/internal/orders"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/settings"
+	"github.com/bluebellseam/bluebellseam/internal/systems/demand"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
@@ -23,14 +25,15 @@
 	stopOrders func()
 	server     *http.Server
 	address    string
+	running    *orders.Controller
 }
 
 // StartController starts a controller. The error is that of a listener.
 func StartController(s settings.Controller, env Env) (*Controller, error) {
 	n := &Controller{clients: newClients()}
-	n.proc = newProcess("controller", s.Common, env, part{
+	n.proc = newProcess(roleController, s.Common, env, part{
 		self:     tables.Host{ID: s.Host, Domain: s.FailureDomain},
-		observer: true,
+		observer: true, dispatcher: s.DispatcherAddress,
 	})
 	n.proc.registerCommon()
 	if err := n.listen(s); err != nil {
@@ -51,9 +54,10 @@
 		cancel()
 		<-done
 	}
+	n.running = n.orders(s)
 	n.proc.spawn(func() {
 		defer close(done)
-		_ = n.orders(s).Run(ctx)
+		_ = n.running.Run(ctx)
 	})
 }
 
@@ -63,11 +67,31 @@
 	return orders.New(orders.Options{
 		Self: tables.Host{ID: s.Host, Domain: s.FailureDomain},
 		Log:  p.Log, Clock: p.Clock, Logger: p.Logger, Config: p.document, Live: p.members.Live,
-		Engine:  func(_ tables.TargetID, address string) target.Engine { return n.clients.Engine(address) },
-		Weights: p.Weights,
+		Engine:  func(_ tables.TargetID, address string) target.Engine { return n.engine(address) },
+		Weights: p.Weights, Measure: n.measure,
 	})
 }
 
+// measure asks the dispatcher of a host for its demand.
+func (n *Controller) measure(ctx context.Context, h tables.Host) (demand.Rates, error) {
+	var answer peer.Demand
+	err := n.proc.pool.Call(ctx, h.PeerAddress, peer.MethodDemand, peer.DemandRequest{}, &answer)
+	return answer.Rates, err
+}
+
+// engine returns what orders to the engine at address go through.
+func (n *Controller) engine(address string) target.Engine {
+	client := n.clients.Engine(address)
+	if through := n.proc.OrderThrough; through != nil {
+		return through(client)
+	}
+	return client
+}
+
+// Leases returns the names of the leases that the controller may act on now,
+// sorted.
+func (n *Controller) Leases() []string { return n.running.Holds() }
+
 func (n *Controller) listen(s settings.Controller) error {
 	l, err := net.Listen("tcp", s.PeerAddress)
 	if err != nil {
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -36,7 +36,7 @@
 	return connections{
 		base:   "http://" + address,
 		pooled: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: idleTimeout}},
-		fresh:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}},
+		fresh:  httpcall.NewGuarded(dialTimeout),
 	}
 }
 
@@ -76,8 +76,10 @@
 
 func meaningOf(code string) error {
 	switch code {
-	case CodeNotAdmitted, CodeTombstoned, CodeMalformed, CodeModelNotLoaded, CodeUnknownDispatch:
+	case CodeNotAdmitted, CodeTombstoned, CodeMalformed, CodeUnknownDispatch:
 		return ErrNotAdmitted
+	case CodeModelNotLoaded:
+		return ErrModelNotLoaded
 	case CodeCancelled, CodeFailed:
 		return ErrFailed
 	case CodeFenced:
