--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -110,7 +110,7 @@
 			o.Kinds[result.Kind]++
 		}
 		if took := result.Ended.Sub(result.Sent); took > o.Longest[result.Kind].Duration {
-			o.Longest[result.Kind] = LongCall{c.Request.Name, took}
+			o.Longest[result.Kind] = LongCall{c.Request.Name + " " + string(result.ID), took}
 		}
 		byTier[c.Request.Tier].count(result)
 	}
