Ask all owners at once before a request is refused for want of room

The log had 76,976 refusals for some 850 refused calls: a gate whose round through the owners took longer than 100 ms submitted the request to all of them again, up to its last deadline, and the rounds of all gates made each other slower. Ruled out: the queues; each dispatcher refused in time. Change: the owners are asked at once, by a small message, whether a lower tier runs or queues at the targets; those that have one get the request, and without any the refusal is told. An owner that agrees keeps lower tiers off for a moment, as a refusal does. Conclusion: a request that is given up on gets its answer at once.

--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -22,6 +22,7 @@
 	peer.Handle(mux, peer.MethodCancel, d.cancel)
 	peer.Handle(mux, peer.MethodAttach, d.attach)
 	peer.Handle(mux, peer.MethodLookup, d.lookup)
+	peer.Handle(mux, peer.MethodSweep, d.sweep)
 }
 
 // submit makes sure that the gate still waits before it takes the request in:
@@ -109,6 +110,12 @@
 	return j
 }
 
+func (d *Dispatcher) sweep(ctx context.Context, _ *peer.Conn, q peer.Sweep) (peer.SweepResult, error) {
+	return ask(ctx, d, func() peer.SweepResult {
+		return peer.SweepResult{GiveUp: d.state.GiveUp(d.Clock.Now(), q.Tier, q.Targets)}
+	})
+}
+
 func (d *Dispatcher) lookup(ctx context.Context, _ *peer.Conn, q peer.Lookup) (peer.Outcome, error) {
 	return ask(ctx, d, func() peer.Outcome {
 		j := d.known(q.ID)
--- a/internal/gate/drive.go
+++ b/internal/gate/drive.go
@@ -34,9 +34,6 @@
 	rerouteFirst   = 50 * time.Millisecond
 	rerouteLongest = 500 * time.Millisecond
 	rerouteFor     = 5 * time.Second
-	// sweepValid is how long the refusals of one round hold. An older one may
-	// come from an owner that has taken lower tiers since.
-	sweepValid = 100 * time.Millisecond
 )
 
 // drive takes a flight to its outcome. pick chooses anew for every round, since
@@ -45,13 +42,18 @@
 	defer g.unregister(f)
 	begun := g.Clock.Now()
 	pause := rerouteFirst
+	choices := pick()
 	for g.ctx.Err() == nil {
 		asked := g.Clock.Now()
-		refusal, done := g.round(f, pick())
+		refusal, done := g.round(f, choices)
 		if done {
 			return
 		}
 		now := g.Clock.Now()
+		choices = pick()
+		if overloaded(refusal.Kind) && now.Sub(asked) > sweepValid {
+			choices = g.sweep(f, choices)
+		}
 		switch {
 		case f.callerLeft():
 			f.finish(refusal)
@@ -59,8 +61,7 @@
 		case ownerless(refusal.Kind) && now.Add(pause).Before(begun.Add(min(rerouteFor, f.msg.DueIn))):
 			g.pauseUntil(now.Add(pause))
 			pause = min(2*pause, rerouteLongest)
-		case overloaded(refusal.Kind) && now.Sub(asked) > sweepValid && now.Before(f.arrived.Add(f.msg.DueIn)):
-			continue
+		case overloaded(refusal.Kind) && now.Sub(asked) > sweepValid && len(choices) > 0:
 		default:
 			f.finish(advise(refusal))
 			return
@@ -68,13 +69,6 @@
 	}
 }
 
-// overloaded reports whether a refusal is for want of room, so that all owners
-// must have refused at about the same time before the caller is refused: else
-// one of them might have begun to run a lower tier.
-func overloaded(k errkind.Kind) bool {
-	return k == errkind.Overloaded || k == errkind.Displaced || k == errkind.DeadlineUnmeetable
-}
-
 // ownerless reports whether a refusal is about a dispatcher that does not own
 // a target any more, so that another one soon will.
 func ownerless(k errkind.Kind) bool {
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -25,6 +25,7 @@
 	MethodConfig    = "config.fetch"
 	MethodShare     = "quarantine.share"
 	MethodDemand    = "dispatcher.demand"
+	MethodSweep     = "dispatcher.sweep"
 )
 
 // Notifications from a dispatcher to a gate.
@@ -127,6 +128,19 @@
 	return !f.Sent && !final && f.Kind.Answer().Ran == errkind.RanNo
 }
 
+// Sweep asks a dispatcher whether a request of a tier may be refused for want of
+// room, as far as its own ones of the targets are concerned.
+type Sweep struct {
+	Tier    int               `json:"tier"`
+	Targets []tables.TargetID `json:"targets"`
+}
+
+// SweepResult answers MethodSweep.
+type SweepResult struct {
+	// GiveUp is false while a lower tier runs or queues at one of the targets.
+	GiveUp bool `json:"give_up"`
+}
+
 // CancelRequest stops a request at its dispatcher and target.
 type CancelRequest struct {
 	ID tables.RequestID `json:"id"`
--- /dev/null
+++ b/internal/systems/schedule/sweep_test.go
@@ -0,0 +1,38 @@
+package schedule_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bluebellseam/bluebellseam/internal/systems/schedule"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+var _ = Describe("GiveUp", func() {
+	var s *schedule.State
+	targets := []tables.TargetID{"e1", "elsewhere"}
+	BeforeEach(func() {
+		s = schedule.NewState()
+		s.Targets.Put(engine("e1", 1))
+	})
+	It("refuses while a lower tier runs", func() {
+		s.Requests.Put(request("low", 2, time.Minute, "e1"))
+		schedule.Tick(start, s)
+		Expect(s.GiveUp(start, 1, targets)).To(BeFalse())
+		Expect(s.GiveUp(start, 2, targets)).To(BeTrue())
+	})
+	It("refuses while a lower tier queues", func() {
+		s.Requests.Put(request("same", 1, time.Minute, "e1"))
+		schedule.Tick(start, s)
+		Expect(s.GiveUp(start, 1, targets)).To(BeTrue())
+		s.Requests.Put(request("low", 2, time.Minute, "e1"))
+		Expect(s.GiveUp(start, 1, targets)).To(BeFalse())
+	})
+	It("keeps lower tiers off for a moment", func() {
+		Expect(s.GiveUp(start, 1, targets)).To(BeTrue())
+		s.Requests.Put(request("low", 2, time.Minute, "e1"))
+		Expect(ids(schedule.Tick(start, s), tables.Start)).To(BeEmpty())
+	})
+})
