Ask an idle peer connection for a sign of life before it is used

Cause: gates and controllers that are fed exchange no heartbeats, which had replaced connections that went silent while idle. After a cut, a status or a request then lost 2.5 s to each such connection.

Change: a connection that was silent for 2 s and is not in use is confirmed within 0.5 s by Pool.Get, or replaced. The test of a gate that does not follow waits for its follower to end before the next version.

Test: a call over an idle connection that went silent is answered on a new one; it fails without the change by the wait for the connection's end.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -146,6 +146,7 @@
 		Expect(s.feeder.members.Own().Unheard).To(BeEmpty())
 		Expect(s.feeder.members.Own().LowestVersion).To(BeEquivalentTo(1))
 		s.gate.stall()
+		time.Sleep(time.Second)
 		s.publish(1)
 		time.Sleep(10 * time.Second)
 		Expect(s.feeder.members.Own().ConfigVersion).To(BeEquivalentTo(2))
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -115,6 +115,31 @@
 		}).Should(BeClosed())
 		Expect(clock.Since(begun)).To(BeNumerically("<", idleTime/2))
 	})
+	It("takes a new connection when an idle one has gone silent", func() {
+		clock := clockwork.NewFakeClock()
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		relay := newRelay(l, serve(ctx, mux, clockwork.NewRealClock()))
+		p := peer.NewPool(ctx, peer.Hello{Host: "a", Key: key}, peer.NewMux(), clock)
+		idle, err := p.Get(ctx, l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		clock.Advance(idleTime / 2)
+		Expect(p.Get(ctx, l.Addr().String())).To(BeIdenticalTo(idle))
+		relay.silence()
+		clock.Advance(pingStep)
+		answered := make(chan string)
+		go func() {
+			defer GinkgoRecover()
+			var out word
+			Expect(p.Call(ctx, l.Addr().String(), "echo", word{"hi"}, &out)).To(Succeed())
+			answered <- out.Text
+		}()
+		Eventually(func() <-chan struct{} {
+			clock.Advance(callStep)
+			return idle.Done()
+		}).Should(BeClosed())
+		Eventually(answered).Should(Receive(Equal("hi from a")))
+	})
 	It("closes an idle connection after a minute and not before", func() {
 		clock := clockwork.NewFakeClock()
 		conn, err := peer.NewPool(ctx, peer.Hello{Host: "a", Key: key}, peer.NewMux(), clock).Get(ctx, serve(ctx, mux, clockwork.NewRealClock()))
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -10,7 +10,11 @@
 	"github.com/jonboulle/clockwork"
 )
 
-const dialTimeout = 1 * time.Second
+const (
+	dialTimeout = 1 * time.Second
+	// idleConfirm bounds the sign of life of a connection that was idle.
+	idleConfirm = 500 * time.Millisecond
+)
 
 // Pool keeps one connection to each peer address.
 type Pool struct {
@@ -36,14 +40,20 @@
 	return &Pool{ctx: ctx, hello: hello, mux: mux, clock: clock, slots: make(map[string]*slot)}
 }
 
-// Get returns the connection to address and dials when there is none. Errors
-// wrap ErrNotSent.
+// Get returns the connection to address and dials when there is none, or when
+// an idle one gives no sign of life. Errors wrap ErrNotSent.
 func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
 	s := p.slot(address)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conn != nil && !isDone(s.conn) {
-		return s.conn, nil
+		if p.alive(ctx, s.conn) {
+			return s.conn, nil
+		}
+		if err := ctx.Err(); err != nil {
+			return nil, fmt.Errorf("peer %s: %w: %w", address, ErrNotSent, err)
+		}
+		_ = s.conn.Close()
 	}
 	conn, err := p.dial(ctx, address)
 	if err != nil {
@@ -76,6 +86,17 @@
 	return conn.Call(ctx, method, params, result)
 }
 
+// alive reports whether a message may go over a connection. One that has long
+// been idle may have gone silent unseen; what is sent on it would be lost.
+func (p *Pool) alive(ctx context.Context, c *Conn) bool {
+	if c.busy.Load() > 0 || p.clock.Now().Sub(c.LastHeard()) < confirmEvery {
+		return true
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, p.clock, idleConfirm)
+	defer cancel()
+	return c.Confirm(ctx) == nil
+}
+
 func (p *Pool) slot(address string) *slot {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/peer/relay_test.go
+++ b/internal/peer/relay_test.go
@@ -21,6 +21,8 @@
 type relay struct {
 	mu     sync.Mutex
 	frozen bool
+	// opened counts the connections; those up to silenced are frozen for good.
+	opened, silenced int
 }
 
 func newRelay(l net.Listener, backend string) *relay {
@@ -35,14 +37,18 @@
 			if err != nil {
 				return
 			}
-			go r.copy(in, out)
-			go r.copy(out, in)
+			r.mu.Lock()
+			r.opened++
+			number := r.opened
+			r.mu.Unlock()
+			go r.copy(in, out, number)
+			go r.copy(out, in, number)
 		}
 	}()
 	return r
 }
 
-func (r *relay) copy(dst, src net.Conn) {
+func (r *relay) copy(dst, src net.Conn, number int) {
 	buf := make([]byte, 4096)
 	for {
 		n, err := src.Read(buf)
@@ -50,7 +56,7 @@
 			return
 		}
 		r.mu.Lock()
-		drop := r.frozen
+		drop := r.frozen || number <= r.silenced
 		r.mu.Unlock()
 		if !drop {
 			_, _ = dst.Write(buf[:n])
@@ -58,6 +64,13 @@
 	}
 }
 
+// silence freezes the connections that are open now, and no later one.
+func (r *relay) silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silenced = r.opened
+}
+
 func (r *relay) freeze() { r.set(true) }
 func (r *relay) thaw()   { r.set(false) }
 
