--- a/internal/scenario/checks.go
+++ b/internal/scenario/checks.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/bluebellseam/bluebellseam/internal/harness"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -76,16 +77,22 @@
 	if err != nil {
 		return err
 	}
+	var group errgroup.Group
 	for _, host := range s.h.Hosts() {
-		var last error
-		seen := harness.Await(ctx, func() bool {
-			leaving, err := s.h.TargetLeaving(ctx, string(host.ID), name)
-			last = err
-			return err == nil && leaving
-		})
-		if !seen {
-			return fmt.Errorf("host %q does not show target %q as leaving: %v", host.ID, name, last)
-		}
+		group.Go(func() error { return awaitLeavingAt(ctx, s, string(host.ID), name) })
+	}
+	return group.Wait()
+}
+
+func awaitLeavingAt(ctx context.Context, s *state, host, target string) error {
+	var last error
+	seen := harness.Await(ctx, func() bool {
+		leaving, err := s.h.TargetLeaving(ctx, host, target)
+		last = err
+		return err == nil && leaving
+	})
+	if !seen {
+		return fmt.Errorf("host %q does not show target %q as leaving: %v", host, target, last)
 	}
 	return nil
 }
@@ -97,11 +104,7 @@
 	if err != nil {
 		return err
 	}
-	text, err := a.word("count")
-	if err != nil {
-		return err
-	}
-	expected, err := parseSpan(text)
+	expected, err := a.span()
 	if err != nil {
 		return err
 	}
@@ -115,7 +118,7 @@
 		return err == nil && expected.contains(seen)
 	})
 	if !holds {
-		return fmt.Errorf("host %q shows %d queued requests at %q and not %s: %v", at, seen, name, text, last)
+		return fmt.Errorf("host %q shows %d queued requests at %q and not %s: %v", at, seen, name, expected, last)
 	}
 	return nil
 }
@@ -130,16 +133,12 @@
 
 // checkAppends compares the records that the log has taken.
 func checkAppends(_ context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
-	text, err := a.word("count")
-	if err != nil {
-		return err
-	}
-	expected, err := parseSpan(text)
+	expected, err := a.span()
 	if err != nil {
 		return err
 	}
 	if n := s.h.Log.Appends(); !expected.contains(n) {
-		return fmt.Errorf("the log took %d records and not %s", n, text)
+		return fmt.Errorf("the log took %d records and not %s", n, expected)
 	}
 	return nil
 }
@@ -163,11 +162,7 @@
 
 // checkNotLoaded compares the sends that engines refused for their models.
 func checkNotLoaded(_ context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
-	text, err := a.word("count")
-	if err != nil {
-		return err
-	}
-	expected, err := parseSpan(text)
+	expected, err := a.span()
 	if err != nil {
 		return err
 	}
@@ -176,7 +171,7 @@
 		total += run.NotLoaded
 	}
 	if !expected.contains(total) {
-		return fmt.Errorf("engines refused %d sends for their models and not %s", total, text)
+		return fmt.Errorf("engines refused %d sends for their models and not %s", total, expected)
 	}
 	return nil
 }
