Make the spec of a plan under an earlier lease certain; wait after a second truncation

A step that ends as truncated each time spun without a wait. Change: the spec stalls between two looks and lets only the old holder reach the log until it has the lease; the reader waits from the second truncation on.

--- a/internal/logread/logread.go
+++ b/internal/logread/logread.go
@@ -37,7 +37,8 @@
 	// platform.ErrTruncated or tell that the log was not reached.
 	Step func(ctx context.Context) error
 	// Truncated gives up the place in the stream after an error of Step that
-	// wraps platform.ErrTruncated; the next step follows at once.
+	// wraps platform.ErrTruncated. The next step follows at once, and after a
+	// wait when the step before ended so too.
 	Truncated func(err error)
 	// Reached is told of every other end of a step: nil, or why the log was
 	// not reached.
@@ -50,21 +51,25 @@
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval = retryFirst
 	retry.MaxInterval = retryMax
+	again := false
 	for ctx.Err() == nil {
 		err := h.Step(ctx)
 		if ctx.Err() != nil {
 			break
 		}
-		if errors.Is(err, platform.ErrTruncated) {
+		truncated := errors.Is(err, platform.ErrTruncated)
+		if truncated {
 			h.truncated(err)
-			continue
+		} else {
+			h.reached(err)
 		}
-		h.reached(err)
-		if err == nil {
+		switch {
+		case err == nil:
 			retry.Reset()
-			continue
+		case !truncated || again:
+			s.sleep(ctx, retry.NextBackOff())
 		}
-		s.sleep(ctx, retry.NextBackOff())
+		again = truncated
 	}
 	return ctx.Err()
 }
--- a/internal/logread/logread_test.go
+++ b/internal/logread/logread_test.go
@@ -57,7 +57,8 @@
 			defer GinkgoRecover()
 			ctx, cancel := context.WithCancel(context.Background())
 			down := fmt.Errorf("read: %w", platform.ErrUnavailable)
-			ends := []error{down, down, down, down, down, platform.ErrTruncated, nil, down}
+			gone := platform.ErrTruncated
+			ends := []error{down, down, down, down, down, gone, nil, down, gone, gone, nil}
 			var steps []time.Time
 			truncated, reached := 0, 0
 			s := logread.Stream{Clock: clockwork.NewRealClock(), Name: "s"}
@@ -78,10 +79,12 @@
 				},
 			})
 			Expect(err).To(MatchError(context.Canceled))
-			Expect(truncated).To(Equal(1))
-			Expect(reached).To(Equal(1))
+			Expect(truncated).To(Equal(3))
+			Expect(reached).To(Equal(2))
 			Expect(steps[5].Sub(steps[4])).To(BeNumerically(">", steps[1].Sub(steps[0])))
 			Expect(steps[6]).To(Equal(steps[5]))
+			Expect(steps[9]).To(Equal(steps[8]), "the place is given up once without a wait")
+			Expect(steps[10]).To(BeTemporally(">", steps[9]))
 			Expect(steps[8].Sub(steps[7])).To(BeNumerically("<=", 150*time.Millisecond))
 		})
 	})
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -9,6 +9,10 @@
 	. "github.com/onsi/gomega"
 )
 
+// betweenTicks sleeps so that what follows falls between two looks of the
+// controllers, and the next look sees all of it.
+func betweenTicks(d time.Duration) { time.Sleep(d + 500*time.Millisecond) }
+
 var _ = Describe("Controller", func() {
 	It("orders every engine under one lease for each failure domain", func() {
 		inWorld(1, []string{"a1x", "a2", "b1"}, func(w *world) {
@@ -64,7 +68,7 @@
 	It("sends nothing when it wakes after its lease while it reads an engine", func() {
 		inWorld(1, []string{"a1x", "a2"}, func(w *world) {
 			w.withoutWeights()
-			time.Sleep(2 * time.Minute)
+			betweenTicks(2 * time.Minute)
 			old := w.holder("orders/a")
 			resume := old.stallReads()
 			w.publish()
@@ -82,8 +86,9 @@
 	It("sends nothing that was planned under an earlier lease", func() {
 		inWorld(1, []string{"a1"}, func(w *world) {
 			w.withoutWeights()
-			time.Sleep(2 * time.Minute)
-			resume := w.holder("orders/a").stallReads()
+			betweenTicks(2 * time.Minute)
+			old := w.holder("orders/a")
+			resume := old.stallReads()
 			w.publish()
 			time.Sleep(15 * time.Second)
 			for _, h := range w.hosts {
@@ -91,10 +96,12 @@
 			}
 			time.Sleep(30 * time.Second)
 			w.publish()
+			old.isolate(false)
+			time.Sleep(time.Minute)
+			Expect(w.holder("orders/a")).To(BeIdenticalTo(old))
 			for _, h := range w.hosts {
 				h.isolate(false)
 			}
-			time.Sleep(time.Minute)
 			resume()
 			time.Sleep(time.Minute)
 			w.settled()
