Cut hosts and failure domains off in the random soak

Change: half of the random plans cut hosts off from the platform and the other hosts and take the host list down; the other half has targets that leave, which a host without the list cannot know.

--- a/internal/soak/campaign.go
+++ b/internal/soak/campaign.go
@@ -28,6 +28,9 @@
 	random  *rand.Rand
 	retired int
 	poison  bool
+	// blind plans cut hosts off from the host list; the others have targets that
+	// leave, which a host that cannot read the list cannot know.
+	blind bool
 }
 
 // faultKind is one kind of fault with a victim to be drawn.
@@ -39,6 +42,7 @@
 // randomPlan returns faults of all kinds, alone and in pairs, at random moments.
 func (r *run) randomPlan() []step {
 	c := &campaign{r: r, random: rand.New(rand.NewPCG(r.opts.Seed, 1))}
+	c.blind = c.random.IntN(2) == 0
 	var steps []step
 	gap := float64(meanFaultGap) / float64(r.opts.Duration)
 	for at := firstFaultAt; at < lastFaultAt; at += gap * c.random.ExpFloat64() {
@@ -97,6 +101,8 @@
 	{"log loses requests", logLosesRequests},
 	{"silent log", silentLog},
 	{"host list down", listDown},
+	{"cut off", cutOff},
+	{"cut off failure domain", cutOffDomain},
 	{"weight store down", weightsDown},
 	{"racing operators", racingOperators},
 	{"leaving", leaving},
@@ -120,14 +126,23 @@
 	}
 }
 
+// hostsOf returns the hosts of a failure domain.
+func (c *campaign) hostsOf(domain int) []string {
+	var hosts []string
+	for i := range c.r.opts.Hosts {
+		if i%domains == domain {
+			hosts = append(hosts, fmt.Sprintf("h%d", i+1))
+		}
+	}
+	return hosts
+}
+
 // killDomain kills every host of a failure domain at once.
 func killDomain(c *campaign) step {
 	domain := c.random.IntN(domains)
 	var kills []func(context.Context) error
-	for i := range c.r.opts.Hosts {
-		if i%domains == domain {
-			kills = append(kills, c.r.crashAndRestart(fmt.Sprintf("h%d", i+1)))
-		}
+	for _, host := range c.hostsOf(domain) {
+		kills = append(kills, c.r.crashAndRestart(host))
 	}
 	return step{name: domainOf(domain), do: func(ctx context.Context) error { return together(ctx, kills) }}
 }
@@ -170,7 +185,26 @@
 	return step{do: func(context.Context) error { c.r.h.SilenceLog(); return nil }}
 }
 
+func cutOff(c *campaign) step {
+	if !c.blind {
+		return step{}
+	}
+	host := c.host()
+	return step{name: host, do: c.r.cut(c.share(), host)}
+}
+
+func cutOffDomain(c *campaign) step {
+	if !c.blind {
+		return step{}
+	}
+	domain := c.random.IntN(domains)
+	return step{name: domainOf(domain), do: c.r.cut(c.share(), c.hostsOf(domain)...)}
+}
+
 func listDown(c *campaign) step {
+	if !c.blind {
+		return step{}
+	}
 	return step{do: c.r.lasting(switchList, c.share(), c.r.h.List.SetDown)}
 }
 
@@ -183,7 +217,7 @@
 }
 
 func leaving(c *campaign) step {
-	if c.retired == maxRetired {
+	if c.blind || c.retired == maxRetired {
 		return step{}
 	}
 	c.retired++
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -31,6 +31,7 @@
 	switchLog     = "log"
 	switchList    = "list"
 	switchWeights = "weights"
+	switchNetwork = "network"
 )
 
 // crashAndRestart kills processes of a host, and starts the whole host again
@@ -124,6 +125,22 @@
 	}
 }
 
+// cut cuts hosts off from the platform and from all other hosts. They go on and
+// reach each other, callers and targets.
+func (r *run) cut(share float64, hosts ...string) func(context.Context) error {
+	ids := make([]tables.HostID, 0, len(hosts))
+	for _, host := range hosts {
+		ids = append(ids, tables.HostID(host))
+	}
+	return r.lasting(switchNetwork, share, func(on bool) {
+		if on {
+			r.h.Cut(ids...)
+			return
+		}
+		r.h.Mend(ids...)
+	})
+}
+
 func (r *run) loseAppends(context.Context) error {
 	r.h.Log.LoseAnswers(lostAnswers)
 	return nil
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -99,7 +99,7 @@
 		leavingSince: make(map[string]time.Time),
 		locks:        make(map[string]*sync.Mutex),
 	}
-	for _, name := range []string{switchLog, switchList, switchWeights} {
+	for _, name := range []string{switchLog, switchList, switchWeights, switchNetwork} {
 		r.locks[name] = &sync.Mutex{}
 	}
 	if err := r.install(ctx); err != nil {
