Split the scenario commands on requests from those on their results

Cause: one file of 336 lines held sending, waiting and looking up; two commands repeated the look-up of a call, and two adapters of the audit their counting. Conclusion: the scenarios on requests and the specs of the audit pass.

--- a/internal/harness/audit.go
+++ b/internal/harness/audit.go
@@ -55,15 +55,20 @@
 	return total
 }
 
+// plus adds the counts of one target.
+func (r Run) plus(at tables.TargetID, dispatches, runs, refused int) Run {
+	if dispatches > 0 {
+		r.Targets = append(r.Targets, at)
+	}
+	r.Dispatches += dispatches
+	r.Runs += runs
+	r.Refused += refused
+	return r
+}
+
 func addEngineRuns(runs map[tables.RequestID]Run, at tables.TargetID, r engine.Records) {
 	for id, rec := range r.Requests {
-		run := runs[id]
-		if rec.Dispatches > 0 {
-			run.Targets = append(run.Targets, at)
-		}
-		run.Dispatches += rec.Dispatches
-		run.Runs += rec.Runs
-		run.Refused += rec.Refused
+		run := runs[id].plus(at, rec.Dispatches, rec.Runs, rec.Refused)
 		run.NotLoaded += rec.NotLoaded
 		if rec.LastNotLoaded.After(run.LastNotLoaded) {
 			run.LastNotLoaded = rec.LastNotLoaded
@@ -79,13 +84,7 @@
 
 func addPlainRuns(runs map[tables.RequestID]Run, at tables.TargetID, r plain.Records) {
 	for id, rec := range r.Calls {
-		run := runs[id]
-		if rec.Dispatches > 0 {
-			run.Targets = append(run.Targets, at)
-		}
-		run.Dispatches += rec.Dispatches
-		run.Runs += rec.Runs
-		run.Refused += rec.Refused
+		run := runs[id].plus(at, rec.Dispatches, rec.Runs, rec.Refused)
 		if rec.Runs > 0 {
 			run.Content = plainContent(rec.Operation, string(rec.Body))
 			run.Ended, run.Progress = rec.Ended, rec.Progress
--- a/internal/scenario/checks.go
+++ b/internal/scenario/checks.go
@@ -59,11 +59,7 @@
 }
 
 func (s *state) callAndWord(a *arguments, what string) (*harness.Call, string, error) {
-	name, err := a.word("request")
-	if err != nil {
-		return nil, "", err
-	}
-	c, err := s.call(name)
+	c, err := s.nextCall(a)
 	if err != nil {
 		return nil, "", err
 	}
@@ -71,6 +67,15 @@
 	return c, word, err
 }
 
+// nextCall takes the name of a request from the words and returns its call.
+func (s *state) nextCall(a *arguments) (*harness.Call, error) {
+	name, err := a.word("request")
+	if err != nil {
+		return nil, err
+	}
+	return s.call(name)
+}
+
 // awaitLeaving waits until every host shows a target as leaving.
 func awaitLeaving(ctx context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
 	name, err := a.word("target")
--- a/internal/scenario/requests.go
+++ b/internal/scenario/requests.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 
@@ -168,11 +167,7 @@
 
 // leave closes the caller's connection of a request.
 func leave(_ context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
-	name, err := a.word("request")
-	if err != nil {
-		return err
-	}
-	c, err := s.call(name)
+	c, err := s.nextCall(a)
 	if err != nil {
 		return err
 	}
@@ -182,11 +177,7 @@
 
 // awaitTokens waits until a caller has a number of tokens.
 func awaitTokens(ctx context.Context, s *state, _ *testscript.TestScript, a *arguments) error {
-	name, err := a.word("request")
-	if err != nil {
-		return err
-	}
-	c, err := s.call(name)
+	c, err := s.nextCall(a)
 	if err != nil {
 		return err
 	}
@@ -195,7 +186,7 @@
 		return err
 	}
 	if !harness.Await(ctx, func() bool { return c.Result().Tokens >= least }) {
-		return fmt.Errorf("request %q has %s and not %d tokens", name, describe(c.Result()), least)
+		return fmt.Errorf("request %q has %s and not %d tokens", c.Request.Name, describe(c.Result()), least)
 	}
 	return nil
 }
@@ -213,124 +204,3 @@
 	}
 	return nil
 }
-
-// expectation is a list of accepted ends: "whole" or kinds.
-type expectation []string
-
-const endWhole = "whole"
-
-func parseExpectation(text string) (expectation, error) {
-	e := expectation(strings.Split(text, ","))
-	for _, word := range e {
-		kind := errkind.Kind(word)
-		if word != endWhole && kind != harness.KindConnectionLost && !kind.Valid() {
-			return nil, fmt.Errorf("%q is neither whole nor a kind", word)
-		}
-	}
-	return e, nil
-}
-
-func (e expectation) accepts(end string) bool { return slices.Contains(e, end) }
-
-func endOf(r harness.Result) string {
-	if r.Whole {
-		return endWhole
-	}
-	return string(r.Kind)
-}
-
-func describe(r harness.Result) string {
-	end := endOf(r)
-	if end == "" {
-		end = "no end"
-	}
-	return fmt.Sprintf("%s, ran=%s, %d tokens, status %d, %q", end, r.Ran, r.Tokens, r.Status, r.Detail)
-}
-
-// awaitResult waits for the end of a request: "result NAME whole" or
-// "result NAME KIND,KIND ran=not_run".
-func awaitResult(ctx context.Context, s *state, ts *testscript.TestScript, a *arguments) error {
-	c, text, err := s.callAndWord(a, "expected end")
-	if err != nil {
-		return err
-	}
-	name := c.Request.Name
-	expected, err := parseExpectation(text)
-	if err != nil {
-		return err
-	}
-	select {
-	case <-c.Done():
-	case <-ctx.Done():
-		return fmt.Errorf("request %q has not ended: %s", name, describe(c.Result()))
-	}
-	r := c.Result()
-	ts.Logf("%s: %s", name, describe(r))
-	if !expected.accepts(endOf(r)) {
-		return fmt.Errorf("request %q ended with %s and not with %s", name, describe(r), text)
-	}
-	if ran := errkind.Ran(a.option("ran", string(r.Ran))); ran != r.Ran {
-		return fmt.Errorf("request %q was told ran=%s and not %s", name, r.Ran, ran)
-	}
-	return nil
-}
-
-// lookUp asks a host for the outcome of a request until it has one.
-func lookUp(ctx context.Context, s *state, ts *testscript.TestScript, a *arguments) error {
-	c, text, err := s.callAndWord(a, "expected end")
-	if err != nil {
-		return err
-	}
-	name := c.Request.Name
-	expected, err := parseExpectation(text)
-	if err != nil {
-		return err
-	}
-	if !harness.Await(ctx, func() bool { return c.Result().ID != "" }) {
-		return fmt.Errorf("request %q has no ID", name)
-	}
-	at := a.option("at", c.Host)
-	var end string
-	var last error
-	harness.Await(ctx, func() bool {
-		end, last = s.lookUpOnce(ctx, at, c)
-		return last == nil && expected.accepts(end)
-	})
-	ts.Logf("%s at %s: %s", name, at, end)
-	if last != nil {
-		return last
-	}
-	if !expected.accepts(end) {
-		return fmt.Errorf("request %q is known at %q as %s and not as %s", name, at, end, text)
-	}
-	return nil
-}
-
-// lookUpOnce returns the end of a request as a host knows it.
-func (s *state) lookUpOnce(ctx context.Context, at string, c *harness.Call) (string, error) {
-	id := c.Result().ID
-	status, err := s.h.Lookup(ctx, at, c.Request.CustomerKey, id)
-	if err != nil {
-		return "", err
-	}
-	if status.Answer == nil {
-		if status.Kind == errkind.None {
-			return "state " + status.State, nil
-		}
-		return string(status.Kind), nil
-	}
-	if expected := c.Expected(s.h.Runs()[id]); *status.Answer != expected {
-		return "", fmt.Errorf("request %q has an answer that is not its own: %.60q", c.Request.Name, *status.Answer)
-	}
-	return endWhole, nil
-}
-
-func (s *state) countRuns(content string) int {
-	total := 0
-	for _, run := range s.h.Runs() {
-		if run.Content == content {
-			total += run.Runs
-		}
-	}
-	return total
-}
