Give each failure domain a lease stream of its own

Cause: every controller read the renewals of every failure domain, 3660 of the 5750 B/s of control of a node at the target size (docs/capacity/budget.md). Change: the lease of a domain is in the stream leases-<domain>. A controller follows those of its own domain and of domains with fewer than four live hosts, and, only while it holds a lease, the shared stream with the leases of the weight store and the demand, which holders now write there as reports. Orders wait until that stream was read to its end. Fences of domains are offsets above 2^40, so that they never go down against those of the one old stream.

--- a/internal/orders/demand.go
+++ b/internal/orders/demand.go
@@ -24,6 +24,8 @@
 	byHost map[tables.HostID]demand.Rates
 	// next is when the dispatchers are asked again.
 	next time.Time
+	// report is when the sum is written again.
+	report time.Time
 }
 
 // sum returns the demand of all hosts; nil before the first answer.
@@ -105,14 +107,16 @@
 }
 
 // demand returns the demand by service that the holders of all failure domains
-// have written; equal for all services while it is unknown.
-func (c *Controller) demand(doc *config.Document) map[tables.ServiceID]float64 {
-	if rates, known := c.leases.demand(); known {
-		return rates
+// have written; equal for all services while it is unknown. It is not ready
+// until the stream that carries it was read to its end.
+func (c *Controller) demand(doc *config.Document) (rates map[tables.ServiceID]float64, ready bool) {
+	rates, known, ready := c.leases.demand()
+	if known || !ready {
+		return rates, ready
 	}
 	out := make(map[tables.ServiceID]float64)
 	for name := range doc.Services {
 		out[tables.ServiceID(name)] = 1
 	}
-	return out
+	return out, true
 }
--- a/internal/orders/keeper.go
+++ b/internal/orders/keeper.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/logread"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
 	"github.com/bluebellseam/bluebellseam/internal/systems/demand"
 	"github.com/bluebellseam/bluebellseam/internal/systems/lease"
 )
@@ -22,12 +21,9 @@
 	name string
 	// preferred is set when this host is the first choice.
 	preferred bool
-	// demand is what the next renewal that is due to carry it says; nil for
-	// nothing.
-	demand demand.Rates
 }
 
-// keeper follows the lease stream and holds leases. It is safe for concurrent
+// keeper follows one lease stream and holds leases. It is safe for concurrent
 // use.
 type keeper struct {
 	opts   Options
@@ -39,22 +35,21 @@
 	// the first read.
 	settled  time.Time
 	caughtUp bool
-	holds    map[string]lease.Hold
-	renewed  map[string]time.Time
-	// carried is when a renewal last carried the demand.
-	carried map[string]time.Time
-	pending map[string]pending
+	// reachedEnd is set once the table was read to the end of the stream.
+	reachedEnd bool
+	holds      map[string]lease.Hold
+	renewed    map[string]time.Time
+	pending    map[string]pending
 	// freeSince is when a wanted lease was first seen free.
 	freeSince map[string]time.Time
 }
 
-func newKeeper(opts Options) *keeper {
+func newKeeper(opts Options, stream string) *keeper {
 	return &keeper{
 		opts:      opts,
-		stream:    logread.Stream{Log: opts.Log, Clock: opts.Clock, Name: platform.LeaseStream},
+		stream:    logread.Stream{Log: opts.Log, Clock: opts.Clock, Name: stream},
 		holds:     make(map[string]lease.Hold),
 		renewed:   make(map[string]time.Time),
-		carried:   make(map[string]time.Time),
 		pending:   make(map[string]pending),
 		freeSince: make(map[string]time.Time),
 	}
@@ -93,13 +88,14 @@
 	return out
 }
 
-// demand returns what the holders of all leases have said of demand; false
-// while none has.
-func (k *keeper) demand() (demand.Rates, bool) {
+// demand returns what the reports in the stream say; known is false while none
+// does, and ready until the stream was read to its end.
+func (k *keeper) demand() (rates demand.Rates, known, ready bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.table == nil {
-		return nil, false
+	if !k.reachedEnd {
+		return nil, false, false
 	}
-	return k.table.Demand()
+	rates, known = k.table.Demand()
+	return rates, known, true
 }
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -51,7 +51,7 @@
 // placed.
 type Controller struct {
 	opts   Options
-	leases *keeper
+	leases *streams
 
 	mu sync.Mutex
 	// domains are the plans of the failure domains whose lease is held.
@@ -98,7 +98,7 @@
 	}
 	return &Controller{
 		opts:    opts,
-		leases:  newKeeper(opts),
+		leases:  newStreams(opts),
 		domains: make(map[tables.DomainID]*domain),
 	}
 }
@@ -106,10 +106,7 @@
 // Run holds leases and orders engines until ctx ends. It then releases the
 // leases and returns the error of ctx.
 func (c *Controller) Run(ctx context.Context) error {
-	g, run := errgroup.WithContext(ctx)
-	g.Go(func() error { return c.leases.readLoop(run) })
-	g.Go(func() error { return c.tickLoop(run) })
-	err := g.Wait()
+	err := c.tickLoop(ctx)
 	c.leases.releaseAll(context.WithoutCancel(ctx))
 	return err
 }
@@ -140,6 +137,12 @@
 	}
 	c.plan(doc)
 	c.leases.keep(ctx, c.wantedLeases(doc))
+	for _, r := range c.dueReports() {
+		work.TryGo(func() error {
+			c.leases.report(ctx, r)
+			return nil
+		})
+	}
 	for _, id := range c.dueMeasurements() {
 		work.TryGo(func() error {
 			c.measure(ctx, id)
--- a/internal/orders/plan.go
+++ b/internal/orders/plan.go
@@ -18,8 +18,12 @@
 // maxEnginesAtOnce bounds the engines that are read or ordered at once.
 const maxEnginesAtOnce = 16
 
-// wantedLeases returns the leases of the failure domains with engines, and the
-// weight-store leases in use.
+// minCandidates is the number of live hosts of a failure domain from which on
+// they alone are candidates for its lease.
+const minCandidates = 4
+
+// wantedLeases returns the leases of the failure domains with engines for which
+// this host is a candidate, and the weight-store leases in use.
 func (c *Controller) wantedLeases(doc *config.Document) []wish {
 	live := c.opts.Live()
 	if !slices.ContainsFunc(live, func(h tables.Host) bool { return h.ID == c.opts.Self.ID }) {
@@ -27,22 +31,35 @@
 	}
 	var out []wish
 	for _, id := range domainsOf(doc) {
+		if !c.candidate(id, live) {
+			continue
+		}
 		first := owner.Of(tables.TargetID(orderLeasePrefix+string(id)), id, live)
 		out = append(out, wish{name: orderLeasePrefix + string(id), preferred: first == c.opts.Self.ID})
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for i, id := range domainsOf(doc) {
-		if d := c.domains[id]; d != nil {
-			out[i].demand = d.measured.sum()
-		}
-	}
 	for _, name := range slices.Sorted(maps.Keys(c.weightsInUse())) {
 		out = append(out, wish{name: name, preferred: true})
 	}
 	return out
 }
 
+// candidate reports whether this host may hold the lease of a failure domain:
+// it is one of the domain's hosts, or the domain has few live ones.
+func (c *Controller) candidate(id tables.DomainID, live []tables.Host) bool {
+	if c.opts.Self.Domain == id {
+		return true
+	}
+	here := 0
+	for _, h := range live {
+		if h.Domain == id {
+			here++
+		}
+	}
+	return here < minCandidates
+}
+
 func domainsOf(doc *config.Document) []tables.DomainID {
 	seen := make(map[tables.DomainID]bool)
 	for _, t := range doc.Targets {
@@ -56,7 +73,7 @@
 // plan brings the plans of the held failure domains up to date.
 func (c *Controller) plan(doc *config.Document) {
 	now := c.opts.Clock.Now()
-	demand := c.demand(doc)
+	demand, ready := c.demand(doc)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.dropDomains()
@@ -70,6 +87,9 @@
 			d = &domain{fence: hold.Fence, plan: placement.NewPlan(), engines: make(map[tables.TargetID]*engine)}
 			c.domains[id] = d
 		}
+		if !ready {
+			continue
+		}
 		d.update(now, engineTargets(doc, id), doc, demand)
 	}
 }
--- a/internal/orders/read.go
+++ b/internal/orders/read.go
@@ -23,6 +23,7 @@
 	defer k.mu.Unlock()
 	k.table = nil
 	k.caughtUp = false
+	k.reachedEnd = false
 	clear(k.holds)
 	clear(k.pending)
 	clear(k.freeSince)
@@ -72,6 +73,7 @@
 	now := k.opts.Clock.Now()
 	caughtUp, err := logread.Apply(page, k.table.Next(), func(rec platform.Record) { k.folded(now, rec) })
 	k.caughtUp = caughtUp
+	k.reachedEnd = k.reachedEnd || caughtUp
 	return err
 }
 
@@ -94,9 +96,9 @@
 	delete(k.freeSince, name)
 	switch {
 	case mine && step.Record.Kind == lease.Acquire:
-		k.holds[name] = lease.NewHold(now, own.began, rec.Offset, step)
+		k.holds[name] = lease.NewHold(now, own.began, fenceBase(k.stream.Name)+rec.Offset, step)
 		k.renewed[name] = own.began
-		event.LeaseTaken.Log(k.opts.Logger, zap.String("lease", name), zap.Int64("fence", int64(rec.Offset)))
+		event.LeaseTaken.Log(k.opts.Logger, zap.String("lease", name), zap.Int64("fence", int64(k.holds[name].Fence)))
 	case mine && step.Record.Kind == lease.Renew:
 		k.holds[name] = k.holds[name].Renewed(own.began)
 	default:
--- a/internal/orders/release.go
+++ b/internal/orders/release.go
@@ -21,7 +21,7 @@
 func (k *keeper) release(now time.Time, name string) pending {
 	h := k.holds[name]
 	k.drop(name)
-	return k.begin(now, lease.Release, name, h.Fence)
+	return k.begin(now, lease.Release, name, k.offset(h))
 }
 
 // releaseAll frees every lease, so that the next holder need not wait. A
@@ -49,13 +49,13 @@
 	}
 }
 
-// dropAll ends every hold and returns the fences by name.
+// dropAll ends every hold and returns the offsets of their acquisitions by name.
 func (k *keeper) dropAll() map[string]platform.Offset {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	fences := make(map[string]platform.Offset, len(k.holds))
 	for name, h := range k.holds {
-		fences[name] = h.Fence
+		fences[name] = k.offset(h)
 	}
 	for name := range fences {
 		k.drop(name)
--- a/internal/orders/renew.go
+++ b/internal/orders/renew.go
@@ -46,7 +46,7 @@
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, k.opts.Clock, appendTimeout)
 	defer cancel()
-	_, err = k.opts.Log.Append(ctx, platform.LeaseStream, data)
+	_, err = k.opts.Log.Append(ctx, k.stream.Name, data)
 	if err == nil || !errors.Is(err, platform.ErrUnavailable) {
 		return
 	}
@@ -105,7 +105,7 @@
 			return pending{}, false
 		}
 		k.renewed[w.name] = now
-		return k.renewal(now, w, h.Fence), true
+		return k.begin(now, lease.Renew, w.name, k.offset(h)), true
 	}
 	free := k.table.Free(now, w.name)
 	if !free || !k.caughtUp {
@@ -121,14 +121,9 @@
 	return k.begin(now, lease.Acquire, w.name, lease.None), true
 }
 
-// renewal begins a renewal, which carries the demand now and then; k.mu is held.
-func (k *keeper) renewal(now time.Time, w wish, fence platform.Offset) pending {
-	p := k.begin(now, lease.Renew, w.name, fence)
-	if w.demand != nil && now.Sub(k.carried[w.name]) >= lease.DemandEvery {
-		k.carried[w.name] = now
-		p.record.Demand = w.demand
-	}
-	return p
+// offset returns the offset of the record that acquired a hold.
+func (k *keeper) offset(h lease.Hold) platform.Offset {
+	return h.Fence - fenceBase(k.stream.Name)
 }
 
 // begin notes a record that is about to be appended; k.mu is held.
--- a/internal/platform/ports.go
+++ b/internal/platform/ports.go
@@ -15,8 +15,11 @@
 const (
 	// ConfigStream carries patches and snapshots of the configuration.
 	ConfigStream = "config"
-	// LeaseStream carries leases.
+	// LeaseStream carries the leases of the weight store and the demand of all
+	// failure domains.
 	LeaseStream = "leases"
+	// LeaseStreamPrefix is followed by the failure domain of a lease stream.
+	LeaseStreamPrefix = "leases-"
 	// QuarantineStream carries quarantine entries and releases.
 	QuarantineStream = "quarantine"
 	// ClaimStreamPrefix is followed by the shard number of a claim stream.
--- a/internal/systems/lease/lease.go
+++ b/internal/systems/lease/lease.go
@@ -23,7 +23,7 @@
 	ActFor = 10 * time.Second
 	// RenewEvery is the time between two renewals.
 	RenewEvery = 3 * time.Second
-	// DemandEvery is the time between two renewals that carry the demand.
+	// DemandEvery is the time between two reports of the demand.
 	DemandEvery = 30 * time.Second
 	// OrderTimeout bounds one order to an engine.
 	OrderTimeout = 3 * time.Second
@@ -48,8 +48,17 @@
 	Acquire Kind = "acquire"
 	Renew   Kind = "renew"
 	Release Kind = "release"
+	// Report states the demand of a failure domain under the fencing number of
+	// its lease, which is in another stream.
+	Report Kind = "report"
 )
 
+// DomainFences is the lowest fencing number of a lease of a failure domain:
+// offsets of the domain's stream are added to it. It is above every offset of
+// the shared stream, which carried these leases before, so that the numbers
+// that engines have seen never go down.
+const DomainFences platform.Offset = 1 << 40
+
 // Record is the content of one record of the lease stream.
 type Record struct {
 	Kind Kind   `json:"kind"`
@@ -65,8 +74,9 @@
 	AfterTime time.Time `json:"after_time,omitzero"`
 	// Fence is the fencing number of a lease that is renewed or released.
 	Fence platform.Offset `json:"fence"`
-	// Demand is the work of the failure domain's targets, which a renewal may
-	// carry; nil leaves what an earlier record said.
+	// Demand is the work of the failure domain's targets in a report, and in a
+	// renewal of the versions that had one stream for all leases; nil leaves what
+	// an earlier record said.
 	Demand demand.Rates `json:"demand,omitempty"`
 }
 
@@ -95,10 +105,14 @@
 	logTime time.Time
 	// base is After of the latest record.
 	base platform.Offset
-	// demand is the latest that a record carried, and demandTime the log's time
-	// of that record.
-	demand     demand.Rates
-	demandTime time.Time
+}
+
+// report is the latest demand of a failure domain.
+type report struct {
+	rates demand.Rates
+	fence platform.Offset
+	// logTime is the log's time of the record.
+	logTime time.Time
 }
 
 // Step is what one record did.
@@ -122,11 +136,13 @@
 	// latest is the log's time of the latest record that counted.
 	latest time.Time
 	leases map[string]Lease
+	// reports are by the name of the failure domain's lease.
+	reports map[string]report
 }
 
 // NewTable returns the table of a reader that starts at an offset.
 func NewTable(start platform.Offset) *Table {
-	return &Table{start: start, next: start, leases: make(map[string]Lease)}
+	return &Table{start: start, next: start, leases: make(map[string]Lease), reports: make(map[string]report)}
 }
 
 // Next is the offset of the next record to fold.
@@ -154,19 +170,19 @@
 	return l.Last, l.logTime
 }
 
-// Demand returns the sum of what the renewals of all leases said lately, by the
+// Demand returns the sum of what the holders of all leases said lately, by the
 // log's time; false means that none did. It is the same for all readers of the
 // same records.
 func (t *Table) Demand() (demand.Rates, bool) {
 	sum := make(demand.Rates)
 	known := false
-	for _, name := range slices.Sorted(maps.Keys(t.leases)) {
-		l := t.leases[name]
-		if l.demand == nil || t.latest.Sub(l.demandTime) >= VoidAfter {
+	for _, name := range slices.Sorted(maps.Keys(t.reports)) {
+		r := t.reports[name]
+		if t.latest.Sub(r.logTime) >= VoidAfter {
 			continue
 		}
 		known = true
-		sum.Add(l.demand)
+		sum.Add(r.rates)
 	}
 	return sum, known
 }
@@ -185,6 +201,11 @@
 		t.settles = rec.Time.Add(SettleAfter)
 	}
 	step := Step{Record: r}
+	if r.Kind == Report {
+		t.report(r, rec.Time)
+		t.latest = rec.Time
+		return step
+	}
 	current, held := t.leases[r.Name]
 	held = held && rec.Time.Sub(current.logTime) < VoidAfter
 	if !held {
@@ -203,12 +224,8 @@
 		Seen:        now,
 		logTime:     rec.Time,
 		base:        r.After,
-		demand:      current.demand,
-		demandTime:  current.demandTime,
-	}
-	if r.Demand != nil {
-		next.demand, next.demandTime = r.Demand, rec.Time
 	}
+	t.report(r, rec.Time)
 	t.leases[r.Name] = next
 	t.latest = rec.Time
 	step.Accepted = true
@@ -218,6 +235,14 @@
 	return step
 }
 
+// report takes the demand of a record, unless a later holder has written one.
+func (t *Table) report(r Record, at time.Time) {
+	if r.Demand == nil || r.Fence < t.reports[r.Name].fence {
+		return
+	}
+	t.reports[r.Name] = report{rates: r.Demand, fence: r.Fence, logTime: at}
+}
+
 func fenceOf(r Record, at platform.Offset) platform.Offset {
 	if r.Kind == Acquire {
 		return at
