Read only those reports of an engine that decide something

Cause: the dispatcher read the load report of each engine every 2 s, and no decision uses it. What an engine holds was read as often, and was missing from the arithmetic of docs/capacity/budget.md. Change: load reports are not read. What an engine holds is read every 2 s while it lacks a service, has not stated an order or a service is withheld, and every 10 s otherwise. Cache events are read every 2 s, and every 10 s once an engine has run nothing and shown none for 16 s. The slopes count the state, the appends of lease holders and the reports of demand.

--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -37,14 +37,16 @@
 	// pollsOfFeed is the number of answers that a fed process gets a second
 	// without news: one after each read of the host list.
 	pollsOfFeed = readsOfList
-	// streamWait is how long a read of the configuration, the leases or a claim
-	// stream waits for a record (follow.readWait); quarantineWait is that of the
+	// streamWait is how long a read of the configuration or a claim stream waits for a record (follow.readWait); quarantineWait is that of the
 	// quarantine, which two processes read.
 	streamWait     = 5 * time.Second
 	quarantineWait = 30 * time.Second
 	// engineReads is the time between two reads of an engine's reports
 	// (dispatcher.watchPeriod).
 	engineReads = 2 * time.Second
+	// stateReads is the time between two reads of what an engine holds that has
+	// all its services (dispatcher.slowRounds of them).
+	stateReads = 5 * engineReads
 )
 
 // Row is what one mechanism costs a node.
@@ -136,30 +138,40 @@
 // streamRow returns what reading the ends of streams costs while they bring
 // nothing.
 func streamRow(s Size, m Slopes) Row {
-	streams := float64(s.ReadersOfNode) + 1 + float64(claims.DefaultShards)/float64(s.Nodes)
+	streams := float64(s.ReadersOfNode) + float64(claims.DefaultShards)/float64(s.Nodes)
 	polls := streams/streamWait.Seconds() + 2/quarantineWait.Seconds()
 	return Row{
-		Work: "ends of streams", Load: fmt.Sprintf("%.2f reads a second of configuration, leases, claims and quarantine", polls),
+		Work: "ends of streams", Load: fmt.Sprintf("%.2f reads a second of configuration, claims and quarantine", polls),
 		BytesPerSec: polls * m.Value("log.poll_bytes"),
 	}
 }
 
-// leaseRow returns what the leases of all failure domains cost each controller,
-// which reads every renewal.
+// leaseRow returns what the lease of its own failure domain costs a
+// controller, which reads every renewal, and a node's even share of what the
+// holders spend: each appends renewals and reports of the demand, and reads the
+// reports of all.
 func leaseRow(s Size, m Slopes) Row {
-	renewals := float64(s.FailureDomains) / lease.RenewEvery.Seconds()
+	renewals := 1 / lease.RenewEvery.Seconds()
+	reports := 1 / lease.DemandEvery.Seconds()
+	domains := float64(s.FailureDomains)
 	return Row{
-		Work: "leases", Load: fmt.Sprintf("%.3g renewals a second in %d failure domains, each read by every controller", renewals, s.FailureDomains),
-		BytesPerSec: renewals * m.Value("lease.read_bytes"),
+		Work: "leases", Load: fmt.Sprintf("%.3g renewals a second of the own failure domain read, and 1/%.0f of what a holder writes and reads", renewals, float64(s.Nodes)/domains),
+		BytesPerSec: renewals*m.Value("lease.read_bytes") + holderBytes(s, m, renewals, reports)*domains/float64(s.Nodes),
 	}
 }
 
+// holderBytes returns what the holder of a lease spends besides reading its
+// stream, in bytes a second.
+func holderBytes(s Size, m Slopes, renewals, reports float64) float64 {
+	return (renewals+reports)*m.Value("lease.append_bytes") + reports*float64(s.FailureDomains)*m.Value("lease.report_bytes")
+}
+
 // engineRow returns what a dispatcher reads of its engines.
 func engineRow(s Size, m Slopes) Row {
 	engines := float64(s.Engines) / float64(s.Nodes)
 	return Row{
-		Work: "reports of engines", Load: fmt.Sprintf("load report and cache events of %.1f engines every %s, without news", engines, engineReads),
-		BytesPerSec: engines / engineReads.Seconds() * m.Value("engine.poll_bytes"),
+		Work: "reports of engines", Load: fmt.Sprintf("cache events of %.1f engines every %s and what they hold every %s, without news", engines, engineReads, stateReads),
+		BytesPerSec: engines * (m.Value("engine.events_bytes")/engineReads.Seconds() + m.Value("engine.state_bytes")/stateReads.Seconds()),
 	}
 }
 
--- /dev/null
+++ b/internal/capacity/leases.go
@@ -0,0 +1,73 @@
+package capacity
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/standin/logstore"
+	"github.com/bluebellseam/bluebellseam/internal/systems/demand"
+	"github.com/bluebellseam/bluebellseam/internal/systems/lease"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+// leaseSlopes measures what the records of a lease cost to write and to read.
+func leaseSlopes(s Size) ([]Slope, error) {
+	renewal, err := leaseRecord(lease.Renew, nil)
+	if err != nil {
+		return nil, err
+	}
+	rates := make(demand.Rates)
+	for i := range s.Models {
+		rates[tables.ServiceID(serviceName(i))] = float64(1000 + 10*i)
+	}
+	report, err := leaseRecord(lease.Report, rates)
+	if err != nil {
+		return nil, err
+	}
+	m := &meter{}
+	m.bytesOfRecord("lease.read_bytes", "read of one renewal of a lease", renewal, readRecord)
+	m.bytesOfRecord("lease.report_bytes", "read of the demand of one failure domain", report, readRecord)
+	m.bytesOfRecord("lease.append_bytes", "append of one renewal of a lease", renewal, appendRecord)
+	return m.result()
+}
+
+// leaseRecord returns a record as the holder of a lease writes it.
+func leaseRecord(kind lease.Kind, rates demand.Rates) ([]byte, error) {
+	now := time.Unix(1_800_000_000, 0)
+	return lease.Record{
+		Kind: kind, Name: "orders/" + domainName(17), ID: uuid.NewString(), Holder: tables.HostID(hostName(17)),
+		Incarnation: now.UnixNano(), After: 22, AfterTime: now, Fence: 22, Demand: rates,
+	}.Encode()
+}
+
+func readRecord(ctx context.Context, c platform.Log, _ []byte) error {
+	_, err := c.Read(ctx, platform.LeaseStream, 0, 0)
+	return err
+}
+
+func appendRecord(ctx context.Context, c platform.Log, data []byte) error {
+	_, err := c.Append(ctx, platform.LeaseStream, data)
+	return err
+}
+
+// bytesOfRecord measures the bytes of one call of a log whose lease stream
+// holds one record, or begins with it.
+func (m *meter) bytesOfRecord(name, per string, data []byte, call func(context.Context, platform.Log, []byte) error) {
+	if m.err != nil {
+		return
+	}
+	log := logstore.New(clockwork.NewRealClock(), logstore.Options{})
+	if _, m.err = log.Append(context.Background(), platform.LeaseStream, data); m.err != nil {
+		return
+	}
+	var n float64
+	n, m.err = bytesOfPoll(log.Handler(), func(ctx context.Context, address string) func() error {
+		c := platform.NewLogClient("http://"+address, nil)
+		return func() error { return call(ctx, c, data) }
+	})
+	m.add(name, n, Bytes, per, "HTTP both ways over one connection")
+}
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -16,6 +16,7 @@
 		{"wire", wireSlopes},
 		{"feed", feedSlopes},
 		{"polls", pollSlopes},
+		{"leases", leaseSlopes},
 		{"hosts", hostSlopes},
 	}
 	var all []Slope
--- a/internal/capacity/polls.go
+++ b/internal/capacity/polls.go
@@ -8,16 +8,13 @@
 	"net/http/httputil"
 	"net/url"
 	"sync/atomic"
-	"time"
 
-	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/bluebellseam/bluebellseam/internal/platform"
 	"github.com/bluebellseam/bluebellseam/internal/standin/engine"
 	"github.com/bluebellseam/bluebellseam/internal/standin/logstore"
 	"github.com/bluebellseam/bluebellseam/internal/systems/lease"
-	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
 
@@ -38,23 +35,20 @@
 	if err != nil {
 		return nil, err
 	}
-	renewal, err := bytesOfRenewal()
-	if err != nil {
-		return nil, err
-	}
 	e := engine.New(engine.Options{})
 	address, err := e.Listen("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	defer e.Close()
+	order := target.Order{Fence: int64(lease.DomainFences) + 22, Models: []string{serviceName(1)}, Version: "v1", Role: "mixed"}
+	if err := target.NewEngineClient(address).Apply(context.Background(), order); err != nil {
+		return nil, err
+	}
 	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: address})
-	reports, err := bytesOfPoll(proxy, func(ctx context.Context, address string) func() error {
+	events, err := bytesOfPoll(proxy, func(ctx context.Context, address string) func() error {
 		c := target.NewEngineClient(address)
 		return func() error {
-			if _, err := c.Load(ctx); err != nil {
-				return err
-			}
 			_, err := c.CacheEvents(ctx, 0)
 			return err
 		}
@@ -62,36 +56,21 @@
 	if err != nil {
 		return nil, err
 	}
-	return []Slope{
-		{"log.poll_bytes", read, Bytes, "read of a stream without news", "HTTP both ways over one connection"},
-		{"lease.read_bytes", renewal, Bytes, "read of one renewal of a lease", "HTTP both ways over one connection"},
-		{"engine.poll_bytes", reports, Bytes, "load report and cache events of an engine without news", "HTTP both ways over one connection"},
-	}, nil
-}
-
-// bytesOfRenewal returns the bytes of a read that brings one renewal of a
-// lease, as every controller makes it.
-func bytesOfRenewal() (float64, error) {
-	now := time.Unix(1_800_000_000, 0)
-	record := lease.Record{
-		Kind: lease.Renew, Name: "orders/" + domainName(17), ID: uuid.NewString(), Holder: tables.HostID(hostName(17)),
-		Incarnation: now.UnixNano(), After: 22, AfterTime: now, Fence: 22,
-	}
-	data, err := record.Encode()
-	if err != nil {
-		return 0, err
-	}
-	log := logstore.New(clockwork.NewRealClock(), logstore.Options{})
-	if _, err := log.Append(context.Background(), platform.LeaseStream, data); err != nil {
-		return 0, err
-	}
-	return bytesOfPoll(log.Handler(), func(ctx context.Context, address string) func() error {
-		c := platform.NewLogClient("http://"+address, nil)
+	state, err := bytesOfPoll(proxy, func(ctx context.Context, address string) func() error {
+		c := target.NewEngineClient(address)
 		return func() error {
-			_, err := c.Read(ctx, platform.LeaseStream, 0, 0)
+			_, err := c.State(ctx)
 			return err
 		}
 	})
+	if err != nil {
+		return nil, err
+	}
+	return []Slope{
+		{"log.poll_bytes", read, Bytes, "read of a stream without news", "HTTP both ways over one connection"},
+		{"engine.events_bytes", events, Bytes, "cache events of an engine without news", "HTTP both ways over one connection"},
+		{"engine.state_bytes", state, Bytes, "order that an engine holds", "HTTP both ways over one connection"},
+	}, nil
 }
 
 // bytesOfPoll serves a handler on loopback and returns the bytes of one poll,
--- a/internal/dispatcher/watch.go
+++ b/internal/dispatcher/watch.go
@@ -11,19 +11,46 @@
 )
 
 const (
-	// watchPeriod is the time between two reads of an engine's load report,
-	// of what it holds and of its cache events.
+	// watchPeriod is the time between two rounds of reads of what engines hold
+	// and of their cache events.
 	watchPeriod = 2 * time.Second
+	// slowRounds is the number of rounds between two reads of what is not
+	// expected to change: the cache events of an idle engine, and the state of
+	// one that holds all its services.
+	slowRounds = 5
+	// idleRounds is the number of rounds without a running request and without
+	// cache events, which come late, after which an engine is idle.
+	idleRounds = 8
 	// watchedAtOnce bounds the engines that are read at the same time.
 	watchedAtOnce = 8
 )
 
-// Watch reads load reports and cache events of the owned engines until the
+// watched is what is known of the reads of one owned engine.
+type watched struct {
+	id      tables.TargetID
+	address string
+	// after is the newest sequence number of its cache events.
+	after int64
+	// quiet is the number of rounds without work and events.
+	quiet int
+	// round counts the rounds.
+	round int
+	// settled is set while the engine holds all its services.
+	settled bool
+}
+
+// stateDue reports whether this round reads what the engine holds.
+func (w watched) stateDue() bool { return !w.settled || w.round%slowRounds == 0 }
+
+// eventsDue reports whether this round reads the engine's cache events.
+func (w watched) eventsDue() bool { return w.quiet < idleRounds || w.round%slowRounds == 0 }
+
+// Watch reads what the owned engines hold and their cache events until the
 // context of New ends.
 func (d *Dispatcher) Watch() {
 	ticker := d.Clock.NewTicker(watchPeriod)
 	defer ticker.Stop()
-	seen := make(map[tables.TargetID]int64)
+	seen := make(map[tables.TargetID]watched)
 	for {
 		select {
 		case <-d.ctx.Done():
@@ -34,66 +61,75 @@
 	}
 }
 
-// watched is one owned engine and the sequence number read so far.
-type watched struct {
-	id      tables.TargetID
-	address string
-	after   int64
-}
-
-func (d *Dispatcher) watchOnce(seen map[tables.TargetID]int64) {
+func (d *Dispatcher) watchOnce(seen map[tables.TargetID]watched) {
 	engines, err := ask(d.ctx, d, func() []watched { return d.ownedEngines(seen) })
 	if err != nil {
 		return
 	}
-	newest := make([]int64, len(engines))
 	var group errgroup.Group
 	group.SetLimit(watchedAtOnce)
-	for i, w := range engines {
+	for i := range engines {
 		group.Go(func() error {
-			newest[i] = d.watchEngine(w)
+			d.watchEngine(&engines[i])
 			return nil
 		})
 	}
 	_ = group.Wait()
-	for i, w := range engines {
-		seen[w.id] = newest[i]
+	for _, w := range engines {
+		seen[w.id] = w
 	}
 }
 
-func (d *Dispatcher) ownedEngines(seen map[tables.TargetID]int64) []watched {
+func (d *Dispatcher) ownedEngines(seen map[tables.TargetID]watched) []watched {
 	var out []watched
 	d.state.Targets.All(func(t *tables.Target) {
-		if t.Owned && !t.Plain {
-			out = append(out, watched{id: t.ID, address: t.Address, after: seen[t.ID]})
+		if !t.Owned || t.Plain {
+			return
+		}
+		w := seen[t.ID]
+		w.id, w.address, w.settled = t.ID, t.Address, d.settled(t)
+		w.round++
+		w.quiet++
+		if t.Running > 0 {
+			w.quiet = 0
 		}
+		out = append(out, w)
 	})
 	return out
 }
 
-// watchEngine reads one engine and returns the newest sequence number seen.
-func (d *Dispatcher) watchEngine(w watched) int64 {
+// settled reports whether an engine has stated that it holds all its services
+// and offers them.
+func (d *Dispatcher) settled(row *tables.Target) bool {
+	doc := d.Document()
+	if _, known := d.held[row.ID]; !known || doc == nil {
+		return false
+	}
+	t := doc.Targets[string(row.ID)]
+	return len(d.unloaded(row.ID, doc, t)) == 0 && len(missing(row, t)) == 0
+}
+
+// watchEngine makes the reads of one engine that are due.
+func (d *Dispatcher) watchEngine(w *watched) {
 	ctx, cancel := context.WithTimeout(d.ctx, targetTimeout)
 	defer cancel()
 	engine := d.Targets.Engine(w.address)
-	if load, err := engine.Load(ctx); err == nil {
-		d.post(func() { d.takeLoad(w.id, load) })
+	if w.stateDue() {
+		if state, err := engine.State(ctx); err == nil {
+			d.post(func() { d.takeState(w.id, state) })
+		}
 	}
-	if state, err := engine.State(ctx); err == nil {
-		d.post(func() { d.takeState(w.id, state) })
+	if !w.eventsDue() {
+		return
 	}
-	events, err := engine.CacheEvents(ctx, w.after)
+	after := w.after
+	events, err := engine.CacheEvents(ctx, after)
 	if err != nil || len(events) == 0 {
-		return w.after
-	}
-	d.post(func() { d.takeCacheEvents(w.id, w.after, events) })
-	return events[len(events)-1].Sequence
-}
-
-func (d *Dispatcher) takeLoad(id tables.TargetID, load tables.LoadReport) {
-	if t := d.state.Targets.Get(id); t != nil {
-		t.Load = load
+		return
 	}
+	d.post(func() { d.takeCacheEvents(w.id, after, events) })
+	w.after = events[len(events)-1].Sequence
+	w.quiet = 0
 }
 
 // takeCacheEvents corrects the prefix index. A jump in the sequence lowers the
--- a/internal/orders/world_test.go
+++ b/internal/orders/world_test.go
@@ -89,6 +89,8 @@
 	reads   chan struct{}
 	cut     bool
 	weights platform.WeightStore
+	// log replaces the host itself as the log of its controller.
+	log platform.Log
 }
 
 func (h *host) holds() []string {
@@ -193,6 +195,8 @@
 	version int
 	permits int
 	faults  []string
+	// listed are the hosts of the list; nil stands for all.
+	listed []*host
 	// change alters the configuration, and measure is the demand of hosts; nil
 	// stands for none.
 	change  func(*config.Document)
@@ -246,9 +250,22 @@
 	}
 }
 
+// setLive sets the hosts that the list shows; all of them before.
+func (w *world) setLive(hosts []*host) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.listed = hosts
+}
+
 func (w *world) live() []tables.Host {
+	w.mu.Lock()
+	hosts := w.listed
+	w.mu.Unlock()
+	if hosts == nil {
+		hosts = w.hosts
+	}
 	var out []tables.Host
-	for _, h := range w.hosts {
+	for _, h := range hosts {
 		out = append(out, h.self)
 	}
 	return out
@@ -257,8 +274,12 @@
 func (h *host) start() {
 	self := h.self
 	self.Incarnation = time.Now().UnixNano()
+	log := h.log
+	if log == nil {
+		log = h
+	}
 	c := orders.New(orders.Options{
-		Self: self, Log: h, Config: h.w.document, Live: h.w.live, Weights: h.weights, Measure: h.w.measure,
+		Self: self, Log: log, Config: h.w.document, Live: h.w.live, Weights: h.weights, Measure: h.w.measure,
 		Engine: func(_ tables.TargetID, address string) target.Engine { return lateEngine{h.w.engines[address], h} },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/systems/lease/lease_test.go
+++ b/internal/systems/lease/lease_test.go
@@ -177,3 +177,32 @@
 	r.AfterTime = known.Seen
 	return r
 }
+
+var _ = Describe("Reports", func() {
+	report := func(name string, fence platform.Offset, rate float64) lease.Record {
+		return lease.Record{Kind: lease.Report, Name: name, Fence: fence, Demand: map[tables.ServiceID]float64{"s": rate}}
+	}
+	sum := func(t *lease.Table) float64 {
+		rates, _ := t.Demand()
+		return rates["s"]
+	}
+	It("add up over failure domains, the latest of the highest fence for each, and lapse", func() {
+		var s stream
+		t := lease.NewTable(0)
+		_, known := t.Demand()
+		Expect(known).To(BeFalse())
+		old := record(lease.Acquire, "a", lease.None, 0)
+		old.Name, old.Demand = "orders/a", map[tables.ServiceID]float64{"s": 100}
+		t.Fold(start, s.add(start, old))
+		Expect(sum(t)).To(BeEquivalentTo(100), "a renewal of one stream for all leases counts")
+		t.Fold(start, s.add(start, report("orders/a", lease.DomainFences+7, 5)))
+		t.Fold(start, s.add(start, report("orders/b", lease.DomainFences, 2)))
+		t.Fold(start, s.add(start, report("orders/a", lease.DomainFences+6, 50)))
+		Expect(sum(t)).To(BeEquivalentTo(7), "a holder of before says nothing")
+		at := start.Add(lease.VoidAfter)
+		t.Fold(at, s.add(at, report("orders/b", lease.DomainFences, 3)))
+		Expect(sum(t)).To(BeEquivalentTo(3))
+		_, held := t.Get("orders/b")
+		Expect(held).To(BeFalse(), "a report is no lease")
+	})
+})
--- a/internal/tables/target.go
+++ b/internal/tables/target.go
@@ -36,8 +36,6 @@
 	Speed Speed
 	// Estimate is what the dispatcher has measured.
 	Estimate Estimate
-	// Load is the latest load report.
-	Load LoadReport
 	// Straggler is set by the straggler system.
 	Straggler bool
 	// ProbeAt is when a straggler may next get a probe.
