Pin how often engines are read

Cause: the rounds of reads had no spec. Conclusion: an engine that works is read for cache events as before.

--- a/internal/dispatcher/watch.go
+++ b/internal/dispatcher/watch.go
@@ -39,6 +39,17 @@
 	settled bool
 }
 
+// next returns w in its next round.
+func (w watched) next(running, settled bool) watched {
+	w.round++
+	w.quiet++
+	if running {
+		w.quiet = 0
+	}
+	w.settled = settled
+	return w
+}
+
 // stateDue reports whether this round reads what the engine holds.
 func (w watched) stateDue() bool { return !w.settled || w.round%slowRounds == 0 }
 
@@ -86,13 +97,8 @@
 		if !t.Owned || t.Plain {
 			return
 		}
-		w := seen[t.ID]
-		w.id, w.address, w.settled = t.ID, t.Address, d.settled(t)
-		w.round++
-		w.quiet++
-		if t.Running > 0 {
-			w.quiet = 0
-		}
+		w := seen[t.ID].next(t.Running > 0, d.settled(t))
+		w.id, w.address = t.ID, t.Address
 		out = append(out, w)
 	})
 	return out
