Let few hosts elsewhere follow the leases of a domain without hosts

Cause: when a failure domain is lost, every controller would have read its stream from the oldest record kept, at 410 nodes all at once. Change: only the first four hosts by rendezvous hashing do. A spec with ten hosts elsewhere finds four readers; it fails without the change, which had ten.

--- a/internal/orders/plan.go
+++ b/internal/orders/plan.go
@@ -19,7 +19,8 @@
 const maxEnginesAtOnce = 16
 
 // minCandidates is the number of live hosts of a failure domain from which on
-// they alone are candidates for its lease.
+// they alone are candidates for its lease. With fewer, the first hosts for it
+// anywhere are candidates too.
 const minCandidates = 4
 
 // wantedLeases returns the leases of the failure domains with engines for which
@@ -46,7 +47,8 @@
 }
 
 // candidate reports whether this host may hold the lease of a failure domain:
-// it is one of the domain's hosts, or the domain has few live ones.
+// it is one of the domain's hosts, or the domain has few live ones and this
+// host is among the first for it.
 func (c *Controller) candidate(id tables.DomainID, live []tables.Host) bool {
 	if c.opts.Self.Domain == id {
 		return true
@@ -57,7 +59,21 @@
 			here++
 		}
 	}
-	return here < minCandidates
+	return here < minCandidates && c.amongFirst(id, live)
+}
+
+// amongFirst reports whether this host is one of the first choices for the
+// lease of a failure domain.
+func (c *Controller) amongFirst(id tables.DomainID, live []tables.Host) bool {
+	rest := slices.Clone(live)
+	for range min(minCandidates, len(live)) {
+		first := owner.Of(tables.TargetID(orderLeasePrefix+string(id)), id, rest)
+		if first == c.opts.Self.ID {
+			return true
+		}
+		rest = slices.DeleteFunc(rest, func(h tables.Host) bool { return h.ID == first })
+	}
+	return false
 }
 
 func domainsOf(doc *config.Document) []tables.DomainID {
--- a/internal/orders/streams_test.go
+++ b/internal/orders/streams_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -101,6 +102,19 @@
 			Expect(after.Fence).To(BeNumerically(">", before.Fence))
 		})
 	})
+	It("of a lost failure domain are read by few of the others", func() {
+		inDomains([]string{"a1x", "b1"}, "aaaaaaaaaa", func(w *world, logs []*readLog) {
+			time.Sleep(2 * time.Minute)
+			w.settled()
+			readers := 0
+			for _, l := range logs {
+				if slices.Contains(l.streams(), platform.LeaseStreamPrefix+"b") {
+					readers++
+				}
+			}
+			Expect(readers).To(Equal(4))
+		})
+	})
 	It("carry fences above those of the one stream before", func() {
 		inDomains([]string{"a1x"}, "a", func(w *world, _ []*readLog) {
 			w.hosts[0].end()
