Give a world of the orders' specs its hosts before it starts

Cause: the race detector found that the new specs of streams replaced the hosts of a running world, beside its watcher. Only the specs were at fault. Change: the hosts are an argument of the world.

--- a/internal/orders/streams_test.go
+++ b/internal/orders/streams_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -55,25 +56,22 @@
 	return out
 }
 
-// inDomains replaces the hosts of a world by hosts h0, h1... of the failure
-// domains that are named; change sets those that are live.
+// inDomains runs a spec with hosts h0, h1... of the failure domains that are
+// named by a letter each.
 func inDomains(names []string, domains string, spec func(w *world, logs []*readLog)) {
-	inWorld(1, names, func(w *world) {
-		for _, h := range w.hosts {
-			h.end()
-		}
-		w.hosts = nil
-		var logs []*readLog
+	var logs []*readLog
+	hosts := func(w *world) []*host {
+		var out []*host
 		for i, domain := range strings.Split(domains, "") {
 			h := &host{w: w, self: tables.Host{ID: tables.HostID(fmt.Sprint("h", i)), Domain: tables.DomainID(domain)}}
-			w.hosts = append(w.hosts, h)
-			logs = append(logs, &readLog{Log: h, reads: map[string]bool{}})
-		}
-		for i := range w.hosts {
-			w.hosts[i].log = logs[i]
-			w.hosts[i].start()
+			l := &readLog{Log: h, reads: map[string]bool{}}
+			h.log = l
+			out, logs = append(out, h), append(logs, l)
 		}
-		spec(w, logs)
+		return out
+	}
+	suite.Run(domains, func(t *testing.T) {
+		inBubble(t, 1, names, hosts, func(w *world) { spec(w, logs) })
 	})
 }
 
--- a/internal/orders/world_test.go
+++ b/internal/orders/world_test.go
@@ -317,7 +317,7 @@
 // inWorld runs a spec with three hosts and the named engines; the first letter
 // of a name is the failure domain, and an engine with "x" checks fences.
 func inWorld(seed uint64, names []string, spec func(w *world)) {
-	suite.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { inBubble(t, seed, names, spec) })
+	suite.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { inBubble(t, seed, names, threeHosts, spec) })
 }
 
 // eachSeed runs a spec with the seeds below n side by side: a world takes
@@ -333,7 +333,17 @@
 	worlds.Wait()
 }
 
-func inBubble(t *testing.T, seed uint64, names []string, spec func(w *world)) {
+// threeHosts returns hosts of the failure domain a.
+func threeHosts(w *world) []*host {
+	var out []*host
+	for i := range 3 {
+		out = append(out, &host{w: w, weights: w, self: tables.Host{ID: tables.HostID(fmt.Sprint("h", i)), Domain: "a"}})
+	}
+	return out
+}
+
+// inBubble runs a spec in virtual time among the hosts that a function returns.
+func inBubble(t *testing.T, seed uint64, names []string, hosts func(w *world) []*host, spec func(w *world)) {
 	synctest.Test(t, func(*testing.T) {
 		defer GinkgoRecover()
 		w := &world{rand: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*engine{}}
@@ -341,10 +351,7 @@
 		for _, name := range names {
 			w.engines[name] = &engine{checks: slices.Contains([]byte(name), 'x')}
 		}
-		for i := range 3 {
-			h := &host{w: w, weights: w, self: tables.Host{ID: tables.HostID(fmt.Sprint("h", i)), Domain: "a"}}
-			w.hosts = append(w.hosts, h)
-		}
+		w.hosts = hosts(w)
 		for _, h := range w.hosts {
 			h.start()
 		}
