Report the demand every 5 minutes, and show what a lease holder spends

Cause: holders of a lease spent 658 B/s on top of a node's 1791, mostly on reading the demand of all failure domains each 30 s, though demand has a time constant of 10 minutes. Change: a report each 5 minutes; it stays valid for 15 minutes of the log's time instead of the 2 of a lease, so that two may be lost. The budget page has the sum of a node that holds a lease as a row.

--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -146,24 +146,28 @@
 	}
 }
 
+// Rates of the records that the holder of a lease writes.
+var (
+	renewalsPerSec = 1 / lease.RenewEvery.Seconds()
+	reportsPerSec  = 1 / lease.DemandEvery.Seconds()
+)
+
 // leaseRow returns what the lease of its own failure domain costs a
 // controller, which reads every renewal, and a node's even share of what the
 // holders spend: each appends renewals and reports of the demand, and reads the
 // reports of all.
 func leaseRow(s Size, m Slopes) Row {
-	renewals := 1 / lease.RenewEvery.Seconds()
-	reports := 1 / lease.DemandEvery.Seconds()
 	domains := float64(s.FailureDomains)
 	return Row{
-		Work: "leases", Load: fmt.Sprintf("%.3g renewals a second of the own failure domain read, and 1/%.0f of what a holder writes and reads", renewals, float64(s.Nodes)/domains),
-		BytesPerSec: renewals*m.Value("lease.read_bytes") + holderBytes(s, m, renewals, reports)*domains/float64(s.Nodes),
+		Work: "leases", Load: fmt.Sprintf("%.3g renewals a second of the own failure domain read, and 1/%.0f of what a holder writes and reads", renewalsPerSec, float64(s.Nodes)/domains),
+		BytesPerSec: renewalsPerSec*m.Value("lease.read_bytes") + holderBytes(s, m)*domains/float64(s.Nodes),
 	}
 }
 
 // holderBytes returns what the holder of a lease spends besides reading its
 // stream, in bytes a second.
-func holderBytes(s Size, m Slopes, renewals, reports float64) float64 {
-	return (renewals+reports)*m.Value("lease.append_bytes") + reports*float64(s.FailureDomains)*m.Value("lease.report_bytes")
+func holderBytes(s Size, m Slopes) float64 {
+	return (renewalsPerSec+reportsPerSec)*m.Value("lease.append_bytes") + reportsPerSec*float64(s.FailureDomains)*m.Value("lease.report_bytes")
 }
 
 // engineRow returns what a dispatcher reads of its engines.
@@ -234,6 +238,15 @@
 	return sum
 }
 
+// HolderTotal adds the control rows of a node that holds the lease of a failure
+// domain: all that a holder spends in place of an even share of it.
+func HolderTotal(s Size, m Slopes) Row {
+	sum := Total(ControlRows(s, m))
+	share := float64(s.FailureDomains) / float64(s.Nodes)
+	sum.BytesPerSec += (1 - share) * holderBytes(s, m)
+	return sum
+}
+
 // WriteBudget writes the rows of a node at a size as a page.
 func WriteBudget(w io.Writer, s Size, m Slopes) error {
 	p := &page{w: w}
@@ -243,6 +256,7 @@
 	control := ControlRows(s, m)
 	p.rows(control)
 	p.total("sum", Total(control))
+	p.total("sum on a node that holds a lease", HolderTotal(s, m))
 	limit := TargetBudget()
 	p.total("**budget**", Row{Core: limit.Core, BytesPerSec: limit.BytesPerSec, MemoryBytes: limit.MemoryBytes})
 	p.print("\nThe budget of bytes is for what passes between nodes and to and from the platform;\nwhat passes between the processes of a node, on its loopback, has a column of its\nown. Bytes are those of the connections, without TCP headers.\n\nThe memory is heap and stacks; the Go runtime and the program text of three\nprocesses come on top, see `docs/CAPACITY.md`.\n\n## Requests\n\n")
--- a/internal/systems/lease/lease.go
+++ b/internal/systems/lease/lease.go
@@ -24,7 +24,10 @@
 	// RenewEvery is the time between two renewals.
 	RenewEvery = 3 * time.Second
 	// DemandEvery is the time between two reports of the demand.
-	DemandEvery = 30 * time.Second
+	DemandEvery = 5 * time.Minute
+	// ReportVoidAfter is the age, in the log's own time, at which a report of
+	// the demand counts no more; two may be lost.
+	ReportVoidAfter = 3 * DemandEvery
 	// OrderTimeout bounds one order to an engine.
 	OrderTimeout = 3 * time.Second
 	// SettleTime is how long a new holder waits for orders of the last one.
@@ -178,7 +181,7 @@
 	known := false
 	for _, name := range slices.Sorted(maps.Keys(t.reports)) {
 		r := t.reports[name]
-		if t.latest.Sub(r.logTime) >= VoidAfter {
+		if t.latest.Sub(r.logTime) >= ReportVoidAfter {
 			continue
 		}
 		known = true
