--- a/internal/gate/drive.go
+++ b/internal/gate/drive.go
@@ -42,7 +42,7 @@
 	defer g.unregister(f)
 	begun := g.Clock.Now()
 	pause := rerouteFirst
-	choices := pick()
+	choices, partial := pick(), false
 	for g.ctx.Err() == nil {
 		asked := g.Clock.Now()
 		refusal, done := g.round(f, choices)
@@ -50,9 +50,12 @@
 			return
 		}
 		now := g.Clock.Now()
-		choices = pick()
-		if overloaded(refusal.Kind) && now.Sub(asked) > sweepValid {
+		// Refusals of some owners say nothing of the others, which agreed earlier.
+		again := partial
+		choices, partial = pick(), false
+		if overloaded(refusal.Kind) && (again || now.Sub(asked) > sweepValid) {
 			choices = g.sweep(f, choices)
+			partial = len(choices) > 0
 		}
 		switch {
 		case f.callerLeft():
@@ -61,7 +64,9 @@
 		case ownerless(refusal.Kind) && now.Add(pause).Before(begun.Add(min(rerouteFor, f.msg.DueIn))):
 			g.pauseUntil(now.Add(pause))
 			pause = min(2*pause, rerouteLongest)
-		case overloaded(refusal.Kind) && now.Sub(asked) > sweepValid && len(choices) > 0:
+		case partial && again:
+			g.pauseUntil(now.Add(rerouteFirst))
+		case partial:
 		default:
 			f.finish(advise(refusal))
 			return
