--- /dev/null
+++ b/cmd/bluebell-edge/run.go
@@ -0,0 +1,284 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/bluebellseam/bluebellseam/internal/edge"
+	"github.com/bluebellseam/bluebellseam/internal/event"
+	"github.com/bluebellseam/bluebellseam/internal/fleet"
+	"github.com/bluebellseam/bluebellseam/internal/links"
+	"github.com/bluebellseam/bluebellseam/internal/observe"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/pool"
+	"github.com/bluebellseam/bluebellseam/internal/systems/owner"
+	"github.com/bluebellseam/bluebellseam/internal/systems/quota"
+	"github.com/bluebellseam/bluebellseam/internal/systems/repeat"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+	"github.com/bluebellseam/bluebellseam/internal/watch"
+	"github.com/bluebellseam/bluebellseam/platform"
+)
+
+const (
+	// metricsPortOffset is that of the metrics port from the first internal one.
+	metricsPortOffset = 1
+	// homeKey orders the hosts for the role of the home.
+	homeKey = "home"
+	// loadTimeout bounds one attempt to learn the state at the start.
+	loadTimeout = 2 * time.Second
+	loadPause   = 200 * time.Millisecond
+	// repeatShare of the platform's budget of repeats is used.
+	repeatShare = 0.6
+	// quotaShare of the platform's overshoot and slack of quotas is used.
+	quotaShare = 0.3
+	// startShare is the part of its burst that a customer has at a new home.
+	startShare = 0.5
+	// leaveRotation is how long the platform takes to see that a host is not
+	// ready; until then it sends new connections.
+	leaveRotation = 2500 * time.Millisecond
+	// exitMargin is kept of the grace time for the end of the process.
+	exitMargin = 700 * time.Millisecond
+	// idleTimeout closes callers' connections; the platform's callers reuse
+	// those that were idle for a shorter time.
+	idleTimeout = 60 * time.Second
+)
+
+// process holds the parts of a running edge.
+type process struct {
+	settings platform.Settings
+	self     fleet.Host
+	logger   *zap.Logger
+	clock    clockwork.Clock
+	metrics  *observe.Edge
+	mux      *peer.Mux
+	peers    *peer.Pool
+	links    *links.Links
+	state    *watch.State
+	watcher  *watch.Watcher
+	sharer   *watch.Sharer
+	own      *pool.Home
+	alone    *pool.Home
+	client   *pool.Client
+	front    *http.Server
+	stopping chan struct{}
+}
+
+func run() error {
+	path := os.Getenv(platform.SettingsVariable)
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	p := build(s)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := p.listen(ctx); err != nil {
+		return err
+	}
+	event.ProcessStarted.Log(p.logger, zap.String("address", s.Listen.Front), zap.Bool("bootstrap", s.Bootstrap))
+	go p.follow(ctx)
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			break
+		}
+		p.reload(path)
+	}
+	p.stop()
+	return nil
+}
+
+func build(s platform.Settings) *process {
+	p := &process{
+		settings: s,
+		self: fleet.Host{
+			ID: tables.HostID(s.Node), Domain: tables.DomainID(s.Zone),
+			Address: s.PeerAddress(), Cores: s.Capacity(),
+		},
+		clock:    clockwork.NewRealClock(),
+		metrics:  observe.NewEdge(),
+		mux:      peer.NewMux(),
+		stopping: make(chan struct{}),
+	}
+	p.logger = observe.NewLogger(os.Stdout, zapcore.InfoLevel).With(zap.String("node", s.Node))
+	p.peers = peer.NewPool(context.Background(), peer.Hello{Host: p.self.ID, Role: "edge"}, p.mux, p.clock)
+	p.links = links.New(p.self, p.peers, p.clock, p.logger)
+	p.state = watch.NewState(platform.Decoder{}, p.logger)
+	store := platform.NewStore(s.Platform.Address)
+	store.Called = p.metrics.StoreCalled
+	p.watcher = watch.NewWatcher(p.self, p.state, store, p.links, p.clock, p.logger)
+	p.sharer = watch.NewSharer(p.self, p.watcher, p.links, p.mux, p.clock)
+	p.own = pool.NewHome(p.state, p.policy(), rand.Float64, p.homeShare, func() int { return 1 }, p.clock, p.logger)
+	p.alone = pool.NewHome(p.state, p.policy(), rand.Float64, p.aloneShare, p.links.Hosts, p.clock, p.logger)
+	first := xxhash.Sum64String(s.Node+p.clock.Now().String()) &^ 0xffffffff
+	p.client = pool.NewClient(p.self, p.links, p.own, p.alone, first, p.clock, p.logger)
+	p.client.Register(p.mux)
+	p.state.Changed = p.changed
+	p.sharer.Detached = p.own.Forget
+	p.links.Connected = func(ctx context.Context, _ fleet.Host, conn *peer.Conn) error { return p.sharer.Attach(ctx, conn) }
+	return p
+}
+
+func (p *process) policy() pool.Policy {
+	b := p.settings.Bounds
+	return pool.Policy{
+		Quota: quota.Slack{Rate: b.QuotaOvershoot * quotaShare, Burst: b.QuotaOvershoot * quotaShare, Tokens: b.QuotaSlack * quotaShare},
+		Repeat: repeat.Budget{
+			Ratio: b.RetryBudgetRatio * repeatShare, Slack: b.BudgetSlack * repeatShare,
+			Window: time.Duration(b.BudgetWindowS * float64(time.Second)),
+		},
+		StartShare: startShare,
+	}
+}
+
+// homeShare is the part of the quotas that this host gives out as home: that
+// of the hosts attached to it, since the others may be deciding alone.
+func (p *process) homeShare() float64 {
+	return min(float64(len(p.sharer.Attached())+1)/float64(p.links.Hosts()), 1)
+}
+
+func (p *process) aloneShare() float64 { return 1 / float64(p.links.Hosts()) }
+
+func (p *process) changed(s watch.Stream) {
+	switch s {
+	case watch.Hosts:
+		ranked := owner.Ranked(homeKey, p.state.Hosts())
+		p.links.SetHosts(ranked)
+		event.HostsChanged.Log(p.logger, zap.Int("hosts", len(ranked)))
+	default:
+		speeds := p.client.Speeds()
+		p.own.Refresh(speeds)
+		p.alone.Refresh(speeds)
+	}
+	p.sharer.Wake()
+}
+
+// listen opens every address and serves it.
+func (p *process) listen(ctx context.Context) error {
+	s := p.settings
+	p.front = observe.NewServer(&platform.Front{
+		Clock: p.clock,
+		Server: &edge.Server{
+			Directory: p.state, Places: p.client, Targets: platform.NewTargets(),
+			Clock: p.clock, Logger: p.logger, Metrics: p.metrics,
+		},
+	})
+	p.front.IdleTimeout = idleTimeout
+	metrics := observe.NewServer(p.metrics.Handler())
+	ready := observe.NewServer(platform.Readiness(p.ready))
+	metricsAddress := fmt.Sprintf("%s:%d", s.IP, s.InternalPorts[0]+metricsPortOffset)
+	for address, server := range map[string]*http.Server{s.Listen.Front: p.front, s.Listen.Ready: ready, metricsAddress: metrics} {
+		if err := p.serve(address, server.Serve); err != nil {
+			return err
+		}
+	}
+	for _, address := range []string{p.self.Address, s.Listen.Control} {
+		if address == "" {
+			continue
+		}
+		err := p.serve(address, func(l net.Listener) error { return peer.Serve(ctx, l, p.mux, "", p.clock) })
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *process) serve(address string, serve func(net.Listener) error) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := serve(listener); err != nil && err != http.ErrServerClosed {
+			event.ListenerFailed.Log(p.logger, zap.String("address", address), zap.Error(err))
+		}
+	}()
+	return nil
+}
+
+// ready reports whether the host can serve every request that the
+// configuration allows.
+func (p *process) ready() bool {
+	select {
+	case <-p.stopping:
+		return false
+	default:
+		return p.state.Complete()
+	}
+}
+
+// follow learns the state and keeps it up to date.
+func (p *process) follow(ctx context.Context) {
+	for ctx.Err() == nil && !p.load(ctx) {
+		p.clock.Sleep(loadPause)
+	}
+	go p.links.Run(ctx)
+	go p.sharer.Run(ctx)
+	go p.client.ShareSpeeds(ctx, p.sharer.Post)
+	p.watcher.Run(ctx)
+}
+
+// load reads the store, or asks the seeds while it is away.
+func (p *process) load(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	if p.watcher.Load(ctx) == nil {
+		return true
+	}
+	for _, seed := range p.settings.Seeds {
+		if seed == p.settings.Listen.Control {
+			continue
+		}
+		conn, err := p.peers.Get(ctx, seed)
+		if err == nil {
+			err = p.sharer.Attach(ctx, conn)
+		}
+		if err != nil {
+			event.PeerUnreached.Log(p.logger, zap.String("address", seed), zap.Error(err))
+			continue
+		}
+		if p.state.Complete() {
+			return true
+		}
+	}
+	return false
+}
+
+// reload checks the changed settings file. Addresses and bounds take effect at
+// the next start.
+func (p *process) reload(path string) {
+	_, err := platform.LoadSettings(path)
+	event.SettingsReloaded.Log(p.logger, zap.String("path", path), zap.Error(err))
+}
+
+// stop lets requests in flight end within the grace time.
+func (p *process) stop() {
+	event.StopRequested.Log(p.logger)
+	close(p.stopping)
+	ctx, cancel := context.WithTimeout(context.Background(), p.settings.Grace()-exitMargin)
+	defer cancel()
+	if err := p.watcher.Withdraw(ctx); err != nil {
+		event.StoreLost.Log(p.logger, zap.Error(err))
+	}
+	p.sharer.Wake()
+	p.front.SetKeepAlivesEnabled(false)
+	p.clock.Sleep(leaveRotation)
+	if err := p.front.Shutdown(ctx); err != nil {
+		event.StopBoundPassed.Log(p.logger, zap.Error(err))
+	}
+	event.ProcessStopped.Log(p.logger)
+}
--- /dev/null
+++ b/internal/edge/place.go
@@ -0,0 +1,95 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/fleet"
+	"github.com/bluebellseam/bluebellseam/internal/pool"
+	"github.com/bluebellseam/bluebellseam/internal/systems/place"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+const (
+	// defaultAim is that of routes without one.
+	defaultAim = time.Second
+	// defaultPatience is how long a request without a deadline may wait.
+	defaultPatience = 10 * time.Second
+	// maxStalePlaces bounds the places at targets that this host knows to be
+	// leaving, while the home does not know it yet.
+	maxStalePlaces = 3
+)
+
+// place asks for a place at a target that this host knows to be there.
+func (x *exchange) place(ctx context.Context, repeat bool) (*pool.Grant, fleet.Target, error) {
+	wish := x.wish(repeat)
+	for range maxStalePlaces {
+		grant, err := x.server.Places.Ask(ctx, wish)
+		if err != nil {
+			return nil, fleet.Target{}, err
+		}
+		target, known := x.server.Directory.Target(grant.Target)
+		if known && !target.Leaving {
+			return grant, target, nil
+		}
+		grant.End(place.Unused, 0)
+		wish.Avoid = append(wish.Avoid, grant.Target)
+	}
+	return nil, fleet.Target{}, errkind.New(errkind.NoTarget, fmt.Sprintf("places at %v, which are leaving", wish.Avoid))
+}
+
+func (x *exchange) wish(repeat bool) pool.Wish {
+	now := x.server.Clock.Now()
+	w := pool.Wish{
+		Request: x.request.ID,
+		Service: x.service,
+		Tier:    x.tier(),
+		Prompt:  x.request.Prompt,
+		Output:  x.output(),
+		Aim:     x.aim() - now.Sub(x.request.Arrived),
+		Until:   defaultPatience,
+		GapAim:  x.route.GapAim,
+		Avoid:   append([]tables.TargetID(nil), x.tried...),
+		Repeat:  repeat,
+	}
+	if !x.until.IsZero() {
+		w.Until = x.until.Sub(now)
+	}
+	if x.customer != nil {
+		w.Customer = x.customer.Name
+		w.Tokens = x.tokens()
+	}
+	return w
+}
+
+func (x *exchange) aim() time.Duration {
+	if x.route.Aim > 0 {
+		return x.route.Aim
+	}
+	return defaultAim
+}
+
+func (x *exchange) tier() int {
+	if x.customer != nil && x.customer.HasTier {
+		return x.customer.Tier
+	}
+	return x.route.Tier
+}
+
+// output is the expected number of tokens made.
+func (x *exchange) output() int {
+	if x.request.LikelyOutput > 0 {
+		return x.request.LikelyOutput
+	}
+	return x.request.Output
+}
+
+// tokens is what the request counts against the quota of its customer.
+func (x *exchange) tokens() int {
+	if x.request.Counted {
+		return x.request.Prompt + x.request.Output
+	}
+	return x.customer.Quota.PlainTokens
+}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -21,6 +21,7 @@
 
 	MalformedRequest   Kind = "malformed_request"
 	BodyTooLarge       Kind = "body_too_large"
+	HeaderTooLarge     Kind = "header_too_large"
 	Unauthenticated    Kind = "unauthenticated"
 	Forbidden          Kind = "forbidden"
 	UnknownService     Kind = "unknown_service"
@@ -53,6 +54,7 @@
 	CancelledWhileRun  Kind = "cancelled_while_running"
 	AnswerNotKept      Kind = "answer_not_kept"
 	OutcomeUnknown     Kind = "outcome_unknown"
+	RepeatBudget       Kind = "repeat_budget"
 	Internal           Kind = "internal"
 )
 
@@ -91,6 +93,7 @@
 	None:               {http.StatusOK, RanYes, 0, "The request succeeded."},
 	MalformedRequest:   {http.StatusBadRequest, RanNo, 0, "The request body or a parameter does not match the API schema."},
 	BodyTooLarge:       {http.StatusRequestEntityTooLarge, RanNo, 0, "The request body exceeds the size limit of its service."},
+	HeaderTooLarge:     {http.StatusRequestHeaderFieldsTooLarge, RanNo, 0, "The header exceeds the configured limit."},
 	Unauthenticated:    {http.StatusUnauthorized, RanNo, 0, "The API key is missing or belongs to no customer or operator."},
 	Forbidden:          {http.StatusForbidden, RanNo, 0, "The customer may not use this service or tier."},
 	UnknownService:     {http.StatusNotFound, RanNo, 0, "No service of this name exists in the configuration in force."},
@@ -123,6 +126,7 @@
 	CancelledWhileRun:  {statusClientClosedRequest, RanYes, 0, "The caller left while the request was running."},
 	AnswerNotKept:      {http.StatusGone, RanYes, 0, "The request ran to its end and its answer is no longer kept."},
 	OutcomeUnknown:     {http.StatusGatewayTimeout, RanUnknown, 0, "The request may have run; look its outcome up by its ID and do not send it again."},
+	RepeatBudget:       {http.StatusServiceUnavailable, RanNo, retrySoon, "The request could not be sent again: repeats of its service are above their budget."},
 	Internal:           {http.StatusInternalServerError, RanUnknown, 0, "An internal invariant failed; the log has the details."},
 }
 
@@ -167,6 +171,22 @@
 	return trace.Wrap(&Error{Kind: k, Detail: detail})
 }
 
+// NewRetry returns an error of kind k that advises when to send again; zero
+// means the default of the kind.
+func NewRetry(k Kind, detail string, after time.Duration) error {
+	return trace.Wrap(&Error{Kind: k, Detail: detail, RetryAfter: after})
+}
+
+// AdviceOf returns the wait that err itself advises, zero when it leaves that
+// to its kind.
+func AdviceOf(err error) time.Duration {
+	var e *Error
+	if errors.As(trace.Unwrap(err), &e) || errors.As(err, &e) {
+		return e.RetryAfter
+	}
+	return 0
+}
+
 // Wrap returns an error of kind k that was caused by err.
 func Wrap(err error, k Kind, detail string) error {
 	return trace.Wrap(&Error{Kind: k, Detail: detail, cause: err})
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -6,12 +6,13 @@
 
 // Process life: 1000 to 1099.
 var (
-	ProcessStarted  = Event{1001, zapcore.InfoLevel, "process started", "The process serves on its addresses."}
-	SettingsInForce = Event{1002, zapcore.InfoLevel, "settings in force", "The settings after flags, environment and defaults; keys are left out."}
-	StopRequested   = Event{1003, zapcore.InfoLevel, "stop requested", "A termination signal arrived; readiness is off and requests in flight go on."}
-	StopBoundPassed = Event{1004, zapcore.WarnLevel, "stop bound passed", "Requests were still in flight when the stop bound passed."}
-	ProcessStopped  = Event{1005, zapcore.InfoLevel, "process stopped", "All requests in flight ended and the process exits."}
-	ListenerFailed  = Event{1006, zapcore.ErrorLevel, "listener failed", "A listening socket returned an error."}
+	ProcessStarted   = Event{1001, zapcore.InfoLevel, "process started", "The process serves on its addresses."}
+	SettingsInForce  = Event{1002, zapcore.InfoLevel, "settings in force", "The settings after flags, environment and defaults; keys are left out."}
+	StopRequested    = Event{1003, zapcore.InfoLevel, "stop requested", "A termination signal arrived; readiness is off and requests in flight go on."}
+	StopBoundPassed  = Event{1004, zapcore.WarnLevel, "stop bound passed", "Requests were still in flight when the stop bound passed."}
+	ProcessStopped   = Event{1005, zapcore.InfoLevel, "process stopped", "All requests in flight ended and the process exits."}
+	SettingsReloaded = Event{1007, zapcore.InfoLevel, "settings reloaded", "The settings file was read again; an error keeps the old ones."}
+	ListenerFailed   = Event{1006, zapcore.ErrorLevel, "listener failed", "A listening socket returned an error."}
 )
 
 // Configuration and log following: 1100 to 1199.
@@ -38,6 +39,14 @@
 	OrderRefused  = Event{1209, zapcore.WarnLevel, "order refused", "An engine refused an order, for example for an old fencing number."}
 	PeerState     = Event{1210, zapcore.InfoLevel, "peer state changed", "A host is leaving, or is in the host list no longer or not yet."}
 	FeedTaken     = Event{1211, zapcore.InfoLevel, "dispatcher feeds", "This process takes hosts and configuration from the dispatcher of its host."}
+	PeerUnreached = Event{1213, zapcore.InfoLevel, "peer unreached", "An attempt to connect to a host that others depend on failed; it is tried again."}
+	StoreLost     = Event{1214, zapcore.WarnLevel, "store lost", "Calls to the platform's store fail; what is known stays in force."}
+	StoreBack     = Event{1215, zapcore.InfoLevel, "store back", "The platform's store answers again."}
+	TargetListed  = Event{1216, zapcore.InfoLevel, "target listed", "A target was added to the list or its entry changed."}
+	TargetRemoved = Event{1217, zapcore.InfoLevel, "target removed", "A target is in the list no longer."}
+	EntryIgnored  = Event{1218, zapcore.WarnLevel, "entry ignored", "An entry of the store cannot be read; it names nothing to use."}
+	HostsChanged  = Event{1219, zapcore.InfoLevel, "hosts changed", "The list of hosts of the system changed."}
+	HomeChanged   = Event{1220, zapcore.InfoLevel, "home changed", "Another host gives out the places at targets."}
 	FeedLost      = Event{1212, zapcore.WarnLevel, "dispatcher feeds no longer", "The dispatcher of this host is silent; this process reads the list and the log itself."}
 )
 
@@ -52,6 +61,10 @@
 	ClaimLost        = Event{1307, zapcore.InfoLevel, "claim lost", "Another request holds the key; the caller is joined to it."}
 	QuarantineAdded  = Event{1308, zapcore.WarnLevel, "quarantine added", "A fingerprint was in flight at two target crashes and is refused everywhere."}
 	QuarantineLifted = Event{1309, zapcore.InfoLevel, "quarantine lifted", "A fingerprint expired or was released by an operator."}
+	PlaceGranted     = Event{1311, zapcore.InfoLevel, "place granted", "A request got a place at a target; expected is the time to its first byte."}
+	PlaceRefused     = Event{1312, zapcore.InfoLevel, "place refused", "A request got no place; the kind and the detail tell why."}
+	SendFailed       = Event{1313, zapcore.WarnLevel, "send failed", "A target gave no whole answer; proof tells what is known of the run."}
+	DecidedAlone     = Event{1314, zapcore.WarnLevel, "decided alone", "No home of places answers; this host uses its own share of the targets."}
 	InvariantFailed  = Event{1310, zapcore.ErrorLevel, "invariant failed", "An internal check failed; report it with the surrounding log."}
 )
 
@@ -65,11 +78,13 @@
 // Catalogue returns every event by number.
 func Catalogue() []Event {
 	return []Event{
-		ProcessStarted, SettingsInForce, StopRequested, StopBoundPassed, ProcessStopped, ListenerFailed,
+		ProcessStarted, SettingsInForce, StopRequested, StopBoundPassed, ProcessStopped, ListenerFailed, SettingsReloaded,
 		ConfigInForce, PatchRejected, LogUnreachable, LogTruncated, LogReachable, SnapshotAppended, RecordIgnored,
 		PeerUp, PeerDown, TargetLeaving, TargetOwned, TargetLost, LeaseTaken, LeaseLost, OrderSent, OrderRefused, PeerState, FeedTaken, FeedLost,
+		PeerUnreached, StoreLost, StoreBack, TargetListed, TargetRemoved, EntryIgnored, HostsChanged, HomeChanged,
 		RequestRefused, RequestFinished, RequestUnknown, StreamResumed, StreamSilent, DispatcherLost, ClaimLost,
 		QuarantineAdded, QuarantineLifted, InvariantFailed,
+		PlaceGranted, PlaceRefused, SendFailed, DecidedAlone,
 		TargetCrashed, TargetStraggles, TargetRecovered,
 	}
 }
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -23,12 +24,14 @@
 
 type errorData struct {
 	Kind errkind.Kind `json:"kind"`
+	// RetryAfter is zero where the default of the kind holds.
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
 }
 
 // toWire converts err to the JSON-RPC error that carries its kind.
 func toWire(err error) *jsonrpc2.Error {
 	e := &jsonrpc2.Error{Code: codeKind, Message: errkind.DetailOf(err)}
-	e.SetError(errorData{Kind: errkind.Of(err)})
+	e.SetError(errorData{Kind: errkind.Of(err), RetryAfter: errkind.AdviceOf(err)})
 	return e
 }
 
@@ -43,5 +46,5 @@
 	if rpc.Data == nil || json.Unmarshal(*rpc.Data, &data) != nil || !data.Kind.Valid() {
 		return errkind.New(errkind.Internal, fmt.Sprintf("call %s: %s", method, rpc.Message))
 	}
-	return errkind.New(data.Kind, rpc.Message)
+	return errkind.NewRetry(data.Kind, rpc.Message, data.RetryAfter)
 }
--- /dev/null
+++ b/internal/pool/client.go
@@ -0,0 +1,326 @@
+package pool
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/event"
+	"github.com/bluebellseam/bluebellseam/internal/fleet"
+	"github.com/bluebellseam/bluebellseam/internal/links"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/systems/place"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+const (
+	// liveCheck is how often a host that waits for a place looks whether the
+	// home still answers.
+	liveCheck = 50 * time.Millisecond
+	// reportEvery is how long reports wait to go out together.
+	reportEvery = 5 * time.Millisecond
+	// tokensWindow is the time whose use of tokens a new home is told of.
+	tokensWindow = 4 * time.Second
+)
+
+// Client asks the home for places, or decides alone when none answers.
+type Client struct {
+	self   fleet.Host
+	links  *links.Links
+	own    *Home
+	alone  *Home
+	clock  clockwork.Clock
+	logger *zap.Logger
+
+	mu     sync.Mutex
+	nextID place.ID
+	open   map[place.ID]openGrant
+	tokens *usage
+	speeds map[tables.TargetID]float64
+	home   tables.HostID
+	// outbox holds the reports that go to a home.
+	outbox map[*peer.Conn]*reportMessage
+}
+
+// Wish is what a request needs of a place.
+type Wish struct {
+	Request        string
+	Service        tables.ServiceID
+	Customer       tables.CustomerID
+	Tier           int
+	Prompt, Output int
+	Tokens         int
+	// Aim is the time left until the first byte is due, Until that until the
+	// caller waits no longer.
+	Aim, Until, GapAim time.Duration
+	Avoid              []tables.TargetID
+	Repeat             bool
+}
+
+// NewClient returns a client. own decides when this host is the home; alone
+// when no home answers. firstID must differ between hosts and between starts.
+func NewClient(self fleet.Host, l *links.Links, own, alone *Home, firstID uint64, clock clockwork.Clock, logger *zap.Logger) *Client {
+	return &Client{
+		self: self, links: l, own: own, alone: alone, clock: clock, logger: logger,
+		nextID: place.ID(firstID),
+		open:   make(map[place.ID]openGrant),
+		tokens: newUsage(tokensWindow),
+		speeds: make(map[tables.TargetID]float64),
+		outbox: make(map[*peer.Conn]*reportMessage),
+	}
+}
+
+// Register adds the messages of home and client to mux.
+func (c *Client) Register(mux *peer.Mux) {
+	peer.Handle(mux, methodAsk, func(ctx context.Context, conn *peer.Conn, m askMessage) (grantMessage, error) {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go cancelWhenDone(ctx, cancel, conn)
+		return c.own.Ask(ctx, m)
+	})
+	peer.Handle(mux, methodReport, func(_ context.Context, _ *peer.Conn, r reportMessage) (struct{}, error) {
+		c.own.Report(r)
+		return struct{}{}, nil
+	})
+	peer.Handle(mux, methodAdopt, func(_ context.Context, _ *peer.Conn, a adoptMessage) (struct{}, error) {
+		c.own.Adopt(a)
+		return struct{}{}, nil
+	})
+	peer.Handle(mux, methodSpeeds, func(_ context.Context, _ *peer.Conn, m speedsMessage) (struct{}, error) {
+		c.takeSpeeds(m.Speeds)
+		return struct{}{}, nil
+	})
+}
+
+func cancelWhenDone(ctx context.Context, cancel context.CancelFunc, conn *peer.Conn) {
+	select {
+	case <-ctx.Done():
+	case <-conn.Done():
+		cancel()
+	}
+}
+
+func (c *Client) takeSpeeds(speeds map[tables.TargetID]float64) {
+	c.mu.Lock()
+	c.speeds = speeds
+	c.mu.Unlock()
+}
+
+// Speeds returns what the last home told of the speeds of targets.
+func (c *Client) Speeds() map[tables.TargetID]float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.speeds
+}
+
+func (c *Client) adoptable() adoptMessage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := adoptMessage{Host: c.self.ID, Tokens: c.tokens.recent(c.clock.Now())}
+	for _, g := range c.open {
+		m.Open = append(m.Open, g)
+	}
+	return m
+}
+
+// Ask returns a place for a request. Errors have a kind that proves that the
+// request was not sent.
+func (c *Client) Ask(ctx context.Context, w Wish) (*Grant, error) {
+	m := c.message(w)
+	for _, live := range c.links.Live() {
+		g, err := c.askHome(ctx, live, m)
+		if err == nil || !peer.IsBroken(err) {
+			return c.finish(ctx, w, m, live.Conn, live.Conn == nil, g, err)
+		}
+		if ctx.Err() != nil {
+			return nil, errkind.Wrap(ctx.Err(), errkind.CancelledBeforeRun, "the caller left while the request waited")
+		}
+		m.ID = c.newID()
+	}
+	event.DecidedAlone.Log(c.logger, zap.String("request", w.Request), zap.String("service", string(w.Service)))
+	g, err := c.alone.Ask(ctx, m)
+	return c.finish(ctx, w, m, nil, false, g, err)
+}
+
+func (c *Client) newID() place.ID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nextID++
+	return c.nextID
+}
+
+func (c *Client) message(w Wish) askMessage {
+	return askMessage{
+		ID: c.newID(), Request: w.Request, Host: c.self.ID, Domain: c.self.Domain,
+		Service: w.Service, Customer: w.Customer, Tier: w.Tier,
+		Prompt: w.Prompt, Output: w.Output, Tokens: w.Tokens,
+		AimMS: w.Aim.Milliseconds(), UntilMS: w.Until.Milliseconds(), GapMS: w.GapAim.Milliseconds(),
+		Avoid: w.Avoid, Repeat: w.Repeat,
+	}
+}
+
+func (c *Client) askHome(ctx context.Context, live links.Live, m askMessage) (grantMessage, error) {
+	c.noteHome(live)
+	if live.Conn == nil {
+		return c.own.Ask(ctx, m)
+	}
+	return c.askPeer(ctx, live, m)
+}
+
+// askPeer asks another host and gives up when it falls silent. Errors wrap
+// peer.ErrBroken then.
+func (c *Client) askPeer(ctx context.Context, live links.Live, m askMessage) (grantMessage, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		grant grantMessage
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		var g grantMessage
+		err := live.Conn.Call(ctx, methodAsk, m, &g)
+		done <- result{g, err}
+	}()
+	for {
+		select {
+		case r := <-done:
+			if r.err != nil && peer.IsBroken(r.err) {
+				c.report(live.Conn, endReport{ID: m.ID, Service: m.Service, Outcome: place.Left})
+			}
+			return r.grant, r.err
+		case <-c.clock.After(liveCheck):
+			if !c.links.Alive(live) {
+				cancel()
+			}
+		}
+	}
+}
+
+// noteHome tells a new home what this host has in use.
+func (c *Client) noteHome(live links.Live) {
+	c.mu.Lock()
+	old := c.home
+	c.home = live.Host.ID
+	c.mu.Unlock()
+	if old == live.Host.ID {
+		return
+	}
+	event.HomeChanged.Log(c.logger, zap.String("home", string(live.Host.ID)), zap.String("before", string(old)))
+	if live.Conn == nil {
+		c.own.Adopt(c.adoptable())
+		return
+	}
+	live.Conn.Post(methodAdopt, c.adoptable())
+}
+
+// Grant is a place at a target. Its holder reports the first byte and the end.
+type Grant struct {
+	Target   tables.TargetID
+	Expected time.Duration
+	client   *Client
+	id       place.ID
+	service  tables.ServiceID
+	conn     *peer.Conn
+	home     *Home
+	ended    bool
+}
+
+func (c *Client) finish(_ context.Context, w Wish, m askMessage, conn *peer.Conn, own bool, g grantMessage, err error) (*Grant, error) {
+	if err != nil {
+		return nil, err
+	}
+	grant := &Grant{Target: g.Target, Expected: fromMS(float64(g.ExpectedMS)), client: c, id: m.ID, service: m.Service, conn: conn}
+	if conn == nil {
+		grant.home = c.alone
+		if own {
+			grant.home = c.own
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open[m.ID] = openGrant{ID: m.ID, Service: m.Service, Target: g.Target, Customer: w.Customer}
+	c.tokens.add(c.clock.Now(), w.Customer, w.Tokens)
+	return grant, nil
+}
+
+// First reports the time from the send to the first byte.
+func (g *Grant) First(took time.Duration) {
+	r := firstReport{ID: g.id, TookMS: toMS(took)}
+	if g.home != nil {
+		g.home.Report(reportMessage{Firsts: []firstReport{r}})
+		return
+	}
+	g.client.reportFirst(g.conn, r)
+}
+
+// End frees the place. pause is the mean pause between events, zero when
+// unknown. Further calls do nothing.
+func (g *Grant) End(outcome place.Outcome, pause time.Duration) {
+	if g.ended {
+		return
+	}
+	g.ended = true
+	c := g.client
+	c.mu.Lock()
+	delete(c.open, g.id)
+	c.mu.Unlock()
+	r := endReport{ID: g.id, Service: g.service, Outcome: outcome, PauseMS: toMS(pause)}
+	if g.home != nil {
+		g.home.Report(reportMessage{Ends: []endReport{r}})
+		return
+	}
+	c.report(g.conn, r)
+}
+
+func (c *Client) report(conn *peer.Conn, r endReport) {
+	c.batch(conn, func(m *reportMessage) { m.Ends = append(m.Ends, r) })
+}
+
+func (c *Client) reportFirst(conn *peer.Conn, r firstReport) {
+	c.batch(conn, func(m *reportMessage) { m.Firsts = append(m.Firsts, r) })
+}
+
+// batch adds to the next report of a connection, which goes out soon.
+func (c *Client) batch(conn *peer.Conn, add func(*reportMessage)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.outbox[conn]
+	if m == nil {
+		m = &reportMessage{}
+		c.outbox[conn] = m
+		c.clock.AfterFunc(reportEvery, func() { c.flush(conn) })
+	}
+	add(m)
+}
+
+func (c *Client) flush(conn *peer.Conn) {
+	c.mu.Lock()
+	m := c.outbox[conn]
+	delete(c.outbox, conn)
+	c.mu.Unlock()
+	if m != nil {
+		conn.Post(methodReport, *m)
+	}
+}
+
+// ShareSpeeds sends what the own home has learned through post once a second
+// while it is in use, until ctx ends.
+func (c *Client) ShareSpeeds(ctx context.Context, post func(method string, params any)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.clock.After(time.Second):
+		}
+		if best, ok := c.links.Best(); ok && best.Host.ID == c.self.ID {
+			speeds := c.own.Speeds()
+			c.takeSpeeds(speeds)
+			post(methodSpeeds, speedsMessage{Speeds: speeds})
+		}
+	}
+}
--- /dev/null
+++ b/internal/pool/home.go
@@ -0,0 +1,285 @@
+package pool
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/event"
+	"github.com/bluebellseam/bluebellseam/internal/fleet"
+	"github.com/bluebellseam/bluebellseam/internal/systems/place"
+	"github.com/bluebellseam/bluebellseam/internal/systems/quota"
+	"github.com/bluebellseam/bluebellseam/internal/systems/repeat"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+// stepEvery is how often queued asks are looked at when nothing else happens.
+const stepEvery = 10 * time.Millisecond
+
+// View is what a home needs to know of the deployment.
+type View interface {
+	Config() *fleet.Config
+	Targets() []fleet.Target
+}
+
+// Policy holds the bounds that a home keeps for all hosts.
+type Policy struct {
+	Quota  quota.Slack
+	Repeat repeat.Budget
+	// StartShare is the part of its burst that a customer has at a new home.
+	StartShare float64
+}
+
+// Home decides over the places of all targets.
+type Home struct {
+	view   View
+	clock  clockwork.Clock
+	logger *zap.Logger
+	// share is the part of quotas and budgets that this home may give.
+	share func() float64
+	// spread divides the slots of targets among hosts that decide alone.
+	spread func() int
+
+	mu      sync.Mutex
+	table   *place.Table
+	buckets *quota.Buckets
+	repeats *repeat.Counter
+	waiting map[place.ID]*waiter
+	charged map[place.ID]charge
+	// asked is when each host last asked for a place.
+	asked map[tables.HostID]time.Time
+	armed bool
+}
+
+// waiter is an ask whose answer is awaited.
+type waiter struct {
+	ask  askMessage
+	done chan place.Decision
+}
+
+// charge is what an ask took from the quota of a customer.
+type charge struct {
+	customer tables.CustomerID
+	tokens   int
+	repeat   bool
+}
+
+// NewHome returns a home. share is the part of quotas and budgets that it may
+// give, from 0 to 1; spread is the number of hosts among which it divides the
+// slots of targets.
+func NewHome(view View, policy Policy, random func() float64, share func() float64, spread func() int, clock clockwork.Clock, logger *zap.Logger) *Home {
+	return &Home{
+		view: view, clock: clock, logger: logger, share: share, spread: spread,
+		table:   place.NewTable(random),
+		buckets: quota.NewBuckets(policy.StartShare, policy.Quota),
+		repeats: repeat.NewCounter(policy.Repeat),
+		waiting: make(map[place.ID]*waiter),
+		charged: make(map[place.ID]charge),
+		asked:   make(map[tables.HostID]time.Time),
+	}
+}
+
+// Refresh takes over the list of targets. speeds are those that another home
+// has learned.
+func (h *Home) Refresh(speeds map[tables.TargetID]float64) {
+	targets := h.view.Targets()
+	config := h.view.Config()
+	spread := max(h.spread(), 1)
+	for i := range targets {
+		if config != nil {
+			if slots := config.Services[targets[i].Service].Slots; slots > 0 {
+				targets[i].Slots = min(targets[i].Slots, slots)
+			}
+		}
+		targets[i].Slots = (targets[i].Slots + spread - 1) / spread
+	}
+	h.mu.Lock()
+	h.table.SetTargets(targets, speeds)
+	h.mu.Unlock()
+	h.step()
+}
+
+// Ask waits for a place. Errors have the kind CustomerLimit, Overloaded,
+// NoTarget or CancelledBeforeRun.
+func (h *Home) Ask(ctx context.Context, m askMessage) (grantMessage, error) {
+	w, err := h.enqueue(m)
+	if err != nil {
+		return grantMessage{}, err
+	}
+	h.step()
+	select {
+	case d := <-w.done:
+		return h.answer(m, d)
+	case <-ctx.Done():
+		return grantMessage{}, h.cancel(m, w)
+	}
+}
+
+func (h *Home) enqueue(m askMessage) (*waiter, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	h.asked[m.Host] = now
+	share := h.share()
+	if m.Repeat && !h.repeats.Allow(now, m.Service, share) {
+		return nil, errkind.New(errkind.RepeatBudget, fmt.Sprintf("the budget of repeats of service %q is used up", m.Service))
+	}
+	if wait := h.buckets.Take(now, m.Customer, h.quotaOf(m.Customer), share, m.Tokens); wait > 0 {
+		return nil, errkind.NewRetry(errkind.CustomerLimit, fmt.Sprintf("customer %q is above its quota", m.Customer), wait)
+	}
+	if !m.Repeat {
+		h.repeats.Request(now, m.Service)
+	}
+	h.charged[m.ID] = charge{m.Customer, m.Tokens, m.Repeat}
+	w := &waiter{ask: m, done: make(chan place.Decision, 1)}
+	h.waiting[m.ID] = w
+	h.table.Add(m.toAsk(now))
+	return w, nil
+}
+
+func (h *Home) quotaOf(id tables.CustomerID) fleet.Quota {
+	config := h.view.Config()
+	if config == nil {
+		return fleet.Quota{}
+	}
+	return config.QuotaOf(id)
+}
+
+func (m askMessage) toAsk(now time.Time) *place.Ask {
+	return &place.Ask{
+		ID: m.ID, Host: m.Host, Service: m.Service, Customer: m.Customer, Domain: m.Domain,
+		Tier: m.Tier, Prompt: m.Prompt, Output: m.Output,
+		Came: now, AimAt: now.Add(fromMS(float64(m.AimMS))), UntilAt: now.Add(fromMS(float64(m.UntilMS))),
+		GapAim: fromMS(float64(m.GapMS)), Avoid: m.Avoid,
+	}
+}
+
+// step gives out places and arms the next look while asks wait.
+func (h *Home) step() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, d := range h.table.Step(h.clock.Now()) {
+		if w := h.waiting[d.Ask.ID]; w != nil {
+			delete(h.waiting, d.Ask.ID)
+			w.done <- d
+		}
+	}
+	if h.table.Waiting() > 0 && !h.armed {
+		h.armed = true
+		h.clock.AfterFunc(stepEvery, h.stepAgain)
+	}
+}
+
+func (h *Home) stepAgain() {
+	h.mu.Lock()
+	h.armed = false
+	h.mu.Unlock()
+	h.step()
+}
+
+func (h *Home) answer(m askMessage, d place.Decision) (grantMessage, error) {
+	if d.Target != "" {
+		return grantMessage{Target: d.Target, ExpectedMS: d.Expected.Sub(h.clock.Now()).Milliseconds()}, nil
+	}
+	h.mu.Lock()
+	h.refund(m.ID)
+	waiting, inUse := h.table.Waiting(), h.table.InUse()
+	h.mu.Unlock()
+	detail := fmt.Sprintf("service %q, tier %d: %d requests wait, %d places are in use", m.Service, m.Tier, waiting, inUse)
+	if d.Reason == place.NoTargets {
+		return grantMessage{}, errkind.NewRetry(errkind.NoTarget, detail, d.RetryAfter)
+	}
+	return grantMessage{}, errkind.NewRetry(errkind.Overloaded, detail, d.RetryAfter)
+}
+
+// cancel withdraws an ask whose caller has left. A place that was granted at
+// the same moment is freed.
+func (h *Home) cancel(m askMessage, w *waiter) error {
+	h.mu.Lock()
+	delete(h.waiting, m.ID)
+	h.table.Cancel(m.Service, m.ID)
+	h.table.End(h.clock.Now(), m.ID, place.Left)
+	h.refund(m.ID)
+	h.mu.Unlock()
+	return errkind.New(errkind.CancelledBeforeRun, fmt.Sprintf("ask of request %q was withdrawn", m.Request))
+}
+
+// refund gives back what a request that did not run took. The lock is held.
+func (h *Home) refund(id place.ID) {
+	c, ok := h.charged[id]
+	if !ok {
+		return
+	}
+	delete(h.charged, id)
+	h.buckets.Return(c.customer, c.tokens)
+}
+
+// Report takes in what became of grants.
+func (h *Home) Report(r reportMessage) {
+	h.mu.Lock()
+	now := h.clock.Now()
+	for _, f := range r.Firsts {
+		h.table.First(now, f.ID, fromMS(f.TookMS))
+	}
+	for _, e := range r.Ends {
+		h.end(now, e)
+	}
+	h.mu.Unlock()
+	h.step()
+}
+
+// end frees the place of one grant, or withdraws an ask that was not granted
+// yet. The lock is held.
+func (h *Home) end(now time.Time, e endReport) {
+	if w := h.waiting[e.ID]; w != nil {
+		delete(h.waiting, e.ID)
+		h.table.Cancel(e.Service, e.ID)
+		w.done <- place.Decision{Ask: w.ask.toAsk(now), Reason: place.TooLate}
+		return
+	}
+	h.table.Paused(e.ID, fromMS(e.PauseMS))
+	h.table.End(now, e.ID, e.Outcome)
+	if e.Outcome == place.NotRun || e.Outcome == place.Unused {
+		h.refund(e.ID)
+		return
+	}
+	delete(h.charged, e.ID)
+}
+
+// Adopt takes over the places that a host has in use.
+func (h *Home) Adopt(a adoptMessage) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	for _, g := range a.Open {
+		h.table.Adopt(now, &place.Ask{ID: g.ID, Host: a.Host, Service: g.Service, Customer: g.Customer}, g.Target)
+	}
+	if now.Sub(h.asked[a.Host]) < tokensWindow {
+		// The tokens were taken here.
+		return
+	}
+	for customer, tokens := range a.Tokens {
+		h.buckets.Used(now, customer, h.quotaOf(customer), h.share(), tokens)
+	}
+}
+
+// Forget frees the places of a host that is gone.
+func (h *Home) Forget(host tables.HostID) {
+	h.mu.Lock()
+	h.table.Forget(h.clock.Now(), host)
+	h.mu.Unlock()
+	event.PeerState.Log(h.logger, zap.String("host", string(host)), zap.String("state", "detached"))
+	h.step()
+}
+
+// Speeds returns the learned speed of each target.
+func (h *Home) Speeds() map[tables.TargetID]float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.Speeds()
+}
--- a/internal/systems/owner/owner.go
+++ b/internal/systems/owner/owner.go
@@ -4,10 +4,13 @@
 package owner
 
 import (
+	"cmp"
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/bluebellseam/bluebellseam/internal/fleet"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -61,3 +64,21 @@
 	binary.LittleEndian.PutUint64(pair[8:], xxhash.Sum64String(string(host)))
 	return xxhash.Sum64(pair[:])
 }
+
+// Ranked returns hosts in the order in which they take a role that one host
+// has for all: larger hosts first, then by rendezvous hashing of key. Hosts
+// with the same list agree on it.
+func Ranked(key string, hosts []fleet.Host) []fleet.Host {
+	sum := xxhash.Sum64String(key)
+	ranked := slices.Clone(hosts)
+	slices.SortFunc(ranked, func(a, b fleet.Host) int {
+		if a.Cores != b.Cores {
+			return cmp.Compare(b.Cores, a.Cores)
+		}
+		if d := cmp.Compare(score(sum, b.ID), score(sum, a.ID)); d != 0 {
+			return d
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+	return ranked
+}
--- /dev/null
+++ b/internal/systems/place/ask.go
@@ -0,0 +1,76 @@
+// Package place gives requests places at targets: it holds the queue of each
+// service and knows every place in use. It has no clock and no I/O.
+package place
+
+import (
+	"time"
+
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+// ID names an ask, and the grant that answers it.
+type ID uint64
+
+// Ask is a request that wants a place.
+type Ask struct {
+	ID       ID
+	Host     tables.HostID
+	Service  tables.ServiceID
+	Customer tables.CustomerID
+	// Domain is that of the host that will send the request.
+	Domain tables.DomainID
+	// Tier is the rank; 0 goes first.
+	Tier int
+	// Prompt is the number of tokens to read, Output that of tokens to make.
+	Prompt, Output int
+	// Came is when the ask arrived, AimAt when the first byte is due, and
+	// UntilAt when the caller waits no longer.
+	Came, AimAt, UntilAt time.Time
+	// GapAim is the longest pause between events; zero means none.
+	GapAim time.Duration
+	// Avoid lists targets that have failed the request.
+	Avoid []tables.TargetID
+}
+
+// Decision answers an ask.
+type Decision struct {
+	Ask *Ask
+	// Target is the place, or empty when the ask is refused.
+	Target tables.TargetID
+	// Expected is when the first byte is expected.
+	Expected time.Time
+	// Reason says why an ask is refused.
+	Reason Reason
+	// RetryAfter is when a refused caller may find a place.
+	RetryAfter time.Duration
+}
+
+// Reason says why there is no place.
+type Reason string
+
+// The reasons.
+const (
+	// NoTargets means that no target of the service is known.
+	NoTargets Reason = "no_targets"
+	// TooLate means that no place is expected in useful time.
+	TooLate Reason = "too_late"
+)
+
+// Outcome is how a grant ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Good answers were whole.
+	Good Outcome = iota
+	// Failed answers were errors of the target.
+	Failed
+	// Broken connections say that the target may be gone.
+	Broken
+	// NotRun requests were refused by the target.
+	NotRun
+	// Left requests were given up by their callers.
+	Left
+	// Unused places were given back before anything was sent.
+	Unused
+)
--- /dev/null
+++ b/internal/systems/place/step.go
@@ -0,0 +1,163 @@
+package place
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// aimShare of the time to the aim may pass until the expected first byte;
+	// the rest covers what the estimate misses.
+	aimShare = 0.85
+	// gapShare is the same for pauses between events.
+	gapShare = 0.9
+	// patience is how long past its aim a request waits, as a share of the aim.
+	patience = 1.0
+	// minPatience keeps short aims from refusing at a hiccup.
+	minPatience = 150 * time.Millisecond
+	// crossing is what a target of another failure domain costs, as time.
+	crossing = 15 * time.Millisecond
+	// chunkTokens is the number of prompt tokens that engines read between two
+	// steps of their running streams.
+	chunkTokens = 2048
+	// tokensPerEvent is assumed for streams.
+	tokensPerEvent = 8
+	// retrySpread is the range of the advice to refused callers.
+	minRetry = 500 * time.Millisecond
+	maxRetry = 1500 * time.Millisecond
+	// noTargetRetry is advised when a service has no target.
+	noTargetRetry = time.Second
+)
+
+// Step gives places to queued asks and refuses those that wait in vain.
+func (t *Table) Step(now time.Time) []Decision {
+	var out []Decision
+	for _, s := range t.services {
+		if len(s.queue) > 0 {
+			out = t.stepService(now, s, out)
+		}
+	}
+	return out
+}
+
+func (t *Table) stepService(now time.Time, s *service, out []Decision) []Decision {
+	slices.SortStableFunc(s.queue, func(a, b *Ask) int { return order(now, a, b) })
+	kept := s.queue[:0]
+	for _, a := range s.queue {
+		d, decided := t.decide(now, s, a)
+		if decided {
+			out = append(out, d)
+			continue
+		}
+		kept = append(kept, a)
+	}
+	clear(s.queue[len(kept):])
+	s.queue = kept
+	return out
+}
+
+// order sorts asks that can still be in time before late ones, then by tier
+// and by aim.
+func order(now time.Time, a, b *Ask) int {
+	aLate, bLate := now.After(a.AimAt), now.After(b.AimAt)
+	switch {
+	case aLate != bLate && aLate:
+		return 1
+	case aLate != bLate:
+		return -1
+	case a.Tier != b.Tier:
+		return a.Tier - b.Tier
+	default:
+		return a.AimAt.Compare(b.AimAt)
+	}
+}
+
+func (t *Table) decide(now time.Time, s *service, a *Ask) (Decision, bool) {
+	if len(s.targets) == 0 {
+		return Decision{Ask: a, Reason: NoTargets, RetryAfter: noTargetRetry}, true
+	}
+	best, expected := s.best(now, a)
+	if best != nil && s.timely(now, a, best, expected) {
+		return t.grant(now, s, a, best, expected), true
+	}
+	if now.After(giveUpAt(a)) {
+		return Decision{Ask: a, Reason: TooLate, RetryAfter: t.retryAfter()}, true
+	}
+	return Decision{}, false
+}
+
+// giveUpAt is when an ask without a place is refused.
+func giveUpAt(a *Ask) time.Time {
+	wait := max(time.Duration(float64(a.AimAt.Sub(a.Came))*patience), minPatience)
+	at := a.AimAt.Add(wait)
+	if at.After(a.UntilAt) {
+		return a.UntilAt
+	}
+	return at
+}
+
+// timely reports whether a grant now is worth its place: the first byte comes
+// within the aim, or the target has nothing else to read and time is over.
+func (s *service) timely(now time.Time, a *Ask, t *target, expected time.Duration) bool {
+	left := a.AimAt.Sub(now)
+	if float64(expected) <= aimShare*float64(left) {
+		return true
+	}
+	if len(t.reading) > 0 {
+		return false
+	}
+	// No target could do it sooner by reading alone, so waiting gains nothing.
+	return expected >= left || t.open == 0
+}
+
+// best returns the usable target with a free place where the first byte is
+// expected soonest.
+func (s *service) best(now time.Time, a *Ask) (*target, time.Duration) {
+	var best *target
+	var bestCost, bestExpected time.Duration
+	for _, t := range s.targets {
+		if !t.usable(now) || t.open >= t.slots() || slices.Contains(a.Avoid, t.ID) {
+			continue
+		}
+		expected := s.expected(now, a, t)
+		if !s.sparesStreams(now, a, t) {
+			continue
+		}
+		cost := expected
+		if t.Domain != a.Domain {
+			cost += crossing
+		}
+		if best == nil || cost < bestCost || (cost == bestCost && t.ID < best.ID) {
+			best, bestCost, bestExpected = t, cost, expected
+		}
+	}
+	return best, bestExpected
+}
+
+// expected is the time to the first byte of an ask at a target.
+func (s *service) expected(now time.Time, a *Ask, t *target) time.Duration {
+	return t.backlog(now) + t.speed.Scale(s.shape.First(a.Prompt))
+}
+
+// sparesStreams reports whether the streams beside keep their pauses while the
+// prompt of an ask is read.
+func (s *service) sparesStreams(now time.Time, a *Ask, t *target) bool {
+	if a.GapAim <= 0 || t.open == 0 || !s.gap.Known() {
+		return true
+	}
+	reading := t.backlog(now) + t.speed.Scale(s.shape.Reading(a.Prompt))
+	most := t.speed.Scale(tokensPerEvent * s.shape.Reading(chunkTokens))
+	pause := t.speed.Scale(s.gap.Mean()) + min(reading, most)
+	return float64(pause) <= gapShare*float64(a.GapAim)
+}
+
+func (t *Table) grant(now time.Time, s *service, a *Ask, row *target, expected time.Duration) Decision {
+	g := &grant{ask: a, target: row, at: now, expected: expected}
+	t.grants[a.ID] = g
+	row.admit(now, g, row.speed.Scale(s.shape.Reading(a.Prompt)))
+	return Decision{Ask: a, Target: row.ID, Expected: now.Add(expected)}
+}
+
+func (t *Table) retryAfter() time.Duration {
+	return minRetry + time.Duration(t.Random()*float64(maxRetry-minRetry))
+}
--- /dev/null
+++ b/internal/systems/place/table.go
@@ -0,0 +1,202 @@
+package place
+
+import (
+	"time"
+
+	"github.com/bluebellseam/bluebellseam/internal/fleet"
+	"github.com/bluebellseam/bluebellseam/internal/systems/pace"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+// Table holds the services with their targets and queues. One goroutine or
+// lock owns it.
+type Table struct {
+	services map[tables.ServiceID]*service
+	grants   map[ID]*grant
+	// Random returns a number in [0, 1), for the spread of Retry-After.
+	Random func() float64
+}
+
+// service is the queue and the targets of one service.
+type service struct {
+	shape   *pace.Shape
+	gap     *pace.Gap
+	targets map[tables.TargetID]*target
+	queue   []*Ask
+}
+
+// NewTable returns an empty table.
+func NewTable(random func() float64) *Table {
+	return &Table{
+		services: make(map[tables.ServiceID]*service),
+		grants:   make(map[ID]*grant),
+		Random:   random,
+	}
+}
+
+func (t *Table) service(id tables.ServiceID) *service {
+	s := t.services[id]
+	if s == nil {
+		s = &service{shape: pace.NewShape(), gap: pace.NewGap(), targets: make(map[tables.TargetID]*target)}
+		t.services[id] = s
+	}
+	return s
+}
+
+// SetTargets replaces the list of targets. speeds are those learned elsewhere,
+// for targets that the table does not know.
+func (t *Table) SetTargets(targets []fleet.Target, speeds map[tables.TargetID]float64) {
+	listed := make(map[tables.TargetID]bool, len(targets))
+	for _, row := range targets {
+		listed[row.ID] = true
+		t.service(row.Service).set(row, speeds[row.ID])
+	}
+	for _, s := range t.services {
+		s.removeUnlisted(listed)
+	}
+}
+
+func (s *service) set(row fleet.Target, speed float64) {
+	known := s.targets[row.ID]
+	if known == nil {
+		s.targets[row.ID] = newTarget(row, speed)
+		return
+	}
+	if !known.Born.Equal(row.Born) {
+		// A copy that has started again under its ID keeps its speed only.
+		known.breaks, known.failures, known.answers = 0, 0, 0
+		known.ejectedUntil = time.Time{}
+	}
+	known.Target = row
+	known.gone = false
+}
+
+func (s *service) removeUnlisted(listed map[tables.TargetID]bool) {
+	for id, row := range s.targets {
+		if listed[id] {
+			continue
+		}
+		row.gone = true
+		if row.open <= 0 {
+			delete(s.targets, id)
+		}
+	}
+}
+
+// Speeds returns the learned speed of each target that has answered.
+func (t *Table) Speeds() map[tables.TargetID]float64 {
+	out := make(map[tables.TargetID]float64)
+	for _, s := range t.services {
+		for id, row := range s.targets {
+			if row.speed.Known() {
+				out[id] = row.speed.Value()
+			}
+		}
+	}
+	return out
+}
+
+// Add queues an ask.
+func (t *Table) Add(a *Ask) {
+	s := t.service(a.Service)
+	s.queue = append(s.queue, a)
+}
+
+// Cancel removes an ask that has no place yet and reports whether it was there.
+func (t *Table) Cancel(service tables.ServiceID, id ID) bool {
+	s := t.service(service)
+	for i, a := range s.queue {
+		if a.ID == id {
+			s.queue = append(s.queue[:i], s.queue[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// First notes that the first byte for a grant has come, and how long it took
+// since the request was sent.
+func (t *Table) First(now time.Time, id ID, took time.Duration) {
+	g := t.grants[id]
+	if g == nil {
+		return
+	}
+	s := t.service(g.ask.Service)
+	g.target.speed.Observe(took, g.unscaled())
+	if g.alone && g.target.speed.Known() {
+		s.shape.Observe(g.ask.Prompt, time.Duration(float64(took)/g.target.speed.Value()))
+	}
+	g.target.firstByte(now, g, s.shape)
+}
+
+// unscaled is the expected time to the first byte at a target of speed 1.
+func (g *grant) unscaled() time.Duration {
+	return time.Duration(float64(g.expected) / g.target.speed.Value())
+}
+
+// Paused notes the mean pause between the events of a stream that has ended.
+func (t *Table) Paused(id ID, mean time.Duration) {
+	g := t.grants[id]
+	if g == nil || mean <= 0 {
+		return
+	}
+	gap := t.service(g.ask.Service).gap
+	if gap.Known() {
+		g.target.speed.Observe(mean, gap.Mean())
+	}
+	gap.Observe(time.Duration(float64(mean) / g.target.speed.Value()))
+}
+
+// End frees the place of a grant.
+func (t *Table) End(now time.Time, id ID, outcome Outcome) {
+	g := t.grants[id]
+	if g == nil {
+		return
+	}
+	delete(t.grants, id)
+	s := t.service(g.ask.Service)
+	g.target.release(now, g, outcome, s.shape)
+	if g.target.gone && g.target.open <= 0 {
+		delete(s.targets, g.target.ID)
+	}
+}
+
+// Adopt takes over a place that another host has granted.
+func (t *Table) Adopt(now time.Time, a *Ask, id tables.TargetID) {
+	row := t.service(a.Service).targets[id]
+	if row == nil || t.grants[a.ID] != nil {
+		return
+	}
+	row.open++
+	t.grants[a.ID] = &grant{ask: a, target: row, at: now}
+}
+
+// Forget drops the asks of a host and frees its places.
+func (t *Table) Forget(now time.Time, host tables.HostID) {
+	for _, s := range t.services {
+		kept := s.queue[:0]
+		for _, a := range s.queue {
+			if a.Host != host {
+				kept = append(kept, a)
+			}
+		}
+		s.queue = kept
+	}
+	for id, g := range t.grants {
+		if g.ask.Host == host {
+			t.End(now, id, Left)
+		}
+	}
+}
+
+// Waiting returns the number of asks without a place.
+func (t *Table) Waiting() int {
+	n := 0
+	for _, s := range t.services {
+		n += len(s.queue)
+	}
+	return n
+}
+
+// InUse returns the number of places in use.
+func (t *Table) InUse() int { return len(t.grants) }
--- /dev/null
+++ b/internal/watch/share.go
@@ -0,0 +1,169 @@
+package watch
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/bluebellseam/bluebellseam/internal/fleet"
+	"github.com/bluebellseam/bluebellseam/internal/links"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+// Messages between hosts.
+const (
+	// methodAttach asks a host for everything that it knows, and for its news
+	// from then on.
+	methodAttach = "watch.attach"
+	// methodNews carries News, in either direction.
+	methodNews = "watch.news"
+)
+
+// attach is what a host tells of itself when it attaches.
+type attach struct {
+	Host fleet.Host `json:"host"`
+}
+
+// Sharer passes the state of a host on to those attached to it.
+type Sharer struct {
+	self    fleet.Host
+	watcher *Watcher
+	links   *links.Links
+	clock   clockwork.Clock
+	// Detached is called when the last connection of a host is gone; it may be
+	// nil.
+	Detached func(tables.HostID)
+
+	mu       sync.Mutex
+	attached map[*peer.Conn]*subscriber
+	// told is the number of changes that went to the hosts this one is attached
+	// to.
+	told int
+	wake chan struct{}
+}
+
+type subscriber struct {
+	host tables.HostID
+	seen int
+}
+
+// NewSharer returns a sharer and registers its messages with mux.
+func NewSharer(self fleet.Host, w *Watcher, l *links.Links, mux *peer.Mux, clock clockwork.Clock) *Sharer {
+	s := &Sharer{self: self, watcher: w, links: l, clock: clock, attached: make(map[*peer.Conn]*subscriber), wake: make(chan struct{}, 1)}
+	peer.Handle(mux, methodAttach, s.onAttach)
+	peer.Handle(mux, methodNews, func(_ context.Context, _ *peer.Conn, n News) (struct{}, error) {
+		w.TakeNews(n)
+		return struct{}{}, nil
+	})
+	return s
+}
+
+// Attach makes a host send its news over conn. Errors wrap peer.ErrBroken.
+func (s *Sharer) Attach(ctx context.Context, conn *peer.Conn) error {
+	var all News
+	if err := conn.Call(ctx, methodAttach, attach{Host: s.self}, &all); err != nil {
+		return err
+	}
+	s.watcher.TakeNews(all)
+	return nil
+}
+
+func (s *Sharer) onAttach(_ context.Context, conn *peer.Conn, a attach) (News, error) {
+	all, seen := s.watcher.NewsSince(-1)
+	s.mu.Lock()
+	s.attached[conn] = &subscriber{host: a.Host.ID, seen: seen}
+	s.mu.Unlock()
+	go s.awaitEnd(conn)
+	return all, nil
+}
+
+func (s *Sharer) awaitEnd(conn *peer.Conn) {
+	<-conn.Done()
+	s.mu.Lock()
+	host := s.attached[conn].host
+	delete(s.attached, conn)
+	left := slices.ContainsFunc(slices.Collect(maps.Values(s.attached)), func(o *subscriber) bool { return o.host == host })
+	s.mu.Unlock()
+	if !left && s.Detached != nil {
+		s.Detached(host)
+	}
+}
+
+// Attached returns the hosts that are attached to this one.
+func (s *Sharer) Attached() map[tables.HostID]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[tables.HostID]bool, len(s.attached))
+	for _, sub := range s.attached {
+		out[sub.host] = true
+	}
+	return out
+}
+
+// Post sends a notification to every attached host.
+func (s *Sharer) Post(method string, params any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.attached {
+		conn.Post(method, params)
+	}
+}
+
+// Wake makes the next news go out at once.
+func (s *Sharer) Wake() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends news until ctx ends.
+func (s *Sharer) Run(ctx context.Context) {
+	for {
+		s.tellAttached()
+		s.tellUpwards()
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		case <-s.clock.After(links.BeatEvery):
+		}
+	}
+}
+
+func (s *Sharer) tellAttached() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn, sub := range s.attached {
+		news, seen := s.watcher.NewsSince(sub.seen)
+		sub.seen = seen
+		conn.Post(methodNews, news)
+	}
+}
+
+// tellUpwards sends what this host has read by itself to the hosts that it is
+// attached to, which pass it on.
+func (s *Sharer) tellUpwards() {
+	news, count := s.watcher.NewsSince(s.told)
+	s.told = count
+	if !s.watcher.readItself(links.BeatEvery) && len(news.Changes) == 0 {
+		return
+	}
+	for _, live := range s.links.Live() {
+		if live.Conn != nil {
+			live.Conn.Post(methodNews, news)
+		}
+	}
+}
+
+// readItself reports whether the store has answered this host within d.
+func (w *Watcher) readItself(d time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.clock.Now().Sub(w.ownRead) <= d
+}
