--- a/cmd/bluebell-edge/run.go
+++ b/cmd/bluebell-edge/run.go
@@ -42,7 +42,7 @@
 	// repeatShare of the platform's budget of repeats is used.
 	repeatShare = 0.6
 	// quotaShare of the platform's overshoot and slack of quotas is used.
-	quotaShare = 0.3
+	quotaShare = 0.85
 	// startShare is the part of its burst that a customer has at a new home.
 	startShare = 0.5
 	// leaveRotation is how long the platform takes to see that a host is not
--- a/internal/watch/share.go
+++ b/internal/watch/share.go
@@ -24,9 +24,11 @@
 	methodNews = "watch.news"
 )
 
-// attach is what a host tells of itself when it attaches.
+// attach is what a host tells when it attaches: itself, and the hosts that it
+// knows.
 type attach struct {
-	Host fleet.Host `json:"host"`
+	Host  fleet.Host `json:"host"`
+	Hosts []Change   `json:"hosts,omitempty"`
 }
 
 // Sharer passes the state of a host on to those attached to it.
@@ -66,7 +68,8 @@
 // Attach makes a host send its news over conn. Errors wrap peer.ErrBroken.
 func (s *Sharer) Attach(ctx context.Context, conn *peer.Conn) error {
 	var all News
-	if err := conn.Call(ctx, methodAttach, attach{Host: s.self}, &all); err != nil {
+	hosts := s.watcher.State.AllOf(Hosts)
+	if err := conn.Call(ctx, methodAttach, attach{Host: s.self, Hosts: hosts}, &all); err != nil {
 		return err
 	}
 	s.watcher.TakeNews(all)
@@ -74,6 +77,7 @@
 }
 
 func (s *Sharer) onAttach(_ context.Context, conn *peer.Conn, a attach) (News, error) {
+	s.watcher.State.TakeNews(s.clock.Now(), a.Hosts, nil)
 	all, seen := s.watcher.NewsSince(-1)
 	s.mu.Lock()
 	s.attached[conn] = &subscriber{host: a.Host.ID, seen: seen}
--- a/internal/watch/state.go
+++ b/internal/watch/state.go
@@ -294,14 +294,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []Change
-	for name, st := range s.streams {
-		for _, r := range st.records {
-			out = append(out, Change{Stream: name, Record: r})
-		}
+	for _, name := range Streams() {
+		out = s.appendAll(out, name)
 	}
 	return out, len(s.changes)
 }
 
+// AllOf returns the newest record of every key of one stream.
+func (s *State) AllOf(name Stream) []Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.appendAll(nil, name)
+}
+
+func (s *State) appendAll(out []Change, name Stream) []Change {
+	for _, r := range s.streams[name].records {
+		out = append(out, Change{Stream: name, Record: r})
+	}
+	return out
+}
+
 // TakeNews takes in what a peer told. Its streams count as known up to ends.
 func (s *State) TakeNews(now time.Time, changes []Change, ends map[Stream]int64) {
 	byStream := make(map[Stream][]Record)
@@ -309,6 +321,10 @@
 		byStream[c.Stream] = append(byStream[c.Stream], c.Record)
 	}
 	for _, name := range Streams() {
-		s.take(now, name, byStream[name], max(ends[name], -1), nil)
+		end, told := ends[name]
+		if !told {
+			end = -1
+		}
+		s.take(now, name, byStream[name], end, nil)
 	}
 }
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -33,6 +33,8 @@
 	lapseGrace = 2 * time.Second
 	// outageAfter without contact counts as an outage of the store.
 	outageAfter = 2 * time.Second
+	// hostsAgain is when a host that has started lists the hosts once more.
+	hostsAgain = 1500 * time.Millisecond
 	// readers is the number of hosts that read the store all the time.
 	readers = 2
 )
@@ -105,11 +107,20 @@
 		offset, err := w.store.Put(ctx, Hosts, string(w.self.ID), value)
 		if err == nil {
 			w.State.TakeNews(w.clock.Now(), []Change{{Hosts, Record{Key: string(w.self.ID), Value: value, Offset: offset}}}, nil)
-			return
+			break
 		}
 		w.failed(err)
 		w.pause(ctx, retryPause)
 	}
+	w.listHostsAgain(ctx)
+}
+
+// listHostsAgain reads the hosts that started at the same time as this one.
+func (w *Watcher) listHostsAgain(ctx context.Context) {
+	w.pause(ctx, hostsAgain)
+	for ctx.Err() == nil && w.list(ctx, Hosts) != nil {
+		w.pause(ctx, retryPause)
+	}
 }
 
 // Withdraw removes the record of this host. Errors wrap ErrUnavailable.
