--- a/cmd/bluebell-edge/run.go
+++ b/cmd/bluebell-edge/run.go
@@ -228,7 +228,7 @@
 	}
 	go p.links.Run(ctx)
 	go p.sharer.Run(ctx)
-	go p.client.ShareSpeeds(ctx, p.sharer.Post)
+	go p.client.Maintain(ctx, p.sharer.Post)
 	p.watcher.Run(ctx)
 }
 
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -184,6 +184,16 @@
 	return out
 }
 
+// Conn returns the connection to a host, or nil when there is none.
+func (l *Links) Conn(id tables.HostID) *peer.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if row := l.rows[id]; row != nil {
+		return row.conn
+	}
+	return nil
+}
+
 // Alive reports whether a connection that Live returned still answers.
 func (l *Links) Alive(v Live) bool {
 	if v.Conn == nil {
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -23,6 +23,8 @@
 	liveCheck = 50 * time.Millisecond
 	// reportEvery is how long reports wait to go out together.
 	reportEvery = 5 * time.Millisecond
+	// maintainEvery is how often a host lists its places to the home.
+	maintainEvery = time.Second
 	// tokensWindow is the time whose use of tokens a new home is told of.
 	tokensWindow = 4 * time.Second
 )
@@ -42,8 +44,8 @@
 	tokens *usage
 	speeds map[tables.TargetID]float64
 	home   tables.HostID
-	// outbox holds the reports that go to a home.
-	outbox map[*peer.Conn]*reportMessage
+	// outbox holds the reports that go to each home.
+	outbox map[tables.HostID]*reportMessage
 }
 
 // Wish is what a request needs of a place.
@@ -70,7 +72,7 @@
 		open:   make(map[place.ID]openGrant),
 		tokens: newUsage(tokensWindow),
 		speeds: make(map[tables.TargetID]float64),
-		outbox: make(map[*peer.Conn]*reportMessage),
+		outbox: make(map[tables.HostID]*reportMessage),
 	}
 }
 
@@ -134,7 +136,7 @@
 	for _, live := range c.links.Live() {
 		g, err := c.askHome(ctx, live, m)
 		if err == nil || !peer.IsBroken(err) {
-			return c.finish(ctx, w, m, live.Conn, live.Conn == nil, g, err)
+			return c.finish(w, m, live, g, err)
 		}
 		if ctx.Err() != nil {
 			return nil, errkind.Wrap(ctx.Err(), errkind.CancelledBeforeRun, "the caller left while the request waited")
@@ -143,7 +145,7 @@
 	}
 	event.DecidedAlone.Log(c.logger, zap.String("request", w.Request), zap.String("service", string(w.Service)))
 	g, err := c.alone.Ask(ctx, m)
-	return c.finish(ctx, w, m, nil, false, g, err)
+	return c.finish(w, m, links.Live{}, g, err)
 }
 
 func (c *Client) newID() place.ID {
@@ -190,7 +192,7 @@
 		select {
 		case r := <-done:
 			if r.err != nil && peer.IsBroken(r.err) {
-				c.report(live.Conn, endReport{ID: m.ID, Service: m.Service, Outcome: place.Left})
+				c.report(live.Host.ID, endReport{ID: m.ID, Service: m.Service, Outcome: place.Left})
 			}
 			return r.grant, r.err
 		case <-c.clock.After(liveCheck):
@@ -225,21 +227,22 @@
 	client   *Client
 	id       place.ID
 	service  tables.ServiceID
-	conn     *peer.Conn
-	home     *Home
-	ended    bool
+	// home decides in this process; it is nil when host is another one.
+	home  *Home
+	host  tables.HostID
+	ended bool
 }
 
-func (c *Client) finish(_ context.Context, w Wish, m askMessage, conn *peer.Conn, own bool, g grantMessage, err error) (*Grant, error) {
+func (c *Client) finish(w Wish, m askMessage, live links.Live, g grantMessage, err error) (*Grant, error) {
 	if err != nil {
 		return nil, err
 	}
-	grant := &Grant{Target: g.Target, Expected: fromMS(float64(g.ExpectedMS)), client: c, id: m.ID, service: m.Service, conn: conn}
-	if conn == nil {
+	grant := &Grant{Target: g.Target, Expected: fromMS(float64(g.ExpectedMS)), client: c, id: m.ID, service: m.Service, host: live.Host.ID}
+	switch live.Host.ID {
+	case "":
 		grant.home = c.alone
-		if own {
-			grant.home = c.own
-		}
+	case c.self.ID:
+		grant.home = c.own
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -255,7 +258,7 @@
 		g.home.Report(reportMessage{Firsts: []firstReport{r}})
 		return
 	}
-	g.client.reportFirst(g.conn, r)
+	g.client.reportFirst(g.host, r)
 }
 
 // End frees the place. pause is the mean pause between events, zero when
@@ -274,50 +277,58 @@
 		g.home.Report(reportMessage{Ends: []endReport{r}})
 		return
 	}
-	c.report(g.conn, r)
+	c.report(g.host, r)
 }
 
-func (c *Client) report(conn *peer.Conn, r endReport) {
-	c.batch(conn, func(m *reportMessage) { m.Ends = append(m.Ends, r) })
+func (c *Client) report(home tables.HostID, r endReport) {
+	c.batch(home, func(m *reportMessage) { m.Ends = append(m.Ends, r) })
 }
 
-func (c *Client) reportFirst(conn *peer.Conn, r firstReport) {
-	c.batch(conn, func(m *reportMessage) { m.Firsts = append(m.Firsts, r) })
+func (c *Client) reportFirst(home tables.HostID, r firstReport) {
+	c.batch(home, func(m *reportMessage) { m.Firsts = append(m.Firsts, r) })
 }
 
-// batch adds to the next report of a connection, which goes out soon.
-func (c *Client) batch(conn *peer.Conn, add func(*reportMessage)) {
+// batch adds to the next report to a home, which goes out soon.
+func (c *Client) batch(home tables.HostID, add func(*reportMessage)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m := c.outbox[conn]
+	m := c.outbox[home]
 	if m == nil {
 		m = &reportMessage{}
-		c.outbox[conn] = m
-		c.clock.AfterFunc(reportEvery, func() { c.flush(conn) })
+		c.outbox[home] = m
+		c.clock.AfterFunc(reportEvery, func() { c.flush(home) })
 	}
 	add(m)
 }
 
-func (c *Client) flush(conn *peer.Conn) {
+// flush sends a report. One that finds no connection is dropped: the next list
+// of open places tells the home as much.
+func (c *Client) flush(home tables.HostID) {
 	c.mu.Lock()
-	m := c.outbox[conn]
-	delete(c.outbox, conn)
+	m := c.outbox[home]
+	delete(c.outbox, home)
 	c.mu.Unlock()
-	if m != nil {
+	if conn := c.links.Conn(home); conn != nil && m != nil {
 		conn.Post(methodReport, *m)
 	}
 }
 
-// ShareSpeeds sends what the own home has learned through post once a second
-// while it is in use, until ctx ends.
-func (c *Client) ShareSpeeds(ctx context.Context, post func(method string, params any)) {
+// Maintain tells the home once a second what this host has in use, and tells
+// the others through post what the own home has learned, until ctx ends.
+func (c *Client) Maintain(ctx context.Context, post func(method string, params any)) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-c.clock.After(time.Second):
+		case <-c.clock.After(maintainEvery):
 		}
-		if best, ok := c.links.Best(); ok && best.Host.ID == c.self.ID {
+		best, ok := c.links.Best()
+		switch {
+		case !ok:
+		case best.Conn != nil:
+			best.Conn.Post(methodAdopt, c.adoptable())
+		default:
+			c.own.Adopt(c.adoptable())
 			speeds := c.own.Speeds()
 			c.takeSpeeds(speeds)
 			post(methodSpeeds, speedsMessage{Speeds: speeds})
--- a/internal/pool/home.go
+++ b/internal/pool/home.go
@@ -18,8 +18,14 @@
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
-// stepEvery is how often queued asks are looked at when nothing else happens.
-const stepEvery = 10 * time.Millisecond
+const (
+	// stepEvery is how often queued asks are looked at when nothing else
+	// happens.
+	stepEvery = 10 * time.Millisecond
+	// stepGap is the least time between two looks at a queue, which bounds the
+	// processor time under overload.
+	stepGap = 2 * time.Millisecond
+)
 
 // View is what a home needs to know of the deployment.
 type View interface {
@@ -53,7 +59,9 @@
 	charged map[place.ID]charge
 	// asked is when each host last asked for a place.
 	asked map[tables.HostID]time.Time
-	armed bool
+	// stepped is the last look at the queues, nextStep the next one if armed.
+	stepped, nextStep time.Time
+	armed             bool
 }
 
 // waiter is an ask whose answer is awaited.
@@ -159,27 +167,51 @@
 	}
 }
 
-// step gives out places and arms the next look while asks wait.
+// step gives out places, at once or after stepGap, and arms the next look
+// while asks wait.
 func (h *Home) step() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, d := range h.table.Step(h.clock.Now()) {
+	if h.armed && h.clock.Now().Sub(h.stepped) < stepGap {
+		h.arm(stepGap)
+		return
+	}
+	h.stepNow()
+}
+
+// stepNow gives out places. The lock is held.
+func (h *Home) stepNow() {
+	h.stepped = h.clock.Now()
+	for _, d := range h.table.Step(h.stepped) {
 		if w := h.waiting[d.Ask.ID]; w != nil {
 			delete(h.waiting, d.Ask.ID)
 			w.done <- d
 		}
 	}
-	if h.table.Waiting() > 0 && !h.armed {
-		h.armed = true
-		h.clock.AfterFunc(stepEvery, h.stepAgain)
+	if h.table.Waiting() > 0 {
+		h.arm(stepEvery)
+	}
+}
+
+// arm makes the next look happen within d. The lock is held.
+func (h *Home) arm(d time.Duration) {
+	at := h.clock.Now().Add(d)
+	if h.armed && !at.Before(h.nextStep) {
+		return
 	}
+	h.armed = true
+	h.nextStep = at
+	h.clock.AfterFunc(d, h.stepArmed)
 }
 
-func (h *Home) stepAgain() {
+func (h *Home) stepArmed() {
 	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.armed || h.clock.Now().Before(h.nextStep) {
+		return
+	}
 	h.armed = false
-	h.mu.Unlock()
-	h.step()
+	h.stepNow()
 }
 
 func (h *Home) answer(m askMessage, d place.Decision) (grantMessage, error) {
@@ -251,14 +283,18 @@
 	delete(h.charged, e.ID)
 }
 
-// Adopt takes over the places that a host has in use.
+// Adopt brings the places of a host in line with what it has in use, and takes
+// over the use of tokens from the home before.
 func (h *Home) Adopt(a adoptMessage) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
+	held := make([]place.Held, 0, len(a.Open))
 	for _, g := range a.Open {
-		h.table.Adopt(now, &place.Ask{ID: g.ID, Host: a.Host, Service: g.Service, Customer: g.Customer}, g.Target)
+		ask := &place.Ask{ID: g.ID, Host: a.Host, Service: g.Service, Customer: g.Customer, Came: now}
+		held = append(held, place.Held{Ask: ask, Target: g.Target})
 	}
+	h.table.Reconcile(now, a.Host, held)
 	if now.Sub(h.asked[a.Host]) < tokensWindow {
 		// The tokens were taken here.
 		return
--- a/internal/systems/place/step.go
+++ b/internal/systems/place/step.go
@@ -42,11 +42,13 @@
 
 func (t *Table) stepService(now time.Time, s *service, out []Decision) []Decision {
 	slices.SortStableFunc(s.queue, func(a, b *Ask) int { return order(now, a, b) })
+	free := s.free(now)
 	kept := s.queue[:0]
 	for _, a := range s.queue {
-		d, decided := t.decide(now, s, a)
+		d, decided := t.decide(now, s, a, free)
 		if decided {
 			out = append(out, d)
+			free = stillFree(free)
 			continue
 		}
 		kept = append(kept, a)
@@ -56,6 +58,21 @@
 	return out
 }
 
+// free returns the targets that could take a request.
+func (s *service) free(now time.Time) []*target {
+	out := make([]*target, 0, len(s.targets))
+	for _, t := range s.targets {
+		if t.usable(now) && t.open < t.slots() {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+func stillFree(targets []*target) []*target {
+	return slices.DeleteFunc(targets, func(t *target) bool { return t.open >= t.slots() })
+}
+
 // order sorts asks that can still be in time before late ones, then by tier
 // and by aim.
 func order(now time.Time, a, b *Ask) int {
@@ -72,11 +89,11 @@
 	}
 }
 
-func (t *Table) decide(now time.Time, s *service, a *Ask) (Decision, bool) {
+func (t *Table) decide(now time.Time, s *service, a *Ask, free []*target) (Decision, bool) {
 	if len(s.targets) == 0 {
 		return Decision{Ask: a, Reason: NoTargets, RetryAfter: noTargetRetry}, true
 	}
-	best, expected := s.best(now, a)
+	best, expected := s.best(now, a, free)
 	if best != nil && s.timely(now, a, best, expected) {
 		return t.grant(now, s, a, best, expected), true
 	}
@@ -110,13 +127,12 @@
 	return expected >= left || t.open == 0
 }
 
-// best returns the usable target with a free place where the first byte is
-// expected soonest.
-func (s *service) best(now time.Time, a *Ask) (*target, time.Duration) {
+// best returns the free target where the first byte is expected soonest.
+func (s *service) best(now time.Time, a *Ask, free []*target) (*target, time.Duration) {
 	var best *target
 	var bestCost, bestExpected time.Duration
-	for _, t := range s.targets {
-		if !t.usable(now) || t.open >= t.slots() || slices.Contains(a.Avoid, t.ID) {
+	for _, t := range free {
+		if slices.Contains(a.Avoid, t.ID) {
 			continue
 		}
 		expected := s.expected(now, a, t)
--- a/internal/systems/place/table.go
+++ b/internal/systems/place/table.go
@@ -161,14 +161,40 @@
 	}
 }
 
-// Adopt takes over a place that another host has granted.
-func (t *Table) Adopt(now time.Time, a *Ask, id tables.TargetID) {
-	row := t.service(a.Service).targets[id]
-	if row == nil || t.grants[a.ID] != nil {
+// Held is a place that a host says it has in use.
+type Held struct {
+	Ask    *Ask
+	Target tables.TargetID
+}
+
+// reconcileAfter is the age from which a grant that its host does not name is
+// taken to have ended; before that, host and home may not have heard of each
+// other's last step.
+const reconcileAfter = time.Second
+
+// Reconcile brings the grants of a host in line with the places that it has in
+// use: those of another home are taken over, and those that have ended unheard
+// are freed.
+func (t *Table) Reconcile(now time.Time, host tables.HostID, held []Held) {
+	named := make(map[ID]bool, len(held))
+	for _, h := range held {
+		named[h.Ask.ID] = true
+		t.adopt(now, h)
+	}
+	for id, g := range t.grants {
+		if g.ask.Host == host && !named[id] && now.Sub(g.at) > reconcileAfter {
+			t.End(now, id, Left)
+		}
+	}
+}
+
+func (t *Table) adopt(now time.Time, h Held) {
+	row := t.service(h.Ask.Service).targets[h.Target]
+	if row == nil || t.grants[h.Ask.ID] != nil {
 		return
 	}
 	row.open++
-	t.grants[a.ID] = &grant{ask: a, target: row, at: now}
+	t.grants[h.Ask.ID] = &grant{ask: h.Ask, target: row, at: now}
 }
 
 // Forget drops the asks of a host and frees its places.
