Relay freshness only with the records that it covers

A host that had started with a newer configuration told its freshness upwards but not the record, which it had counted as told before it was connected; so nobody else read.

--- a/internal/watch/share.go
+++ b/internal/watch/share.go
@@ -5,7 +5,6 @@
 	"maps"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -43,9 +42,9 @@
 
 	mu       sync.Mutex
 	attached map[*peer.Conn]*subscriber
-	// told is the number of changes that went to the hosts this one is attached
-	// to.
-	told int
+	// told is the number of changes that went to each host that this one is
+	// attached to.
+	told map[*peer.Conn]int
 	wake chan struct{}
 }
 
@@ -56,7 +55,7 @@
 
 // NewSharer returns a sharer and registers its messages with mux.
 func NewSharer(self fleet.Host, w *Watcher, l *links.Links, mux *peer.Mux, clock clockwork.Clock) *Sharer {
-	s := &Sharer{self: self, watcher: w, links: l, clock: clock, attached: make(map[*peer.Conn]*subscriber), wake: make(chan struct{}, 1)}
+	s := &Sharer{self: self, watcher: w, links: l, clock: clock, attached: make(map[*peer.Conn]*subscriber), told: make(map[*peer.Conn]int), wake: make(chan struct{}, 1)}
 	peer.Handle(mux, methodAttach, s.onAttach)
 	peer.Handle(mux, methodNews, func(_ context.Context, _ *peer.Conn, n News) (struct{}, error) {
 		w.TakeNews(n)
@@ -73,17 +72,22 @@
 		return err
 	}
 	s.watcher.TakeNews(all)
+	newer := s.watcher.State.NewerThan(all.Changes)
+	conn.Post(methodNews, s.watcher.news(newer))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told[conn] = newer.Taken
 	return nil
 }
 
 func (s *Sharer) onAttach(_ context.Context, conn *peer.Conn, a attach) (News, error) {
 	s.watcher.State.TakeNews(s.clock.Now(), a.Hosts, nil)
-	all, seen := s.watcher.NewsSince(-1)
+	all := s.watcher.State.Since(0)
 	s.mu.Lock()
-	s.attached[conn] = &subscriber{host: a.Host.ID, seen: seen}
+	s.attached[conn] = &subscriber{host: a.Host.ID, seen: all.Taken}
 	s.mu.Unlock()
 	go s.awaitEnd(conn)
-	return all, nil
+	return s.watcher.news(all), nil
 }
 
 func (s *Sharer) awaitEnd(conn *peer.Conn) {
@@ -144,30 +148,42 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for conn, sub := range s.attached {
-		news, seen := s.watcher.NewsSince(sub.seen)
-		sub.seen = seen
-		conn.Post(methodNews, news)
+		snapshot := s.watcher.State.Since(sub.seen)
+		sub.seen = snapshot.Taken
+		conn.Post(methodNews, s.watcher.news(snapshot))
 	}
 }
 
-// tellUpwards sends what this host has read by itself to the hosts that it is
-// attached to, which pass it on.
+// tellUpwards sends what is new to the hosts that this one is attached to, and
+// how fresh it is if this host has read it by itself; they pass it on.
 func (s *Sharer) tellUpwards() {
-	news, count := s.watcher.NewsSince(s.told)
-	s.told = count
-	if !s.watcher.readItself(links.BeatEvery) && len(news.Changes) == 0 {
-		return
-	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	told := make(map[*peer.Conn]int)
 	for _, live := range s.links.Live() {
-		if live.Conn != nil {
-			live.Conn.Post(methodNews, news)
+		seen, attached := s.told[live.Conn]
+		if !attached {
+			continue
+		}
+		snapshot := s.watcher.State.Since(seen)
+		told[live.Conn] = snapshot.Taken
+		if len(snapshot.Changes) > 0 || s.watcher.readItself(links.BeatEvery) {
+			live.Conn.Post(methodNews, s.watcher.news(snapshot))
 		}
 	}
+	for conn, seen := range s.told {
+		if _, kept := told[conn]; !kept && !isDone(conn) {
+			told[conn] = seen
+		}
+	}
+	s.told = told
 }
 
-// readItself reports whether the store has answered this host within d.
-func (w *Watcher) readItself(d time.Duration) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.clock.Now().Sub(w.ownRead) <= d
+func isDone(conn *peer.Conn) bool {
+	select {
+	case <-conn.Done():
+		return true
+	default:
+		return false
+	}
 }
--- a/internal/watch/state.go
+++ b/internal/watch/state.go
@@ -1,7 +1,6 @@
 package watch
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -22,8 +21,8 @@
 
 	mu      sync.Mutex
 	streams map[Stream]*stream
-	// changes lists the records in the order in which this host took them in.
-	changes []Change
+	// taken counts the changes that this host took in.
+	taken   int
 	config  *fleet.Config
 	targets map[tables.TargetID]fleet.Target
 	hosts   map[tables.HostID]fleet.Host
@@ -34,12 +33,19 @@
 
 type stream struct {
 	// records holds the newest record of each key, also those that removed it.
-	records map[string]Record
+	records map[string]numbered
 	// end is the offset up to which the stream is known; -1 before the first
 	// listing.
 	end int64
 }
 
+// numbered is a record with its place in the order in which this host took
+// records in.
+type numbered struct {
+	Record
+	taken int
+}
+
 // Change is a record that was taken in.
 type Change struct {
 	Stream Stream `json:"stream"`
@@ -58,7 +64,7 @@
 		held:    make(map[string]Record),
 	}
 	for _, name := range Streams() {
-		s.streams[name] = &stream{records: make(map[string]Record), end: -1}
+		s.streams[name] = &stream{records: make(map[string]numbered), end: -1}
 	}
 	return s
 }
@@ -160,12 +166,9 @@
 	if known && old.Offset >= r.Offset {
 		return false
 	}
-	st.records[r.Key] = r
-	matters := s.decode(now, name, r)
-	if matters {
-		s.changes = append(s.changes, Change{Stream: name, Record: r})
-	}
-	return matters
+	s.taken++
+	st.records[r.Key] = numbered{r, s.taken}
+	return s.decode(now, name, r)
 }
 
 // decode brings the entities in line with a record and reports whether that
@@ -270,47 +273,63 @@
 	s.Changed(Targets)
 }
 
-// Since returns the changes after the first n, and their number.
-func (s *State) Since(n int) ([]Change, int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Clone(s.changes[min(n, len(s.changes)):]), len(s.changes)
-}
-
-// Ends returns the offset up to which each stream is known.
-func (s *State) Ends() map[Stream]int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make(map[Stream]int64, len(s.streams))
-	for name, st := range s.streams {
-		out[name] = st.end
-	}
-	return out
+// Snapshot is a part of a state at one moment.
+type Snapshot struct {
+	Changes []Change
+	// Ends are the offsets up to which each stream was known.
+	Ends map[Stream]int64
+	// Taken is the number of changes up to that moment.
+	Taken int
 }
 
-// All returns the newest record of every key with the number of changes that
-// it includes.
-func (s *State) All() ([]Change, int) {
+// Since returns the newest records of the keys that changed after the first n
+// changes.
+func (s *State) Since(n int) Snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []Change
+	out := Snapshot{Ends: make(map[Stream]int64, len(s.streams)), Taken: s.taken}
 	for _, name := range Streams() {
-		out = s.appendAll(out, name)
+		out.Changes = s.appendSince(out.Changes, name, n)
+		out.Ends[name] = s.streams[name].end
 	}
-	return out, len(s.changes)
+	return out
 }
 
 // AllOf returns the newest record of every key of one stream.
 func (s *State) AllOf(name Stream) []Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.appendAll(nil, name)
+	return s.appendSince(nil, name, 0)
 }
 
-func (s *State) appendAll(out []Change, name Stream) []Change {
+func (s *State) appendSince(out []Change, name Stream, n int) []Change {
 	for _, r := range s.streams[name].records {
-		out = append(out, Change{Stream: name, Record: r})
+		if r.taken > n {
+			out = append(out, Change{Stream: name, Record: r.Record})
+		}
+	}
+	return out
+}
+
+// NewerThan returns the records that are newer than those of another host.
+func (s *State) NewerThan(theirs []Change) Snapshot {
+	type key struct {
+		stream Stream
+		key    string
+	}
+	known := make(map[key]int64, len(theirs))
+	for _, c := range theirs {
+		known[key{c.Stream, c.Record.Key}] = c.Record.Offset
+	}
+	out := s.Since(0)
+	newer := out.Changes[:0]
+	for _, c := range out.Changes {
+		offset, has := known[key{c.Stream, c.Record.Key}]
+		if !has || offset < c.Record.Offset {
+			newer = append(newer, c)
+		}
 	}
+	out.Changes = newer
 	return out
 }
 
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -16,18 +16,21 @@
 
 const (
 	// longPoll is how long a read of the configuration waits at the store.
-	longPoll = 1500 * time.Millisecond
-	// targetsEvery is the pause between reads of the list of targets by the
-	// first reader, backupEvery by the second.
-	targetsEvery = 500 * time.Millisecond
-	backupEvery  = time.Second
-	// retryPause follows a failed call to the store.
-	retryPause = 300 * time.Millisecond
-	// staleAfter is the age of what is known after which a host that is no
-	// reader reads by itself; each further rank waits stalePerRank longer.
-	staleAfter   = 900 * time.Millisecond
-	stalePerRank = 120 * time.Millisecond
-	maxStale     = 2500 * time.Millisecond
+	longPoll = time.Second
+	// readEvery is the age of what is known at which the first host reads the
+	// store. The second does so at backupAge and the others at othersAge, each
+	// further one agePerRank later, when nobody before them has.
+	readEvery  = 400 * time.Millisecond
+	backupAge  = 650 * time.Millisecond
+	othersAge  = 800 * time.Millisecond
+	agePerRank = 70 * time.Millisecond
+	maxAge     = 2 * time.Second
+	// lookEvery is how often a host looks at the age of what it knows.
+	lookEvery = 50 * time.Millisecond
+	// retryPause follows a failed call to the store at the first hosts, and
+	// othersRetry at the others.
+	retryPause  = 300 * time.Millisecond
+	othersRetry = 800 * time.Millisecond
 	// lapseGrace is how long entries that lapsed during an outage may take to
 	// come back.
 	lapseGrace = 2 * time.Second
@@ -35,8 +38,6 @@
 	outageAfter = 2 * time.Second
 	// hostsAgain is when a host that has started lists the hosts once more.
 	hostsAgain = 1500 * time.Millisecond
-	// readers is the number of hosts that read the store all the time.
-	readers = 2
 )
 
 // Watcher reads the store, or hears from hosts that do.
@@ -49,8 +50,12 @@
 	logger *zap.Logger
 
 	mu sync.Mutex
-	// contact is when the store last confirmed what is known.
+	// contact is when the store last confirmed what is known of every stream.
 	contact time.Time
+	// confirmed is when the store last confirmed each stream to this host.
+	confirmed map[Stream]time.Time
+	// polling is true while a long poll of the configuration is open.
+	polling bool
 	// ownRead is when the store last answered this host.
 	ownRead time.Time
 	// away is true while calls of this host to the store fail.
@@ -59,13 +64,13 @@
 
 // NewWatcher returns a watcher; Run starts it.
 func NewWatcher(self fleet.Host, state *State, store Store, l *links.Links, clock clockwork.Clock, logger *zap.Logger) *Watcher {
-	return &Watcher{State: state, self: self, store: store, links: l, clock: clock, logger: logger}
+	return &Watcher{State: state, self: self, store: store, links: l, clock: clock, logger: logger, confirmed: make(map[Stream]time.Time)}
 }
 
 // Run keeps the state up to date until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){w.announce, w.followConfigs, w.followTargets, w.release} {
+	for _, loop := range []func(context.Context){w.announce, w.pollConfigs, w.follow, w.release} {
 		loops.Add(1)
 		go func() {
 			defer loops.Done()
@@ -86,13 +91,14 @@
 }
 
 func (w *Watcher) list(ctx context.Context, name Stream) error {
+	asked := w.clock.Now()
 	page, err := w.store.Newest(ctx, name)
 	if err != nil {
-		w.failed(err)
+		w.failed(name, err)
 		return err
 	}
-	w.touched(w.clock.Now())
 	w.State.TakeListing(w.clock.Now(), name, page)
+	w.touched(name, asked)
 	return nil
 }
 
@@ -109,8 +115,8 @@
 			w.State.TakeNews(w.clock.Now(), []Change{{Hosts, Record{Key: string(w.self.ID), Value: value, Offset: offset}}}, nil)
 			break
 		}
-		w.failed(err)
-		w.pause(ctx, retryPause)
+		w.failed(Hosts, err)
+		w.pause(ctx, othersRetry)
 	}
 	w.listHostsAgain(ctx)
 }
@@ -119,7 +125,7 @@
 func (w *Watcher) listHostsAgain(ctx context.Context) {
 	w.pause(ctx, hostsAgain)
 	for ctx.Err() == nil && w.list(ctx, Hosts) != nil {
-		w.pause(ctx, retryPause)
+		w.pause(ctx, othersRetry)
 	}
 }
 
@@ -133,65 +139,107 @@
 	return nil
 }
 
-// followConfigs waits at the store for new configurations while this host is
-// a reader, and reads them otherwise when nobody else tells of them.
-func (w *Watcher) followConfigs(ctx context.Context) {
+// pollConfigs waits at the store for new configurations while this host is the
+// first that answers.
+func (w *Watcher) pollConfigs(ctx context.Context) {
 	for ctx.Err() == nil {
-		switch {
-		case w.isReader():
-			w.read(ctx, Configs, longPoll)
-		case w.stale():
-			w.read(ctx, Configs, 0)
-			w.pause(ctx, targetsEvery)
-		default:
+		if w.rank() != 0 {
 			w.pause(ctx, links.BeatEvery)
+			continue
+		}
+		w.setPolling(true)
+		err := w.read(ctx, Configs, longPoll)
+		w.setPolling(false)
+		if err != nil {
+			w.pause(ctx, retryPause)
 		}
 	}
 }
 
-func (w *Watcher) followTargets(ctx context.Context) {
+// follow reads the store whenever what is known has become too old for the
+// rank of this host.
+func (w *Watcher) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		switch {
-		case w.isReader():
-			w.read(ctx, Targets, 0)
-			w.pause(ctx, w.targetsPause())
-		case w.stale():
-			w.read(ctx, Targets, 0)
-			w.pause(ctx, targetsEvery)
-		default:
-			w.pause(ctx, links.BeatEvery)
+		rank := w.rank()
+		if w.Age() < ageOf(rank) {
+			w.pause(ctx, lookEvery)
+			continue
+		}
+		if w.readAll(ctx) != nil {
+			w.pause(ctx, pauseOf(rank))
+		}
+	}
+}
+
+func (w *Watcher) readAll(ctx context.Context) error {
+	if !w.isPolling() {
+		if err := w.read(ctx, Configs, 0); err != nil {
+			return err
 		}
 	}
+	return w.read(ctx, Targets, 0)
+}
+
+// ageOf is the age of what is known at which a host of a rank reads the store.
+func ageOf(rank int) time.Duration {
+	switch rank {
+	case 0:
+		return readEvery
+	case 1:
+		return backupAge
+	default:
+		return min(othersAge+time.Duration(rank)*agePerRank, maxAge)
+	}
 }
 
-func (w *Watcher) targetsPause() time.Duration {
-	if w.links.Rank() == 0 {
-		return targetsEvery
+func pauseOf(rank int) time.Duration {
+	if rank <= 1 {
+		return retryPause
 	}
-	return backupEvery
+	return othersRetry
+}
+
+func (w *Watcher) setPolling(on bool) {
+	w.mu.Lock()
+	w.polling = on
+	w.mu.Unlock()
+}
+
+func (w *Watcher) isPolling() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.polling
 }
 
-func (w *Watcher) read(ctx context.Context, name Stream, wait time.Duration) {
+// read takes in what is new in a stream. Errors wrap ErrUnavailable.
+func (w *Watcher) read(ctx context.Context, name Stream, wait time.Duration) error {
 	from := w.State.End(name)
 	if from < 0 {
-		if w.list(ctx, name) != nil {
-			w.pause(ctx, retryPause)
-		}
-		return
+		return w.list(ctx, name)
 	}
+	asked := w.clock.Now()
 	page, err := w.store.Read(ctx, name, from, wait)
 	switch {
 	case err == nil:
-		w.touched(w.clock.Now())
 		w.State.Take(w.clock.Now(), name, page)
+		w.touched(name, asked)
+		return nil
 	case errors.Is(err, ErrTruncated):
-		if w.list(ctx, name) != nil {
-			w.pause(ctx, retryPause)
-		}
+		return w.list(ctx, name)
 	default:
-		w.failed(err)
-		w.pause(ctx, retryPause)
+		w.failed(name, err)
+		return err
+	}
+}
+
+// rank is the place of this host among those that answer.
+func (w *Watcher) rank() int {
+	for i, live := range w.links.Live() {
+		if live.Host.ID == w.self.ID {
+			return i
+		}
 	}
+	return w.links.Rank()
 }
 
 // release lets go of targets whose entries did not come back.
@@ -202,24 +250,6 @@
 	}
 }
 
-// isReader reports whether this host reads the store all the time: it is among
-// the first that answer.
-func (w *Watcher) isReader() bool {
-	for i, live := range w.links.Live() {
-		if i < readers && live.Host.ID == w.self.ID {
-			return true
-		}
-	}
-	return false
-}
-
-// stale reports whether what is known is so old that this host should look for
-// itself.
-func (w *Watcher) stale() bool {
-	limit := min(staleAfter+time.Duration(w.links.Rank())*stalePerRank, maxStale)
-	return w.Age() > limit
-}
-
 // Age is the time since the store confirmed what is known.
 func (w *Watcher) Age() time.Duration {
 	w.mu.Lock()
@@ -227,15 +257,23 @@
 	return w.clock.Now().Sub(w.contact)
 }
 
-// touched notes that the store answered this host.
-func (w *Watcher) touched(at time.Time) {
+// touched notes that the store confirmed a stream to this host. An open long
+// poll stands for the configuration until it fails.
+func (w *Watcher) touched(name Stream, at time.Time) {
 	w.mu.Lock()
 	back := w.away
 	w.away = false
-	w.ownRead = at
+	w.confirmed[name] = at
+	oldest := w.confirmed[Targets]
+	if configs := w.confirmed[Configs]; !w.polling && configs.Before(oldest) {
+		oldest = configs
+	}
+	w.ownRead = w.clock.Now()
 	age := at.Sub(w.contact)
 	w.mu.Unlock()
-	w.confirm(at)
+	if !oldest.IsZero() {
+		w.confirm(oldest)
+	}
 	if back {
 		event.StoreBack.Log(w.logger, zap.Duration("age", age))
 	}
@@ -257,8 +295,13 @@
 	}
 }
 
-func (w *Watcher) failed(err error) {
+// failed notes that a call to the store failed. A failed poll no longer stands
+// for the configuration.
+func (w *Watcher) failed(name Stream, err error) {
 	w.mu.Lock()
+	if name == Configs {
+		w.polling = false
+	}
 	known := w.away
 	w.away = true
 	age := w.clock.Now().Sub(w.contact)
@@ -290,17 +333,14 @@
 	w.State.TakeNews(now, n.Changes, n.Ends)
 }
 
-// NewsSince returns what is new after the first n changes, and the number of
-// changes so far. With n below zero it returns everything.
-func (w *Watcher) NewsSince(n int) (News, int) {
-	var news News
-	var count int
-	if n < 0 {
-		news.Changes, count = w.State.All()
-	} else {
-		news.Changes, count = w.State.Since(n)
-	}
-	news.Ends = w.State.Ends()
-	news.AgeMS = w.Age().Milliseconds()
-	return news, count
+// news is what a host tells of a part of its state.
+func (w *Watcher) news(s Snapshot) News {
+	return News{Changes: s.Changes, Ends: s.Ends, AgeMS: w.Age().Milliseconds()}
+}
+
+// readItself reports whether the store has answered this host within d.
+func (w *Watcher) readItself(d time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.clock.Now().Sub(w.ownRead) <= d
 }
