--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -17,6 +17,10 @@
 	defaultAim = time.Second
 	// defaultPatience is how long a request without a deadline may wait.
 	defaultPatience = 10 * time.Second
+	// holdShare of the time until the deadline, and silenceShare of the time
+	// after which callers leave, may pass before a request has a place.
+	holdShare    = 0.5
+	silenceShare = 0.75
 	// maxStalePlaces bounds the places at targets that this host knows to be
 	// leaving, while the home does not know it yet.
 	maxStalePlaces = 3
@@ -52,11 +56,13 @@
 		Until:   defaultPatience,
 		GapAim:  x.route.GapAim,
 		Avoid:   append([]tables.TargetID(nil), x.tried...),
+		Content: x.request.Content,
 		Repeat:  repeat,
 	}
 	if !x.until.IsZero() {
 		w.Until = x.until.Sub(now)
 	}
+	w.Hold = x.hold(w.Until)
 	if x.customer != nil {
 		w.Customer = x.customer.Name
 		w.Tokens = x.tokens()
@@ -64,6 +70,17 @@
 	return w
 }
 
+// hold is how long the request may wait for a place, when left is the time
+// until its deadline.
+func (x *exchange) hold(left time.Duration) time.Duration {
+	hold := time.Duration(holdShare * float64(left))
+	if x.route.Silence > 0 {
+		waited := x.server.Clock.Now().Sub(x.request.Arrived)
+		hold = min(hold, time.Duration(silenceShare*float64(x.route.Silence))-waited)
+	}
+	return max(hold, 0)
+}
+
 func (x *exchange) aim() time.Duration {
 	if x.route.Aim > 0 {
 		return x.route.Aim
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -36,6 +36,8 @@
 	LikelyOutput int
 	// After is the last event that the caller has, empty without.
 	After string
+	// Content is equal for requests of equal content from one caller.
+	Content tables.Fingerprint
 }
 
 // Caller receives the answer of one request. One goroutine uses it.
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -38,6 +38,9 @@
 	Aim time.Duration
 	// GapAim is the longest pause between two events; zero means none.
 	GapAim time.Duration
+	// Silence is how long callers wait without a byte before they leave; zero
+	// means until their deadline.
+	Silence time.Duration
 	// Tier is the rank of requests; 0 is served first.
 	Tier int
 	// MaxTargets is the number of targets that one request may be sent to.
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -59,8 +59,12 @@
 	// Aim is the time left until the first byte is due, Until that until the
 	// caller waits no longer.
 	Aim, Until, GapAim time.Duration
-	Avoid              []tables.TargetID
-	Repeat             bool
+	// Hold is how long the request may wait for a place at all.
+	Hold time.Duration
+	// Content is equal for requests of equal content.
+	Content tables.Fingerprint
+	Avoid   []tables.TargetID
+	Repeat  bool
 }
 
 // NewClient returns a client. own decides when this host is the home; alone
@@ -161,7 +165,7 @@
 		Service: w.Service, Customer: w.Customer, Tier: w.Tier,
 		Prompt: w.Prompt, Output: w.Output, Tokens: w.Tokens,
 		AimMS: w.Aim.Milliseconds(), UntilMS: w.Until.Milliseconds(), GapMS: w.GapAim.Milliseconds(),
-		Avoid: w.Avoid, Repeat: w.Repeat,
+		HoldMS: w.Hold.Milliseconds(), Avoid: w.Avoid, Content: w.Content, Repeat: w.Repeat,
 	}
 }
 
--- a/internal/pool/home.go
+++ b/internal/pool/home.go
@@ -55,6 +55,7 @@
 	table   *place.Table
 	buckets *quota.Buckets
 	repeats *repeat.Counter
+	refused *repeat.Refusals
 	waiting map[place.ID]*waiter
 	charged map[place.ID]charge
 	// asked is when each host last asked for a place.
@@ -74,7 +75,6 @@
 type charge struct {
 	customer tables.CustomerID
 	tokens   int
-	repeat   bool
 }
 
 // NewHome returns a home. share is the part of quotas and budgets that it may
@@ -86,6 +86,7 @@
 		table:   place.NewTable(random),
 		buckets: quota.NewBuckets(policy.StartShare, policy.Quota),
 		repeats: repeat.NewCounter(policy.Repeat),
+		refused: repeat.NewRefusals(),
 		waiting: make(map[place.ID]*waiter),
 		charged: make(map[place.ID]charge),
 		asked:   make(map[tables.HostID]time.Time),
@@ -143,10 +144,12 @@
 	if !m.Repeat {
 		h.repeats.Request(now, m.Service)
 	}
-	h.charged[m.ID] = charge{m.Customer, m.Tokens, m.Repeat}
+	h.charged[m.ID] = charge{m.Customer, m.Tokens}
 	w := &waiter{ask: m, done: make(chan place.Decision, 1)}
 	h.waiting[m.ID] = w
-	h.table.Add(m.toAsk(now))
+	ask := m.toAsk(now)
+	ask.Late, ask.Returned = h.refused.Returns(now, m.Content)
+	h.table.Add(ask)
 	return w, nil
 }
 
@@ -163,7 +166,7 @@
 		ID: m.ID, Host: m.Host, Service: m.Service, Customer: m.Customer, Domain: m.Domain,
 		Tier: m.Tier, Prompt: m.Prompt, Output: m.Output,
 		Came: now, AimAt: now.Add(fromMS(float64(m.AimMS))), UntilAt: now.Add(fromMS(float64(m.UntilMS))),
-		GapAim: fromMS(float64(m.GapMS)), Avoid: m.Avoid,
+		GapAim: fromMS(float64(m.GapMS)), HoldUntil: now.Add(fromMS(float64(m.HoldMS))), Avoid: m.Avoid,
 	}
 }
 
@@ -220,6 +223,7 @@
 	}
 	h.mu.Lock()
 	h.refund(m.ID)
+	h.refused.Add(h.clock.Now(), m.Content, d.RetryAfter)
 	waiting, inUse := h.table.Waiting(), h.table.InUse()
 	h.mu.Unlock()
 	detail := fmt.Sprintf("service %q, tier %d: %d requests wait, %d places are in use", m.Service, m.Tier, waiting, inUse)
--- a/internal/pool/messages.go
+++ b/internal/pool/messages.go
@@ -30,11 +30,15 @@
 	Prompt   int               `json:"p,omitempty"`
 	Output   int               `json:"o,omitempty"`
 	// Tokens counts against the quota of the customer.
-	Tokens  int               `json:"q,omitempty"`
-	AimMS   int64             `json:"a"`
-	UntilMS int64             `json:"u"`
-	GapMS   int64             `json:"g,omitempty"`
-	Avoid   []tables.TargetID `json:"x,omitempty"`
+	Tokens  int   `json:"q,omitempty"`
+	AimMS   int64 `json:"a"`
+	UntilMS int64 `json:"u"`
+	GapMS   int64 `json:"g,omitempty"`
+	// HoldMS is how long the ask may wait for a place at all.
+	HoldMS int64             `json:"w"`
+	Avoid  []tables.TargetID `json:"x,omitempty"`
+	// Content is equal for requests of equal content.
+	Content tables.Fingerprint `json:"f,omitempty"`
 	// Repeat is true for each ask after the first of a request.
 	Repeat bool `json:"r,omitempty"`
 }
--- a/internal/systems/place/ask.go
+++ b/internal/systems/place/ask.go
@@ -28,10 +28,20 @@
 	Came, AimAt, UntilAt time.Time
 	// GapAim is the longest pause between events; zero means none.
 	GapAim time.Duration
+	// HoldUntil is when an ask that is late already is refused.
+	HoldUntil time.Time
+	// Returned is true for a request that was refused before and has come back
+	// when it was told to.
+	Returned bool
+	// Late is true for a request whose first byte was due at an earlier attempt.
+	Late bool
 	// Avoid lists targets that have failed the request.
 	Avoid []tables.TargetID
 }
 
+// late reports whether the aim of an ask can no longer be met.
+func (a *Ask) late(now time.Time) bool { return a.Late || now.After(a.AimAt) }
+
 // Decision answers an ask.
 type Decision struct {
 	Ask *Ask
--- a/internal/systems/place/step.go
+++ b/internal/systems/place/step.go
@@ -11,10 +11,6 @@
 	aimShare = 0.85
 	// gapShare is the same for pauses between events.
 	gapShare = 0.9
-	// patience is how long past its aim a request waits, as a share of the aim.
-	patience = 1.0
-	// minPatience keeps short aims from refusing at a hiccup.
-	minPatience = 150 * time.Millisecond
 	// crossing is what a target of another failure domain costs, as time.
 	crossing = 15 * time.Millisecond
 	// chunkTokens is the number of prompt tokens that engines read between two
@@ -22,9 +18,8 @@
 	chunkTokens = 2048
 	// tokensPerEvent is assumed for streams.
 	tokensPerEvent = 8
-	// retrySpread is the range of the advice to refused callers.
-	minRetry = 500 * time.Millisecond
-	maxRetry = 1500 * time.Millisecond
+	// lateShare of the slots of a service may be waited for by late asks.
+	lateShare = 0.5
 	// noTargetRetry is advised when a service has no target.
 	noTargetRetry = time.Second
 )
@@ -55,7 +50,7 @@
 	}
 	clear(s.queue[len(kept):])
 	s.queue = kept
-	return out
+	return t.shorten(now, s, out)
 }
 
 // free returns the targets that could take a request.
@@ -74,14 +69,18 @@
 }
 
 // order sorts asks that can still be in time before late ones, then by tier
-// and by aim.
+// and by aim. Of the late ones, those that have come back go first.
 func order(now time.Time, a, b *Ask) int {
-	aLate, bLate := now.After(a.AimAt), now.After(b.AimAt)
+	aLate, bLate := a.late(now), b.late(now)
 	switch {
 	case aLate != bLate && aLate:
 		return 1
 	case aLate != bLate:
 		return -1
+	case aLate && a.Returned != b.Returned && a.Returned:
+		return -1
+	case aLate && a.Returned != b.Returned:
+		return 1
 	case a.Tier != b.Tier:
 		return a.Tier - b.Tier
 	default:
@@ -97,34 +96,56 @@
 	if best != nil && s.timely(now, a, best, expected) {
 		return t.grant(now, s, a, best, expected), true
 	}
-	if now.After(giveUpAt(a)) {
-		return Decision{Ask: a, Reason: TooLate, RetryAfter: t.retryAfter()}, true
+	if !now.Before(a.HoldUntil) {
+		return t.refuse(now, s, a), true
 	}
 	return Decision{}, false
 }
 
-// giveUpAt is when an ask without a place is refused.
-func giveUpAt(a *Ask) time.Time {
-	wait := max(time.Duration(float64(a.AimAt.Sub(a.Came))*patience), minPatience)
-	at := a.AimAt.Add(wait)
-	if at.After(a.UntilAt) {
-		return a.UntilAt
+func (t *Table) refuse(now time.Time, s *service, a *Ask) Decision {
+	return Decision{Ask: a, Reason: TooLate, RetryAfter: s.line.next(now, t.Random())}
+}
+
+// shorten refuses the last of the late asks beyond what can soon be served.
+func (t *Table) shorten(now time.Time, s *service, out []Decision) []Decision {
+	late := 0
+	for _, a := range s.queue {
+		if a.late(now) {
+			late++
+		}
+	}
+	for excess := late - s.lateRoom(now); excess > 0; excess-- {
+		last := len(s.queue) - 1
+		out = append(out, t.refuse(now, s, s.queue[last]))
+		s.queue[last] = nil
+		s.queue = s.queue[:last]
+	}
+	return out
+}
+
+// lateRoom is the number of late asks that may wait.
+func (s *service) lateRoom(now time.Time) int {
+	slots := 0
+	for _, t := range s.targets {
+		if t.usable(now) {
+			slots += t.Slots
+		}
 	}
-	return at
+	return int(lateShare * float64(slots))
 }
 
 // timely reports whether a grant now is worth its place: the first byte comes
 // within the aim, or the target has nothing else to read and time is over.
 func (s *service) timely(now time.Time, a *Ask, t *target, expected time.Duration) bool {
 	left := a.AimAt.Sub(now)
-	if float64(expected) <= aimShare*float64(left) {
+	if !a.Late && float64(expected) <= aimShare*float64(left) {
 		return true
 	}
 	if len(t.reading) > 0 {
 		return false
 	}
 	// No target could do it sooner by reading alone, so waiting gains nothing.
-	return expected >= left || t.open == 0
+	return a.Late || expected >= left || t.open == 0
 }
 
 // best returns the free target where the first byte is expected soonest.
@@ -173,7 +194,3 @@
 	row.admit(now, g, row.speed.Scale(s.shape.Reading(a.Prompt)))
 	return Decision{Ask: a, Target: row.ID, Expected: now.Add(expected)}
 }
-
-func (t *Table) retryAfter() time.Duration {
-	return minRetry + time.Duration(t.Random()*float64(maxRetry-minRetry))
-}
--- a/internal/systems/place/table.go
+++ b/internal/systems/place/table.go
@@ -23,6 +23,7 @@
 	gap     *pace.Gap
 	targets map[tables.TargetID]*target
 	queue   []*Ask
+	line    line
 }
 
 // NewTable returns an empty table.
@@ -155,6 +156,7 @@
 	}
 	delete(t.grants, id)
 	s := t.service(g.ask.Service)
+	s.line.ended(now)
 	g.target.release(now, g, outcome, s.shape)
 	if g.target.gone && g.target.open <= 0 {
 		delete(s.targets, g.target.ID)
