--- a/internal/watch/ports.go
+++ b/internal/watch/ports.go
@@ -29,6 +29,8 @@
 	Key    string `json:"key"`
 	Value  []byte `json:"value,omitempty"`
 	Offset int64  `json:"offset"`
+	// Packed values are compressed; only records between hosts are.
+	Packed bool `json:"packed,omitempty"`
 }
 
 // Page is a part of a stream.
--- a/internal/watch/share.go
+++ b/internal/watch/share.go
@@ -23,6 +23,9 @@
 	methodNews = "watch.news"
 )
 
+// tellers is the number of hosts that send news to those attached to them.
+const tellers = 2
+
 // attach is what a host tells when it attaches: itself, and the hosts that it
 // knows.
 type attach struct {
@@ -144,10 +147,18 @@
 	}
 }
 
+// tellAttached sends what is new, from the first hosts. The next ones only show
+// that they are there, and send all that was missed once they are among the
+// first.
 func (s *Sharer) tellAttached() {
+	telling := s.watcher.rank() < tellers
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for conn, sub := range s.attached {
+		if !telling {
+			conn.Post(methodNews, News{AgeMS: ageUnknown})
+			continue
+		}
 		snapshot := s.watcher.State.Since(sub.seen)
 		sub.seen = snapshot.Taken
 		conn.Post(methodNews, s.watcher.news(snapshot))
@@ -165,7 +176,7 @@
 		if !attached {
 			continue
 		}
-		snapshot := s.watcher.State.Since(seen)
+		snapshot := s.watcher.State.OwnSince(seen)
 		told[live.Conn] = snapshot.Taken
 		if len(snapshot.Changes) > 0 || s.watcher.readItself(links.BeatEvery) {
 			live.Conn.Post(methodNews, s.watcher.news(snapshot))
--- a/internal/watch/state.go
+++ b/internal/watch/state.go
@@ -40,10 +40,12 @@
 }
 
 // numbered is a record with its place in the order in which this host took
-// records in.
+// records in. Large values are packed.
 type numbered struct {
 	Record
 	taken int
+	// own is true when this host has read the record itself.
+	own bool
 }
 
 // Change is a record that was taken in.
@@ -123,7 +125,7 @@
 
 // Take takes in the records that were read from an offset on.
 func (s *State) Take(now time.Time, name Stream, page Page) {
-	s.take(now, name, page.Records, page.End, nil)
+	s.take(now, name, intake{records: page.Records, end: page.End, own: true})
 }
 
 // TakeListing takes in the newest records of all keys. Keys that it lacks were
@@ -133,24 +135,34 @@
 	for _, r := range page.Records {
 		listed[r.Key] = true
 	}
-	s.take(now, name, page.Records, page.End, listed)
+	s.take(now, name, intake{records: page.Records, end: page.End, listed: listed, own: true})
 }
 
-func (s *State) take(now time.Time, name Stream, records []Record, end int64, listed map[string]bool) {
+// intake is a part of a stream that a host takes in.
+type intake struct {
+	records []Record
+	end     int64
+	// listed holds every key of a listing; nil without one.
+	listed map[string]bool
+	// own is true when this host has read the records itself.
+	own bool
+}
+
+func (s *State) take(now time.Time, name Stream, in intake) {
 	s.mu.Lock()
 	st := s.streams[name]
 	changed := false
-	for _, r := range records {
-		changed = s.apply(now, name, st, r) || changed
+	for _, r := range in.records {
+		changed = s.apply(now, name, st, r, in.own) || changed
 	}
-	if listed != nil {
+	if in.listed != nil {
 		for key, r := range st.records {
-			if !listed[key] && r.Value != nil && r.Offset < end {
-				changed = s.apply(now, name, st, Record{Key: key, Offset: end - 1}) || changed
+			if !in.listed[key] && r.Value != nil && r.Offset < in.end {
+				changed = s.apply(now, name, st, Record{Key: key, Offset: in.end - 1}, in.own) || changed
 			}
 		}
 	}
-	st.end = max(st.end, end)
+	st.end = max(st.end, in.end)
 	s.mu.Unlock()
 	if changed {
 		s.Changed(name)
@@ -158,17 +170,26 @@
 }
 
 // apply takes in one record and reports whether it was new.
-func (s *State) apply(now time.Time, name Stream, st *stream, r Record) bool {
+func (s *State) apply(now time.Time, name Stream, st *stream, r Record, own bool) bool {
 	if r.Key == "" {
 		return false
 	}
-	old, known := st.records[r.Key]
-	if known && old.Offset >= r.Offset {
+	if old, known := st.records[r.Key]; known && old.Offset >= r.Offset {
 		return false
 	}
+	plain, err := unpack(r)
+	if err != nil {
+		event.EntryIgnored.Log(s.logger, zap.String("key", r.Key), zap.Int64("offset", r.Offset), zap.Error(err))
+		return false
+	}
+	packed, err := pack(plain)
+	if err != nil {
+		// The plain record does as well.
+		event.EntryIgnored.Log(s.logger, zap.String("key", r.Key), zap.Int64("offset", r.Offset), zap.Error(err))
+	}
 	s.taken++
-	st.records[r.Key] = numbered{r, s.taken}
-	return s.decode(now, name, r)
+	st.records[r.Key] = numbered{packed, s.taken, own}
+	return s.decode(now, name, plain)
 }
 
 // decode brings the entities in line with a record and reports whether that
@@ -285,11 +306,20 @@
 // Since returns the newest records of the keys that changed after the first n
 // changes.
 func (s *State) Since(n int) Snapshot {
+	return s.since(func(r numbered) bool { return r.taken > n })
+}
+
+// OwnSince returns those of Since that this host has read itself.
+func (s *State) OwnSince(n int) Snapshot {
+	return s.since(func(r numbered) bool { return r.taken > n && r.own })
+}
+
+func (s *State) since(wanted func(numbered) bool) Snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := Snapshot{Ends: make(map[Stream]int64, len(s.streams)), Taken: s.taken}
 	for _, name := range Streams() {
-		out.Changes = s.appendSince(out.Changes, name, n)
+		out.Changes = s.appendWanted(out.Changes, name, wanted)
 		out.Ends[name] = s.streams[name].end
 	}
 	return out
@@ -299,12 +329,12 @@
 func (s *State) AllOf(name Stream) []Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.appendSince(nil, name, 0)
+	return s.appendWanted(nil, name, func(numbered) bool { return true })
 }
 
-func (s *State) appendSince(out []Change, name Stream, n int) []Change {
+func (s *State) appendWanted(out []Change, name Stream, wanted func(numbered) bool) []Change {
 	for _, r := range s.streams[name].records {
-		if r.taken > n {
+		if wanted(r) {
 			out = append(out, Change{Stream: name, Record: r.Record})
 		}
 	}
@@ -344,6 +374,6 @@
 		if !told {
 			end = -1
 		}
-		s.take(now, name, byStream[name], end, nil)
+		s.take(now, name, intake{records: byStream[name], end: end})
 	}
 }
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -112,7 +112,7 @@
 	for ctx.Err() == nil {
 		offset, err := w.store.Put(ctx, Hosts, string(w.self.ID), value)
 		if err == nil {
-			w.State.TakeNews(w.clock.Now(), []Change{{Hosts, Record{Key: string(w.self.ID), Value: value, Offset: offset}}}, nil)
+			w.takeOwn(Record{Key: string(w.self.ID), Value: value, Offset: offset})
 			break
 		}
 		w.failed(Hosts, err)
@@ -135,10 +135,15 @@
 	if err != nil {
 		return err
 	}
-	w.State.TakeNews(w.clock.Now(), []Change{{Hosts, Record{Key: string(w.self.ID), Offset: offset}}}, nil)
+	w.takeOwn(Record{Key: string(w.self.ID), Offset: offset})
 	return nil
 }
 
+// takeOwn takes in the record of this host that the store has accepted.
+func (w *Watcher) takeOwn(r Record) {
+	w.State.Take(w.clock.Now(), Hosts, Page{Records: []Record{r}, End: -1})
+}
+
 // pollConfigs waits at the store for new configurations while this host is the
 // first that answers.
 func (w *Watcher) pollConfigs(ctx context.Context) {
@@ -322,12 +327,19 @@
 type News struct {
 	Changes []Change         `json:"changes,omitempty"`
 	Ends    map[Stream]int64 `json:"ends,omitempty"`
-	// AgeMS is the time since the store confirmed it, in milliseconds.
+	// AgeMS is the time since the store confirmed it, in milliseconds;
+	// ageUnknown without.
 	AgeMS int64 `json:"age_ms"`
 }
 
+// ageUnknown marks news that only show that their sender is there.
+const ageUnknown = -1
+
 // TakeNews takes in what a peer told.
 func (w *Watcher) TakeNews(n News) {
+	if n.AgeMS == ageUnknown {
+		return
+	}
 	now := w.clock.Now()
 	w.confirm(now.Add(-time.Duration(n.AgeMS) * time.Millisecond))
 	w.State.TakeNews(now, n.Changes, n.Ends)
