--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -50,6 +50,7 @@
 		Request: x.request.ID,
 		Service: x.service,
 		Tier:    x.tier(),
+		Urgency: x.route.Tier,
 		Prompt:  x.request.Prompt,
 		Output:  x.output(),
 		Aim:     x.aim() - now.Sub(x.request.Arrived),
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -19,8 +19,8 @@
 // tried any more. bounded ends at the deadline, caller when the caller leaves.
 func (x *exchange) serve(bounded, caller context.Context) error {
 	var last error
-	for repeat := false; ; repeat = true {
-		grant, target, err := x.place(bounded, repeat)
+	for {
+		grant, target, err := x.place(bounded, len(x.tried) > 0)
 		if err != nil {
 			return x.unplaced(caller, err, last)
 		}
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -53,7 +53,7 @@
 	Request        string
 	Service        tables.ServiceID
 	Customer       tables.CustomerID
-	Tier           int
+	Tier, Urgency  int
 	Prompt, Output int
 	Tokens         int
 	// Aim is the time left until the first byte is due, Until that until the
@@ -162,7 +162,7 @@
 func (c *Client) message(w Wish) askMessage {
 	return askMessage{
 		ID: c.newID(), Request: w.Request, Host: c.self.ID, Domain: c.self.Domain,
-		Service: w.Service, Customer: w.Customer, Tier: w.Tier,
+		Service: w.Service, Customer: w.Customer, Tier: w.Tier, Urgency: w.Urgency,
 		Prompt: w.Prompt, Output: w.Output, Tokens: w.Tokens,
 		AimMS: w.Aim.Milliseconds(), UntilMS: w.Until.Milliseconds(), GapMS: w.GapAim.Milliseconds(),
 		HoldMS: w.Hold.Milliseconds(), Avoid: w.Avoid, Content: w.Content, Repeat: w.Repeat,
--- a/internal/pool/messages.go
+++ b/internal/pool/messages.go
@@ -27,6 +27,7 @@
 	Service  tables.ServiceID  `json:"s"`
 	Customer tables.CustomerID `json:"c,omitempty"`
 	Tier     int               `json:"t"`
+	Urgency  int               `json:"y,omitempty"`
 	Prompt   int               `json:"p,omitempty"`
 	Output   int               `json:"o,omitempty"`
 	// Tokens counts against the quota of the customer.
--- a/internal/systems/place/ask.go
+++ b/internal/systems/place/ask.go
@@ -19,8 +19,9 @@
 	Customer tables.CustomerID
 	// Domain is that of the host that will send the request.
 	Domain tables.DomainID
-	// Tier is the rank; 0 goes first.
-	Tier int
+	// Tier is the rank of the customer, or of the route where the customer has
+	// none; 0 goes first. Urgency is that of the route, within a tier.
+	Tier, Urgency int
 	// Prompt is the number of tokens to read, Output that of tokens to make.
 	Prompt, Output int
 	// Came is when the ask arrived, AimAt when the first byte is due, and
--- a/internal/systems/place/step.go
+++ b/internal/systems/place/step.go
@@ -68,8 +68,8 @@
 	return slices.DeleteFunc(targets, func(t *target) bool { return t.open >= t.slots() })
 }
 
-// order sorts asks that can still be in time before late ones, then by tier
-// and by aim. Of the late ones, those that have come back go first.
+// order sorts asks that can still be in time before late ones, then by tier,
+// by urgency and by aim. Of the late ones, those that have come back go first.
 func order(now time.Time, a, b *Ask) int {
 	aLate, bLate := a.late(now), b.late(now)
 	switch {
@@ -83,6 +83,8 @@
 		return 1
 	case a.Tier != b.Tier:
 		return a.Tier - b.Tier
+	case a.Urgency != b.Urgency:
+		return a.Urgency - b.Urgency
 	default:
 		return a.AimAt.Compare(b.AimAt)
 	}
