--- a/cmd/bluebell-edge/main.go
+++ b/cmd/bluebell-edge/main.go
@@ -7,7 +7,10 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
+	"github.com/bluebellseam/bluebellseam/internal/edgenode"
 	"github.com/bluebellseam/bluebellseam/internal/settings"
 	"github.com/bluebellseam/bluebellseam/platform"
 )
@@ -21,3 +24,25 @@
 	}
 	settings.Exit(err)
 }
+
+func run() error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	path := os.Getenv(platform.SettingsVariable)
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	process, err := edgenode.Start(s, os.Stdout)
+	if err != nil {
+		return err
+	}
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			break
+		}
+		process.Reload(path)
+	}
+	process.Stop()
+	return nil
+}
--- a/cmd/bluebell-edge/run.go
+++ b/internal/edgenode/node.go
@@ -1,14 +1,14 @@
-package main
+// Package edgenode wires the parts of the edge process of one host.
+package edgenode
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,8 +55,8 @@
 	idleTimeout = 60 * time.Second
 )
 
-// process holds the parts of a running edge.
-type process struct {
+// Process is a running edge.
+type Process struct {
 	settings platform.Settings
 	self     fleet.Host
 	logger   *zap.Logger
@@ -73,36 +73,28 @@
 	client   *pool.Client
 	front    *http.Server
 	stopping chan struct{}
+	// cancel ends everything but the requests in flight.
+	cancel  context.CancelFunc
+	closers []io.Closer
 }
 
-func run() error {
-	path := os.Getenv(platform.SettingsVariable)
-	s, err := platform.LoadSettings(path)
-	if err != nil {
-		return err
-	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	p := build(s)
+// Start opens every address of the settings and serves it. Errors are those of
+// listeners. logs receives the structured log.
+func Start(s platform.Settings, logs io.Writer) (*Process, error) {
+	p := build(s, logs)
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	p.cancel = cancel
 	if err := p.listen(ctx); err != nil {
-		return err
+		p.Close()
+		return nil, err
 	}
 	event.ProcessStarted.Log(p.logger, zap.String("address", s.Listen.Front), zap.Bool("bootstrap", s.Bootstrap))
 	go p.follow(ctx)
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			break
-		}
-		p.reload(path)
-	}
-	p.stop()
-	return nil
+	return p, nil
 }
 
-func build(s platform.Settings) *process {
-	p := &process{
+func build(s platform.Settings, logs io.Writer) *Process {
+	p := &Process{
 		settings: s,
 		self: fleet.Host{
 			ID: tables.HostID(s.Node), Domain: tables.DomainID(s.Zone),
@@ -113,7 +105,7 @@
 		mux:      peer.NewMux(),
 		stopping: make(chan struct{}),
 	}
-	p.logger = observe.NewLogger(os.Stdout, zapcore.InfoLevel).With(zap.String("node", s.Node))
+	p.logger = observe.NewLogger(logs, zapcore.InfoLevel).With(zap.String("node", s.Node))
 	p.peers = peer.NewPool(context.Background(), peer.Hello{Host: p.self.ID, Role: "edge"}, p.mux, p.clock)
 	p.links = links.New(p.self, p.peers, p.clock, p.logger)
 	p.state = watch.NewState(platform.Decoder{}, p.logger)
@@ -132,7 +124,7 @@
 	return p
 }
 
-func (p *process) policy() pool.Policy {
+func (p *Process) policy() pool.Policy {
 	b := p.settings.Bounds
 	return pool.Policy{
 		Quota: quota.Slack{Rate: b.QuotaOvershoot * quotaShare, Burst: b.QuotaOvershoot * quotaShare, Tokens: b.QuotaSlack * quotaShare},
@@ -146,13 +138,13 @@
 
 // homeShare is the part of the quotas that this host gives out as home: that
 // of the hosts attached to it, since the others may be deciding alone.
-func (p *process) homeShare() float64 {
+func (p *Process) homeShare() float64 {
 	return min(float64(len(p.sharer.Attached())+1)/float64(p.links.Hosts()), 1)
 }
 
-func (p *process) aloneShare() float64 { return 1 / float64(p.links.Hosts()) }
+func (p *Process) aloneShare() float64 { return 1 / float64(p.links.Hosts()) }
 
-func (p *process) changed(s watch.Stream) {
+func (p *Process) changed(s watch.Stream) {
 	switch s {
 	case watch.Hosts:
 		ranked := owner.Ranked(homeKey, p.state.Hosts())
@@ -167,7 +159,7 @@
 }
 
 // listen opens every address and serves it.
-func (p *process) listen(ctx context.Context) error {
+func (p *Process) listen(ctx context.Context) error {
 	s := p.settings
 	p.front = observe.NewServer(&platform.Front{
 		Clock: p.clock,
@@ -197,13 +189,14 @@
 	return nil
 }
 
-func (p *process) serve(address string, serve func(net.Listener) error) error {
+func (p *Process) serve(address string, serve func(net.Listener) error) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
+	p.closers = append(p.closers, listener)
 	go func() {
-		if err := serve(listener); err != nil && err != http.ErrServerClosed {
+		if err := serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			event.ListenerFailed.Log(p.logger, zap.String("address", address), zap.Error(err))
 		}
 	}()
@@ -212,7 +205,7 @@
 
 // ready reports whether the host can serve every request that the
 // configuration allows.
-func (p *process) ready() bool {
+func (p *Process) ready() bool {
 	select {
 	case <-p.stopping:
 		return false
@@ -222,7 +215,7 @@
 }
 
 // follow learns the state and keeps it up to date.
-func (p *process) follow(ctx context.Context) {
+func (p *Process) follow(ctx context.Context) {
 	for ctx.Err() == nil && !p.load(ctx) {
 		p.clock.Sleep(loadPause)
 	}
@@ -233,7 +226,7 @@
 }
 
 // load reads the store, or asks the seeds while it is away.
-func (p *process) load(ctx context.Context) bool {
+func (p *Process) load(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	if p.watcher.Load(ctx) == nil {
@@ -258,15 +251,16 @@
 	return false
 }
 
-// reload checks the changed settings file. Addresses and bounds take effect at
-// the next start.
-func (p *process) reload(path string) {
+// Reload checks the changed settings file at path. Addresses and bounds take
+// effect at the next start.
+func (p *Process) Reload(path string) {
 	_, err := platform.LoadSettings(path)
 	event.SettingsReloaded.Log(p.logger, zap.String("path", path), zap.Error(err))
 }
 
-// stop lets requests in flight end within the grace time.
-func (p *process) stop() {
+// Stop lets requests in flight end within the grace time of the settings and
+// closes everything.
+func (p *Process) Stop() {
 	event.StopRequested.Log(p.logger)
 	close(p.stopping)
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.Grace()-exitMargin)
@@ -281,4 +275,17 @@
 		event.StopBoundPassed.Log(p.logger, zap.Error(err))
 	}
 	event.ProcessStopped.Log(p.logger)
+	p.Close()
+}
+
+// Close ends the process at once, as a crash would.
+func (p *Process) Close() {
+	p.cancel()
+	for _, c := range p.closers {
+		_ = c.Close()
+	}
+	_ = p.front.Close()
 }
+
+// Ready reports whether the process serves requests.
+func (p *Process) Ready() bool { return p.ready() }
--- a/internal/systems/place/step.go
+++ b/internal/systems/place/step.go
@@ -133,7 +133,7 @@
 			slots += t.Slots
 		}
 	}
-	return int(lateShare * float64(slots))
+	return max(int(lateShare*float64(slots)), 1)
 }
 
 // timely reports whether a grant now is worth its place: the first byte comes
