--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -112,7 +112,7 @@
 	store := platform.NewStore(s.Platform.Address)
 	store.Called = p.metrics.StoreCalled
 	p.watcher = watch.NewWatcher(p.self, p.state, store, p.links, p.clock, p.logger)
-	p.sharer = watch.NewSharer(p.self, p.watcher, p.links, p.mux, p.clock)
+	p.sharer = watch.NewSharer(p.self, p.watcher, p.links, p.mux, p.clock, p.logger)
 	p.own = pool.NewHome(p.state, p.policy(), rand.Float64, p.homeShare, func() int { return 1 }, p.clock, p.logger)
 	p.alone = pool.NewHome(p.state, p.policy(), rand.Float64, p.aloneShare, p.links.Hosts, p.clock, p.logger)
 	first := xxhash.Sum64String(s.Node+p.clock.Now().String()) &^ 0xffffffff
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -47,6 +47,7 @@
 	EntryIgnored  = Event{1218, zapcore.WarnLevel, "entry ignored", "An entry of the store cannot be read; it names nothing to use."}
 	HostsChanged  = Event{1219, zapcore.InfoLevel, "hosts changed", "The list of hosts of the system changed."}
 	HomeChanged   = Event{1220, zapcore.InfoLevel, "home changed", "Another host gives out the places at targets."}
+	HostBusy      = Event{1221, zapcore.WarnLevel, "host busy", "Timers of this process fire late; others are asked for places until it has caught up."}
 	FeedLost      = Event{1212, zapcore.WarnLevel, "dispatcher feeds no longer", "The dispatcher of this host is silent; this process reads the list and the log itself."}
 )
 
@@ -81,7 +82,7 @@
 		ProcessStarted, SettingsInForce, StopRequested, StopBoundPassed, ProcessStopped, ListenerFailed, SettingsReloaded,
 		ConfigInForce, PatchRejected, LogUnreachable, LogTruncated, LogReachable, SnapshotAppended, RecordIgnored,
 		PeerUp, PeerDown, TargetLeaving, TargetOwned, TargetLost, LeaseTaken, LeaseLost, OrderSent, OrderRefused, PeerState, FeedTaken, FeedLost,
-		PeerUnreached, StoreLost, StoreBack, TargetListed, TargetRemoved, EntryIgnored, HostsChanged, HomeChanged,
+		PeerUnreached, StoreLost, StoreBack, TargetListed, TargetRemoved, EntryIgnored, HostsChanged, HomeChanged, HostBusy,
 		RequestRefused, RequestFinished, RequestUnknown, StreamResumed, StreamSilent, DispatcherLost, ClaimLost,
 		QuarantineAdded, QuarantineLifted, InvariantFailed,
 		PlaceGranted, PlaceRefused, SendFailed, DecidedAlone,
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -18,20 +18,23 @@
 
 const (
 	// checkEvery is the time between looks at the connections.
-	checkEvery = 200 * time.Millisecond
+	checkEvery = 100 * time.Millisecond
 	// connectTimeout bounds one attempt to connect.
 	connectTimeout = 400 * time.Millisecond
 	// silentAfter is the silence after which a host is passed over. Hosts that
 	// others are attached to send a beat every BeatEvery.
-	silentAfter = 700 * time.Millisecond
+	silentAfter = 400 * time.Millisecond
 	// kept is the number of hosts to which connections are held.
 	kept = 3
+	// busyFor is how long a host that said that it is busy is passed over after
+	// it last said so.
+	busyFor = 5 * time.Second
 	// retryEvery is the pause between attempts to reach a host.
 	retryEvery = 500 * time.Millisecond
 )
 
 // BeatEvery is how often a host sends something to those attached to it.
-const BeatEvery = 200 * time.Millisecond
+const BeatEvery = 100 * time.Millisecond
 
 // Links holds the connections of one host.
 type Links struct {
@@ -46,6 +49,8 @@
 	mu     sync.Mutex
 	ranked []fleet.Host
 	rows   map[tables.HostID]*link
+	// busyUntil is until when hosts are passed over that run late.
+	busyUntil map[tables.HostID]time.Time
 }
 
 type link struct {
@@ -58,7 +63,7 @@
 
 // New returns links without hosts.
 func New(self fleet.Host, peers *peer.Pool, clock clockwork.Clock, logger *zap.Logger) *Links {
-	return &Links{self: self, peers: peers, clock: clock, logger: logger, rows: make(map[tables.HostID]*link)}
+	return &Links{self: self, peers: peers, clock: clock, logger: logger, rows: make(map[tables.HostID]*link), busyUntil: make(map[tables.HostID]time.Time)}
 }
 
 // SetHosts replaces the hosts, best first.
@@ -170,18 +175,35 @@
 	return all[0], true
 }
 
-// Live returns the hosts that answer, best first.
+// Live returns the hosts that answer, best first, those that run late last.
 func (l *Links) Live() []Live {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
-	var out []Live
+	var out, busy []Live
 	for _, h := range l.ranked[:min(kept, len(l.ranked))] {
-		if row := l.rows[h.ID]; row != nil && l.alive(row, now) {
+		row := l.rows[h.ID]
+		switch {
+		case row == nil || !l.alive(row, now):
+		case now.Before(l.busyUntil[h.ID]):
+			busy = append(busy, Live{Host: h, Conn: row.conn})
+		default:
 			out = append(out, Live{Host: h, Conn: row.conn})
 		}
 	}
-	return out
+	return append(out, busy...)
+}
+
+// Busy notes that the host at the other end of conn runs late; a nil conn is
+// this host itself.
+func (l *Links) Busy(conn *peer.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, row := range l.rows {
+		if row.conn == conn && (conn != nil || id == l.self.ID) {
+			l.busyUntil[id] = l.clock.Now().Add(busyFor)
+		}
+	}
 }
 
 // Conn returns the connection to a host, or nil when there is none.
--- a/internal/systems/pace/gap.go
+++ b/internal/systems/pace/gap.go
@@ -11,13 +11,16 @@
 // gapWeight is the weight of a new stream after the first few.
 const gapWeight = 0.02
 
+// priorGap is assumed before the first stream has ended.
+const priorGap = 25 * time.Millisecond
+
 // NewGap returns a gap that has seen no stream.
-func NewGap() *Gap { return &Gap{} }
+func NewGap() *Gap { return &Gap{mean: float64(priorGap)} }
 
 // Known reports whether a stream was seen.
 func (g *Gap) Known() bool { return g.seen > 0 }
 
-// Mean returns the mean pause, zero when unknown.
+// Mean returns the mean pause, an assumption before the first stream.
 func (g *Gap) Mean() time.Duration { return time.Duration(g.mean) }
 
 // Observe takes in the mean pause of a stream, divided by the speed of its
--- a/internal/systems/place/step.go
+++ b/internal/systems/place/step.go
@@ -181,7 +181,7 @@
 // sparesStreams reports whether the streams beside keep their pauses while the
 // prompt of an ask is read.
 func (s *service) sparesStreams(now time.Time, a *Ask, t *target) bool {
-	if a.GapAim <= 0 || t.open == 0 || !s.gap.Known() {
+	if a.GapAim <= 0 || t.open == 0 {
 		return true
 	}
 	reading := t.backlog(now) + t.speed.Scale(s.shape.Reading(a.Prompt))
--- /dev/null
+++ b/internal/systems/repeat/repeat_test.go
@@ -0,0 +1,80 @@
+package repeat_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bluebellseam/bluebellseam/internal/systems/repeat"
+)
+
+func TestRepeat(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "repeat")
+}
+
+var start = time.Unix(1_700_000_000, 0)
+
+var _ = Describe("The budget of repeats", func() {
+	budget := repeat.Budget{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}
+
+	It("allows the slack and the ratio, and no more", func() {
+		c := repeat.NewCounter(budget)
+		for range 100 {
+			c.Request(start, "s")
+		}
+		allowed := 0
+		for range 100 {
+			if c.Allow(start, "s", 1) {
+				allowed++
+			}
+		}
+		Expect(allowed).To(Equal(30))
+	})
+
+	It("forgets after a window", func() {
+		c := repeat.NewCounter(budget)
+		for range 10 {
+			Expect(c.Allow(start, "s", 1)).To(BeTrue())
+		}
+		Expect(c.Allow(start.Add(5*time.Second), "s", 1)).To(BeFalse())
+		Expect(c.Allow(start.Add(11*time.Second), "s", 1)).To(BeTrue())
+	})
+
+	It("keeps services apart and divides the slack", func() {
+		c := repeat.NewCounter(budget)
+		allowed := 0
+		for range 20 {
+			if c.Allow(start, "s", 0.5) {
+				allowed++
+			}
+		}
+		Expect(allowed).To(Equal(5))
+		Expect(c.Allow(start, "other", 1)).To(BeTrue())
+	})
+})
+
+var _ = Describe("Refusals", func() {
+	It("knows a caller who came back as told from one who did not wait", func() {
+		r := repeat.NewRefusals()
+		r.Add(start, 7, time.Second)
+		again, waited := r.Returns(start.Add(200*time.Millisecond), 7)
+		Expect(again).To(BeTrue())
+		Expect(waited).To(BeFalse())
+		r.Add(start, 8, time.Second)
+		again, waited = r.Returns(start.Add(time.Second), 8)
+		Expect(again).To(BeTrue())
+		Expect(waited).To(BeTrue())
+		again, _ = r.Returns(start, 9)
+		Expect(again).To(BeFalse())
+	})
+
+	It("forgets old refusals", func() {
+		r := repeat.NewRefusals()
+		r.Add(start, 7, time.Second)
+		again, _ := r.Returns(start.Add(time.Minute), 7)
+		Expect(again).To(BeFalse())
+	})
+})
--- a/internal/watch/share.go
+++ b/internal/watch/share.go
@@ -5,9 +5,12 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
 
+	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
 	"github.com/bluebellseam/bluebellseam/internal/links"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
@@ -39,6 +42,9 @@
 	watcher *Watcher
 	links   *links.Links
 	clock   clockwork.Clock
+	logger  *zap.Logger
+	// lag belongs to Run.
+	lag *links.Lag
 	// Detached is called when the last connection of a host is gone; it may be
 	// nil.
 	Detached func(tables.HostID)
@@ -57,10 +63,13 @@
 }
 
 // NewSharer returns a sharer and registers its messages with mux.
-func NewSharer(self fleet.Host, w *Watcher, l *links.Links, mux *peer.Mux, clock clockwork.Clock) *Sharer {
-	s := &Sharer{self: self, watcher: w, links: l, clock: clock, attached: make(map[*peer.Conn]*subscriber), told: make(map[*peer.Conn]int), wake: make(chan struct{}, 1)}
+func NewSharer(self fleet.Host, w *Watcher, l *links.Links, mux *peer.Mux, clock clockwork.Clock, logger *zap.Logger) *Sharer {
+	s := &Sharer{self: self, watcher: w, links: l, clock: clock, logger: logger, lag: links.NewLag(), attached: make(map[*peer.Conn]*subscriber), told: make(map[*peer.Conn]int), wake: make(chan struct{}, 1)}
 	peer.Handle(mux, methodAttach, s.onAttach)
-	peer.Handle(mux, methodNews, func(_ context.Context, _ *peer.Conn, n News) (struct{}, error) {
+	peer.Handle(mux, methodNews, func(_ context.Context, conn *peer.Conn, n News) (struct{}, error) {
+		if n.Busy {
+			l.Busy(conn)
+		}
 		w.TakeNews(n)
 		return struct{}{}, nil
 	})
@@ -138,15 +147,30 @@
 	for {
 		s.tellAttached()
 		s.tellUpwards()
+		began := s.clock.Now()
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.wake:
 		case <-s.clock.After(links.BeatEvery):
+			s.measure(s.clock.Now().Sub(began))
 		}
 	}
 }
 
+// measure notes how long a wait of BeatEvery took.
+func (s *Sharer) measure(took time.Duration) {
+	was := s.lag.Busy()
+	s.lag.Observe(links.BeatEvery, took)
+	s.lag.Sample(s.clock.Now)
+	if s.lag.Busy() {
+		s.links.Busy(nil)
+	}
+	if s.lag.Busy() != was {
+		event.HostBusy.Log(s.logger, zap.Bool("busy", !was), zap.Duration("late", took-links.BeatEvery))
+	}
+}
+
 // tellAttached sends what is new, from the first hosts. The next ones only show
 // that they are there, and send all that was missed once they are among the
 // first.
@@ -155,13 +179,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for conn, sub := range s.attached {
-		if !telling {
-			conn.Post(methodNews, News{AgeMS: ageUnknown})
-			continue
+		news := News{AgeMS: ageUnknown}
+		if telling {
+			snapshot := s.watcher.State.Since(sub.seen)
+			sub.seen = snapshot.Taken
+			news = s.watcher.news(snapshot)
 		}
-		snapshot := s.watcher.State.Since(sub.seen)
-		sub.seen = snapshot.Taken
-		conn.Post(methodNews, s.watcher.news(snapshot))
+		news.Busy = s.lag.Busy()
+		conn.Post(methodNews, news)
 	}
 }
 
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -330,6 +330,8 @@
 	// AgeMS is the time since the store confirmed it, in milliseconds;
 	// ageUnknown without.
 	AgeMS int64 `json:"age_ms"`
+	// Busy hosts are short of processor time.
+	Busy bool `json:"busy,omitempty"`
 }
 
 // ageUnknown marks news that only show that their sender is there.
