--- a/internal/pool/home.go
+++ b/internal/pool/home.go
@@ -126,7 +126,7 @@
 	case d := <-w.done:
 		return h.answer(m, d)
 	case <-ctx.Done():
-		return grantMessage{}, h.cancel(m, w)
+		return grantMessage{}, h.cancel(m)
 	}
 }
 
@@ -236,7 +236,7 @@
 
 // cancel withdraws an ask whose caller has left. A place that was granted at
 // the same moment is freed.
-func (h *Home) cancel(m askMessage, w *waiter) error {
+func (h *Home) cancel(m askMessage) error {
 	h.mu.Lock()
 	delete(h.waiting, m.ID)
 	h.table.Cancel(m.Service, m.ID)
