Give a silent target up when the request may go elsewhere

Cause: a resumable stream or an idempotent call waited for its deadline at a target that had fallen silent, although another could have answered.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -138,6 +138,7 @@
 	reported := false
 	for {
 		n, err := a.Body.Read(buffer)
+		x.silence.heard(max(gapSilence*x.route.GapAim, minSilent))
 		pending = append(pending, buffer[:n]...)
 		whole := bytes.LastIndex(pending, eventEnd) + len(eventEnd)
 		if whole >= len(eventEnd) {
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -67,16 +67,13 @@
 	event.PlaceGranted.Log(x.server.Logger, zap.String("request", x.request.ID), zap.String("target", string(target.ID)),
 		zap.Duration("expected", grant.Expected), zap.Duration("waited", began.Sub(x.request.Arrived)), zap.Uint64("config", x.config.Version))
 	x.server.Metrics.Sent(string(x.service))
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	answer, err := x.server.Targets.Send(ctx, target, call)
-	if err != nil {
-		x.sendFailed(target, err)
-		return outcomeOf(ctx, err), err
+	sending, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if x.mayMoveOn() {
+		x.silence = watchSilence(x.server.Clock, max(firstSilence*grant.Expected, minSilent), cancel)
+		defer x.silence.stop()
 	}
-	defer answer.Body.Close()
-	x.tried = append(x.tried, target.ID)
-	err = x.take(ctx, answer, func() { grant.First(x.server.Clock.Now().Sub(began)) })
+	err := x.exchangeWith(sending, target, call, func() { grant.First(x.server.Clock.Now().Sub(began)) })
 	if err != nil {
 		x.sendFailed(target, err)
 		return outcomeOf(ctx, err), err
@@ -84,6 +81,23 @@
 	return place.Good, nil
 }
 
+// mayMoveOn reports whether the request could go to a further target after
+// this one, however far this one has come.
+func (x *exchange) mayMoveOn() bool {
+	return x.route.Repeatable() && len(x.tried)+1 < x.route.MaxTargets
+}
+
+// exchangeWith sends a call and relays its answer.
+func (x *exchange) exchangeWith(ctx context.Context, target fleet.Target, call Call, onFirst func()) error {
+	answer, err := x.server.Targets.Send(ctx, target, call)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	x.tried = append(x.tried, target.ID)
+	return x.take(ctx, answer, onFirst)
+}
+
 func (x *exchange) sendFailed(target fleet.Target, err error) {
 	var failed *SendError
 	if errors.As(err, &failed) && failed.Proof != Unsent {
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -52,6 +52,8 @@
 	// tried lists the targets that the request was sent to.
 	tried []tables.TargetID
 	relay relay
+	// silence watches the present send; nil without.
+	silence *silence
 }
 
 // Serve takes one request to its end. It answers caller exactly once.
