Give an engine one request more than its slots

Cause: under overload a slot stays empty from the end of a request until the home has heard of it and the next one has travelled, some 10 ms of a stream of 500 ms and of a tag of 80 ms. One request waits at the engine instead; the wait counts in its expected first byte.

--- a/internal/systems/place/line.go
+++ b/internal/systems/place/line.go
@@ -28,6 +28,19 @@
 	rate    float64
 	at      time.Time
 	promise time.Time
+	// took is the mean time from a grant to its end.
+	took time.Duration
+}
+
+// tookWeight is that of a new request in the mean time.
+const tookWeight = 0.02
+
+// mean is the mean time from a grant to its end.
+func (l *line) mean() time.Duration { return l.took }
+
+// finished takes in the time from a grant to its end.
+func (l *line) finished(took time.Duration) {
+	l.took += time.Duration(tookWeight * float64(took-l.took))
 }
 
 // ended counts a request that freed its place.
--- a/internal/systems/place/step.go
+++ b/internal/systems/place/step.go
@@ -175,7 +175,11 @@
 
 // expected is the time to the first byte of an ask at a target.
 func (s *service) expected(now time.Time, a *Ask, t *target) time.Duration {
-	return t.backlog(now) + t.speed.Scale(s.shape.First(a.Prompt))
+	expected := t.backlog(now) + t.speed.Scale(s.shape.First(a.Prompt))
+	if t.open >= t.Slots {
+		expected += s.line.mean() / time.Duration(t.Slots)
+	}
+	return expected
 }
 
 // sparesStreams reports whether the streams beside keep their pauses while the
--- a/internal/systems/place/table.go
+++ b/internal/systems/place/table.go
@@ -189,6 +189,7 @@
 	delete(t.grants, id)
 	s := t.service(g.ask.Service)
 	s.line.ended(now)
+	s.line.finished(now.Sub(g.at))
 	g.target.release(now, g, outcome, s.shape)
 	if g.target.gone && g.target.open <= 0 {
 		delete(s.targets, g.target.ID)
--- a/internal/systems/place/target.go
+++ b/internal/systems/place/target.go
@@ -20,6 +20,9 @@
 	failingAfter = 6
 	// failureWeight is that of a new answer in the share of failures.
 	failureWeight = 0.15
+	// spareSlots are given beyond the slots of a target with spareFrom or more.
+	spareSlots = 1
+	spareFrom  = 8
 	// unknownSlots bounds the requests at a target that has answered none yet.
 	unknownSlots = 2
 )
@@ -59,12 +62,19 @@
 	return &target{Target: t, reading: make(map[ID]*grant)}
 }
 
-// slots is the number of requests that the target may have at once.
+// slots is the number of requests that the target may have at once. A large one
+// gets spareSlots more than it serves, which wait there for the next end: a
+// place would otherwise stay empty while the home hears of the end and the next
+// request travels.
 func (t *target) slots() int {
-	if !t.speed.Known() {
+	switch {
+	case !t.speed.Known():
 		return min(unknownSlots, t.Slots)
+	case t.Slots >= spareFrom:
+		return t.Slots + spareSlots
+	default:
+		return t.Slots
 	}
-	return t.Slots
 }
 
 // usable reports whether a new request may go to the target.
