--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -131,7 +131,10 @@
 func (p *Process) policy() pool.Policy {
 	b := p.settings.Bounds
 	return pool.Policy{
-		Quota: quota.Slack{Rate: b.QuotaOvershoot * quotaShare, Burst: b.QuotaOvershoot * quotaShare, Tokens: b.QuotaSlack * quotaShare},
+		Quota: quota.Bounds{
+			Window:    time.Duration(b.QuotaWindowS * float64(time.Second)),
+			Overshoot: b.QuotaOvershoot * quotaShare, Slack: b.QuotaSlack * quotaShare,
+		},
 		Repeat: repeat.Budget{
 			Ratio: b.RetryBudgetRatio * repeatShare, Slack: b.BudgetSlack * repeatShare,
 			Window: time.Duration(b.BudgetWindowS * float64(time.Second)),
--- a/internal/pool/home.go
+++ b/internal/pool/home.go
@@ -24,7 +24,7 @@
 	stepEvery = 10 * time.Millisecond
 	// stepGap is the least time between two looks at a queue, which bounds the
 	// processor time under overload.
-	stepGap = 2 * time.Millisecond
+	stepGap = 4 * time.Millisecond
 )
 
 // View is what a home needs to know of the deployment.
@@ -35,7 +35,7 @@
 
 // Policy holds the bounds that a home keeps for all hosts.
 type Policy struct {
-	Quota  quota.Slack
+	Quota  quota.Bounds
 	Repeat repeat.Budget
 	// StartShare is the part of its burst that a customer has at a new home.
 	StartShare float64
@@ -139,8 +139,11 @@
 	if m.Repeat && !h.repeats.Allow(now, m.Service, share) {
 		return nil, errkind.New(errkind.RepeatBudget, fmt.Sprintf("the budget of repeats of service %q is used up", m.Service))
 	}
-	if wait := h.buckets.Take(now, m.Customer, h.quotaOf(m.Customer), share, m.Tokens); wait > 0 {
-		return nil, errkind.NewRetry(errkind.CustomerLimit, fmt.Sprintf("customer %q is above its quota", m.Customer), wait)
+	limit := h.quotaOf(m.Customer)
+	if wait := h.buckets.Take(now, m.Customer, limit, share, m.Tokens); wait > 0 {
+		detail := fmt.Sprintf("customer %q: %d tokens are above its quota of %.0f a second and a burst of %.0f, of which this home gives %.2f",
+			m.Customer, m.Tokens, limit.TokensPerSecond, limit.Burst, share)
+		return nil, errkind.NewRetry(errkind.CustomerLimit, detail, wait)
 	}
 	if !m.Repeat {
 		h.repeats.Request(now, m.Service)
@@ -150,6 +153,7 @@
 	h.waiting[m.ID] = w
 	ask := m.toAsk(now)
 	ask.Late, ask.Returned = h.refused.Returns(now, m.Content)
+	ask.Above = h.buckets.Above(m.Customer)
 	h.table.Add(ask)
 	return w, nil
 }
--- a/internal/systems/place/ask.go
+++ b/internal/systems/place/ask.go
@@ -36,6 +36,9 @@
 	Returned bool
 	// Late is true for a request whose first byte was due at an earlier attempt.
 	Late bool
+	// Above is true when the customer uses more than its rate; others of equal
+	// tier and urgency go first.
+	Above bool
 	// Avoid lists targets that have failed the request.
 	Avoid []tables.TargetID
 }
--- a/internal/systems/place/place_test.go
+++ b/internal/systems/place/place_test.go
@@ -178,6 +178,20 @@
 		Expect(order).To(Equal([]place.ID{3, 2, 1}))
 	})
 
+	It("serves customers within their rate before one above it, tier by tier", func() {
+		table := warmed(1, "t1")
+		fill(table, 1)
+		above, within, lower := ask(1, 1), ask(2, 2), ask(3, 3)
+		above.Above, lower.Tier = true, 1
+		for _, a := range []*place.Ask{lower, above, within} {
+			table.Add(a)
+		}
+		table.End(at(10), 1000, place.Good)
+		Expect(granted(table.Step(at(10)))).To(HaveKey(place.ID(2)))
+		table.End(at(20), 2, place.Good)
+		Expect(granted(table.Step(at(20)))).To(HaveKey(place.ID(1)))
+	})
+
 	It("lets requests that can be in time pass those that are late", func() {
 		table := warmed(1, "t1")
 		fill(table, 1)
--- a/internal/systems/place/step.go
+++ b/internal/systems/place/step.go
@@ -38,9 +38,10 @@
 func (t *Table) stepService(now time.Time, s *service, out []Decision) []Decision {
 	slices.SortStableFunc(s.queue, func(a, b *Ask) int { return order(now, a, b) })
 	free := s.free(now)
+	var without placeless
 	kept := s.queue[:0]
 	for _, a := range s.queue {
-		d, decided := t.decide(now, s, a, free)
+		d, decided := t.decide(now, s, a, free, &without)
 		if decided {
 			out = append(out, d)
 			free = s.stillFree(free)
@@ -68,8 +69,8 @@
 	return slices.DeleteFunc(targets, func(t *target) bool { return t.open >= t.places(s.line.mean()) })
 }
 
-// order sorts asks that can still be in time before late ones, then by tier,
-// by urgency and by aim. Of the late ones, those that have come back go first.
+// order sorts asks that can still be in time before late ones, then by tier
+// and urgency, those of customers within their rate first, and by aim. Of the late ones, those that have come back go first.
 func order(now time.Time, a, b *Ask) int {
 	aLate, bLate := a.late(now), b.late(now)
 	switch {
@@ -85,18 +86,49 @@
 		return a.Tier - b.Tier
 	case a.Urgency != b.Urgency:
 		return a.Urgency - b.Urgency
+	case a.Above != b.Above && a.Above:
+		return 1
+	case a.Above != b.Above:
+		return -1
 	default:
 		return a.AimAt.Compare(b.AimAt)
 	}
 }
 
-func (t *Table) decide(now time.Time, s *service, a *Ask, free []*target) (Decision, bool) {
+// placeless remembers an ask that found no place in this step, one that can be
+// in time and one that is late, so that those that need more of a target are
+// not rated at all. This keeps a long queue cheap.
+type placeless struct {
+	inTime, late *Ask
+}
+
+// covers reports whether an ask needs no less of a target than one that found
+// no place.
+func (p *placeless) covers(now time.Time, a *Ask) bool {
+	if a.late(now) {
+		return p.late != nil && a.Prompt >= p.late.Prompt
+	}
+	return p.inTime != nil && a.Prompt >= p.inTime.Prompt && !a.AimAt.After(p.inTime.AimAt)
+}
+
+func (p *placeless) add(now time.Time, a *Ask) {
+	if a.late(now) {
+		p.late = a
+		return
+	}
+	p.inTime = a
+}
+
+func (t *Table) decide(now time.Time, s *service, a *Ask, free []*target, without *placeless) (Decision, bool) {
 	if len(s.targets) == 0 {
 		return Decision{Ask: a, Reason: NoTargets, RetryAfter: noTargetRetry}, true
 	}
-	best, expected := s.best(now, a, free)
-	if best != nil && s.timely(now, a, best, expected) {
-		return t.grant(now, s, a, best, expected), true
+	if len(free) > 0 && !without.covers(now, a) {
+		best, expected := s.best(now, a, free)
+		if best != nil && s.timely(now, a, best, expected) {
+			return t.grant(now, s, a, best, expected), true
+		}
+		without.add(now, a)
 	}
 	if !now.Before(a.HoldUntil) {
 		return t.refuse(now, s, a), true
--- a/internal/systems/quota/quota.go
+++ b/internal/systems/quota/quota.go
@@ -12,29 +12,46 @@
 // Buckets holds a token bucket for each customer. One goroutine or lock owns
 // it.
 type Buckets struct {
-	rows  map[tables.CustomerID]*bucket
-	start float64
-	slack Slack
+	rows   map[tables.CustomerID]*bucket
+	start  float64
+	bounds Bounds
 }
 
-// Slack is what may be used beyond the quota of a customer.
-type Slack struct {
-	// Rate and Burst are shares of the configured rate and burst.
-	Rate, Burst float64
-	// Tokens are added to the burst.
-	Tokens float64
+// Bounds says what a customer may use in any window: its rate times the window
+// and its burst, lengthened by Overshoot as a share, and Slack tokens.
+type Bounds struct {
+	Window    time.Duration
+	Overshoot float64
+	Slack     float64
 }
 
+// burstShare of a customer's burst may be used at once; the rest of what a
+// window allows is spread over it, so that one customer's burst does not crowd
+// the others out.
+const burstShare = 0.5
+
 type bucket struct {
 	quota fleet.Quota
 	level float64
-	at    time.Time
+	// fair is what the customer has left of its bare rate; below zero, others of
+	// its tier go first.
+	fair float64
+	at   time.Time
 }
 
+const (
+	// fairBurst is the time at its rate that a customer may use at once and
+	// still count as within it.
+	fairBurst = time.Second
+	// fairDebt bounds how long a customer counts as above its rate after it has
+	// slowed down.
+	fairDebt = 2 * time.Second
+)
+
 // NewBuckets returns empty buckets. A bucket begins with a share of its burst,
 // which is less than 1 where an unknown part may have been used before.
-func NewBuckets(startShare float64, slack Slack) *Buckets {
-	return &Buckets{rows: make(map[tables.CustomerID]*bucket), start: startShare, slack: slack}
+func NewBuckets(startShare float64, bounds Bounds) *Buckets {
+	return &Buckets{rows: make(map[tables.CustomerID]*bucket), start: startShare, bounds: bounds}
 }
 
 // Take uses tokens of a customer, or returns the wait after which they are
@@ -47,12 +64,20 @@
 	need := min(float64(tokens), b.burst(q, share))
 	if row.level >= need {
 		row.level -= float64(tokens)
+		row.fair = max(row.fair-float64(tokens), -fairDebt.Seconds()*q.TokensPerSecond*share)
 		return 0
 	}
 	seconds := (need - row.level) / b.rate(q, share)
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// Above reports whether a customer has lately used more than its bare rate,
+// without what the bounds allow beyond it.
+func (b *Buckets) Above(id tables.CustomerID) bool {
+	row := b.rows[id]
+	return row != nil && row.fair < 0
+}
+
 // Return gives back the tokens of a request that did not run.
 func (b *Buckets) Return(id tables.CustomerID, tokens int) {
 	if row := b.rows[id]; row != nil {
@@ -68,23 +93,31 @@
 	b.refill(now, id, q, share).level -= tokens
 }
 
+// rate is what a bucket gains in a second, such that no window gives more than
+// the bounds.
 func (b *Buckets) rate(q fleet.Quota, share float64) float64 {
-	return max(q.TokensPerSecond*(1+b.slack.Rate)*share, 1)
+	window := b.bounds.Window.Seconds()
+	if window <= 0 {
+		return max(q.TokensPerSecond*share, 1)
+	}
+	most := (q.TokensPerSecond*window+q.Burst)*(1+b.bounds.Overshoot) + b.bounds.Slack
+	return max((most-burstShare*q.Burst)/window*share, 1)
 }
 
 func (b *Buckets) burst(q fleet.Quota, share float64) float64 {
-	return max((q.Burst*(1+b.slack.Burst)+b.slack.Tokens)*share, 1)
+	return max(burstShare*q.Burst*share, 1)
 }
 
 func (b *Buckets) refill(now time.Time, id tables.CustomerID, q fleet.Quota, share float64) *bucket {
 	row := b.rows[id]
 	if row == nil {
-		row = &bucket{quota: q, level: b.start * b.burst(q, share), at: now}
+		row = &bucket{quota: q, level: b.start * b.burst(q, share), fair: fairBurst.Seconds() * q.TokensPerSecond * share, at: now}
 		b.rows[id] = row
 	}
 	row.quota = q
 	if elapsed := now.Sub(row.at).Seconds(); elapsed > 0 {
 		row.level += elapsed * b.rate(q, share)
+		row.fair = min(row.fair+elapsed*q.TokensPerSecond*share, fairBurst.Seconds()*q.TokensPerSecond*share)
 		row.at = now
 	}
 	row.level = min(row.level, b.burst(q, share))
