--- a/internal/observe/bounded.go
+++ b/internal/observe/bounded.go
@@ -17,6 +17,8 @@
 	logBurst          = 1500
 	// logQueue is the number of lines that wait for a slow reader.
 	logQueue = 2048
+	// gatherFor is how long lines wait to be written together.
+	gatherFor = 10 * time.Millisecond
 	// droppedEvery is how often the number of lines left out is logged.
 	droppedEvery = time.Second
 )
@@ -53,7 +55,8 @@
 	for {
 		select {
 		case line := <-b.lines:
-			b.write(line)
+			time.Sleep(gatherFor)
+			b.write(b.gather(line))
 		case <-ticker.C:
 			b.reportDropped()
 		case <-b.done:
@@ -74,7 +77,19 @@
 	}
 }
 
-// write passes one line on. There is no other place to report its error to.
+// gather appends the lines that wait to one.
+func (b *BoundedLog) gather(lines []byte) []byte {
+	for {
+		select {
+		case line := <-b.lines:
+			lines = append(lines, line...)
+		default:
+			return lines
+		}
+	}
+}
+
+// write passes lines on. There is no other place to report its error to.
 func (b *BoundedLog) write(line []byte) { _, _ = b.out.Write(line) }
 
 func (b *BoundedLog) reportDropped() {
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -43,6 +44,7 @@
 	open    map[place.ID]openGrant
 	tokens  *usage
 	learned place.Learned
+	limited map[tables.CustomerID]limited
 	home    tables.HostID
 	// outbox holds the reports that go to each home.
 	outbox map[tables.HostID]*reportMessage
@@ -72,10 +74,11 @@
 func NewClient(self fleet.Host, l *links.Links, own, alone *Home, firstID uint64, clock clockwork.Clock, logger *zap.Logger) *Client {
 	return &Client{
 		self: self, links: l, own: own, alone: alone, clock: clock, logger: logger,
-		nextID: place.ID(firstID),
-		open:   make(map[place.ID]openGrant),
-		tokens: newUsage(tokensWindow),
-		outbox: make(map[tables.HostID]*reportMessage),
+		nextID:  place.ID(firstID),
+		open:    make(map[place.ID]openGrant),
+		tokens:  newUsage(tokensWindow),
+		limited: make(map[tables.CustomerID]limited),
+		outbox:  make(map[tables.HostID]*reportMessage),
 	}
 }
 
@@ -137,6 +140,9 @@
 // Ask returns a place for a request. Errors have a kind that proves that the
 // request was not sent.
 func (c *Client) Ask(ctx context.Context, w Wish) (*Grant, error) {
+	if err := c.stillLimited(w); err != nil {
+		return nil, err
+	}
 	m := c.message(w)
 	for _, live := range c.links.Live() {
 		g, err := c.askHome(ctx, live, m)
@@ -153,6 +159,40 @@
 	return c.finish(w, m, links.Live{}, g, err)
 }
 
+// limited is a customer whose quota was used up when it was last asked for.
+type limited struct {
+	until  time.Time
+	tokens int
+}
+
+// limitKept bounds how long a refusal by quota stands for further requests of
+// the customer that need as much, so that those do not load the home.
+const limitKept = 200 * time.Millisecond
+
+// noteLimit remembers a refusal by quota.
+func (c *Client) noteLimit(w Wish, err error) {
+	if errkind.Of(err) != errkind.CustomerLimit {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wait := min(errkind.RetryAfterOf(err), limitKept)
+	c.limited[w.Customer] = limited{until: c.clock.Now().Add(wait), tokens: w.Tokens}
+}
+
+// stillLimited refuses a request whose customer had no tokens for less a moment
+// ago.
+func (c *Client) stillLimited(w Wish) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, known := c.limited[w.Customer]
+	left := l.until.Sub(c.clock.Now())
+	if !known || left <= 0 || w.Tokens < l.tokens {
+		return nil
+	}
+	return errkind.NewRetry(errkind.CustomerLimit, fmt.Sprintf("customer %q had no %d tokens %s ago", w.Customer, l.tokens, limitKept-left), left)
+}
+
 func (c *Client) newID() place.ID {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -240,6 +280,7 @@
 
 func (c *Client) finish(w Wish, m askMessage, live links.Live, g grantMessage, err error) (*Grant, error) {
 	if err != nil {
+		c.noteLimit(w, err)
 		return nil, err
 	}
 	grant := &Grant{Target: g.Target, Expected: fromMS(float64(g.ExpectedMS)), client: c, id: m.ID, service: m.Service, host: live.Host.ID}
