--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -52,18 +52,17 @@
 		Tier:    x.tier(),
 		Urgency: x.route.Tier,
 		Prompt:  x.request.Prompt,
-		Output:  x.output(),
 		Aim:     x.aim() - now.Sub(x.request.Arrived),
-		Until:   defaultPatience,
 		GapAim:  x.route.GapAim,
 		Avoid:   append([]tables.TargetID(nil), x.tried...),
 		Content: x.request.Content,
 		Repeat:  repeat,
 	}
+	left := defaultPatience
 	if !x.until.IsZero() {
-		w.Until = x.until.Sub(now)
+		left = x.until.Sub(now)
 	}
-	w.Hold = x.hold(w.Until)
+	w.Hold = x.hold(left)
 	if x.customer != nil {
 		w.Customer = x.customer.Name
 		w.Tokens = x.tokens()
@@ -96,14 +95,6 @@
 	return x.route.Tier
 }
 
-// output is the expected number of tokens made.
-func (x *exchange) output() int {
-	if x.request.LikelyOutput > 0 {
-		return x.request.LikelyOutput
-	}
-	return x.request.Output
-}
-
 // tokens is what the request counts against the quota of its customer.
 func (x *exchange) tokens() int {
 	if x.request.Counted {
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -84,7 +84,6 @@
 
 // broken is the error of a send that may have run.
 func (x *exchange) broken(cause error) error {
-	x.relay.mayHaveRun = true
 	return &SendError{Proof: MayHaveRun, Cause: cause}
 }
 
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -32,8 +32,6 @@
 	// Counted is false when the caller states none.
 	Prompt, Output int
 	Counted        bool
-	// LikelyOutput is the caller's estimate of the tokens made, zero without.
-	LikelyOutput int
 	// After is the last event that the caller has, empty without.
 	After string
 	// Content is equal for requests of equal content from one caller.
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -100,6 +100,9 @@
 
 func (x *exchange) sendFailed(target fleet.Target, err error) {
 	var failed *SendError
+	if errors.As(err, &failed) && failed.Proof == MayHaveRun {
+		x.relay.mayHaveRun = true
+	}
 	if errors.As(err, &failed) && failed.Proof != Unsent {
 		if n := len(x.tried); n == 0 || x.tried[n-1] != target.ID {
 			x.tried = append(x.tried, target.ID)
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -52,15 +52,14 @@
 
 // Wish is what a request needs of a place.
 type Wish struct {
-	Request        string
-	Service        tables.ServiceID
-	Customer       tables.CustomerID
-	Tier, Urgency  int
-	Prompt, Output int
-	Tokens         int
-	// Aim is the time left until the first byte is due, Until that until the
-	// caller waits no longer.
-	Aim, Until, GapAim time.Duration
+	Request       string
+	Service       tables.ServiceID
+	Customer      tables.CustomerID
+	Tier, Urgency int
+	Prompt        int
+	Tokens        int
+	// Aim is the time left until the first byte is due.
+	Aim, GapAim time.Duration
 	// Hold is how long the request may wait for a place at all.
 	Hold time.Duration
 	// Content is equal for requests of equal content.
@@ -204,8 +203,8 @@
 	return askMessage{
 		ID: c.newID(), Request: w.Request, Host: c.self.ID, Domain: c.self.Domain,
 		Service: w.Service, Customer: w.Customer, Tier: w.Tier, Urgency: w.Urgency,
-		Prompt: w.Prompt, Output: w.Output, Tokens: w.Tokens,
-		AimMS: w.Aim.Milliseconds(), UntilMS: w.Until.Milliseconds(), GapMS: w.GapAim.Milliseconds(),
+		Prompt: w.Prompt, Tokens: w.Tokens,
+		AimMS: w.Aim.Milliseconds(), GapMS: w.GapAim.Milliseconds(),
 		HoldMS: w.Hold.Milliseconds(), Avoid: w.Avoid, Content: w.Content, Repeat: w.Repeat,
 	}
 }
--- a/internal/pool/home.go
+++ b/internal/pool/home.go
@@ -169,8 +169,8 @@
 func (m askMessage) toAsk(now time.Time) *place.Ask {
 	return &place.Ask{
 		ID: m.ID, Host: m.Host, Service: m.Service, Customer: m.Customer, Domain: m.Domain,
-		Tier: m.Tier, Urgency: m.Urgency, Prompt: m.Prompt, Output: m.Output,
-		Came: now, AimAt: now.Add(fromMS(float64(m.AimMS))), UntilAt: now.Add(fromMS(float64(m.UntilMS))),
+		Tier: m.Tier, Urgency: m.Urgency, Prompt: m.Prompt,
+		Came: now, AimAt: now.Add(fromMS(float64(m.AimMS))),
 		GapAim: fromMS(float64(m.GapMS)), HoldUntil: now.Add(fromMS(float64(m.HoldMS))), Avoid: m.Avoid,
 	}
 }
--- a/internal/pool/messages.go
+++ b/internal/pool/messages.go
@@ -30,12 +30,10 @@
 	Tier     int               `json:"t"`
 	Urgency  int               `json:"y,omitempty"`
 	Prompt   int               `json:"p,omitempty"`
-	Output   int               `json:"o,omitempty"`
 	// Tokens counts against the quota of the customer.
-	Tokens  int   `json:"q,omitempty"`
-	AimMS   int64 `json:"a"`
-	UntilMS int64 `json:"u"`
-	GapMS   int64 `json:"g,omitempty"`
+	Tokens int   `json:"q,omitempty"`
+	AimMS  int64 `json:"a"`
+	GapMS  int64 `json:"g,omitempty"`
 	// HoldMS is how long the ask may wait for a place at all.
 	HoldMS int64             `json:"w"`
 	Avoid  []tables.TargetID `json:"x,omitempty"`
--- a/internal/systems/place/ask.go
+++ b/internal/systems/place/ask.go
@@ -22,11 +22,10 @@
 	// Tier is the rank of the customer, or of the route where the customer has
 	// none; 0 goes first. Urgency is that of the route, within a tier.
 	Tier, Urgency int
-	// Prompt is the number of tokens to read, Output that of tokens to make.
-	Prompt, Output int
-	// Came is when the ask arrived, AimAt when the first byte is due, and
-	// UntilAt when the caller waits no longer.
-	Came, AimAt, UntilAt time.Time
+	// Prompt is the number of tokens to read.
+	Prompt int
+	// Came is when the ask arrived, and AimAt when the first byte is due.
+	Came, AimAt time.Time
 	// GapAim is the longest pause between events; zero means none.
 	GapAim time.Duration
 	// HoldUntil is when an ask that is late already is refused.
