--- a/internal/observe/bounded_test.go
+++ b/internal/observe/bounded_test.go
@@ -14,7 +14,7 @@
 var _ = Describe("BoundedLog", func() {
 	It("does not block its callers when nobody reads, and counts what it leaves out", func() {
 		reader, writer := io.Pipe()
-		defer reader.Close()
+		defer func() { _ = reader.Close() }()
 		b := observe.NewBoundedLog(writer)
 		var left int64
 		reported := make(chan struct{}, 16)
