--- a/internal/capacity/feed.go
+++ b/internal/capacity/feed.go
@@ -12,7 +12,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/feed"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/standin/hostlist"
 	"github.com/bluebellseam/bluebellseam/internal/standin/logstore"
 	"github.com/bluebellseam/bluebellseam/internal/systems/membership"
@@ -81,7 +81,7 @@
 	if _, err := source.List().List(ctx); err != nil {
 		return nil, fmt.Errorf("list: %w", err)
 	}
-	if _, err := source.Log().Read(ctx, platform.ConfigStream, 0, 0); err != nil {
+	if _, err := source.Log().Read(ctx, ports.ConfigStream, 0, 0); err != nil {
 		return nil, fmt.Errorf("log: %w", err)
 	}
 	now := time.Unix(1_800_000_000, 0)
--- a/internal/capacity/leases.go
+++ b/internal/capacity/leases.go
@@ -7,7 +7,7 @@
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/standin/logstore"
 	"github.com/bluebellseam/bluebellseam/internal/systems/demand"
 	"github.com/bluebellseam/bluebellseam/internal/systems/lease"
@@ -44,29 +44,29 @@
 	}.Encode()
 }
 
-func readRecord(ctx context.Context, c platform.Log, _ []byte) error {
-	_, err := c.Read(ctx, platform.LeaseStream, 0, 0)
+func readRecord(ctx context.Context, c ports.Log, _ []byte) error {
+	_, err := c.Read(ctx, ports.LeaseStream, 0, 0)
 	return err
 }
 
-func appendRecord(ctx context.Context, c platform.Log, data []byte) error {
-	_, err := c.Append(ctx, platform.LeaseStream, data)
+func appendRecord(ctx context.Context, c ports.Log, data []byte) error {
+	_, err := c.Append(ctx, ports.LeaseStream, data)
 	return err
 }
 
 // bytesOfRecord measures the bytes of one call of a log whose lease stream
 // holds one record, or begins with it.
-func (m *meter) bytesOfRecord(name, per string, data []byte, call func(context.Context, platform.Log, []byte) error) {
+func (m *meter) bytesOfRecord(name, per string, data []byte, call func(context.Context, ports.Log, []byte) error) {
 	if m.err != nil {
 		return
 	}
 	log := logstore.New(clockwork.NewRealClock(), logstore.Options{})
-	if _, m.err = log.Append(context.Background(), platform.LeaseStream, data); m.err != nil {
+	if _, m.err = log.Append(context.Background(), ports.LeaseStream, data); m.err != nil {
 		return
 	}
 	var n float64
 	n, m.err = bytesOfPoll(log.Handler(), func(ctx context.Context, address string) func() error {
-		c := platform.NewLogClient("http://"+address, nil)
+		c := ports.NewLogClient("http://"+address, nil)
 		return func() error { return call(ctx, c, data) }
 	})
 	m.add(name, n, Bytes, per, "HTTP both ways over one connection")
--- a/internal/capacity/listing.go
+++ b/internal/capacity/listing.go
@@ -8,7 +8,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/standin/hostlist"
 )
 
@@ -28,7 +28,7 @@
 	server := &http.Server{Handler: list.Handler()}
 	go func() { _ = server.Serve(counted) }()
 	defer func() { _ = server.Close() }()
-	client := platform.NewHostListClient("http://"+listener.Addr().String(), nil)
+	client := ports.NewHostListClient("http://"+listener.Addr().String(), nil)
 	if _, err := client.List(context.Background()); err != nil {
 		return err
 	}
--- a/internal/capacity/members.go
+++ b/internal/capacity/members.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/peer"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/systems/membership"
 	"github.com/bluebellseam/bluebellseam/internal/systems/owner"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -44,7 +44,7 @@
 	m.add("members.listing_bytes", float64(len(data)), Bytes, "read of the host list", "JSON at the target size")
 	m.add("members.table_memory", memory, Bytes, "process", "heap of the table at the target size")
 	m.time("members.take_listing", "read of the host list", "decoding, Table.List and Table.Tick", func() {
-		var l platform.Listing
+		var l ports.Listing
 		_ = json.Unmarshal(data, &l)
 		table.List(now, l)
 		table.Tick(now)
--- a/internal/capacity/polls.go
+++ b/internal/capacity/polls.go
@@ -11,7 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/standin/engine"
 	"github.com/bluebellseam/bluebellseam/internal/standin/logstore"
 	"github.com/bluebellseam/bluebellseam/internal/systems/lease"
@@ -26,9 +26,9 @@
 func pollSlopes(Size) ([]Slope, error) {
 	log := logstore.New(clockwork.NewRealClock(), logstore.Options{})
 	read, err := bytesOfPoll(log.Handler(), func(ctx context.Context, address string) func() error {
-		c := platform.NewLogClient("http://"+address, nil)
+		c := ports.NewLogClient("http://"+address, nil)
 		return func() error {
-			_, err := c.Read(ctx, platform.ConfigStream, 0, 0)
+			_, err := c.Read(ctx, ports.ConfigStream, 0, 0)
 			return err
 		}
 	})
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/config"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -102,8 +102,8 @@
 }
 
 // listing returns the platform's host list at this size.
-func (s Size) listing() platform.Listing {
-	l := platform.Listing{Version: 1, Targets: make(map[tables.TargetID]tables.HostState)}
+func (s Size) listing() ports.Listing {
+	l := ports.Listing{Version: 1, Targets: make(map[tables.TargetID]tables.HostState)}
 	for i := range s.Nodes {
 		l.Hosts = append(l.Hosts, s.host(i))
 	}
--- a/internal/claims/home.go
+++ b/internal/claims/home.go
@@ -11,7 +11,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/systems/claim"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
@@ -256,5 +256,5 @@
 }
 
 func streamOf(shard int) string {
-	return platform.ClaimStreamPrefix + strconv.Itoa(shard)
+	return ports.ClaimStreamPrefix + strconv.Itoa(shard)
 }
--- a/internal/claims/home_test.go
+++ b/internal/claims/home_test.go
@@ -16,7 +16,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/claims"
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/standin/logstore"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
@@ -76,11 +76,11 @@
 
 // countingLog counts the records that are read from a log.
 type countingLog struct {
-	platform.Log
+	ports.Log
 	records atomic.Int64
 }
 
-func (l *countingLog) Read(ctx context.Context, stream string, from platform.Offset, wait time.Duration) (platform.Page, error) {
+func (l *countingLog) Read(ctx context.Context, stream string, from ports.Offset, wait time.Duration) (ports.Page, error) {
 	p, err := l.Log.Read(ctx, stream, from, wait)
 	l.records.Add(int64(len(p.Records)))
 	return p, err
@@ -88,7 +88,7 @@
 
 func (w *world) home(host tables.HostID) *claims.Home { return w.homeOn(host, w.log) }
 
-func (w *world) homeOn(host tables.HostID, log platform.Log) *claims.Home {
+func (w *world) homeOn(host tables.HostID, log ports.Log) *claims.Home {
 	h := claims.NewHome(claims.Options{Log: log, Host: host})
 	ctx, cancel := context.WithCancel(context.Background())
 	w.cancels = append(w.cancels, cancel)
@@ -208,7 +208,7 @@
 		Expect(acquire(w.b, key, request("g")).Outcome).To(HaveField("Kind", errkind.RanFailed))
 	}))
 	It("skips records that are older than any key", inWorld(func(w *world) {
-		stream := platform.ClaimStreamPrefix + "5"
+		stream := ports.ClaimStreamPrefix + "5"
 		for range 40_000 {
 			_, err := w.log.Append(context.Background(), stream, []byte("old"))
 			Expect(err).NotTo(HaveOccurred())
@@ -229,7 +229,7 @@
 		key := keyAt(time.Now())
 		acquire(w.a, key, request("g"))
 		shard := w.a.ShardOf("c", "s", key)
-		w.log.Truncate(platform.ClaimStreamPrefix+strconv.Itoa(shard), 1)
+		w.log.Truncate(ports.ClaimStreamPrefix+strconv.Itoa(shard), 1)
 		Expect(acquire(w.home("c"), key, request("g")).Kind).To(Equal(errkind.KeyExpired))
 	}))
 })
--- a/internal/claims/options.go
+++ b/internal/claims/options.go
@@ -8,7 +8,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/systems/claim"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
@@ -48,7 +48,7 @@
 // Options are the collaborators and bounds of a Home. Zero durations and
 // counts mean the defaults.
 type Options struct {
-	Log    platform.Log
+	Log    ports.Log
 	Clock  clockwork.Clock
 	Logger *zap.Logger
 	Host   tables.HostID
--- a/internal/claims/outcome.go
+++ b/internal/claims/outcome.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/bluebellseam/bluebellseam/internal/peer"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/systems/claim"
 )
 
@@ -26,7 +26,7 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	stream := streamOf(id.key.Shard(h.opts.Shards))
-	page, err := h.opts.Log.Read(ctx, stream, platform.Offset(offset), 0)
+	page, err := h.opts.Log.Read(ctx, stream, ports.Offset(offset), 0)
 	if err != nil || len(page.Records) == 0 {
 		return peer.Outcome{}, false
 	}
--- a/internal/claims/read.go
+++ b/internal/claims/read.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebellseam/bluebellseam/internal/event"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/systems/claim"
 )
 
@@ -24,12 +24,12 @@
 			return
 		}
 		switch {
-		case errors.Is(err, platform.ErrTruncated):
+		case errors.Is(err, ports.ErrTruncated):
 			from = page.First
 		case err != nil:
 			s.sleep(ctx, readRetry)
 		default:
-			from += platform.Offset(len(page.Records))
+			from += ports.Offset(len(page.Records))
 			if from >= page.Next {
 				wait = readWait
 			}
@@ -41,11 +41,11 @@
 // older than any key that can be claimed. It searches by the log's times, which
 // may go back by the skew at most. A log that cannot be read is read from its
 // beginning later.
-func (s *shard) findStart(ctx context.Context) platform.Offset {
+func (s *shard) findStart(ctx context.Context) ports.Offset {
 	opts := s.home.opts
 	oldest := s.now().Add(-opts.Window - searchMargin*opts.Skew)
 	page, err := opts.Log.Read(ctx, s.stream, 0, 0)
-	if err != nil && !errors.Is(err, platform.ErrTruncated) {
+	if err != nil && !errors.Is(err, ports.ErrTruncated) {
 		return 0
 	}
 	low, high := page.First, page.Next
@@ -84,7 +84,7 @@
 func (s *shard) fold(r readResult) {
 	now := s.now()
 	switch {
-	case errors.Is(r.err, platform.ErrTruncated):
+	case errors.Is(r.err, ports.ErrTruncated):
 		s.truncated(r.page)
 		return
 	case r.err != nil:
@@ -105,14 +105,14 @@
 		s.foldRecord(now, record)
 	}
 	s.system.Decide(now)
-	s.from = r.from + platform.Offset(len(r.page.Records))
+	s.from = r.from + ports.Offset(len(r.page.Records))
 	if !s.ready && s.from >= s.target {
 		s.ready = true
 		s.markOpened()
 	}
 }
 
-func (s *shard) foldRecord(now time.Time, record platform.Record) {
+func (s *shard) foldRecord(now time.Time, record ports.Record) {
 	batch, err := claim.Decode(record.Data)
 	if err != nil {
 		event.RecordIgnored.Log(s.home.opts.Logger, zap.String("stream", s.stream),
@@ -123,7 +123,7 @@
 }
 
 // truncated starts the table anew from the oldest record that is kept.
-func (s *shard) truncated(page platform.Page) {
+func (s *shard) truncated(page ports.Page) {
 	if s.started {
 		event.LogTruncated.Log(s.home.opts.Logger, zap.String("stream", s.stream), zap.Int64("first", int64(page.First)))
 	}
@@ -132,7 +132,7 @@
 }
 
 // oldestTime bounds the time of the records that are gone.
-func oldestTime(page platform.Page, now time.Time) time.Time {
+func oldestTime(page ports.Page, now time.Time) time.Time {
 	if len(page.Records) > 0 {
 		return page.Records[0].Time
 	}
--- a/internal/claims/shard.go
+++ b/internal/claims/shard.go
@@ -10,7 +10,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/event"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/systems/claim"
 )
 
@@ -33,8 +33,8 @@
 	flushing []chan struct{}
 	// from is the next offset to fold; ready states that the table covers
 	// the stream up to what was its end when reading began.
-	from     platform.Offset
-	target   platform.Offset
+	from     ports.Offset
+	target   ports.Offset
 	started  bool
 	ready    bool
 	lastUsed time.Time
@@ -44,8 +44,8 @@
 }
 
 type readResult struct {
-	from platform.Offset
-	page platform.Page
+	from ports.Offset
+	page ports.Page
 	err  error
 }
 
@@ -290,7 +290,7 @@
 	switch {
 	case err == nil:
 		return claim.Appended
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, ports.ErrUnavailable):
 		return claim.Refused
 	default:
 		return claim.Unknown
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 func TestConfig(t *testing.T) {
@@ -54,10 +54,10 @@
 	return out
 }
 
-func record(at platform.Offset, r config.LogRecord) platform.Record {
+func record(at ports.Offset, r config.LogRecord) ports.Record {
 	data, err := r.Encode()
 	Expect(err).NotTo(HaveOccurred())
-	return platform.Record{Offset: at, Time: time.Unix(int64(at), 0), Data: data}
+	return ports.Record{Offset: at, Time: time.Unix(int64(at), 0), Data: data}
 }
 
 func patch(base config.Version, merge string) config.Patch {
@@ -146,7 +146,7 @@
 	})
 	It("keeps a snapshot of the largest document and the longest decisions within 1 MiB", func() {
 		s := config.Empty()
-		for i := range platform.Offset(600) {
+		for i := range ports.Offset(600) {
 			bad := patch(0, `{"targets":{"x":{"address":"`+strings.Repeat("é", 5000)+`"}}}`)
 			bad.Operator = strings.Repeat("o", 128)
 			next, step := s.Fold(record(i, config.LogRecord{Patch: &bad}))
@@ -171,7 +171,7 @@
 		damaged := ahead
 		damaged.Recovery = true
 		damaged.Digest++
-		for i, rec := range []platform.Record{
+		for i, rec := range []ports.Record{
 			{Offset: 1, Data: []byte(`{"patch`)}, {Offset: 1, Data: []byte(`{}`)},
 			record(1, config.LogRecord{Snapshot: &wrong}), record(1, config.LogRecord{Snapshot: &ahead}),
 			record(1, config.LogRecord{Snapshot: &damaged}),
@@ -187,10 +187,10 @@
 		first := patch(0, workshop)
 		s, _ := config.Empty().Fold(record(0, config.LogRecord{Patch: &first}))
 		snap := s.Snapshot()
-		start := func(first platform.Offset, snaps ...config.Snapshot) bool {
+		start := func(first ports.Offset, snaps ...config.Snapshot) bool {
 			scan := config.NewScan(first)
 			for i, one := range snaps {
-				scan.Add([]platform.Record{record(first+platform.Offset(i), config.LogRecord{Snapshot: &one})})
+				scan.Add([]ports.Record{record(first+ports.Offset(i), config.LogRecord{Snapshot: &one})})
 			}
 			_, ok := scan.Start()
 			return ok
--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 // maxDecided bounds the decisions that a state remembers.
@@ -18,7 +18,7 @@
 // changed; Fold returns a new one.
 type State struct {
 	// Next is the offset of the first record that is not in the state.
-	Next     platform.Offset
+	Next     ports.Offset
 	Version  Version
 	Digest   uint64
 	Document *Document
@@ -51,7 +51,7 @@
 }
 
 // Fold applies the record at s.Next.
-func (s State) Fold(rec platform.Record) (State, Step) {
+func (s State) Fold(rec ports.Record) (State, Step) {
 	s.Next = rec.Offset + 1
 	content, err := DecodeRecord(rec.Data)
 	if err != nil {
@@ -63,7 +63,7 @@
 	return s.foldSnapshot(*content.Snapshot)
 }
 
-func (s State) foldPatch(rec platform.Record, p Patch) (State, Step) {
+func (s State) foldPatch(rec ports.Record, p Patch) (State, Step) {
 	if err := p.Check(); err != nil {
 		return s, Step{Err: err}
 	}
--- a/internal/config/fold_property_test.go
+++ b/internal/config/fold_property_test.go
@@ -10,13 +10,13 @@
 	"pgregory.net/rapid"
 
 	"github.com/bluebellseam/bluebellseam/internal/config"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 // drawStream returns a stream as racing operators write it: stale, early,
 // invalid and repeated patches, garbage, and snapshots by hosts that lag.
-func drawStream(t *rapid.T) []platform.Record {
-	var out []platform.Record
+func drawStream(t *rapid.T) []ports.Record {
+	var out []ports.Record
 	var patches []config.Patch
 	states := []config.State{config.Empty()}
 	for i := range rapid.IntRange(1, 60).Draw(t, "records") {
@@ -35,7 +35,7 @@
 			patches = append(patches, p)
 			content.Patch = &p
 		}
-		rec := record(platform.Offset(i), content)
+		rec := record(ports.Offset(i), content)
 		next, _ := last.Fold(rec)
 		out = append(out, rec)
 		states = append(states, next)
@@ -53,7 +53,7 @@
 	}
 }
 
-func fold(s config.State, records []platform.Record) config.State {
+func fold(s config.State, records []ports.Record) config.State {
 	for _, rec := range records {
 		if rec.Offset >= s.Next {
 			s, _ = s.Fold(rec)
@@ -69,7 +69,7 @@
 			stream := drawStream(t)
 			whole := fold(config.Empty(), stream)
 			first := rapid.IntRange(0, len(stream)).Draw(t, "first")
-			scan := config.NewScan(platform.Offset(first))
+			scan := config.NewScan(ports.Offset(first))
 			scan.Add(stream[first:])
 			start, ok := scan.Start()
 			if !ok {
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"io"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 // LogRecord is the content of one record of the configuration stream; exactly
@@ -20,7 +20,7 @@
 // Snapshot is the state after a prefix of the stream.
 type Snapshot struct {
 	// Next is the offset of the first record that is not in the state.
-	Next     platform.Offset `json:"next"`
+	Next     ports.Offset    `json:"next"`
 	Version  Version         `json:"version"`
 	Digest   uint64          `json:"digest"`
 	Document json.RawMessage `json:"document"`
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 // Snapshot returns the record that carries s.
@@ -68,23 +68,23 @@
 
 // Scan searches the records that the log keeps for the state to start from.
 type Scan struct {
-	first platform.Offset
-	next  platform.Offset
+	first ports.Offset
+	next  ports.Offset
 	// digests holds the digests stated for each version.
 	digests map[Version]map[uint64]bool
 	usable  []Snapshot
 }
 
 // NewScan returns a search from first, the oldest offset that the log keeps.
-func NewScan(first platform.Offset) *Scan {
+func NewScan(first ports.Offset) *Scan {
 	return &Scan{first: first, next: first, digests: make(map[Version]map[uint64]bool)}
 }
 
 // Next is the offset of the next record to add.
-func (c *Scan) Next() platform.Offset { return c.next }
+func (c *Scan) Next() ports.Offset { return c.next }
 
 // Add examines records in offset order.
-func (c *Scan) Add(records []platform.Record) {
+func (c *Scan) Add(records []ports.Record) {
 	for _, rec := range records {
 		c.next = rec.Offset + 1
 		content, err := DecodeRecord(rec.Data)
@@ -94,7 +94,7 @@
 	}
 }
 
-func (c *Scan) addSnapshot(at platform.Offset, snap Snapshot) {
+func (c *Scan) addSnapshot(at ports.Offset, snap Snapshot) {
 	if _, err := Restore(snap); err != nil {
 		return
 	}
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -12,7 +12,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -35,8 +35,8 @@
 	Caller     Caller
 	Clock      clockwork.Clock
 	Logger     *zap.Logger
-	Log        platform.Log
-	List       platform.HostList
+	Log        ports.Log
+	List       ports.HostList
 	// Version returns the configuration version in force in this process.
 	Version func() uint64
 }
@@ -56,7 +56,7 @@
 	// asOf is a time at or before which the last answer was composed; listed
 	// and logged are the same for the listing and the end of the log.
 	asOf, listed, logged time.Time
-	last                 *platform.Listing
+	last                 *ports.Listing
 	lost                 chan struct{}
 	up                   bool
 }
@@ -73,10 +73,10 @@
 }
 
 // Log returns the log that this process has to read the configuration with.
-func (c *Client) Log() platform.Log { return &clientLog{Log: c.opts.Log, client: c} }
+func (c *Client) Log() ports.Log { return &clientLog{Log: c.opts.Log, client: c} }
 
 // List returns the host list that this process has to read.
-func (c *Client) List() platform.HostList { return &clientList{HostList: c.opts.List, client: c} }
+func (c *Client) List() ports.HostList { return &clientList{HostList: c.opts.List, client: c} }
 
 // Fed reports whether the dispatcher's view is recent.
 func (c *Client) Fed() bool {
@@ -219,7 +219,7 @@
 
 // listing returns the dispatcher's last listing, nil before the first one, and
 // whether it is recent.
-func (c *Client) listing() (*platform.Listing, bool) {
+func (c *Client) listing() (*ports.Listing, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	fresh := c.last != nil && c.recent(c.asOf, feedBound) && c.recent(c.listed, listBound)
--- a/internal/feed/list.go
+++ b/internal/feed/list.go
@@ -7,25 +7,25 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 // sourceList is the host list of the dispatcher; the last listing is kept for
 // the other processes.
 type sourceList struct {
-	platform.HostList
+	ports.HostList
 	clock clockwork.Clock
 
 	mu   sync.Mutex
-	last platform.Listing
+	last ports.Listing
 	// read is zero while the list cannot be read.
 	read    time.Time
 	changed chan struct{}
 }
 
 // List returns the current listing and keeps it. Errors wrap
-// platform.ErrUnavailable.
-func (l *sourceList) List(ctx context.Context) (platform.Listing, error) {
+// ports.ErrUnavailable.
+func (l *sourceList) List(ctx context.Context) (ports.Listing, error) {
 	asked := l.clock.Now()
 	listing, err := l.HostList.List(ctx)
 	l.mu.Lock()
@@ -49,7 +49,7 @@
 
 // latest returns the last listing and the time of its read; zero while the list
 // cannot be read.
-func (l *sourceList) latest() (platform.Listing, time.Time) {
+func (l *sourceList) latest() (ports.Listing, time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.last, l.read
@@ -57,14 +57,14 @@
 
 // clientList is the host list of a process that is fed.
 type clientList struct {
-	platform.HostList
+	ports.HostList
 	client *Client
 }
 
 // List returns the dispatcher's listing while that is recent, otherwise the
 // platform's. While that cannot be read the dispatcher's last one stays. Errors
-// wrap platform.ErrUnavailable.
-func (l *clientList) List(ctx context.Context) (platform.Listing, error) {
+// wrap ports.ErrUnavailable.
+func (l *clientList) List(ctx context.Context) (ports.Listing, error) {
 	listing, fresh := l.client.listing()
 	if fresh {
 		return *listing, nil
--- a/internal/feed/log.go
+++ b/internal/feed/log.go
@@ -4,21 +4,21 @@
 	"context"
 	"time"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 // sourceLog is the log of the dispatcher; what it reads of the configuration
 // is kept for the other processes.
 type sourceLog struct {
-	platform.Log
+	ports.Log
 	tail *tail
 }
 
 // Read returns records and keeps those of the configuration. Errors wrap
-// platform.ErrTruncated or platform.ErrUnavailable.
-func (l *sourceLog) Read(ctx context.Context, stream string, from platform.Offset, wait time.Duration) (platform.Page, error) {
+// ports.ErrTruncated or ports.ErrUnavailable.
+func (l *sourceLog) Read(ctx context.Context, stream string, from ports.Offset, wait time.Duration) (ports.Page, error) {
 	page, err := l.Log.Read(ctx, stream, from, wait)
-	if stream != platform.ConfigStream {
+	if stream != ports.ConfigStream {
 		return page, err
 	}
 	if err != nil {
@@ -31,15 +31,15 @@
 
 // clientLog is the log of a process that is fed.
 type clientLog struct {
-	platform.Log
+	ports.Log
 	client *Client
 }
 
 // Read returns records. Those of the configuration come from the dispatcher
 // while it is up to date, otherwise from the log. Errors wrap
-// platform.ErrTruncated or platform.ErrUnavailable.
-func (l *clientLog) Read(ctx context.Context, stream string, from platform.Offset, wait time.Duration) (platform.Page, error) {
-	if stream != platform.ConfigStream {
+// ports.ErrTruncated or ports.ErrUnavailable.
+func (l *clientLog) Read(ctx context.Context, stream string, from ports.Offset, wait time.Duration) (ports.Page, error) {
+	if stream != ports.ConfigStream {
 		return l.Log.Read(ctx, stream, from, wait)
 	}
 	if page, ok := l.client.read(ctx, from, wait); ok {
@@ -54,14 +54,14 @@
 
 // read waits for records from an offset on. It reports false as soon as the
 // dispatcher cannot be relied on for them.
-func (c *Client) read(ctx context.Context, from platform.Offset, wait time.Duration) (platform.Page, bool) {
+func (c *Client) read(ctx context.Context, from ports.Offset, wait time.Duration) (ports.Page, bool) {
 	timer := c.opts.Clock.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		changed, lost := c.tail.waiting(), c.lostFeed()
 		page, ok := c.tail.page(from)
 		if !ok || !c.logFed() {
-			return platform.Page{}, false
+			return ports.Page{}, false
 		}
 		if len(page.Records) > 0 {
 			return page, true
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -11,7 +11,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/bluebellseam/bluebellseam/internal/peer"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -31,8 +31,8 @@
 type SourceOptions struct {
 	Host  tables.HostID
 	Clock clockwork.Clock
-	Log   platform.Log
-	List  platform.HostList
+	Log   ports.Log
+	List  ports.HostList
 	// Roles are the roles of the processes that are expected to poll.
 	Roles []string
 }
@@ -100,10 +100,10 @@
 }
 
 // Log returns the log that the dispatcher has to read the configuration with.
-func (s *Source) Log() platform.Log { return s.log }
+func (s *Source) Log() ports.Log { return s.log }
 
 // List returns the host list that the dispatcher has to read.
-func (s *Source) List() platform.HostList { return s.list }
+func (s *Source) List() ports.HostList { return s.list }
 
 // Heard keeps a heartbeat for the other processes.
 func (s *Source) Heard(hb peer.Heartbeat) {
@@ -190,7 +190,7 @@
 
 // observeListing gives a read of the list, and a new listing, a revision; s.mu
 // is held.
-func (s *Source) observeListing(listing platform.Listing, read time.Time) {
+func (s *Source) observeListing(listing ports.Listing, read time.Time) {
 	if !read.Equal(s.listRead) {
 		s.revision++
 		s.listRead, s.urgent = read, s.revision
--- a/internal/feed/tail.go
+++ b/internal/feed/tail.go
@@ -6,7 +6,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 // tail keeps the latest records of the configuration stream without a gap. It
@@ -15,13 +15,13 @@
 	clock clockwork.Clock
 
 	mu      sync.Mutex
-	records []platform.Record
+	records []ports.Record
 	bytes   int
 	// first and next bound the offsets that are kept; next is the end of the
 	// stream when it was last read.
-	first, next platform.Offset
+	first, next ports.Offset
 	// oldest is the first offset that the log keeps.
-	oldest platform.Offset
+	oldest ports.Offset
 	// read is when the end of the stream was last read; zero while it cannot
 	// be read.
 	read    time.Time
@@ -34,10 +34,10 @@
 
 // note takes the page that a read from an offset gave at a time. A page that
 // does not follow what is kept replaces it.
-func (t *tail) note(at time.Time, from platform.Offset, page platform.Page) {
+func (t *tail) note(at time.Time, from ports.Offset, page ports.Page) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	end := from + platform.Offset(len(page.Records))
+	end := from + ports.Offset(len(page.Records))
 	if end < page.Next {
 		// More records follow: the end has not been read.
 		at = t.read
@@ -57,7 +57,7 @@
 	t.tell()
 }
 
-func (t *tail) append(r platform.Record) {
+func (t *tail) append(r ports.Record) {
 	t.records = append(t.records, r)
 	t.bytes += len(r.Data)
 	t.next = r.Offset + 1
@@ -110,7 +110,7 @@
 }
 
 // end returns the offset after the last record; negative while none was read.
-func (t *tail) end() platform.Offset {
+func (t *tail) end() ports.Offset {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.next
@@ -118,13 +118,13 @@
 
 // page returns the records from an offset on, none when it is the end. It
 // reports false for an offset that is not kept.
-func (t *tail) page(from platform.Offset) (platform.Page, bool) {
+func (t *tail) page(from ports.Offset) (ports.Page, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.next < 0 || from < t.first || from > t.next {
-		return platform.Page{}, false
+		return ports.Page{}, false
 	}
-	out := platform.Page{First: t.oldest, Next: t.next}
+	out := ports.Page{First: t.oldest, Next: t.next}
 	out.Records = append(out.Records, t.records[from-t.first:]...)
 	return out, true
 }
--- a/internal/feed/world_test.go
+++ b/internal/feed/world_test.go
@@ -22,7 +22,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/follow"
 	"github.com/bluebellseam/bluebellseam/internal/members"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/standin/hostlist"
 	"github.com/bluebellseam/bluebellseam/internal/standin/logstore"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -92,28 +92,28 @@
 	w.s.mu.Unlock()
 	switch r {
 	case refused:
-		return platform.ErrUnavailable
+		return ports.ErrUnavailable
 	case silent:
 		<-ctx.Done()
-		return platform.ErrUnavailable
+		return ports.ErrUnavailable
 	}
 	return nil
 }
 
-func (w way) List(ctx context.Context) (platform.Listing, error) {
+func (w way) List(ctx context.Context) (ports.Listing, error) {
 	if err := w.pass(ctx, "list"); err != nil {
-		return platform.Listing{}, err
+		return ports.Listing{}, err
 	}
 	return w.s.list.List(ctx)
 }
 
-func (w way) Append(ctx context.Context, stream string, data []byte) (platform.Offset, error) {
+func (w way) Append(ctx context.Context, stream string, data []byte) (ports.Offset, error) {
 	return w.s.log.Append(ctx, stream, data)
 }
 
-func (w way) Read(ctx context.Context, stream string, from platform.Offset, wait time.Duration) (platform.Page, error) {
+func (w way) Read(ctx context.Context, stream string, from ports.Offset, wait time.Duration) (ports.Page, error) {
 	if err := w.pass(ctx, "log"); err != nil {
-		return platform.Page{}, err
+		return ports.Page{}, err
 	}
 	return w.s.log.Read(ctx, stream, from, wait)
 }
@@ -164,7 +164,7 @@
 }
 
 // start runs a process on a log and a host list until its stop.
-func (s *site) start(p *process, log platform.Log, list platform.HostList, source *feed.Source, f members.Feed) {
+func (s *site) start(p *process, log ports.Log, list ports.HostList, source *feed.Source, f members.Feed) {
 	self := tables.Host{ID: "h1", Domain: "a"}
 	p.follower = follow.New(follow.Options{Host: "h1", Log: log, Peers: p, SkipSnapshots: true})
 	p.members = members.New(members.Options{
@@ -247,7 +247,7 @@
 	p := config.Patch{ID: uuid.NewString(), Base: base, Merge: fmt.Appendf(nil, `{"limits":{"max_queued_per_target":%d}}`, base+1)}
 	data, err := config.LogRecord{Patch: &p}.Encode()
 	Expect(err).NotTo(HaveOccurred())
-	_, err = s.log.Append(context.Background(), platform.ConfigStream, data)
+	_, err = s.log.Append(context.Background(), ports.ConfigStream, data)
 	Expect(err).NotTo(HaveOccurred())
 }
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -21,7 +21,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/follow"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/standin/logstore"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
@@ -51,7 +51,7 @@
 	w *world
 
 	mu    sync.Mutex
-	log   platform.Log
+	log   ports.Log
 	reach reach
 }
 
@@ -61,38 +61,38 @@
 	a.mu.Unlock()
 }
 
-func (a *access) get() (platform.Log, reach) {
+func (a *access) get() (ports.Log, reach) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.log, a.reach
 }
 
-func (a *access) Append(ctx context.Context, stream string, data []byte) (platform.Offset, error) {
+func (a *access) Append(ctx context.Context, stream string, data []byte) (ports.Offset, error) {
 	log, reach := a.get()
 	switch reach {
 	case refused:
-		return 0, fmt.Errorf("append: %w", platform.ErrUnavailable)
+		return 0, fmt.Errorf("append: %w", ports.ErrUnavailable)
 	case silent:
 		if a.w.pick(2) == 0 {
 			_, _ = log.Append(ctx, stream, data)
 		}
 		<-ctx.Done()
-		return 0, fmt.Errorf("append: %w", platform.ErrUnknown)
+		return 0, fmt.Errorf("append: %w", ports.ErrUnknown)
 	}
 	return log.Append(ctx, stream, data)
 }
 
-func (a *access) Read(ctx context.Context, stream string, from platform.Offset, wait time.Duration) (platform.Page, error) {
+func (a *access) Read(ctx context.Context, stream string, from ports.Offset, wait time.Duration) (ports.Page, error) {
 	log, reach := a.get()
 	switch reach {
 	case refused:
-		return platform.Page{}, fmt.Errorf("read: %w", platform.ErrUnavailable)
+		return ports.Page{}, fmt.Errorf("read: %w", ports.ErrUnavailable)
 	case silent:
 		<-ctx.Done()
-		return platform.Page{}, fmt.Errorf("read: %w", platform.ErrUnavailable)
+		return ports.Page{}, fmt.Errorf("read: %w", ports.ErrUnavailable)
 	}
 	page, err := log.Read(ctx, stream, from, wait)
-	if reach == skipping && from > 0 && errors.Is(err, platform.ErrTruncated) {
+	if reach == skipping && from > 0 && errors.Is(err, ports.ErrTruncated) {
 		return log.Read(ctx, stream, page.First, wait)
 	}
 	return page, err
@@ -267,8 +267,8 @@
 	return h.f.Publish(context.Background(), p)
 }
 
-func dump(log platform.Log) string {
-	page, err := log.Read(context.Background(), platform.ConfigStream, 0, 0)
+func dump(log ports.Log) string {
+	page, err := log.Read(context.Background(), ports.ConfigStream, 0, 0)
 	out := fmt.Sprint(err, "\n")
 	for _, rec := range page.Records {
 		out += rec.Time.String() + " " + string(rec.Data) + "\n"
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -16,7 +16,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -34,7 +34,7 @@
 type Options struct {
 	// Host seeds the jitter.
 	Host   tables.HostID
-	Log    platform.Log
+	Log    ports.Log
 	Clock  clockwork.Clock
 	Logger *zap.Logger
 	// Peers may be nil: the log is then the only source.
@@ -65,7 +65,7 @@
 	fold     config.State
 	attached bool
 	// scanned is the end of the stream at the last search for a snapshot.
-	scanned platform.Offset
+	scanned ports.Offset
 	// caughtUp states that the last read reached the end of the stream.
 	caughtUp bool
 	// inForce is the highest version seen, from the log or from peers.
--- a/internal/follow/publish.go
+++ b/internal/follow/publish.go
@@ -11,7 +11,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 const (
@@ -45,8 +45,8 @@
 		if result, done, err := f.decision(p); done {
 			return result, err
 		}
-		_, err := f.opts.Log.Append(ctx, platform.ConfigStream, data)
-		if err != nil && errors.Is(err, platform.ErrUnavailable) && !appended {
+		_, err := f.opts.Log.Append(ctx, ports.ConfigStream, data)
+		if err != nil && errors.Is(err, ports.ErrUnavailable) && !appended {
 			return config.Result{}, errkind.Wrap(err, errkind.LogUnavailable, "patch was not appended")
 		}
 		appended = true
--- a/internal/follow/race_test.go
+++ b/internal/follow/race_test.go
@@ -13,7 +13,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/follow"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 const (
@@ -108,7 +108,7 @@
 			h.isolate(true)
 			time.Sleep(retention + time.Duration(r.pick(600))*time.Second)
 		default:
-			_, _ = r.store.Append(ctx, platform.ConfigStream, []byte("garbage"))
+			_, _ = r.store.Append(ctx, ports.ConfigStream, []byte("garbage"))
 		}
 	}
 }
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -10,7 +10,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/logread"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 // searchPause is the wait between searches for a snapshot.
@@ -24,7 +24,7 @@
 }
 
 func (f *Follower) stream() logread.Stream {
-	return logread.Stream{Log: f.opts.Log, Clock: f.opts.Clock, Name: platform.ConfigStream}
+	return logread.Stream{Log: f.opts.Log, Clock: f.opts.Clock, Name: ports.ConfigStream}
 }
 
 // step reads once. A log without a snapshot was reached; peers are asked.
@@ -56,8 +56,8 @@
 }
 
 // foldPage applies a page to the state. It returns an error that wraps
-// platform.ErrTruncated when records before the page are missing.
-func (f *Follower) foldPage(page platform.Page) error {
+// ports.ErrTruncated when records before the page are missing.
+func (f *Follower) foldPage(page ports.Page) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	caughtUp, err := logread.Apply(page, f.fold.Next, f.foldRecord)
@@ -72,7 +72,7 @@
 }
 
 // foldRecord applies one record; f.mu is held.
-func (f *Follower) foldRecord(rec platform.Record) {
+func (f *Follower) foldRecord(rec ports.Record) {
 	next, step := f.fold.Fold(rec)
 	f.fold = next
 	f.snapshots.folded(rec, step)
--- a/internal/follow/scale_test.go
+++ b/internal/follow/scale_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/follow"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/standin/logstore"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
@@ -75,7 +75,7 @@
 	}
 	b.ReportMetric(slowest.Seconds()*1000, "ms-slowest")
 	b.ReportMetric((processorTime()-cpu).Seconds()*1000/float64(scaleChanges*nodes), "cpu-ms/change/node")
-	page, err := store.Read(ctx, platform.ConfigStream, platform.Offset(scaleChanges), 0)
+	page, err := store.Read(ctx, ports.ConfigStream, ports.Offset(scaleChanges), 0)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/follow/snapshot.go
+++ b/internal/follow/snapshot.go
@@ -9,7 +9,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/event"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 const (
@@ -44,7 +44,7 @@
 
 func (c *snapshotClock) reset() { *c = snapshotClock{} }
 
-func (c *snapshotClock) folded(rec platform.Record, step config.Step) {
+func (c *snapshotClock) folded(rec ports.Record, step config.Step) {
 	if step.Snapshot != nil && step.Err == nil {
 		*c = snapshotClock{base: rec.Time}
 		return
@@ -136,7 +136,7 @@
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, f.opts.Clock, appendTimeout)
 	defer cancel()
-	if _, err := f.opts.Log.Append(ctx, platform.ConfigStream, data); err != nil {
+	if _, err := f.opts.Log.Append(ctx, ports.ConfigStream, data); err != nil {
 		f.opts.Logger.Debug("snapshot not appended", zap.Error(err))
 		return
 	}
--- a/internal/fuzz/fuzz_test.go
+++ b/internal/fuzz/fuzz_test.go
@@ -11,7 +11,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/systems/claim"
 	"github.com/bluebellseam/bluebellseam/internal/systems/membership"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -93,7 +93,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		record := platform.Record{Offset: state.Next, Data: data, Time: time.Unix(1, 0)}
+		record := ports.Record{Offset: state.Next, Data: data, Time: time.Unix(1, 0)}
 		a, _ := state.Fold(record)
 		b, _ := state.Fold(record)
 		if a.Version < 1 || a.Next != state.Next+1 {
--- a/internal/harness/freeze.go
+++ b/internal/harness/freeze.go
@@ -7,7 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/systems/lease"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
@@ -134,18 +134,18 @@
 
 // frozenLog is the log as a freezable process reaches it.
 type frozenLog struct {
-	platform.Log
+	ports.Log
 	f *freezer
 }
 
 // Append adds a record; a frozen process does so when it wakes.
-func (l frozenLog) Append(ctx context.Context, stream string, data []byte) (platform.Offset, error) {
+func (l frozenLog) Append(ctx context.Context, stream string, data []byte) (ports.Offset, error) {
 	l.f.pass()
 	return l.Log.Append(ctx, stream, data)
 }
 
 // Read returns records; a frozen process sees them when it wakes.
-func (l frozenLog) Read(ctx context.Context, stream string, from platform.Offset, wait time.Duration) (platform.Page, error) {
+func (l frozenLog) Read(ctx context.Context, stream string, from ports.Offset, wait time.Duration) (ports.Page, error) {
 	l.f.pass()
 	page, err := l.Log.Read(ctx, stream, from, wait)
 	l.f.pass()
--- a/internal/harness/host.go
+++ b/internal/harness/host.go
@@ -13,7 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebellseam/bluebellseam/internal/node"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/settings"
 	"github.com/bluebellseam/bluebellseam/internal/standin/endpoint"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -124,9 +124,9 @@
 		Clock:    clockwork.NewRealClock(),
 		Logger:   n.h.opts.Logger.With(zap.String("node", string(n.ID)), zap.String("program", part)),
 		Tracer:   n.h.opts.Tracer,
-		Log:      platform.NewLogClient(services[serviceLog].URL(), client),
-		List:     platform.NewHostListClient(services[serviceList].URL(), client),
-		Weights:  platform.NewWeightClient(services[serviceWeights].URL(), client),
+		Log:      ports.NewLogClient(services[serviceLog].URL(), client),
+		List:     ports.NewHostListClient(services[serviceList].URL(), client),
+		Weights:  ports.NewWeightClient(services[serviceWeights].URL(), client),
 		DialPeer: n.h.network.dial(n.ID),
 		Close:    func(context.Context) error { return nil },
 	}
--- a/internal/logread/logread.go
+++ b/internal/logread/logread.go
@@ -11,7 +11,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 const (
@@ -26,7 +26,7 @@
 
 // Stream is one stream of a log.
 type Stream struct {
-	Log   platform.Log
+	Log   ports.Log
 	Clock clockwork.Clock
 	Name  string
 }
@@ -34,10 +34,10 @@
 // Handlers are what a follower does. Truncated and Reached may be nil.
 type Handlers struct {
 	// Step reads once and applies what came. Errors wrap
-	// platform.ErrTruncated or tell that the log was not reached.
+	// ports.ErrTruncated or tell that the log was not reached.
 	Step func(ctx context.Context) error
 	// Truncated gives up the place in the stream after an error of Step that
-	// wraps platform.ErrTruncated. The next step follows at once, and after a
+	// wraps ports.ErrTruncated. The next step follows at once, and after a
 	// wait when the step before ended so too.
 	Truncated func(err error)
 	// Reached is told of every other end of a step: nil, or why the log was
@@ -57,7 +57,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		truncated := errors.Is(err, platform.ErrTruncated)
+		truncated := errors.Is(err, ports.ErrTruncated)
 		if truncated {
 			h.truncated(err)
 		} else {
@@ -97,34 +97,34 @@
 
 // Read returns records from an offset on, waiting up to wait for the first one.
 // Errors are those of the log, or of ctx.
-func (s Stream) Read(ctx context.Context, from platform.Offset, wait time.Duration) (platform.Page, error) {
+func (s Stream) Read(ctx context.Context, from ports.Offset, wait time.Duration) (ports.Page, error) {
 	ctx, cancel := clockwork.WithTimeout(ctx, s.Clock, timeout)
 	defer cancel()
 	return s.Log.Read(ctx, s.Name, from, wait)
 }
 
 // First returns the oldest offset that the stream keeps. Errors wrap
-// platform.ErrUnavailable.
-func (s Stream) First(ctx context.Context) (platform.Offset, error) {
+// ports.ErrUnavailable.
+func (s Stream) First(ctx context.Context) (ports.Offset, error) {
 	ctx, cancel := clockwork.WithTimeout(ctx, s.Clock, timeout)
 	defer cancel()
-	return platform.FirstOffset(ctx, s.Log, s.Name)
+	return ports.FirstOffset(ctx, s.Log, s.Name)
 }
 
 // Apply calls fold for the records of a page from next on, each following the
 // one before. It reports whether they reach the end of the stream. The error
-// wraps platform.ErrTruncated when records between next and the page, or within
+// wraps ports.ErrTruncated when records between next and the page, or within
 // it, are missing.
-func Apply(page platform.Page, next platform.Offset, fold func(platform.Record)) (caughtUp bool, err error) {
+func Apply(page ports.Page, next ports.Offset, fold func(ports.Record)) (caughtUp bool, err error) {
 	if page.First > next || page.Next < next {
-		return false, fmt.Errorf("offset %d is outside of %d to %d: %w", next, page.First, page.Next, platform.ErrTruncated)
+		return false, fmt.Errorf("offset %d is outside of %d to %d: %w", next, page.First, page.Next, ports.ErrTruncated)
 	}
 	for _, rec := range page.Records {
 		if rec.Offset < next {
 			continue
 		}
 		if rec.Offset > next {
-			return false, fmt.Errorf("record %d follows offset %d: %w", rec.Offset, next-1, platform.ErrTruncated)
+			return false, fmt.Errorf("record %d follows offset %d: %w", rec.Offset, next-1, ports.ErrTruncated)
 		}
 		fold(rec)
 		next++
--- a/internal/logread/logread_test.go
+++ b/internal/logread/logread_test.go
@@ -13,7 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/bluebellseam/bluebellseam/internal/logread"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 var suite *testing.T
@@ -24,30 +24,30 @@
 	RunSpecs(t, "logread")
 }
 
-func page(first, next platform.Offset, offsets ...platform.Offset) platform.Page {
-	p := platform.Page{First: first, Next: next}
+func page(first, next ports.Offset, offsets ...ports.Offset) ports.Page {
+	p := ports.Page{First: first, Next: next}
 	for _, o := range offsets {
-		p.Records = append(p.Records, platform.Record{Offset: o})
+		p.Records = append(p.Records, ports.Record{Offset: o})
 	}
 	return p
 }
 
 var _ = Describe("Apply", func() {
 	DescribeTable("folds what follows and notices what is missing",
-		func(p platform.Page, folded []platform.Offset, caughtUp, truncated bool) {
-			var got []platform.Offset
-			end, err := logread.Apply(p, 5, func(r platform.Record) { got = append(got, r.Offset) })
+		func(p ports.Page, folded []ports.Offset, caughtUp, truncated bool) {
+			var got []ports.Offset
+			end, err := logread.Apply(p, 5, func(r ports.Record) { got = append(got, r.Offset) })
 			Expect(got).To(Equal(folded))
 			Expect(end).To(Equal(caughtUp))
-			Expect(errors.Is(err, platform.ErrTruncated)).To(Equal(truncated))
+			Expect(errors.Is(err, ports.ErrTruncated)).To(Equal(truncated))
 		},
-		Entry("to the end", page(0, 7, 5, 6), []platform.Offset{5, 6}, true, false),
-		Entry("a part", page(0, 9, 5, 6), []platform.Offset{5, 6}, false, false),
+		Entry("to the end", page(0, 7, 5, 6), []ports.Offset{5, 6}, true, false),
+		Entry("a part", page(0, 9, 5, 6), []ports.Offset{5, 6}, false, false),
 		Entry("nothing new", page(0, 5), nil, true, false),
-		Entry("records again", page(0, 6, 3, 4, 5), []platform.Offset{5}, true, false),
+		Entry("records again", page(0, 6, 3, 4, 5), []ports.Offset{5}, true, false),
 		Entry("records gone before", page(6, 8, 6, 7), nil, false, true),
 		Entry("a stream that went back", page(0, 4, 3), nil, false, true),
-		Entry("a gap", page(0, 8, 5, 7), []platform.Offset{5}, false, true),
+		Entry("a gap", page(0, 8, 5, 7), []ports.Offset{5}, false, true),
 	)
 })
 
@@ -56,8 +56,8 @@
 		synctest.Test(suite, func(*testing.T) {
 			defer GinkgoRecover()
 			ctx, cancel := context.WithCancel(context.Background())
-			down := fmt.Errorf("read: %w", platform.ErrUnavailable)
-			gone := platform.ErrTruncated
+			down := fmt.Errorf("read: %w", ports.ErrUnavailable)
+			gone := ports.ErrTruncated
 			ends := []error{down, down, down, down, down, gone, nil, down, gone, gone, nil}
 			var steps []time.Time
 			truncated, reached := 0, 0
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -15,7 +15,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/systems/membership"
 	"github.com/bluebellseam/bluebellseam/internal/systems/owner"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -33,7 +33,7 @@
 	// Observer is set in processes that do not answer peers, such as gates:
 	// they speak for no host.
 	Observer bool
-	List     platform.HostList
+	List     ports.HostList
 	Caller   Caller
 	Clock    clockwork.Clock
 	Logger   *zap.Logger
--- a/internal/node/closable_log.go
+++ b/internal/node/closable_log.go
@@ -6,31 +6,31 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 // closableLog is the log as one process sees it: nothing that the process still
 // tries after its end takes effect. Processes that share an address space need
 // it, or a killed one would go on writing.
 type closableLog struct {
-	log    platform.Log
+	log    ports.Log
 	closed atomic.Bool
 }
 
 // Append adds a record while the process lives. Errors wrap ErrUnavailable or
 // ErrUnknown.
-func (c *closableLog) Append(ctx context.Context, stream string, data []byte) (platform.Offset, error) {
+func (c *closableLog) Append(ctx context.Context, stream string, data []byte) (ports.Offset, error) {
 	if c.closed.Load() {
-		return 0, fmt.Errorf("append to %q after the end of the process: %w", stream, platform.ErrUnavailable)
+		return 0, fmt.Errorf("append to %q after the end of the process: %w", stream, ports.ErrUnavailable)
 	}
 	return c.log.Append(ctx, stream, data)
 }
 
 // Read returns records while the process lives. Errors wrap ErrTruncated or
 // ErrUnavailable.
-func (c *closableLog) Read(ctx context.Context, stream string, from platform.Offset, wait time.Duration) (platform.Page, error) {
+func (c *closableLog) Read(ctx context.Context, stream string, from ports.Offset, wait time.Duration) (ports.Page, error) {
 	if c.closed.Load() {
-		return platform.Page{}, fmt.Errorf("read %q after the end of the process: %w", stream, platform.ErrUnavailable)
+		return ports.Page{}, fmt.Errorf("read %q after the end of the process: %w", stream, ports.ErrUnavailable)
 	}
 	return c.log.Read(ctx, stream, from, wait)
 }
--- a/internal/node/env.go
+++ b/internal/node/env.go
@@ -15,7 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebellseam/bluebellseam/internal/observe"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/settings"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
@@ -26,9 +26,9 @@
 	Clock   clockwork.Clock
 	Logger  *zap.Logger
 	Tracer  trace.TracerProvider
-	Log     platform.Log
-	List    platform.HostList
-	Weights platform.WeightStore
+	Log     ports.Log
+	List    ports.HostList
+	Weights ports.WeightStore
 	// DialPeer opens connections to peers; nil means TCP.
 	DialPeer func(ctx context.Context, network, address string) (net.Conn, error)
 	// OrderThrough returns the engine to which the controller's orders go, for
@@ -50,9 +50,9 @@
 		Clock:   clockwork.NewRealClock(),
 		Logger:  logger.With(zap.String("node", string(s.Host)), zap.String("program", program)),
 		Tracer:  tracer,
-		Log:     platform.NewLogClient(s.LogURL, client),
-		List:    platform.NewHostListClient(s.HostListURL, client),
-		Weights: platform.NewWeightClient(s.WeightStoreURL, client),
+		Log:     ports.NewLogClient(s.LogURL, client),
+		List:    ports.NewHostListClient(s.HostListURL, client),
+		Weights: ports.NewWeightClient(s.WeightStoreURL, client),
 		Close:   closeTracer,
 	}, nil
 }
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/bluebellseam/bluebellseam/internal/feed"
 	"github.com/bluebellseam/bluebellseam/internal/members"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 // Roles of the processes of a host.
@@ -15,7 +15,7 @@
 
 // connectFeed joins the process to the others of its host. It returns the log
 // to follow the configuration with and the host list to read.
-func (p *process) connectFeed(q part) (platform.Log, platform.HostList) {
+func (p *process) connectFeed(q part) (ports.Log, ports.HostList) {
 	switch {
 	case p.role == roleDispatcher:
 		p.source = feed.NewSource(feed.SourceOptions{
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -12,7 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bluebellseam/bluebellseam/internal/config"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/systems/demand"
 	"github.com/bluebellseam/bluebellseam/internal/systems/placement"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -31,7 +31,7 @@
 // Options are the parts of a Controller.
 type Options struct {
 	Self   tables.Host
-	Log    platform.Log
+	Log    ports.Log
 	Clock  clockwork.Clock
 	Logger *zap.Logger
 	// Config returns the configuration in force; nil while there is none.
@@ -41,7 +41,7 @@
 	// Engine returns the client of an engine.
 	Engine func(id tables.TargetID, address string) target.Engine
 	// Weights is the weight store; nil when loads need no permit.
-	Weights platform.WeightStore
+	Weights ports.WeightStore
 	// Measure returns the work asked for at the dispatcher of a host; nil stands
 	// for equal demand of all services.
 	Measure func(ctx context.Context, h tables.Host) (demand.Rates, error)
@@ -60,7 +60,7 @@
 
 // domain is the work under one lease.
 type domain struct {
-	fence   platform.Offset
+	fence   ports.Offset
 	plan    *placement.Plan
 	engines map[tables.TargetID]*engine
 	// measured is the demand here.
--- a/internal/orders/plan.go
+++ b/internal/orders/plan.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/config"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/systems/lease"
 	"github.com/bluebellseam/bluebellseam/internal/systems/owner"
 	"github.com/bluebellseam/bluebellseam/internal/systems/placement"
@@ -174,7 +174,7 @@
 type job struct {
 	domain tables.DomainID
 	// fence is the fencing number under which wanted was planned.
-	fence  platform.Offset
+	fence  ports.Offset
 	id     tables.TargetID
 	engine *engine
 	wanted target.Order
@@ -203,7 +203,7 @@
 
 // hold returns the hold of a failure domain while orders may be sent under a
 // fencing number.
-func (c *Controller) hold(id tables.DomainID, fence platform.Offset) (lease.Hold, bool) {
+func (c *Controller) hold(id tables.DomainID, fence ports.Offset) (lease.Hold, bool) {
 	hold, ok := c.leases.hold(orderLeasePrefix + string(id))
 	return hold, ok && hold.Fence == fence
 }
--- a/internal/orders/read.go
+++ b/internal/orders/read.go
@@ -8,7 +8,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/logread"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/systems/lease"
 )
 
@@ -31,7 +31,7 @@
 
 func (k *keeper) readOnce(ctx context.Context) error {
 	k.mu.Lock()
-	started, next := k.table != nil, platform.Offset(0)
+	started, next := k.table != nil, ports.Offset(0)
 	if started {
 		next = k.table.Next()
 	}
@@ -67,18 +67,18 @@
 	return k.fold(page)
 }
 
-func (k *keeper) fold(page platform.Page) error {
+func (k *keeper) fold(page ports.Page) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.opts.Clock.Now()
-	caughtUp, err := logread.Apply(page, k.table.Next(), func(rec platform.Record) { k.folded(now, rec) })
+	caughtUp, err := logread.Apply(page, k.table.Next(), func(rec ports.Record) { k.folded(now, rec) })
 	k.caughtUp = caughtUp
 	k.reachedEnd = k.reachedEnd || caughtUp
 	return err
 }
 
 // folded applies one record and what it means for this process; k.mu is held.
-func (k *keeper) folded(now time.Time, rec platform.Record) {
+func (k *keeper) folded(now time.Time, rec ports.Record) {
 	step := k.table.Fold(now, rec)
 	if step.Err != nil {
 		event.RecordIgnored.Log(k.opts.Logger, zap.Int64("offset", int64(rec.Offset)), zap.Error(step.Err))
--- a/internal/orders/release.go
+++ b/internal/orders/release.go
@@ -6,7 +6,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/systems/lease"
 )
 
@@ -50,10 +50,10 @@
 }
 
 // dropAll ends every hold and returns the offsets of their acquisitions by name.
-func (k *keeper) dropAll() map[string]platform.Offset {
+func (k *keeper) dropAll() map[string]ports.Offset {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	fences := make(map[string]platform.Offset, len(k.holds))
+	fences := make(map[string]ports.Offset, len(k.holds))
 	for name, h := range k.holds {
 		fences[name] = k.offset(h)
 	}
@@ -78,7 +78,7 @@
 }
 
 // releases returns the releases of the leases that still have these fences.
-func (k *keeper) releases(fences map[string]platform.Offset) []pending {
+func (k *keeper) releases(fences map[string]ports.Offset) []pending {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.opts.Clock.Now()
--- a/internal/orders/renew.go
+++ b/internal/orders/renew.go
@@ -11,7 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bluebellseam/bluebellseam/internal/event"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/systems/lease"
 )
 
@@ -47,7 +47,7 @@
 	ctx, cancel := clockwork.WithTimeout(ctx, k.opts.Clock, appendTimeout)
 	defer cancel()
 	_, err = k.opts.Log.Append(ctx, k.stream.Name, data)
-	if err == nil || !errors.Is(err, platform.ErrUnavailable) {
+	if err == nil || !errors.Is(err, ports.ErrUnavailable) {
 		return
 	}
 	k.mu.Lock()
@@ -122,12 +122,12 @@
 }
 
 // offset returns the offset of the record that acquired a hold.
-func (k *keeper) offset(h lease.Hold) platform.Offset {
+func (k *keeper) offset(h lease.Hold) ports.Offset {
 	return h.Fence - fenceBase(k.stream.Name)
 }
 
 // begin notes a record that is about to be appended; k.mu is held.
-func (k *keeper) begin(now time.Time, kind lease.Kind, name string, fence platform.Offset) pending {
+func (k *keeper) begin(now time.Time, kind lease.Kind, name string, fence ports.Offset) pending {
 	after, afterTime := k.table.After(name)
 	p := pending{began: now, record: lease.Record{
 		Kind:        kind,
--- a/internal/orders/report.go
+++ b/internal/orders/report.go
@@ -5,7 +5,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/systems/lease"
 )
 
@@ -33,7 +33,7 @@
 // report writes one report of demand to the shared stream. A lost one is
 // replaced by the next.
 func (s *streams) report(ctx context.Context, r lease.Record) {
-	if k := s.keeper(platform.LeaseStream); k != nil {
+	if k := s.keeper(ports.LeaseStream); k != nil {
 		k.append(ctx, pending{record: r})
 	}
 }
--- a/internal/orders/streams.go
+++ b/internal/orders/streams.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/systems/demand"
 	"github.com/bluebellseam/bluebellseam/internal/systems/lease"
 )
@@ -40,15 +40,15 @@
 // streamOf returns the stream of a lease.
 func streamOf(name string) string {
 	if id, ok := strings.CutPrefix(name, orderLeasePrefix); ok {
-		return platform.LeaseStreamPrefix + id
+		return ports.LeaseStreamPrefix + id
 	}
-	return platform.LeaseStream
+	return ports.LeaseStream
 }
 
 // fenceBase returns what is added to offsets of a stream to get its fencing
 // numbers.
-func fenceBase(stream string) platform.Offset {
-	if stream == platform.LeaseStream {
+func fenceBase(stream string) ports.Offset {
+	if stream == ports.LeaseStream {
 		return 0
 	}
 	return lease.DomainFences
@@ -104,7 +104,7 @@
 // known is false while none has, and ready while the shared stream is not read
 // to its end.
 func (s *streams) demand() (rates demand.Rates, known, ready bool) {
-	if k := s.keeper(platform.LeaseStream); k != nil {
+	if k := s.keeper(ports.LeaseStream); k != nil {
 		return k.demand()
 	}
 	return nil, false, false
@@ -139,7 +139,7 @@
 	for name, k := range s.keepers() {
 		if len(k.names()) > 0 {
 			follow[name] = true
-			follow[platform.LeaseStream] = true
+			follow[ports.LeaseStream] = true
 		}
 	}
 	s.mu.Lock()
--- a/internal/orders/streams_test.go
+++ b/internal/orders/streams_test.go
@@ -12,7 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/systems/lease"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
@@ -20,20 +20,20 @@
 
 // readLog notes the streams that a host reads.
 type readLog struct {
-	platform.Log
+	ports.Log
 	mu    sync.Mutex
 	reads map[string]bool
 	// shared fails reads of the shared stream while it is set.
 	shared bool
 }
 
-func (l *readLog) Read(ctx context.Context, stream string, from platform.Offset, wait time.Duration) (platform.Page, error) {
+func (l *readLog) Read(ctx context.Context, stream string, from ports.Offset, wait time.Duration) (ports.Page, error) {
 	l.mu.Lock()
 	l.reads[stream] = true
-	cut := l.shared && stream == platform.LeaseStream
+	cut := l.shared && stream == ports.LeaseStream
 	l.mu.Unlock()
 	if cut {
-		return platform.Page{}, fmt.Errorf("read: %w", platform.ErrUnavailable)
+		return ports.Page{}, fmt.Errorf("read: %w", ports.ErrUnavailable)
 	}
 	return l.Log.Read(ctx, stream, from, wait)
 }
@@ -81,9 +81,9 @@
 			time.Sleep(2 * time.Minute)
 			w.settled()
 			for i, l := range logs {
-				read, own := l.streams(), platform.LeaseStreamPrefix+string(w.hosts[i].self.Domain)
+				read, own := l.streams(), ports.LeaseStreamPrefix+string(w.hosts[i].self.Domain)
 				if len(w.hosts[i].holds()) > 0 {
-					Expect(read).To(ConsistOf(own, platform.LeaseStream))
+					Expect(read).To(ConsistOf(own, ports.LeaseStream))
 				} else {
 					Expect(read).To(ConsistOf(own))
 				}
@@ -106,7 +106,7 @@
 			w.settled()
 			readers := 0
 			for _, l := range logs {
-				if slices.Contains(l.streams(), platform.LeaseStreamPrefix+"b") {
+				if slices.Contains(l.streams(), ports.LeaseStreamPrefix+"b") {
 					readers++
 				}
 			}
--- a/internal/orders/world_test.go
+++ b/internal/orders/world_test.go
@@ -18,7 +18,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/orders"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/standin/logstore"
 	"github.com/bluebellseam/bluebellseam/internal/systems/demand"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -94,9 +94,9 @@
 	orders  chan struct{}
 	reads   chan struct{}
 	cut     bool
-	weights platform.WeightStore
+	weights ports.WeightStore
 	// log replaces the host itself as the log of its controller.
-	log platform.Log
+	log ports.Log
 }
 
 func (h *host) holds() []string {
@@ -151,16 +151,16 @@
 	h.mu.Unlock()
 }
 
-func (h *host) Append(ctx context.Context, stream string, data []byte) (platform.Offset, error) {
+func (h *host) Append(ctx context.Context, stream string, data []byte) (ports.Offset, error) {
 	if h.wait() {
-		return 0, fmt.Errorf("append: %w", platform.ErrUnavailable)
+		return 0, fmt.Errorf("append: %w", ports.ErrUnavailable)
 	}
 	return h.w.log.Append(ctx, stream, data)
 }
 
-func (h *host) Read(ctx context.Context, stream string, from platform.Offset, wait time.Duration) (platform.Page, error) {
+func (h *host) Read(ctx context.Context, stream string, from ports.Offset, wait time.Duration) (ports.Page, error) {
 	if h.wait() {
-		return platform.Page{}, fmt.Errorf("read: %w", platform.ErrUnavailable)
+		return ports.Page{}, fmt.Errorf("read: %w", ports.ErrUnavailable)
 	}
 	page, err := h.w.log.Read(ctx, stream, from, wait)
 	h.wait()
--- a/internal/peer/feed.go
+++ b/internal/peer/feed.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -26,7 +26,7 @@
 	Seen   uint64 `json:"seen,omitempty"`
 	// LogNext is the offset of the first configuration record that the asker
 	// lacks; negative while it has no place in the log.
-	LogNext platform.Offset `json:"log_next"`
+	LogNext ports.Offset `json:"log_next"`
 	// Wait is how long the answer may be held back while there is no news.
 	Wait time.Duration `json:"wait"`
 }
@@ -44,7 +44,7 @@
 	// cannot be read.
 	ListAge time.Duration `json:"list_age"`
 	// Listing is the listing when it is new to the asker.
-	Listing *platform.Listing `json:"listing,omitempty"`
+	Listing *ports.Listing `json:"listing,omitempty"`
 	// Hosts are the rows of the membership table that are new to the asker.
 	Hosts []tables.HostView `json:"hosts,omitempty"`
 	// Beats are what hosts said of themselves of late, the feeding host
@@ -55,7 +55,7 @@
 	LogAge time.Duration `json:"log_age"`
 	// Log holds the configuration records from LogNext on; nil when the
 	// dispatcher does not keep that place.
-	Log *platform.Page `json:"log,omitempty"`
+	Log *ports.Page `json:"log,omitempty"`
 }
 
 // Suspect names a host that did not answer a process of this host.
--- a/internal/platform/log_client.go
+++ b/internal/ports/log_client.go
@@ -1,4 +1,4 @@
-package platform
+package ports
 
 import (
 	"context"
--- a/internal/platform/ports.go
+++ b/internal/ports/ports.go
@@ -1,7 +1,7 @@
-// Package platform is the boundary to the platform's services: the log, the
+// Package ports is the boundary to the platform's services: the log, the
 // host list and the weight store. The interfaces are what the rest of the
 // program uses; the clients speak HTTP and JSON.
-package platform
+package ports
 
 import (
 	"context"
--- a/internal/quarantine/loops.go
+++ b/internal/quarantine/loops.go
@@ -12,7 +12,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 // pushLoop tells every peer of own changes at once.
@@ -83,7 +83,7 @@
 			if err == nil {
 				break
 			}
-			event.LogUnreachable.Log(q.opts.Logger, zap.String("stream", platform.QuarantineStream), zap.Error(err))
+			event.LogUnreachable.Log(q.opts.Logger, zap.String("stream", ports.QuarantineStream), zap.Error(err))
 			if err := q.sleep(ctx, logRetry); err != nil {
 				return err
 			}
@@ -104,7 +104,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
-	if _, err := q.opts.Log.Append(ctx, platform.QuarantineStream, data); err != nil {
+	if _, err := q.opts.Log.Append(ctx, ports.QuarantineStream, data); err != nil {
 		return err
 	}
 	q.mu.Lock()
@@ -115,11 +115,11 @@
 
 // readLoop follows the log's stream from its oldest record.
 func (q *Quarantine) readLoop(ctx context.Context) error {
-	from := platform.Offset(0)
+	from := ports.Offset(0)
 	for ctx.Err() == nil {
-		page, err := q.opts.Log.Read(ctx, platform.QuarantineStream, from, readWait)
+		page, err := q.opts.Log.Read(ctx, ports.QuarantineStream, from, readWait)
 		switch {
-		case errors.Is(err, platform.ErrTruncated):
+		case errors.Is(err, ports.ErrTruncated):
 			from = page.First
 		case err != nil:
 			if err := q.sleep(ctx, logRetry); err != nil {
@@ -129,16 +129,16 @@
 			for _, r := range page.Records {
 				q.fold(r)
 			}
-			from += platform.Offset(len(page.Records))
+			from += ports.Offset(len(page.Records))
 		}
 	}
 	return ctx.Err()
 }
 
-func (q *Quarantine) fold(r platform.Record) {
+func (q *Quarantine) fold(r ports.Record) {
 	var s peer.Share
 	if err := json.Unmarshal(r.Data, &s); err != nil {
-		event.RecordIgnored.Log(q.opts.Logger, zap.String("stream", platform.QuarantineStream),
+		event.RecordIgnored.Log(q.opts.Logger, zap.String("stream", ports.QuarantineStream),
 			zap.Int64("offset", int64(r.Offset)), zap.Error(err))
 		return
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -17,7 +17,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/dispatcher"
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	system "github.com/bluebellseam/bluebellseam/internal/systems/quarantine"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
@@ -47,7 +47,7 @@
 type Options struct {
 	// Host seeds the choice of peers.
 	Host   tables.HostID
-	Log    platform.Log
+	Log    ports.Log
 	Clock  clockwork.Clock
 	Logger *zap.Logger
 	Caller Caller
--- a/internal/scenario/stale.go
+++ b/internal/scenario/stale.go
@@ -9,7 +9,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/bluebellseam/bluebellseam/internal/harness"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -61,13 +61,13 @@
 		return err
 	}
 	page, err := s.h.Log.Read(ctx, stream, 0, 0)
-	if err != nil && !errors.Is(err, platform.ErrTruncated) {
+	if err != nil && !errors.Is(err, ports.ErrTruncated) {
 		return err
 	}
 	last := page.Next - 1
 	gone := func() bool {
 		_, err := s.h.Log.Read(ctx, stream, last, 0)
-		return errors.Is(err, platform.ErrTruncated)
+		return errors.Is(err, ports.ErrTruncated)
 	}
 	if !harness.Await(ctx, gone) {
 		return fmt.Errorf("the log keeps record %d of stream %q", last, stream)
--- a/internal/standin/hostlist/hostlist.go
+++ b/internal/standin/hostlist/hostlist.go
@@ -15,7 +15,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/bluebellseam/bluebellseam/internal/httpcall"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -31,31 +31,31 @@
 
 type version struct {
 	visible time.Time
-	listing platform.Listing
+	listing ports.Listing
 }
 
-var _ platform.HostList = (*List)(nil)
+var _ ports.HostList = (*List)(nil)
 
 // New returns an empty list that shows each change after lag. Changes made
 // before the first call of List show at once.
 func New(clock clockwork.Clock, lag time.Duration) *List {
-	first := platform.Listing{Targets: map[tables.TargetID]tables.HostState{}}
+	first := ports.Listing{Targets: map[tables.TargetID]tables.HostState{}}
 	return &List{clock: clock, lag: lag, history: []version{{visible: clock.Now(), listing: first}}}
 }
 
 // SetHosts replaces the hosts of bluebellseam.
 func (l *List) SetHosts(hosts []tables.Host) {
-	l.change(func(p *platform.Listing) { p.Hosts = slices.Clone(hosts) })
+	l.change(func(p *ports.Listing) { p.Hosts = slices.Clone(hosts) })
 }
 
 // SetTargets replaces the targets.
 func (l *List) SetTargets(targets map[tables.TargetID]tables.HostState) {
-	l.change(func(p *platform.Listing) { p.Targets = maps.Clone(targets) })
+	l.change(func(p *ports.Listing) { p.Targets = maps.Clone(targets) })
 }
 
 // PutHost adds a host or replaces the one of the same ID.
 func (l *List) PutHost(h tables.Host) {
-	l.change(func(p *platform.Listing) {
+	l.change(func(p *ports.Listing) {
 		p.Hosts = slices.DeleteFunc(p.Hosts, func(o tables.Host) bool { return o.ID == h.ID })
 		p.Hosts = append(p.Hosts, h)
 	})
@@ -63,7 +63,7 @@
 
 // MarkHost sets the state of a host; an empty state removes it from the list.
 func (l *List) MarkHost(id tables.HostID, state tables.HostState) {
-	l.change(func(p *platform.Listing) {
+	l.change(func(p *ports.Listing) {
 		for i := range p.Hosts {
 			if p.Hosts[i].ID == id {
 				p.Hosts[i].Listed = state
@@ -75,7 +75,7 @@
 
 // MarkTarget sets the state of a target; an empty state removes it.
 func (l *List) MarkTarget(id tables.TargetID, state tables.HostState) {
-	l.change(func(p *platform.Listing) {
+	l.change(func(p *ports.Listing) {
 		if state == "" {
 			delete(p.Targets, id)
 			return
@@ -91,7 +91,7 @@
 	l.down = down
 }
 
-func (l *List) change(edit func(*platform.Listing)) {
+func (l *List) change(edit func(*ports.Listing)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	next := clone(l.history[len(l.history)-1].listing)
@@ -100,7 +100,7 @@
 	l.history = append(l.history, version{visible: l.clock.Now().Add(l.lag), listing: next})
 }
 
-func clone(p platform.Listing) platform.Listing {
+func clone(p ports.Listing) ports.Listing {
 	p.Hosts = slices.Clone(p.Hosts)
 	p.Targets = maps.Clone(p.Targets)
 	if p.Targets == nil {
@@ -110,12 +110,12 @@
 }
 
 // List returns the newest listing that is at least lag old. Errors wrap
-// platform.ErrUnavailable.
-func (l *List) List(context.Context) (platform.Listing, error) {
+// ports.ErrUnavailable.
+func (l *List) List(context.Context) (ports.Listing, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return platform.Listing{}, fmt.Errorf("list hosts: %w: outage", platform.ErrUnavailable)
+		return ports.Listing{}, fmt.Errorf("list hosts: %w: outage", ports.ErrUnavailable)
 	}
 	now := l.clock.Now()
 	if l.history[0].listing.Version == 0 {
--- a/internal/standin/hostlist/hostlist_test.go
+++ b/internal/standin/hostlist/hostlist_test.go
@@ -10,7 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/standin/hostlist"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
@@ -39,8 +39,8 @@
 			_, _ = w.Write(rec.Body.Bytes())
 		}))
 		defer server.Close()
-		client := platform.NewHostListClient(server.URL, nil)
-		read := func() platform.Listing {
+		client := ports.NewHostListClient(server.URL, nil)
+		read := func() ports.Listing {
 			l, err := client.List(context.Background())
 			Expect(err).NotTo(HaveOccurred())
 			return l
--- a/internal/standin/logstore/handler.go
+++ b/internal/standin/logstore/handler.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/httpcall"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 // Handler serves the store over HTTP; docs/protocols.md has the wire format.
@@ -26,12 +26,12 @@
 	}
 	offset, err := s.Append(r.Context(), r.PathValue("stream"), data)
 	switch {
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, ports.ErrUnknown):
 		panic(http.ErrAbortHandler)
 	case err != nil:
 		httpcall.WriteProblem(w, http.StatusServiceUnavailable, "unavailable", err.Error())
 	default:
-		httpcall.WriteJSON(w, http.StatusCreated, platform.Appended{Offset: offset})
+		httpcall.WriteJSON(w, http.StatusCreated, ports.Appended{Offset: offset})
 	}
 }
 
@@ -47,9 +47,9 @@
 		return
 	}
 	wait := time.Duration(waitMillis) * time.Millisecond
-	page, err := s.Read(r.Context(), r.PathValue("stream"), platform.Offset(from), wait)
+	page, err := s.Read(r.Context(), r.PathValue("stream"), ports.Offset(from), wait)
 	switch {
-	case errors.Is(err, platform.ErrTruncated):
+	case errors.Is(err, ports.ErrTruncated):
 		httpcall.WriteJSON(w, http.StatusGone, page)
 	case err != nil:
 		httpcall.WriteProblem(w, http.StatusServiceUnavailable, "unavailable", err.Error())
--- a/internal/standin/logstore/logstore_test.go
+++ b/internal/standin/logstore/logstore_test.go
@@ -12,7 +12,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/standin/logstore"
 )
 
@@ -24,7 +24,7 @@
 const stream = "s/1"
 
 // both runs check against the store itself and against its HTTP client.
-func both(text string, opts logstore.Options, check func(ctx context.Context, clock *clockwork.FakeClock, s *logstore.Store, log platform.Log)) {
+func both(text string, opts logstore.Options, check func(ctx context.Context, clock *clockwork.FakeClock, s *logstore.Store, log ports.Log)) {
 	It(text+" in process", func(ctx SpecContext) {
 		clock := clockwork.NewFakeClock()
 		s := logstore.New(clock, opts)
@@ -35,25 +35,25 @@
 		s := logstore.New(clock, opts)
 		server := httptest.NewServer(s.Handler())
 		DeferCleanup(server.Close)
-		check(ctx, clock, s, platform.NewLogClient(server.URL, server.Client()))
+		check(ctx, clock, s, ports.NewLogClient(server.URL, server.Client()))
 	}, NodeTimeout(10*time.Second))
 }
 
 var _ = Describe("Store", func() {
-	both("keeps records in order", logstore.Options{}, func(ctx context.Context, _ *clockwork.FakeClock, s *logstore.Store, log platform.Log) {
+	both("keeps records in order", logstore.Options{}, func(ctx context.Context, _ *clockwork.FakeClock, s *logstore.Store, log ports.Log) {
 		for i, text := range []string{"a", "b", "c"} {
-			Expect(log.Append(ctx, stream, []byte(text))).To(Equal(platform.Offset(i)))
+			Expect(log.Append(ctx, stream, []byte(text))).To(Equal(ports.Offset(i)))
 		}
 		page, err := log.Read(ctx, stream, 1, 0)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(page.Records).To(HaveLen(2))
 		Expect(page.Records[0].Data).To(Equal([]byte("b")))
-		Expect(page.Next).To(Equal(platform.Offset(3)))
+		Expect(page.Next).To(Equal(ports.Offset(3)))
 		Expect(s.Appends()).To(Equal(3))
 	})
 
-	both("wakes a waiting reader", logstore.Options{}, func(ctx context.Context, clock *clockwork.FakeClock, s *logstore.Store, log platform.Log) {
-		got := make(chan platform.Page)
+	both("wakes a waiting reader", logstore.Options{}, func(ctx context.Context, clock *clockwork.FakeClock, s *logstore.Store, log ports.Log) {
+		got := make(chan ports.Page)
 		go func() {
 			defer GinkgoRecover()
 			page, err := log.Read(ctx, stream, 0, time.Minute)
@@ -65,56 +65,56 @@
 		Expect((<-got).Records).To(HaveLen(1))
 	})
 
-	both("reports truncation with the oldest offset", logstore.Options{Retention: time.Hour}, func(ctx context.Context, clock *clockwork.FakeClock, _ *logstore.Store, log platform.Log) {
+	both("reports truncation with the oldest offset", logstore.Options{Retention: time.Hour}, func(ctx context.Context, clock *clockwork.FakeClock, _ *logstore.Store, log ports.Log) {
 		_, err := log.Append(ctx, stream, []byte("old"))
 		Expect(err).NotTo(HaveOccurred())
 		clock.Advance(time.Hour)
 		page, err := log.Read(ctx, stream, 0, 0)
-		Expect(err).To(MatchError(platform.ErrTruncated))
-		Expect(page.First).To(Equal(platform.Offset(1)))
-		Expect(log.Append(ctx, stream, []byte("new"))).To(Equal(platform.Offset(1)))
+		Expect(err).To(MatchError(ports.ErrTruncated))
+		Expect(page.First).To(Equal(ports.Offset(1)))
+		Expect(log.Append(ctx, stream, []byte("new"))).To(Equal(ports.Offset(1)))
 	})
 
-	both("tells an outage from an unknown outcome", logstore.Options{}, func(ctx context.Context, _ *clockwork.FakeClock, s *logstore.Store, log platform.Log) {
+	both("tells an outage from an unknown outcome", logstore.Options{}, func(ctx context.Context, _ *clockwork.FakeClock, s *logstore.Store, log ports.Log) {
 		s.SetDown(true)
 		_, err := log.Append(ctx, stream, []byte("a"))
-		Expect(err).To(MatchError(platform.ErrUnavailable))
+		Expect(err).To(MatchError(ports.ErrUnavailable))
 		_, err = log.Read(ctx, stream, 0, 0)
-		Expect(err).To(MatchError(platform.ErrUnavailable))
+		Expect(err).To(MatchError(ports.ErrUnavailable))
 		s.SetDown(false)
 		s.LoseAnswers(1)
 		_, err = log.Append(ctx, stream, []byte("b"))
-		Expect(err).To(MatchError(platform.ErrUnknown))
+		Expect(err).To(MatchError(ports.ErrUnknown))
 		s.LoseAnswers(0)
 		s.LoseRequests(1)
 		_, err = log.Append(ctx, stream, []byte("c"))
-		Expect(err).To(MatchError(platform.ErrUnknown))
+		Expect(err).To(MatchError(ports.ErrUnknown))
 		page, err := log.Read(ctx, stream, 0, 0)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(page.Records).To(HaveLen(1))
 		Expect(page.Records[0].Data).To(Equal([]byte("b")))
 	})
 
-	both("refuses appends above its rate and size", logstore.Options{AppendsPerSecond: 1, MaxRecordBytes: 4}, func(ctx context.Context, clock *clockwork.FakeClock, _ *logstore.Store, log platform.Log) {
+	both("refuses appends above its rate and size", logstore.Options{AppendsPerSecond: 1, MaxRecordBytes: 4}, func(ctx context.Context, clock *clockwork.FakeClock, _ *logstore.Store, log ports.Log) {
 		_, err := log.Append(ctx, stream, []byte("12345"))
-		Expect(err).To(MatchError(platform.ErrUnavailable))
+		Expect(err).To(MatchError(ports.ErrUnavailable))
 		for range 2 {
 			_, err = log.Append(ctx, stream, []byte("1"))
 			Expect(err).NotTo(HaveOccurred())
 		}
 		_, err = log.Append(ctx, stream, []byte("1"))
-		Expect(err).To(MatchError(platform.ErrUnavailable))
+		Expect(err).To(MatchError(ports.ErrUnavailable))
 		clock.Advance(time.Second)
 		_, err = log.Append(ctx, stream, []byte("1"))
 		Expect(err).NotTo(HaveOccurred())
 	})
 
-	both("lets a slow append take effect after its caller has left", logstore.Options{}, func(ctx context.Context, clock *clockwork.FakeClock, s *logstore.Store, log platform.Log) {
+	both("lets a slow append take effect after its caller has left", logstore.Options{}, func(ctx context.Context, clock *clockwork.FakeClock, s *logstore.Store, log ports.Log) {
 		s.SetDelay(time.Second)
 		short, stop := context.WithTimeout(ctx, 20*time.Millisecond)
 		defer stop()
 		_, err := log.Append(short, stream, []byte("late"))
-		Expect(err).To(MatchError(platform.ErrUnknown))
+		Expect(err).To(MatchError(ports.ErrUnknown))
 		Expect(clock.BlockUntilContext(ctx, 1)).To(Succeed())
 		clock.Advance(time.Second)
 		Eventually(s.Appends).Should(Equal(1))
@@ -123,8 +123,8 @@
 	It("is unavailable when nothing listens", func(ctx SpecContext) {
 		server := httptest.NewServer(nil)
 		server.Close()
-		_, err := platform.NewLogClient(server.URL, nil).Append(ctx, stream, nil)
-		Expect(err).To(MatchError(platform.ErrUnavailable))
+		_, err := ports.NewLogClient(server.URL, nil).Append(ctx, stream, nil)
+		Expect(err).To(MatchError(ports.ErrUnavailable))
 	}, NodeTimeout(10*time.Second))
 
 	It("holds exactly the appends that may have taken effect", func(ctx SpecContext) {
@@ -144,7 +144,7 @@
 					if err == nil {
 						sure++
 					}
-					if errors.Is(err, platform.ErrUnknown) {
+					if errors.Is(err, ports.ErrUnknown) {
 						possible++
 					}
 				}
--- a/internal/standin/logstore/store.go
+++ b/internal/standin/logstore/store.go
@@ -9,7 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/time/rate"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 // Store is the log service. Its methods may be called concurrently.
@@ -24,7 +24,7 @@
 	appends int
 }
 
-var _ platform.Log = (*Store)(nil)
+var _ ports.Log = (*Store)(nil)
 
 // New returns an empty store.
 func New(clock clockwork.Clock, opts Options) *Store {
@@ -37,8 +37,8 @@
 
 // Append adds one record and returns its offset. Once the call is admitted the
 // record takes effect even if ctx ends first. Errors wrap
-// platform.ErrUnavailable or platform.ErrUnknown.
-func (s *Store) Append(ctx context.Context, name string, data []byte) (platform.Offset, error) {
+// ports.ErrUnavailable or ports.ErrUnknown.
+func (s *Store) Append(ctx context.Context, name string, data []byte) (ports.Offset, error) {
 	plan, err := s.admit(name, data)
 	if err != nil {
 		return 0, err
@@ -47,7 +47,7 @@
 		return s.finish(name, data, plan)
 	}
 	type result struct {
-		offset platform.Offset
+		offset ports.Offset
 		err    error
 	}
 	done := make(chan result, 1)
@@ -61,7 +61,7 @@
 	case r := <-done:
 		return r.offset, r.err
 	case <-ctx.Done():
-		return 0, fmt.Errorf("append to %q: %w: %w", name, platform.ErrUnknown, ctx.Err())
+		return 0, fmt.Errorf("append to %q: %w: %w", name, ports.ErrUnknown, ctx.Err())
 	}
 }
 
@@ -69,29 +69,29 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.down {
-		return plan{}, fmt.Errorf("append to %q: %w: outage", name, platform.ErrUnavailable)
+		return plan{}, fmt.Errorf("append to %q: %w: outage", name, ports.ErrUnavailable)
 	}
 	if len(data) > s.opts.maxRecordBytes() {
-		return plan{}, fmt.Errorf("append to %q: %w: record of %d bytes exceeds %d", name, platform.ErrUnavailable, len(data), s.opts.maxRecordBytes())
+		return plan{}, fmt.Errorf("append to %q: %w: record of %d bytes exceeds %d", name, ports.ErrUnavailable, len(data), s.opts.maxRecordBytes())
 	}
 	if s.limiter != nil && !s.limiter.AllowN(s.clock.Now(), 1) {
-		return plan{}, fmt.Errorf("append to %q: %w: rate limit of %g appends per second", name, platform.ErrUnavailable, s.opts.AppendsPerSecond)
+		return plan{}, fmt.Errorf("append to %q: %w: rate limit of %g appends per second", name, ports.ErrUnavailable, s.opts.AppendsPerSecond)
 	}
 	return s.faults.nextAppend(), nil
 }
 
-func (s *Store) finish(name string, data []byte, p plan) (platform.Offset, error) {
+func (s *Store) finish(name string, data []byte, p plan) (ports.Offset, error) {
 	if p.loseRequest {
-		return 0, fmt.Errorf("append to %q: %w: request lost", name, platform.ErrUnknown)
+		return 0, fmt.Errorf("append to %q: %w: request lost", name, ports.ErrUnknown)
 	}
 	offset := s.add(name, data)
 	if p.loseAnswer {
-		return 0, fmt.Errorf("append to %q: %w: answer lost", name, platform.ErrUnknown)
+		return 0, fmt.Errorf("append to %q: %w: answer lost", name, ports.ErrUnknown)
 	}
 	return offset, nil
 }
 
-func (s *Store) add(name string, data []byte) platform.Offset {
+func (s *Store) add(name string, data []byte) ports.Offset {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.appends++
@@ -99,14 +99,14 @@
 }
 
 // Read returns records from offset on, waiting up to wait for the first one.
-// Errors wrap platform.ErrTruncated, with First and Next of the page set, or
-// platform.ErrUnavailable.
-func (s *Store) Read(ctx context.Context, name string, from platform.Offset, wait time.Duration) (platform.Page, error) {
+// Errors wrap ports.ErrTruncated, with First and Next of the page set, or
+// ports.ErrUnavailable.
+func (s *Store) Read(ctx context.Context, name string, from ports.Offset, wait time.Duration) (ports.Page, error) {
 	if from < 0 {
-		return platform.Page{}, fmt.Errorf("read of %q: %w: offset %d is negative", name, platform.ErrUnavailable, from)
+		return ports.Page{}, fmt.Errorf("read of %q: %w: offset %d is negative", name, ports.ErrUnavailable, from)
 	}
 	if err := s.delayRead(ctx, name); err != nil {
-		return platform.Page{}, err
+		return ports.Page{}, err
 	}
 	timeout := s.clock.After(max(wait, 0))
 	for {
@@ -119,7 +119,7 @@
 		case <-timeout:
 			wait = 0
 		case <-ctx.Done():
-			return platform.Page{}, fmt.Errorf("read of %q: %w: %w", name, platform.ErrUnavailable, ctx.Err())
+			return ports.Page{}, fmt.Errorf("read of %q: %w: %w", name, ports.ErrUnavailable, ctx.Err())
 		}
 	}
 }
@@ -135,21 +135,21 @@
 	case <-s.clock.After(delay):
 		return nil
 	case <-ctx.Done():
-		return fmt.Errorf("read of %q: %w: %w", name, platform.ErrUnavailable, ctx.Err())
+		return fmt.Errorf("read of %q: %w: %w", name, ports.ErrUnavailable, ctx.Err())
 	}
 }
 
-func (s *Store) tryRead(name string, from platform.Offset) (platform.Page, <-chan struct{}, error) {
+func (s *Store) tryRead(name string, from ports.Offset) (ports.Page, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.down {
-		return platform.Page{}, nil, fmt.Errorf("read of %q: %w: outage", name, platform.ErrUnavailable)
+		return ports.Page{}, nil, fmt.Errorf("read of %q: %w: outage", name, ports.ErrUnavailable)
 	}
 	st := s.stream(name)
 	st.expire(s.clock.Now(), s.opts.Retention)
-	page := platform.Page{First: st.first, Next: st.next()}
+	page := ports.Page{First: st.first, Next: st.next()}
 	if from < st.first {
-		return page, nil, fmt.Errorf("read of %q from %d: %w: oldest is %d", name, from, platform.ErrTruncated, st.first)
+		return page, nil, fmt.Errorf("read of %q from %d: %w: oldest is %d", name, from, ports.ErrTruncated, st.first)
 	}
 	page.Records = st.from(from)
 	return page, st.changed, nil
@@ -172,7 +172,7 @@
 }
 
 // Truncate drops the records of a stream before offset, as retention does.
-func (s *Store) Truncate(name string, before platform.Offset) {
+func (s *Store) Truncate(name string, before ports.Offset) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stream(name).truncate(before)
--- a/internal/standin/logstore/stream.go
+++ b/internal/standin/logstore/stream.go
@@ -4,13 +4,13 @@
 	"slices"
 	"time"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 // stream is the kept part of one stream.
 type stream struct {
-	first   platform.Offset
-	records []platform.Record
+	first   ports.Offset
+	records []ports.Record
 	// changed is closed and replaced when a reader shall look again.
 	changed chan struct{}
 }
@@ -19,13 +19,13 @@
 	return &stream{changed: make(chan struct{})}
 }
 
-func (st *stream) next() platform.Offset {
-	return st.first + platform.Offset(len(st.records))
+func (st *stream) next() ports.Offset {
+	return st.first + ports.Offset(len(st.records))
 }
 
-func (st *stream) add(now time.Time, data []byte) platform.Offset {
+func (st *stream) add(now time.Time, data []byte) ports.Offset {
 	offset := st.next()
-	st.records = append(st.records, platform.Record{Offset: offset, Time: now, Data: slices.Clone(data)})
+	st.records = append(st.records, ports.Record{Offset: offset, Time: now, Data: slices.Clone(data)})
 	st.wake()
 	return offset
 }
@@ -39,15 +39,15 @@
 	if retention <= 0 {
 		return
 	}
-	kept := slices.IndexFunc(st.records, func(r platform.Record) bool { return now.Sub(r.Time) < retention })
+	kept := slices.IndexFunc(st.records, func(r ports.Record) bool { return now.Sub(r.Time) < retention })
 	if kept < 0 {
 		kept = len(st.records)
 	}
-	st.truncate(st.first + platform.Offset(kept))
+	st.truncate(st.first + ports.Offset(kept))
 }
 
-func (st *stream) truncate(before platform.Offset) {
-	drop := min(max(before-st.first, 0), platform.Offset(len(st.records)))
+func (st *stream) truncate(before ports.Offset) {
+	drop := min(max(before-st.first, 0), ports.Offset(len(st.records)))
 	if drop == 0 {
 		return
 	}
@@ -56,7 +56,7 @@
 }
 
 // from returns a bounded copy of the records from offset on.
-func (st *stream) from(offset platform.Offset) []platform.Record {
+func (st *stream) from(offset ports.Offset) []ports.Record {
 	if offset >= st.next() {
 		return nil
 	}
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -12,7 +12,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/standin/endpoint"
 	"github.com/bluebellseam/bluebellseam/internal/standin/engine"
 	"github.com/bluebellseam/bluebellseam/internal/standin/hostlist"
@@ -178,7 +178,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("host list: %w", err)
 	}
-	var l platform.Listing
+	var l ports.Listing
 	if err := json.Unmarshal(data, &l); err != nil {
 		return nil, fmt.Errorf("host list %q: %w", o.ListingFile, err)
 	}
--- a/internal/standin/process/process_test.go
+++ b/internal/standin/process/process_test.go
@@ -10,7 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/standin/hostlist"
 	"github.com/bluebellseam/bluebellseam/internal/standin/process"
 	"github.com/bluebellseam/bluebellseam/internal/standin/weightstore"
@@ -36,12 +36,12 @@
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(r.Close)
 		url := func(name string) string { return "http://" + r.Addresses[name] }
-		Expect(platform.NewLogClient(url("log"), nil).Append(ctx, "s", nil)).To(BeZero())
-		hosts, err := platform.NewHostListClient(url("host-list"), nil).List(ctx)
+		Expect(ports.NewLogClient(url("log"), nil).Append(ctx, "s", nil)).To(BeZero())
+		hosts, err := ports.NewHostListClient(url("host-list"), nil).List(ctx)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(hosts.Hosts).To(HaveLen(1))
 		Expect(hosts.Targets).To(HaveKeyWithValue(tables.TargetID("e1"), tables.HostLive))
-		Expect(platform.NewWeightClient(url("weight-store"), nil).Acquire(ctx, "m", 1)).To(BeNumerically(">", 0))
+		Expect(ports.NewWeightClient(url("weight-store"), nil).Acquire(ctx, "m", 1)).To(BeNumerically(">", 0))
 		Expect(target.NewEngineClient(r.Addresses["e1"]).Cancel(ctx, "x")).To(Equal(target.NeverStarted))
 		Expect(target.NewPlainClient(r.Addresses["p1"], "s").Cancel(ctx, "x")).To(Equal(target.NeverStarted))
 	}, NodeTimeout(10*time.Second))
@@ -79,7 +79,7 @@
 		Expect(second.Targets).To(HaveKeyWithValue(tables.TargetID("e1"), tables.HostLeaving))
 		l.SetDown(true)
 		_, err = l.List(ctx)
-		Expect(err).To(MatchError(platform.ErrUnavailable))
+		Expect(err).To(MatchError(ports.ErrUnavailable))
 	})
 })
 
@@ -92,7 +92,7 @@
 		Expect(err).To(MatchError(ContainSubstring("rate limit")))
 		clock.Advance(time.Second)
 		_, err = s.Acquire(ctx, "m", 4)
-		Expect(err).To(MatchError(platform.ErrUnavailable))
+		Expect(err).To(MatchError(ports.ErrUnavailable))
 		Expect(s.Acquire(ctx, "other", 1)).To(Equal(time.Minute))
 		granted, refused := s.Counts()
 		Expect([]int{granted, refused}).To(Equal([]int{2, 2}))
--- a/internal/standin/weightstore/weightstore.go
+++ b/internal/standin/weightstore/weightstore.go
@@ -14,7 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/bluebellseam/bluebellseam/internal/httpcall"
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 )
 
 // Options set the limits of a Store.
@@ -45,7 +45,7 @@
 	down    bool
 }
 
-var _ platform.WeightStore = (*Store)(nil)
+var _ ports.WeightStore = (*Store)(nil)
 
 // New returns a store.
 func New(clock clockwork.Clock, opts Options) *Store {
@@ -61,13 +61,13 @@
 
 // Acquire grants one permit. It refuses a fencing number lower than one that
 // it has seen for the artefact, and more permits than its rate. Errors wrap
-// platform.ErrUnavailable.
+// ports.ErrUnavailable.
 func (s *Store) Acquire(_ context.Context, artefact string, fence int64) (time.Duration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.check(artefact, fence); err != nil {
 		s.refused++
-		return 0, fmt.Errorf("acquire permit for %q: %w: %w", artefact, platform.ErrUnavailable, err)
+		return 0, fmt.Errorf("acquire permit for %q: %w: %w", artefact, ports.ErrUnavailable, err)
 	}
 	s.fences[artefact] = fence
 	s.granted++
@@ -114,7 +114,7 @@
 		httpcall.WriteProblem(w, http.StatusRequestEntityTooLarge, "too_large", err.Error())
 		return
 	}
-	var req platform.PermitRequest
+	var req ports.PermitRequest
 	if err := json.Unmarshal(body, &req); err != nil {
 		httpcall.WriteProblem(w, http.StatusBadRequest, "malformed", err.Error())
 		return
@@ -124,5 +124,5 @@
 		httpcall.WriteProblem(w, http.StatusServiceUnavailable, "unavailable", err.Error())
 		return
 	}
-	httpcall.WriteJSON(w, http.StatusOK, platform.Permit{LastsMillis: lasts.Milliseconds()})
+	httpcall.WriteJSON(w, http.StatusOK, ports.Permit{LastsMillis: lasts.Milliseconds()})
 }
--- a/internal/systems/lease/lease.go
+++ b/internal/systems/lease/lease.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/systems/demand"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
@@ -41,7 +41,7 @@
 )
 
 // None is the offset of no record.
-const None platform.Offset = -1
+const None ports.Offset = -1
 
 // Kind is what a lease record asks for.
 type Kind string
@@ -60,7 +60,7 @@
 // offsets of the domain's stream are added to it. It is above every offset of
 // the shared stream, which carried these leases before, so that the numbers
 // that engines have seen never go down.
-const DomainFences platform.Offset = 1 << 40
+const DomainFences ports.Offset = 1 << 40
 
 // Record is the content of one record of the lease stream.
 type Record struct {
@@ -72,11 +72,11 @@
 	Incarnation int64         `json:"incarnation"`
 	// After is the latest record of the lease that the writer has read, or
 	// None. The record counts only when that is still so.
-	After platform.Offset `json:"after"`
+	After ports.Offset `json:"after"`
 	// AfterTime is the log's time of that record.
 	AfterTime time.Time `json:"after_time,omitzero"`
 	// Fence is the fencing number of a lease that is renewed or released.
-	Fence platform.Offset `json:"fence"`
+	Fence ports.Offset `json:"fence"`
 	// Demand is the work of the failure domain's targets in a report, and in a
 	// renewal of the versions that had one stream for all leases; nil leaves what
 	// an earlier record said.
@@ -96,9 +96,9 @@
 type Lease struct {
 	Name string
 	// Fence is the offset of the record that acquired the lease.
-	Fence platform.Offset
+	Fence ports.Offset
 	// Last is the offset of the latest record of the lease.
-	Last        platform.Offset
+	Last        ports.Offset
 	Holder      tables.HostID
 	Incarnation int64
 	Released    bool
@@ -107,13 +107,13 @@
 	// logTime is the log's time of the latest record.
 	logTime time.Time
 	// base is After of the latest record.
-	base platform.Offset
+	base ports.Offset
 }
 
 // report is the latest demand of a failure domain.
 type report struct {
 	rates demand.Rates
-	fence platform.Offset
+	fence ports.Offset
 	// logTime is the log's time of the record.
 	logTime time.Time
 }
@@ -131,8 +131,8 @@
 
 // Table holds the leases in force. One goroutine owns it.
 type Table struct {
-	start platform.Offset
-	next  platform.Offset
+	start ports.Offset
+	next  ports.Offset
 	// settles is the log's time from which every lease was read from its
 	// beginning; zero before the first record.
 	settles time.Time
@@ -144,12 +144,12 @@
 }
 
 // NewTable returns the table of a reader that starts at an offset.
-func NewTable(start platform.Offset) *Table {
+func NewTable(start ports.Offset) *Table {
 	return &Table{start: start, next: start, leases: make(map[string]Lease), reports: make(map[string]report)}
 }
 
 // Next is the offset of the next record to fold.
-func (t *Table) Next() platform.Offset { return t.next }
+func (t *Table) Next() ports.Offset { return t.next }
 
 // Get returns the lease of a name.
 func (t *Table) Get(name string) (Lease, bool) {
@@ -165,7 +165,7 @@
 
 // After returns the values of Record.After and Record.AfterTime for the next
 // record of a lease.
-func (t *Table) After(name string) (platform.Offset, time.Time) {
+func (t *Table) After(name string) (ports.Offset, time.Time) {
 	l, ok := t.leases[name]
 	if !ok {
 		return None, time.Time{}
@@ -191,7 +191,7 @@
 }
 
 // Fold applies the record at Next, read at now.
-func (t *Table) Fold(now time.Time, rec platform.Record) Step {
+func (t *Table) Fold(now time.Time, rec ports.Record) Step {
 	t.next = rec.Offset + 1
 	var r Record
 	if err := json.Unmarshal(rec.Data, &r); err != nil {
@@ -246,7 +246,7 @@
 	t.reports[r.Name] = report{rates: r.Demand, fence: r.Fence, logTime: at}
 }
 
-func fenceOf(r Record, at platform.Offset) platform.Offset {
+func fenceOf(r Record, at ports.Offset) ports.Offset {
 	if r.Kind == Acquire {
 		return at
 	}
@@ -281,7 +281,7 @@
 // Hold is a lease that this process has acquired.
 type Hold struct {
 	Name  string
-	Fence platform.Offset
+	Fence ports.Offset
 	// From is when orders of the last holder have ended.
 	From time.Time
 	// Until is when this process stops acting on the lease.
@@ -290,7 +290,7 @@
 
 // NewHold returns the hold of an accepted acquisition that this process began
 // to append at began and read back at now.
-func NewHold(now, began time.Time, at platform.Offset, step Step) Hold {
+func NewHold(now, began time.Time, at ports.Offset, step Step) Hold {
 	h := Hold{Name: step.Record.Name, Fence: at, From: now, Until: began.Add(ActFor)}
 	if step.Before == nil || !step.Before.Released {
 		h.From = now.Add(SettleTime)
--- a/internal/systems/lease/lease_test.go
+++ b/internal/systems/lease/lease_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/systems/lease"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
@@ -22,20 +22,20 @@
 var start = time.Unix(10000, 0)
 
 // stream is a lease stream whose records are a second apart.
-type stream []platform.Record
+type stream []ports.Record
 
-func (s *stream) add(at time.Time, r lease.Record) platform.Record {
+func (s *stream) add(at time.Time, r lease.Record) ports.Record {
 	if r.ID == "" {
 		r.ID = fmt.Sprint("r", len(*s))
 	}
 	data, err := r.Encode()
 	Expect(err).NotTo(HaveOccurred())
-	rec := platform.Record{Offset: platform.Offset(len(*s)), Time: at, Data: data}
+	rec := ports.Record{Offset: ports.Offset(len(*s)), Time: at, Data: data}
 	*s = append(*s, rec)
 	return rec
 }
 
-func record(kind lease.Kind, holder tables.HostID, after, fence platform.Offset) lease.Record {
+func record(kind lease.Kind, holder tables.HostID, after, fence ports.Offset) lease.Record {
 	return lease.Record{Kind: kind, Name: "l", Holder: holder, After: after, Fence: fence, AfterTime: start}
 }
 
@@ -100,7 +100,7 @@
 	It("ignores records that it cannot read", func() {
 		t := lease.NewTable(0)
 		for i, data := range []string{`{`, `{}`, `{"name":"l"}`, `{"name":"l","id":"x","kind":"steal"}`} {
-			step := t.Fold(start, platform.Record{Offset: platform.Offset(i), Data: []byte(data)})
+			step := t.Fold(start, ports.Record{Offset: ports.Offset(i), Data: []byte(data)})
 			Expect(step.Accepted).To(BeFalse())
 		}
 		_, known := t.Get("l")
@@ -109,14 +109,14 @@
 	It("learns a lease whose first records are gone, and no stale or void one", func() {
 		var s stream
 		for i := range 5 {
-			s.add(start, lease.Record{Name: "other", Kind: lease.Acquire, After: platform.Offset(i)})
+			s.add(start, lease.Record{Name: "other", Kind: lease.Acquire, After: ports.Offset(i)})
 		}
 		t := lease.NewTable(5)
 		Expect(t.Fold(start, s.add(start, record(lease.Renew, "a", 3, 1))).Accepted).To(BeTrue())
 		Expect(t.Fold(start, s.add(start, record(lease.Renew, "b", 2, 0))).Accepted).To(BeFalse())
 		Expect(t.Fold(start, s.add(start, record(lease.Renew, "a", 5, 1))).Accepted).To(BeTrue())
 		l, _ := t.Get("l")
-		Expect([]any{l.Fence, l.Holder}).To(Equal([]any{platform.Offset(1), tables.HostID("a")}))
+		Expect([]any{l.Fence, l.Holder}).To(Equal([]any{ports.Offset(1), tables.HostID("a")}))
 		late := lease.NewTable(5)
 		at := start.Add(lease.VoidAfter)
 		Expect(late.Fold(at, s.add(at, record(lease.Renew, "a", 3, 1))).Accepted).To(BeFalse())
@@ -146,7 +146,7 @@
 				}
 			}
 			first := rapid.IntRange(0, len(s)-1).Draw(rt, "first")
-			late := lease.NewTable(platform.Offset(first))
+			late := lease.NewTable(ports.Offset(first))
 			for _, rec := range s[first:] {
 				late.Fold(rec.Time, rec)
 			}
@@ -179,7 +179,7 @@
 }
 
 var _ = Describe("Reports", func() {
-	report := func(name string, fence platform.Offset, rate float64) lease.Record {
+	report := func(name string, fence ports.Offset, rate float64) lease.Record {
 		return lease.Record{Kind: lease.Report, Name: name, Fence: fence, Demand: map[tables.ServiceID]float64{"s": rate}}
 	}
 	sum := func(t *lease.Table) float64 {
--- a/internal/systems/membership/membership_test.go
+++ b/internal/systems/membership/membership_test.go
@@ -10,7 +10,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/systems/membership"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
@@ -22,8 +22,8 @@
 
 var start = time.Unix(1000, 0)
 
-func listing(version int64, ids ...tables.HostID) platform.Listing {
-	l := platform.Listing{Version: version}
+func listing(version int64, ids ...tables.HostID) ports.Listing {
+	l := ports.Listing{Version: version}
 	for _, id := range ids {
 		l.Hosts = append(l.Hosts, tables.Host{ID: id, Domain: "d", PeerAddress: string(id) + ":1", Listed: tables.HostLive})
 	}
--- a/internal/systems/membership/table.go
+++ b/internal/systems/membership/table.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"github.com/bluebellseam/bluebellseam/internal/platform"
+	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -115,7 +115,7 @@
 // List takes a listing. A listing with a version below the one taken is
 // believed only after it has stood for a while. It returns true when the
 // listing is taken and differs from the last one.
-func (t *Table) List(now time.Time, l platform.Listing) bool {
+func (t *Table) List(now time.Time, l ports.Listing) bool {
 	if t.hasListing && l.Version < t.listing {
 		if t.olderSince.IsZero() {
 			t.olderSince = now
