Refuse a content under which three targets broke off

Without it, a request that crashes each target that runs it comes again at any host and takes a target down each time. The home counts distinct targets per content; a run to the end clears it.

--- a/internal/pool/home.go
+++ b/internal/pool/home.go
@@ -56,6 +56,7 @@
 	buckets *quota.Buckets
 	repeats *repeat.Counter
 	refused *repeat.Refusals
+	crashes *repeat.Crashes
 	waiting map[place.ID]*waiter
 	charged map[place.ID]charge
 	// asked is when each host last asked for a place.
@@ -75,6 +76,7 @@
 type charge struct {
 	customer tables.CustomerID
 	tokens   int
+	content  tables.Fingerprint
 }
 
 // NewHome returns a home. share is the part of quotas and budgets that it may
@@ -87,6 +89,7 @@
 		buckets: quota.NewBuckets(policy.StartShare, policy.Quota),
 		repeats: repeat.NewCounter(policy.Repeat),
 		refused: repeat.NewRefusals(),
+		crashes: repeat.NewCrashes(),
 		waiting: make(map[place.ID]*waiter),
 		charged: make(map[place.ID]charge),
 		asked:   make(map[tables.HostID]time.Time),
@@ -115,7 +118,7 @@
 }
 
 // Ask waits for a place. Errors have the kind CustomerLimit, Overloaded,
-// NoTarget or CancelledBeforeRun.
+// NoTarget, RepeatBudget, Quarantined or CancelledBeforeRun.
 func (h *Home) Ask(ctx context.Context, m askMessage) (grantMessage, error) {
 	w, err := h.enqueue(m)
 	if err != nil {
@@ -136,6 +139,9 @@
 	now := h.clock.Now()
 	h.asked[m.Host] = now
 	share := h.share()
+	if h.crashes.Refuses(now, m.Content) {
+		return nil, errkind.New(errkind.Quarantined, fmt.Sprintf("request %q has the content of requests under which several targets broke off", m.Request))
+	}
 	if m.Repeat && !h.repeats.Allow(now, m.Service, share) {
 		return nil, errkind.New(errkind.RepeatBudget, fmt.Sprintf("the budget of repeats of service %q is used up", m.Service))
 	}
@@ -148,7 +154,7 @@
 	if !m.Repeat {
 		h.repeats.Request(now, m.Service)
 	}
-	h.charged[m.ID] = charge{m.Customer, m.Tokens}
+	h.charged[m.ID] = charge{m.Customer, m.Tokens, m.Content}
 	w := &waiter{ask: m, done: make(chan place.Decision, 1)}
 	h.waiting[m.ID] = w
 	ask := m.toAsk(now)
@@ -287,6 +293,7 @@
 		w.done <- place.Decision{Ask: w.ask.toAsk(now), Reason: place.TooLate}
 		return
 	}
+	h.noteRun(now, e)
 	h.table.Paused(e.ID, fromMS(e.PauseMS))
 	h.table.End(now, e.ID, e.Outcome)
 	if e.Outcome == place.NotRun || e.Outcome == place.Replaced || e.Outcome == place.Unused {
@@ -296,6 +303,18 @@
 	delete(h.charged, e.ID)
 }
 
+// noteRun remembers whether a content broke the connection to its target. The
+// lock is held.
+func (h *Home) noteRun(now time.Time, e endReport) {
+	content := h.charged[e.ID].content
+	switch e.Outcome {
+	case place.Broken:
+		h.crashes.Broke(now, content, h.table.TargetOf(e.ID))
+	case place.Good:
+		h.crashes.Ran(content)
+	}
+}
+
 // Adopt brings the places of a host in line with what it has in use, and takes
 // over the use of tokens from the home before.
 func (h *Home) Adopt(a adoptMessage) {
--- a/internal/systems/place/table.go
+++ b/internal/systems/place/table.go
@@ -180,6 +180,14 @@
 	gap.Observe(time.Duration(float64(mean) / g.target.speed.Value()))
 }
 
+// TargetOf returns the target of a grant, empty when there is none.
+func (t *Table) TargetOf(id ID) tables.TargetID {
+	if g := t.grants[id]; g != nil {
+		return g.target.ID
+	}
+	return ""
+}
+
 // End frees the place of a grant.
 func (t *Table) End(now time.Time, id ID, outcome Outcome) {
 	g := t.grants[id]
--- a/internal/systems/repeat/repeat_test.go
+++ b/internal/systems/repeat/repeat_test.go
@@ -78,3 +78,26 @@
 		Expect(again).To(BeFalse())
 	})
 })
+
+var _ = Describe("Crashes", func() {
+	It("refuses a content after it broke the connections of three targets, for a while", func() {
+		c := repeat.NewCrashes()
+		c.Broke(start, 7, "a")
+		c.Broke(start, 7, "a")
+		c.Broke(start, 7, "b")
+		Expect(c.Refuses(start, 7)).To(BeFalse())
+		c.Broke(start, 7, "c")
+		Expect(c.Refuses(start, 7)).To(BeTrue())
+		Expect(c.Refuses(start, 8)).To(BeFalse())
+		Expect(c.Refuses(start.Add(2*time.Minute), 7)).To(BeFalse())
+	})
+
+	It("clears a content that ran to its end", func() {
+		c := repeat.NewCrashes()
+		c.Broke(start, 7, "a")
+		c.Broke(start, 7, "b")
+		c.Ran(7)
+		c.Broke(start, 7, "c")
+		Expect(c.Refuses(start, 7)).To(BeFalse())
+	})
+})
