Credit what a bucket gains when a new home takes over the use of tokens

Each host tells the tokens of its last 4 s, and the new home took them from the bucket without what it gains in 4 s.

--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -129,7 +129,7 @@
 func (c *Client) adoptable() adoptMessage {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m := adoptMessage{Host: c.self.ID, Tokens: c.tokens.recent(c.clock.Now())}
+	m := adoptMessage{Host: c.self.ID, Hosts: c.links.Hosts(), Tokens: c.tokens.recent(c.clock.Now())}
 	for _, g := range c.open {
 		m.Open = append(m.Open, g)
 	}
--- a/internal/pool/home.go
+++ b/internal/pool/home.go
@@ -332,7 +332,8 @@
 		return
 	}
 	for customer, tokens := range a.Tokens {
-		h.buckets.Used(now, customer, h.quotaOf(customer), h.share(), tokens)
+		use := quota.Use{Tokens: tokens, Over: tokensWindow, Part: 1 / float64(max(a.Hosts, 1))}
+		h.buckets.Used(now, customer, h.quotaOf(customer), h.share(), use)
 	}
 }
 
--- a/internal/systems/quota/quota.go
+++ b/internal/systems/quota/quota.go
@@ -85,12 +85,23 @@
 	}
 }
 
-// Used takes tokens that were given elsewhere.
-func (b *Buckets) Used(now time.Time, id tables.CustomerID, q fleet.Quota, share float64, tokens float64) {
+// Use is what a host says that a customer has used through it.
+type Use struct {
+	Tokens float64
+	// Over is the time in which it was used.
+	Over time.Duration
+	// Part of the customer's use goes through that host, from 0 to 1.
+	Part float64
+}
+
+// Used takes what was given elsewhere beyond what the bucket would have gained
+// in that time.
+func (b *Buckets) Used(now time.Time, id tables.CustomerID, q fleet.Quota, share float64, u Use) {
 	if q.TokensPerSecond <= 0 {
 		return
 	}
-	b.refill(now, id, q, share).level -= tokens
+	gained := b.rate(q, share) * u.Over.Seconds() * u.Part
+	b.refill(now, id, q, share).level -= max(u.Tokens-gained, 0)
 }
 
 // rate is what a bucket gains in a second, such that no window gives more than
