--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -11,13 +11,11 @@
 	StopRequested    = Event{1003, zapcore.InfoLevel, "stop requested", "A termination signal arrived; readiness is off and requests in flight go on."}
 	StopBoundPassed  = Event{1004, zapcore.WarnLevel, "stop bound passed", "Requests were still in flight when the stop bound passed."}
 	ProcessStopped   = Event{1005, zapcore.InfoLevel, "process stopped", "All requests in flight ended and the process exits."}
-	SettingsReloaded = Event{1007, zapcore.InfoLevel, "settings reloaded", "The settings file was read again; an error keeps the old ones."}
 	ListenerFailed   = Event{1006, zapcore.ErrorLevel, "listener failed", "A listening socket returned an error."}
+	SettingsReloaded = Event{1007, zapcore.InfoLevel, "settings reloaded", "The settings file was read again; an error keeps the old ones."}
+	LogLinesLeftOut  = Event{1008, zapcore.WarnLevel, "log lines left out", "The log was above its rate, or its reader too slow; lines is their number since the last such line."}
 )
 
-// LogLinesLeftOut reports the bound on the log.
-var LogLinesLeftOut = Event{1008, zapcore.WarnLevel, "log lines left out", "The log was above its rate, or its reader too slow; lines is their number since the last such line."}
-
 // Configuration and log following: 1100 to 1199.
 var (
 	ConfigInForce    = Event{1101, zapcore.InfoLevel, "configuration in force", "The host applies a new configuration version."}
@@ -42,6 +40,7 @@
 	OrderRefused  = Event{1209, zapcore.WarnLevel, "order refused", "An engine refused an order, for example for an old fencing number."}
 	PeerState     = Event{1210, zapcore.InfoLevel, "peer state changed", "A host is leaving, or is in the host list no longer or not yet."}
 	FeedTaken     = Event{1211, zapcore.InfoLevel, "dispatcher feeds", "This process takes hosts and configuration from the dispatcher of its host."}
+	FeedLost      = Event{1212, zapcore.WarnLevel, "dispatcher feeds no longer", "The dispatcher of this host is silent; this process reads the list and the log itself."}
 	PeerUnreached = Event{1213, zapcore.InfoLevel, "peer unreached", "An attempt to connect to a host that others depend on failed; it is tried again."}
 	StoreLost     = Event{1214, zapcore.WarnLevel, "store lost", "Calls to the platform's store fail; what is known stays in force."}
 	StoreBack     = Event{1215, zapcore.InfoLevel, "store back", "The platform's store answers again."}
@@ -51,7 +50,6 @@
 	HostsChanged  = Event{1219, zapcore.InfoLevel, "hosts changed", "The list of hosts of the system changed."}
 	HomeChanged   = Event{1220, zapcore.InfoLevel, "home changed", "Another host gives out the places at targets."}
 	HostBusy      = Event{1221, zapcore.WarnLevel, "host busy", "Timers of this process fire late; others are asked for places until it has caught up."}
-	FeedLost      = Event{1212, zapcore.WarnLevel, "dispatcher feeds no longer", "The dispatcher of this host is silent; this process reads the list and the log itself."}
 )
 
 // Requests: 1300 to 1399.
@@ -65,11 +63,11 @@
 	ClaimLost        = Event{1307, zapcore.InfoLevel, "claim lost", "Another request holds the key; the caller is joined to it."}
 	QuarantineAdded  = Event{1308, zapcore.WarnLevel, "quarantine added", "A fingerprint was in flight at two target crashes and is refused everywhere."}
 	QuarantineLifted = Event{1309, zapcore.InfoLevel, "quarantine lifted", "A fingerprint expired or was released by an operator."}
+	InvariantFailed  = Event{1310, zapcore.ErrorLevel, "invariant failed", "An internal check failed; report it with the surrounding log."}
 	PlaceGranted     = Event{1311, zapcore.InfoLevel, "place granted", "A request got a place at a target; expected is the time to its first byte."}
 	PlaceRefused     = Event{1312, zapcore.InfoLevel, "place refused", "A request got no place; the kind and the detail tell why."}
 	SendFailed       = Event{1313, zapcore.WarnLevel, "send failed", "A target gave no whole answer; proof tells what is known of the run."}
 	DecidedAlone     = Event{1314, zapcore.WarnLevel, "decided alone", "No home of places answers; this host uses its own share of the targets."}
-	InvariantFailed  = Event{1310, zapcore.ErrorLevel, "invariant failed", "An internal check failed; report it with the surrounding log."}
 )
 
 // Targets: 1400 to 1499.
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -149,15 +149,12 @@
 	if row.host.ID == l.self.ID {
 		return true
 	}
-	if row.conn == nil {
-		return false
-	}
-	select {
-	case <-row.conn.Done():
-		return false
-	default:
-		return now.Sub(row.conn.LastHeard()) < silentAfter
-	}
+	return row.conn != nil && answers(row.conn, now)
+}
+
+// answers reports whether something was heard on a connection lately.
+func answers(conn *peer.Conn, now time.Time) bool {
+	return conn.Open() && now.Sub(conn.LastHeard()) < silentAfter
 }
 
 // Live is a host that answers. Conn is nil when it is this host itself.
@@ -218,15 +215,7 @@
 
 // Alive reports whether a connection that Live returned still answers.
 func (l *Links) Alive(v Live) bool {
-	if v.Conn == nil {
-		return true
-	}
-	select {
-	case <-v.Conn.Done():
-		return false
-	default:
-		return l.clock.Now().Sub(v.Conn.LastHeard()) < silentAfter
-	}
+	return v.Conn == nil || answers(v.Conn, l.clock.Now())
 }
 
 // Rank returns the place of this host in the order, or the number of hosts
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -107,6 +107,16 @@
 // Done is closed when the connection is gone.
 func (c *Conn) Done() <-chan struct{} { return c.rpc.DisconnectNotify() }
 
+// Open reports whether the connection is not known to be gone.
+func (c *Conn) Open() bool {
+	select {
+	case <-c.Done():
+		return false
+	default:
+		return true
+	}
+}
+
 // Close drops the connection.
 func (c *Conn) Close() error { return c.rpc.Close() }
 
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -46,7 +46,7 @@
 	s := p.slot(address)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.conn != nil && !isDone(s.conn) {
+	if s.conn != nil && s.conn.Open() {
 		if p.alive(ctx, s.conn) {
 			return s.conn, nil
 		}
@@ -132,12 +132,3 @@
 	var dialer net.Dialer
 	return dialer.DialContext(ctx, "tcp", address)
 }
-
-func isDone(c *Conn) bool {
-	select {
-	case <-c.Done():
-		return true
-	default:
-		return false
-	}
-}
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -158,40 +157,6 @@
 	return c.finish(w, m, links.Live{}, g, err)
 }
 
-// limited is a customer whose quota was used up when it was last asked for.
-type limited struct {
-	until  time.Time
-	tokens int
-}
-
-// limitKept bounds how long a refusal by quota stands for further requests of
-// the customer that need as much, so that those do not load the home.
-const limitKept = 200 * time.Millisecond
-
-// noteLimit remembers a refusal by quota.
-func (c *Client) noteLimit(w Wish, err error) {
-	if errkind.Of(err) != errkind.CustomerLimit {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	wait := min(errkind.RetryAfterOf(err), limitKept)
-	c.limited[w.Customer] = limited{until: c.clock.Now().Add(wait), tokens: w.Tokens}
-}
-
-// stillLimited refuses a request whose customer had no tokens for less a moment
-// ago.
-func (c *Client) stillLimited(w Wish) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	l, known := c.limited[w.Customer]
-	left := l.until.Sub(c.clock.Now())
-	if !known || left <= 0 || w.Tokens < l.tokens {
-		return nil
-	}
-	return errkind.NewRetry(errkind.CustomerLimit, fmt.Sprintf("customer %q had no %d tokens %s ago", w.Customer, l.tokens, limitKept-left), left)
-}
-
 func (c *Client) newID() place.ID {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -264,100 +229,6 @@
 	live.Conn.Post(methodAdopt, c.adoptable())
 }
 
-// Grant is a place at a target. Its holder reports the first byte and the end.
-type Grant struct {
-	Target   tables.TargetID
-	Expected time.Duration
-	client   *Client
-	id       place.ID
-	service  tables.ServiceID
-	// home decides in this process; it is nil when host is another one.
-	home  *Home
-	host  tables.HostID
-	ended bool
-}
-
-func (c *Client) finish(w Wish, m askMessage, live links.Live, g grantMessage, err error) (*Grant, error) {
-	if err != nil {
-		c.noteLimit(w, err)
-		return nil, err
-	}
-	grant := &Grant{Target: g.Target, Expected: fromMS(float64(g.ExpectedMS)), client: c, id: m.ID, service: m.Service, host: live.Host.ID}
-	switch live.Host.ID {
-	case "":
-		grant.home = c.alone
-	case c.self.ID:
-		grant.home = c.own
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.open[m.ID] = openGrant{ID: m.ID, Service: m.Service, Target: g.Target, Customer: w.Customer}
-	c.tokens.add(c.clock.Now(), w.Customer, w.Tokens)
-	return grant, nil
-}
-
-// First reports the time from the send to the first byte.
-func (g *Grant) First(took time.Duration) {
-	r := firstReport{ID: g.id, TookMS: toMS(took)}
-	if g.home != nil {
-		g.home.Report(reportMessage{Firsts: []firstReport{r}})
-		return
-	}
-	g.client.reportFirst(g.host, r)
-}
-
-// End frees the place. pause is the mean pause between events, zero when
-// unknown. Further calls do nothing.
-func (g *Grant) End(outcome place.Outcome, pause time.Duration) {
-	if g.ended {
-		return
-	}
-	g.ended = true
-	c := g.client
-	c.mu.Lock()
-	delete(c.open, g.id)
-	c.mu.Unlock()
-	r := endReport{ID: g.id, Service: g.service, Outcome: outcome, PauseMS: toMS(pause)}
-	if g.home != nil {
-		g.home.Report(reportMessage{Ends: []endReport{r}})
-		return
-	}
-	c.report(g.host, r)
-}
-
-func (c *Client) report(home tables.HostID, r endReport) {
-	c.batch(home, func(m *reportMessage) { m.Ends = append(m.Ends, r) })
-}
-
-func (c *Client) reportFirst(home tables.HostID, r firstReport) {
-	c.batch(home, func(m *reportMessage) { m.Firsts = append(m.Firsts, r) })
-}
-
-// batch adds to the next report to a home, which goes out soon.
-func (c *Client) batch(home tables.HostID, add func(*reportMessage)) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	m := c.outbox[home]
-	if m == nil {
-		m = &reportMessage{}
-		c.outbox[home] = m
-		c.clock.AfterFunc(reportEvery, func() { c.flush(home) })
-	}
-	add(m)
-}
-
-// flush sends a report. One that finds no connection is dropped: the next list
-// of open places tells the home as much.
-func (c *Client) flush(home tables.HostID) {
-	c.mu.Lock()
-	m := c.outbox[home]
-	delete(c.outbox, home)
-	c.mu.Unlock()
-	if conn := c.links.Conn(home); conn != nil && m != nil {
-		conn.Post(methodReport, *m)
-	}
-}
-
 // Maintain tells the home once a second what this host has in use, and tells
 // the others through post what the own home has learned, until ctx ends.
 func (c *Client) Maintain(ctx context.Context, post func(method string, params any)) {
--- a/internal/watch/share.go
+++ b/internal/watch/share.go
@@ -208,18 +208,9 @@
 		}
 	}
 	for conn, seen := range s.told {
-		if _, kept := told[conn]; !kept && !isDone(conn) {
+		if _, kept := told[conn]; !kept && conn.Open() {
 			told[conn] = seen
 		}
 	}
 	s.told = told
 }
-
-func isDone(conn *peer.Conn) bool {
-	select {
-	case <-conn.Done():
-		return true
-	default:
-		return false
-	}
-}
