--- a/cmd/bluebell-edge/main.go
+++ b/cmd/bluebell-edge/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/edgenode"
 	"github.com/bluebellseam/bluebellseam/internal/settings"
@@ -37,12 +38,43 @@
 	if err != nil {
 		return err
 	}
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			break
-		}
-		process.Reload(path)
-	}
+	await(signals, path, process.Reload)
 	process.Stop()
 	return nil
 }
+
+// changesEvery is how often the settings file is looked at for changes that
+// come without a signal.
+const changesEvery = 2 * time.Second
+
+// await returns at a signal to stop. It calls reload at SIGHUP and when the
+// file at path has changed.
+func await(signals <-chan os.Signal, path string, reload func(path string)) {
+	changes := time.NewTicker(changesEvery)
+	defer changes.Stop()
+	seen := modified(path)
+	for {
+		select {
+		case sig := <-signals:
+			if sig != syscall.SIGHUP {
+				return
+			}
+		case <-changes.C:
+			if modified(path).Equal(seen) {
+				continue
+			}
+		}
+		seen = modified(path)
+		reload(path)
+	}
+}
+
+// modified is when the file at path was last written, zero when it cannot be
+// told; loading it then names the error.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -57,7 +58,9 @@
 
 // Process is a running edge.
 type Process struct {
+	mu       sync.Mutex
 	settings platform.Settings
+
 	self     fleet.Host
 	log      *observe.BoundedLog
 	logger   *zap.Logger
@@ -117,8 +120,8 @@
 	store.Called = p.metrics.StoreCalled
 	p.watcher = watch.NewWatcher(p.self, p.state, store, p.links, p.clock, p.logger)
 	p.sharer = watch.NewSharer(p.self, p.watcher, p.links, p.mux, p.clock, p.logger)
-	p.own = pool.NewHome(p.state, p.policy(), rand.Float64, p.homeShare, func() int { return 1 }, p.clock, p.logger)
-	p.alone = pool.NewHome(p.state, p.policy(), rand.Float64, p.aloneShare, p.links.Hosts, p.clock, p.logger)
+	p.own = pool.NewHome(p.state, policyOf(s), rand.Float64, p.homeShare, func() int { return 1 }, p.clock, p.logger)
+	p.alone = pool.NewHome(p.state, policyOf(s), rand.Float64, p.aloneShare, p.links.Hosts, p.clock, p.logger)
 	first := xxhash.Sum64String(s.Node+p.clock.Now().String()) &^ 0xffffffff
 	p.client = pool.NewClient(p.self, p.links, p.own, p.alone, first, p.clock, p.logger)
 	p.client.Register(p.mux)
@@ -128,8 +131,8 @@
 	return p
 }
 
-func (p *Process) policy() pool.Policy {
-	b := p.settings.Bounds
+func policyOf(s platform.Settings) pool.Policy {
+	b := s.Bounds
 	return pool.Policy{
 		Quota: quota.Bounds{
 			Window:    time.Duration(b.QuotaWindowS * float64(time.Second)),
@@ -239,8 +242,9 @@
 	if p.watcher.Load(ctx) == nil {
 		return true
 	}
-	for _, seed := range p.settings.Seeds {
-		if seed == p.settings.Listen.Control {
+	settings := p.current()
+	for _, seed := range settings.Seeds {
+		if seed == settings.Listen.Control {
 			continue
 		}
 		conn, err := p.peers.Get(ctx, seed)
@@ -258,11 +262,29 @@
 	return false
 }
 
-// Reload checks the changed settings file at path. Addresses and bounds take
-// effect at the next start.
+// Reload reads the settings file at path again. Bounds, seeds and the grace
+// time take effect at once; addresses do at the next start, and a change of
+// them is logged. A file with an error changes nothing.
 func (p *Process) Reload(path string) {
-	_, err := platform.LoadSettings(path)
-	event.SettingsReloaded.Log(p.logger, zap.String("path", path), zap.Error(err))
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		event.SettingsReloaded.Log(p.logger, zap.String("path", path), zap.Error(err))
+		return
+	}
+	p.mu.Lock()
+	old := p.settings
+	p.settings = s
+	p.mu.Unlock()
+	p.own.SetPolicy(policyOf(s))
+	p.alone.SetPolicy(policyOf(s))
+	event.SettingsReloaded.Log(p.logger, zap.String("path", path), zap.Bool("addresses_changed", old.Listen != s.Listen))
+}
+
+// current returns the settings in force.
+func (p *Process) current() platform.Settings {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.settings
 }
 
 // Stop lets requests in flight end within the grace time of the settings and
@@ -270,7 +292,8 @@
 func (p *Process) Stop() {
 	event.StopRequested.Log(p.logger)
 	close(p.stopping)
-	ctx, cancel := context.WithTimeout(context.Background(), p.settings.Grace()-exitMargin)
+	settings := p.current()
+	ctx, cancel := context.WithTimeout(context.Background(), settings.Grace()-exitMargin)
 	defer cancel()
 	if err := p.watcher.Withdraw(ctx); err != nil {
 		event.StoreLost.Log(p.logger, zap.Error(err))
--- a/internal/pool/home.go
+++ b/internal/pool/home.go
@@ -96,6 +96,14 @@
 	}
 }
 
+// SetPolicy replaces the bounds that the home keeps.
+func (h *Home) SetPolicy(p Policy) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.buckets.SetBounds(p.Quota)
+	h.repeats.SetBudget(p.Repeat)
+}
+
 // Refresh takes over the list of targets. learned is what another home knows of
 // them.
 func (h *Home) Refresh(learned place.Learned) {
--- a/internal/systems/quota/quota.go
+++ b/internal/systems/quota/quota.go
@@ -54,6 +54,9 @@
 	return &Buckets{rows: make(map[tables.CustomerID]*bucket), start: startShare, bounds: bounds}
 }
 
+// SetBounds replaces the bounds.
+func (b *Buckets) SetBounds(bounds Bounds) { b.bounds = bounds }
+
 // Take uses tokens of a customer, or returns the wait after which they are
 // there. share is the part of the quota that this place may give, from 0 to 1.
 func (b *Buckets) Take(now time.Time, id tables.CustomerID, q fleet.Quota, share float64, tokens int) (wait time.Duration) {
--- a/internal/systems/repeat/repeat.go
+++ b/internal/systems/repeat/repeat.go
@@ -38,6 +38,14 @@
 	return &Counter{budget: b, rows: make(map[tables.ServiceID]*window)}
 }
 
+// SetBudget replaces the budget. A new window starts the counts anew.
+func (c *Counter) SetBudget(b Budget) {
+	if b.Window != c.budget.Window {
+		clear(c.rows)
+	}
+	c.budget = b
+}
+
 // Request counts the first send of a request.
 func (c *Counter) Request(now time.Time, s tables.ServiceID) {
 	row := c.row(now, s)
