--- /dev/null
+++ b/internal/watch/state_test.go
@@ -0,0 +1,133 @@
+package watch_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/fleet"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+	"github.com/bluebellseam/bluebellseam/internal/watch"
+)
+
+func TestWatch(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "watch")
+}
+
+// decoder reads a number as a version, and any other text but "bad" as the
+// address of a target.
+type decoder struct{}
+
+func (decoder) IsConfig(key string) bool { return key == "config" }
+
+func (decoder) Config(value []byte) (*fleet.Config, error) {
+	version, err := strconv.ParseUint(string(value), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	return fleet.NewConfig(version), nil
+}
+
+func (decoder) Target(key string, value []byte) (fleet.Target, error) {
+	if string(value) == "bad" {
+		return fleet.Target{}, fmt.Errorf("entry of %q", key)
+	}
+	return fleet.Target{ID: tables.TargetID(key), Address: string(value)}, nil
+}
+
+var start = time.Unix(1_700_000_000, 0)
+
+func record(key, value string, offset int64) watch.Record {
+	r := watch.Record{Key: key, Offset: offset}
+	if value != "" {
+		r.Value = []byte(value)
+	}
+	return r
+}
+
+func page(end int64, records ...watch.Record) watch.Page {
+	return watch.Page{Records: records, End: end}
+}
+
+var _ = Describe("State", func() {
+	var s *watch.State
+	BeforeEach(func() { s = watch.NewState(decoder{}, zap.NewNop()) })
+
+	It("never goes back to an older version", func() {
+		s.Take(start, watch.Configs, page(1, record("config", "7", 0)))
+		s.TakeNews(start, []watch.Change{{Stream: watch.Configs, Record: record("config", "6", 3)}}, nil)
+		Expect(s.Config().Version).To(Equal(uint64(7)))
+		s.Take(start, watch.Configs, page(5, record("config", "9", 4), record("other", "12", 5)))
+		Expect(s.Config().Version).To(Equal(uint64(9)))
+	})
+
+	It("drops a target that its entry or a whole listing no longer has", func() {
+		s.Take(start, watch.Targets, page(3, record("a", "1", 0), record("b", "2", 1), record("c", "3", 2)))
+		s.Take(start, watch.Targets, page(4, record("a", "", 3)))
+		s.TakeListing(start, watch.Targets, page(6, record("c", "3", 2)))
+		Expect(s.Targets()).To(ConsistOf(HaveField("ID", tables.TargetID("c"))))
+	})
+
+	It("does not use a target whose entry turned unreadable", func() {
+		s.Take(start, watch.Targets, page(2, record("a", "1", 0), record("a", "bad", 1)))
+		Expect(s.Targets()).To(BeEmpty())
+	})
+
+	It("keeps what lapsed during an outage for a while, and lets go of what does not come back", func() {
+		s.Take(start, watch.Targets, page(2, record("a", "1", 0), record("b", "2", 1)))
+		s.HoldUntil(start.Add(2 * time.Second))
+		s.Take(start, watch.Targets, page(4, record("a", "", 2), record("b", "", 3)))
+		Expect(s.Targets()).To(HaveLen(2))
+		s.Take(start, watch.Targets, page(5, record("a", "1", 4)))
+		s.ReleaseHeld(start.Add(time.Second))
+		Expect(s.Targets()).To(HaveLen(2))
+		s.ReleaseHeld(start.Add(2 * time.Second))
+		Expect(s.Targets()).To(ConsistOf(HaveField("ID", tables.TargetID("a"))))
+	})
+
+	It("tells what is new together with the ends that it covers", func() {
+		s.Take(start, watch.Targets, page(1, record("a", "1", 0)))
+		first := s.Since(0)
+		Expect(first.Changes).To(HaveLen(1))
+		s.Take(start, watch.Targets, page(3, record("a", "2", 1), record("a", "3", 2)))
+		second := s.Since(first.Taken)
+		Expect(second.Changes).To(HaveLen(1))
+		Expect(second.Changes[0].Record.Offset).To(Equal(int64(2)))
+		Expect(second.Ends[watch.Targets]).To(Equal(int64(3)))
+	})
+
+	It("passes upwards only what it has read itself", func() {
+		s.TakeNews(start, []watch.Change{{Stream: watch.Targets, Record: record("a", "1", 0)}}, nil)
+		Expect(s.OwnSince(0).Changes).To(BeEmpty())
+		s.Take(start, watch.Targets, page(2, record("b", "1", 1)))
+		Expect(s.OwnSince(0).Changes).To(HaveLen(1))
+	})
+
+	It("carries large records between hosts unchanged", func() {
+		large := make([]byte, 0, 10_000)
+		for i := range 2_500 {
+			large = strconv.AppendInt(large, int64(i%10), 10)
+		}
+		s.Take(start, watch.Targets, page(1, watch.Record{Key: "a", Value: large}))
+		told := s.Since(0).Changes
+		Expect(len(told[0].Record.Value)).To(BeNumerically("<", len(large)/4))
+		other := watch.NewState(decoder{}, zap.NewNop())
+		other.TakeNews(start, told, nil)
+		target, known := other.Target("a")
+		Expect(known).To(BeTrue())
+		Expect(target.Address).To(Equal(string(large)))
+	})
+
+	It("is complete with a configuration and a list, also an empty one", func() {
+		s.Take(start, watch.Configs, page(1, record("config", "1", 0)))
+		Expect(s.Complete()).To(BeFalse())
+		s.TakeListing(start, watch.Targets, page(0))
+		Expect(s.Complete()).To(BeTrue())
+	})
+})
