--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -59,6 +59,7 @@
 type Process struct {
 	settings platform.Settings
 	self     fleet.Host
+	log      *observe.BoundedLog
 	logger   *zap.Logger
 	clock    clockwork.Clock
 	metrics  *observe.Edge
@@ -105,7 +106,10 @@
 		mux:      peer.NewMux(),
 		stopping: make(chan struct{}),
 	}
-	p.logger = observe.NewLogger(logs, zapcore.InfoLevel).With(zap.String("node", s.Node))
+	p.log = observe.NewBoundedLog(logs)
+	p.logger = p.log.Logger(zapcore.InfoLevel).With(zap.String("node", s.Node))
+	p.log.Dropped = func(n int64) { event.LogLinesLeftOut.Log(p.logger, zap.Int64("lines", n)) }
+	go p.log.Run()
 	p.peers = peer.NewPool(context.Background(), peer.Hello{Host: p.self.ID, Role: "edge"}, p.mux, p.clock)
 	p.links = links.New(p.self, p.peers, p.clock, p.logger)
 	p.state = watch.NewState(platform.Decoder{}, p.logger)
@@ -285,6 +289,7 @@
 		_ = c.Close()
 	}
 	_ = p.front.Close()
+	p.log.Close()
 }
 
 // Ready reports whether the process serves requests.
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -15,6 +15,9 @@
 	ListenerFailed   = Event{1006, zapcore.ErrorLevel, "listener failed", "A listening socket returned an error."}
 )
 
+// LogLinesLeftOut reports the bound on the log.
+var LogLinesLeftOut = Event{1008, zapcore.WarnLevel, "log lines left out", "The log was above its rate, or its reader too slow; lines is their number since the last such line."}
+
 // Configuration and log following: 1100 to 1199.
 var (
 	ConfigInForce    = Event{1101, zapcore.InfoLevel, "configuration in force", "The host applies a new configuration version."}
@@ -79,7 +82,7 @@
 // Catalogue returns every event by number.
 func Catalogue() []Event {
 	return []Event{
-		ProcessStarted, SettingsInForce, StopRequested, StopBoundPassed, ProcessStopped, ListenerFailed, SettingsReloaded,
+		ProcessStarted, SettingsInForce, StopRequested, StopBoundPassed, ProcessStopped, ListenerFailed, SettingsReloaded, LogLinesLeftOut,
 		ConfigInForce, PatchRejected, LogUnreachable, LogTruncated, LogReachable, SnapshotAppended, RecordIgnored,
 		PeerUp, PeerDown, TargetLeaving, TargetOwned, TargetLost, LeaseTaken, LeaseLost, OrderSent, OrderRefused, PeerState, FeedTaken, FeedLost,
 		PeerUnreached, StoreLost, StoreBack, TargetListed, TargetRemoved, EntryIgnored, HostsChanged, HomeChanged, HostBusy,
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -22,7 +22,7 @@
 	// home still answers.
 	liveCheck = 50 * time.Millisecond
 	// reportEvery is how long reports wait to go out together.
-	reportEvery = 5 * time.Millisecond
+	reportEvery = 2 * time.Millisecond
 	// maintainEvery is how often a host lists its places to the home.
 	maintainEvery = time.Second
 	// tokensWindow is the time whose use of tokens a new home is told of.
--- a/internal/pool/home.go
+++ b/internal/pool/home.go
@@ -227,6 +227,10 @@
 	h.refused.Add(h.clock.Now(), m.Content, d.RetryAfter)
 	waiting, inUse := h.table.Waiting(), h.table.InUse()
 	h.mu.Unlock()
+	event.PlaceRefused.Log(h.logger, zap.String("request", m.Request), zap.String("reason", string(d.Reason)),
+		zap.String("service", string(m.Service)), zap.Int("tier", m.Tier), zap.Int("urgency", m.Urgency),
+		zap.Int("waiting", waiting), zap.Int("in_use", inUse), zap.Bool("late", d.Ask.Late), zap.Bool("returned", d.Ask.Returned),
+		zap.Int64("aim_ms", m.AimMS), zap.Duration("waited", h.clock.Now().Sub(d.Ask.Came)), zap.Duration("retry_after", d.RetryAfter))
 	detail := fmt.Sprintf("service %q, tier %d: %d requests wait, %d places are in use", m.Service, m.Tier, waiting, inUse)
 	if d.Reason == place.NoTargets {
 		return grantMessage{}, errkind.NewRetry(errkind.NoTarget, detail, d.RetryAfter)
--- a/internal/systems/place/step.go
+++ b/internal/systems/place/step.go
@@ -43,7 +43,7 @@
 		d, decided := t.decide(now, s, a, free)
 		if decided {
 			out = append(out, d)
-			free = stillFree(free)
+			free = s.stillFree(free)
 			continue
 		}
 		kept = append(kept, a)
@@ -57,15 +57,15 @@
 func (s *service) free(now time.Time) []*target {
 	out := make([]*target, 0, len(s.targets))
 	for _, t := range s.targets {
-		if t.usable(now) && t.open < t.slots() {
+		if t.usable(now) && t.open < t.places(s.line.mean()) {
 			out = append(out, t)
 		}
 	}
 	return out
 }
 
-func stillFree(targets []*target) []*target {
-	return slices.DeleteFunc(targets, func(t *target) bool { return t.open >= t.slots() })
+func (s *service) stillFree(targets []*target) []*target {
+	return slices.DeleteFunc(targets, func(t *target) bool { return t.open >= t.places(s.line.mean()) })
 }
 
 // order sorts asks that can still be in time before late ones, then by tier,
--- a/internal/systems/place/target.go
+++ b/internal/systems/place/target.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
@@ -20,9 +21,12 @@
 	failingAfter = 6
 	// failureWeight is that of a new answer in the share of failures.
 	failureWeight = 0.15
-	// spareSlots are given beyond the slots of a target with spareFrom or more.
-	spareSlots = 1
-	spareFrom  = 8
+	// turnaround is the time from the end of a request at a target until the next
+	// one that the home sends there arrives.
+	turnaround = 10 * time.Millisecond
+	// maxSpareShare bounds the requests beyond the slots of a target, as a part
+	// of these.
+	maxSpareShare = 3
 	// unknownSlots bounds the requests at a target that has answered none yet.
 	unknownSlots = 2
 )
@@ -62,19 +66,19 @@
 	return &target{Target: t, reading: make(map[ID]*grant)}
 }
 
-// slots is the number of requests that the target may have at once. A large one
-// gets spareSlots more than it serves, which wait there for the next end: a
-// place would otherwise stay empty while the home hears of the end and the next
-// request travels.
-func (t *target) slots() int {
-	switch {
-	case !t.speed.Known():
+// places is the number of requests that the target may have at once, when a
+// request takes a mean time there. It gets a few more than it serves, which
+// wait there for the next end: a slot would otherwise stay empty while the home
+// hears of the end and the next request travels.
+func (t *target) places(mean time.Duration) int {
+	if !t.speed.Known() {
 		return min(unknownSlots, t.Slots)
-	case t.Slots >= spareFrom:
-		return t.Slots + spareSlots
-	default:
+	}
+	if mean <= 0 {
 		return t.Slots
 	}
+	spare := math.Ceil(float64(t.Slots) * float64(turnaround) / float64(mean))
+	return t.Slots + min(int(spare), t.Slots/maxSpareShare)
 }
 
 // usable reports whether a new request may go to the target.
