Learn a target's speed against what was foreseen when the place was given

Cause: the time to the first byte that a grant foresaw was divided by the speed that the target had when its answer came. With several requests at a target of unknown speed the first answer set the speed, and the second was compared with a foreseen time divided by it: a ratio r was learned as r squared.

The line of a finished request also tells the longest pause of its stream.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -38,7 +38,9 @@
 	begun bool
 	// first and latest are when the first and the latest event went out.
 	first, latest time.Time
-	events        int
+	// longest is the longest pause between two events so far.
+	longest time.Duration
+	events  int
 	// last is the ID of the last event that went out; zero before the first.
 	last int64
 	// mayHaveRun is true after a send that may have run.
@@ -65,6 +67,15 @@
 // resumable reports whether an answer that has begun can go on elsewhere.
 func (r *relay) resumable() bool { return r.stream && r.last > 0 }
 
+// passed notes that an event went out.
+func (r *relay) passed(now time.Time) {
+	if r.events > 0 {
+		r.longest = max(r.longest, now.Sub(r.latest))
+	}
+	r.events++
+	r.latest = now
+}
+
 func (r *relay) pause() time.Duration { return pauseOf(r.first, r.latest, r.events) }
 
 // take passes an answer on. Errors are of type *SendError when another target
@@ -194,8 +205,7 @@
 	if numbered {
 		x.relay.last = id
 	}
-	x.relay.events++
-	x.relay.latest = now
+	x.relay.passed(now)
 	return nil
 }
 
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -166,6 +166,9 @@
 	if !x.relay.first.IsZero() {
 		fields = append(fields, zap.Duration("first", x.relay.first.Sub(x.request.Arrived)))
 	}
+	if x.relay.events > 0 {
+		fields = append(fields, zap.Int("events", x.relay.events), zap.Duration("longest_pause", x.relay.longest))
+	}
 	if err != nil {
 		fields = append(fields, zap.String("detail", errkind.DetailOf(err)))
 	}
--- a/internal/systems/pace/speed.go
+++ b/internal/systems/pace/speed.go
@@ -52,3 +52,8 @@
 func (s Speed) Scale(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * s.Value())
 }
+
+// Unscale returns what would take d at this speed as it takes at speed 1.
+func (s Speed) Unscale(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / s.Value())
+}
--- a/internal/systems/place/place_test.go
+++ b/internal/systems/place/place_test.go
@@ -117,6 +117,22 @@
 		Expect(granted(table.Step(at(80_000)))).To(HaveKeyWithValue(place.ID(100), tables.TargetID("t1")))
 	})
 
+	It("learns the speed of a target from answers to requests that were sent together", func() {
+		table := warmed(4, "t1")
+		for id := place.ID(1); id <= 4; id++ {
+			table.Add(ask(id, 0))
+		}
+		expected := make(map[place.ID]time.Duration)
+		for _, d := range table.Step(at(0)) {
+			expected[d.Ask.ID] = d.Expected.Sub(at(0))
+		}
+		for id := place.ID(1); id <= 4; id++ {
+			took := 3 * expected[id]
+			table.First(at(0).Add(took), id, took)
+		}
+		Expect(table.Learned().Speeds["t1"]).To(BeNumerically("~", 3, 0.5))
+	})
+
 	It("rests a target whose connections break, and tries it again", func() {
 		table := warmed(4, "t1")
 		table.Add(ask(1, 0))
--- a/internal/systems/place/step.go
+++ b/internal/systems/place/step.go
@@ -227,7 +227,7 @@
 }
 
 func (t *Table) grant(now time.Time, s *service, a *Ask, row *target, expected time.Duration) Decision {
-	g := &grant{ask: a, target: row, at: now, expected: expected}
+	g := &grant{ask: a, target: row, at: now, unscaled: row.speed.Unscale(expected)}
 	t.grants[a.ID] = g
 	row.admit(now, g, row.speed.Scale(s.shape.Reading(a.Prompt)))
 	return Decision{Ask: a, Target: row.ID, Expected: now.Add(expected)}
--- a/internal/systems/place/table.go
+++ b/internal/systems/place/table.go
@@ -155,18 +155,13 @@
 		return
 	}
 	s := t.service(g.ask.Service)
-	g.target.speed.Observe(took, g.unscaled())
+	g.target.speed.Observe(took, g.unscaled)
 	if g.alone && g.target.speed.Known() {
 		s.shape.Observe(g.ask.Prompt, time.Duration(float64(took)/g.target.speed.Value()))
 	}
 	g.target.firstByte(now, g, s.shape)
 }
 
-// unscaled is the expected time to the first byte at a target of speed 1.
-func (g *grant) unscaled() time.Duration {
-	return time.Duration(float64(g.expected) / g.target.speed.Value())
-}
-
 // Paused notes the mean pause between the events of a stream that has ended.
 func (t *Table) Paused(id ID, mean time.Duration) {
 	g := t.grants[id]
--- a/internal/systems/place/target.go
+++ b/internal/systems/place/target.go
@@ -56,8 +56,9 @@
 	ask    *Ask
 	target *target
 	at     time.Time
-	// expected is the time to the first byte that was foreseen.
-	expected time.Duration
+	// unscaled is the time to the first byte that was foreseen for a target of
+	// speed 1; zero when another home gave the place.
+	unscaled time.Duration
 	// alone is true when no other prompt was being read.
 	alone bool
 }
