Keep the home through one late timer

Cause: a host counted as busy from a mean lateness of 30 ms, which one timer 200 ms late is enough for.

The bound is 80 ms now, which the second late timer in a row passes.

--- a/internal/links/lag.go
+++ b/internal/links/lag.go
@@ -11,7 +11,7 @@
 	lagWeight = 0.25
 	// busyLag is the mean delay of timers from which a host is too short of
 	// processor time to decide for others.
-	busyLag = 30 * time.Millisecond
+	busyLag = 80 * time.Millisecond
 	// sampleBytes is the size of the work whose time shows the pace of the
 	// processor; sampleTries of it are timed and the shortest counts.
 	sampleBytes = 64 << 10
