Bound quotas by a sliding window, and refill as fast as a window allows

Cause: a bucket with half of the burst at once gains (window - burst share) / length a second.

Change: a window of 80 slots counts what a customer's requests took, each moved to the time when it was granted; the bucket beside it gains most/window a second and holds a quarter of the burst. A new home begins at the level from which a window over the loss still stays within the bounds, and learns from each host what went through it; hosts that lived through the window before vouch for their part. The spec of a part of the burst now asks for a quarter at once and at least 0.95 of each window after.

--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -42,10 +42,6 @@
 	loadPause   = 200 * time.Millisecond
 	// repeatShare of the platform's budget of repeats is used.
 	repeatShare = 0.6
-	// quotaShare of the platform's overshoot and slack of quotas is used.
-	quotaShare = 0.85
-	// startShare is the part of its burst that a customer has at a new home.
-	startShare = 0.5
 	// leaveRotation is how long the platform takes to see that a host is not
 	// ready; until then it sends new connections.
 	leaveRotation = 2500 * time.Millisecond
@@ -123,7 +119,7 @@
 	p.own = pool.NewHome(p.state, policyOf(s), rand.Float64, p.homeShare, func() int { return 1 }, p.clock, p.logger)
 	p.alone = pool.NewHome(p.state, policyOf(s), rand.Float64, p.aloneShare, p.links.Hosts, p.clock, p.logger)
 	first := xxhash.Sum64String(s.Node+p.clock.Now().String()) &^ 0xffffffff
-	p.client = pool.NewClient(p.self, p.links, p.own, p.alone, first, p.clock, p.logger)
+	p.client = pool.NewClient(p.self, p.links, p.own, p.alone, first, policyOf(s).Quota.Window, p.clock, p.logger)
 	p.client.Register(p.mux)
 	p.state.Changed = p.changed
 	p.sharer.Detached = p.own.Forget
@@ -136,13 +132,12 @@
 	return pool.Policy{
 		Quota: quota.Bounds{
 			Window:    time.Duration(b.QuotaWindowS * float64(time.Second)),
-			Overshoot: b.QuotaOvershoot * quotaShare, Slack: b.QuotaSlack * quotaShare,
+			Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack,
 		},
 		Repeat: repeat.Budget{
 			Ratio: b.RetryBudgetRatio * repeatShare, Slack: b.BudgetSlack * repeatShare,
 			Window: time.Duration(b.BudgetWindowS * float64(time.Second)),
 		},
-		StartShare: startShare,
 	}
 }
 
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -174,5 +174,8 @@
 	return n
 }
 
+// Quotas returns the quotas of all customers, which must not be changed.
+func (c *Config) Quotas() map[tables.CustomerID]Quota { return c.quotas }
+
 // QuotaOf returns the quota of a customer; the zero Quota when it has none.
 func (c *Config) QuotaOf(id tables.CustomerID) Quota { return c.quotas[id] }
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -25,8 +25,6 @@
 	reportEvery = 2 * time.Millisecond
 	// maintainEvery is how often a host lists its places to the home.
 	maintainEvery = time.Second
-	// tokensWindow is the time whose use of tokens a new home is told of.
-	tokensWindow = 4 * time.Second
 )
 
 // Client asks the home for places, or decides alone when none answers.
@@ -40,6 +38,7 @@
 
 	mu      sync.Mutex
 	nextID  place.ID
+	started time.Time
 	open    map[place.ID]openGrant
 	tokens  *usage
 	learned place.Learned
@@ -69,12 +68,14 @@
 
 // NewClient returns a client. own decides when this host is the home; alone
 // when no home answers. firstID must differ between hosts and between starts.
-func NewClient(self fleet.Host, l *links.Links, own, alone *Home, firstID uint64, clock clockwork.Clock, logger *zap.Logger) *Client {
+// window is the time whose use of tokens a new home is told of.
+func NewClient(self fleet.Host, l *links.Links, own, alone *Home, firstID uint64, window time.Duration, clock clockwork.Clock, logger *zap.Logger) *Client {
 	return &Client{
 		self: self, links: l, own: own, alone: alone, clock: clock, logger: logger,
 		nextID:  place.ID(firstID),
+		started: clock.Now(),
 		open:    make(map[place.ID]openGrant),
-		tokens:  newUsage(tokensWindow),
+		tokens:  newUsage(window),
 		limited: make(map[tables.CustomerID]limited),
 		outbox:  make(map[tables.HostID]*reportMessage),
 	}
@@ -128,7 +129,9 @@
 func (c *Client) adoptable() adoptMessage {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m := adoptMessage{Host: c.self.ID, Hosts: c.links.Hosts(), Tokens: c.tokens.recent(c.clock.Now())}
+	now := c.clock.Now()
+	m := adoptMessage{Host: c.self.ID, Hosts: c.links.Hosts(), Tokens: c.tokens.recent(now)}
+	m.OverMS = min(now.Sub(c.started), c.tokens.window).Milliseconds()
 	for _, g := range c.open {
 		m.Open = append(m.Open, g)
 	}
--- a/internal/pool/home.go
+++ b/internal/pool/home.go
@@ -37,8 +37,6 @@
 type Policy struct {
 	Quota  quota.Bounds
 	Repeat repeat.Budget
-	// StartShare is the part of its burst that a customer has at a new home.
-	StartShare float64
 }
 
 // Home decides over the places of all targets.
@@ -59,8 +57,10 @@
 	crashes *repeat.Crashes
 	waiting map[place.ID]*waiter
 	charged map[place.ID]charge
-	// asked is when each host last asked for a place.
-	asked map[tables.HostID]time.Time
+	// heard is when any host last took this one for the home, and told holds
+	// the hosts that have told their use of tokens since it became the home.
+	heard time.Time
+	told  map[tables.HostID]bool
 	// stepped is the last look at the queues, nextStep the next one if armed.
 	stepped, nextStep time.Time
 	armed             bool
@@ -74,9 +74,8 @@
 
 // charge is what an ask took from the quota of a customer.
 type charge struct {
-	customer tables.CustomerID
-	tokens   int
-	content  tables.Fingerprint
+	quota.Charge
+	content tables.Fingerprint
 }
 
 // NewHome returns a home. share is the part of quotas and budgets that it may
@@ -86,13 +85,13 @@
 	return &Home{
 		view: view, clock: clock, logger: logger, share: share, spread: spread,
 		table:   place.NewTable(random),
-		buckets: quota.NewBuckets(policy.StartShare, policy.Quota),
+		buckets: quota.NewBuckets(policy.Quota),
 		repeats: repeat.NewCounter(policy.Repeat),
 		refused: repeat.NewRefusals(),
 		crashes: repeat.NewCrashes(),
 		waiting: make(map[place.ID]*waiter),
 		charged: make(map[place.ID]charge),
-		asked:   make(map[tables.HostID]time.Time),
+		told:    make(map[tables.HostID]bool),
 	}
 }
 
@@ -145,7 +144,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
-	h.asked[m.Host] = now
+	h.hear(now)
 	share := h.share()
 	if h.crashes.Refuses(now, m.Content) {
 		return nil, errkind.New(errkind.Quarantined, fmt.Sprintf("request %q has the content of requests under which several targets broke off", m.Request))
@@ -154,7 +153,8 @@
 		return nil, errkind.New(errkind.RepeatBudget, fmt.Sprintf("the budget of repeats of service %q is used up", m.Service))
 	}
 	limit := h.quotaOf(m.Customer)
-	if wait := h.buckets.Take(now, m.Customer, limit, share, m.Tokens); wait > 0 {
+	taken, wait := h.buckets.Take(now, m.Customer, limit, share, m.Tokens)
+	if wait > 0 {
 		detail := fmt.Sprintf("customer %q: %d tokens are above its quota of %.0f a second and a burst of %.0f, of which this home gives %.2f",
 			m.Customer, m.Tokens, limit.TokensPerSecond, limit.Burst, share)
 		return nil, errkind.NewRetry(errkind.CustomerLimit, detail, wait)
@@ -162,7 +162,7 @@
 	if !m.Repeat {
 		h.repeats.Request(now, m.Service)
 	}
-	h.charged[m.ID] = charge{m.Customer, m.Tokens, m.Content}
+	h.charged[m.ID] = charge{taken, m.Content}
 	w := &waiter{ask: m, done: make(chan place.Decision, 1)}
 	h.waiting[m.ID] = w
 	ask := m.toAsk(now)
@@ -207,6 +207,7 @@
 	for _, d := range h.table.Step(h.stepped) {
 		if w := h.waiting[d.Ask.ID]; w != nil {
 			delete(h.waiting, d.Ask.ID)
+			h.started(d)
 			w.done <- d
 		}
 	}
@@ -215,6 +216,16 @@
 	}
 }
 
+// started counts the tokens of a request from its grant on. The lock is held.
+func (h *Home) started(d place.Decision) {
+	c, ok := h.charged[d.Ask.ID]
+	if !ok || d.Target == "" {
+		return
+	}
+	c.Charge = h.buckets.Started(h.stepped, c.Charge)
+	h.charged[d.Ask.ID] = c
+}
+
 // arm makes the next look happen within d. The lock is held.
 func (h *Home) arm(d time.Duration) {
 	at := h.clock.Now().Add(d)
@@ -275,7 +286,7 @@
 		return
 	}
 	delete(h.charged, id)
-	h.buckets.Return(c.customer, c.tokens)
+	h.buckets.Return(c.Charge)
 }
 
 // Report takes in what became of grants.
@@ -335,14 +346,25 @@
 		held = append(held, place.Held{Ask: ask, Target: g.Target})
 	}
 	h.table.Reconcile(now, a.Host, held)
-	if now.Sub(h.asked[a.Host]) < tokensWindow {
-		// The tokens were taken here.
-		return
+	h.hear(now)
+	if config := h.view.Config(); config != nil && !h.told[a.Host] {
+		h.told[a.Host] = true
+		told := quota.Told{Tokens: a.Tokens, Over: fromMS(float64(a.OverMS)), Part: 1 / float64(max(a.Hosts, 1))}
+		h.buckets.Told(now, config.Quotas(), h.share(), told)
 	}
-	for customer, tokens := range a.Tokens {
-		use := quota.Use{Tokens: tokens, Over: tokensWindow, Part: 1 / float64(max(a.Hosts, 1))}
-		h.buckets.Used(now, customer, h.quotaOf(customer), h.share(), use)
+}
+
+// takeOverAfter is the time without a host that takes this one for the home,
+// after which another one has decided. Hosts list their places more often.
+const takeOverAfter = 2500 * time.Millisecond
+
+// hear notes that a host takes this one for the home. The lock is held.
+func (h *Home) hear(now time.Time) {
+	if now.Sub(h.heard) > takeOverAfter {
+		h.buckets.TakeOver(now)
+		clear(h.told)
 	}
+	h.heard = now
 }
 
 // Forget frees the places of a host that is gone.
--- a/internal/pool/home_test.go
+++ b/internal/pool/home_test.go
@@ -46,9 +46,11 @@
 		for _, id := range []tables.TargetID{"t1", "t2", "t3", "t4"} {
 			known.targets = append(known.targets, fleet.Target{ID: id, Service: "s", Address: string(id), Domain: "d", Slots: 1})
 		}
-		policy := Policy{Quota: quota.Bounds{Window: 8 * time.Second}, Repeat: repeat.Budget{Ratio: 0.1, Slack: 2, Window: 10 * time.Second}, StartShare: 1}
+		policy := Policy{Quota: quota.Bounds{Window: 8 * time.Second}, Repeat: repeat.Budget{Ratio: 0.1, Slack: 2, Window: 10 * time.Second}}
 		home = NewHome(known, policy, func() float64 { return 0 }, func() float64 { return share }, func() int { return 1 }, clock, zap.NewNop())
 		home.Refresh(place.Learned{})
+		// Every host tells that nothing was used before.
+		home.Adopt(adoptMessage{Host: "other", Hosts: 1, OverMS: 8000})
 	})
 	ask := func(id place.ID, change func(*askMessage)) (grantMessage, error) {
 		m := askMessage{ID: id, Request: "r", Host: "h", Service: "s", AimMS: 400, HoldMS: 1000, Content: tables.Fingerprint(id)}
@@ -111,10 +113,14 @@
 	})
 
 	It("counts what hosts used at the home before, once", func() {
-		// In 4 s the bucket gains 90 tokens, of which 200 leave 110 beyond.
-		home.Adopt(adoptMessage{Host: "h", Hosts: 1, Tokens: map[tables.CustomerID]float64{"c": 200}})
-		_, err := ask(1, func(m *askMessage) { m.Customer, m.Tokens = "c", 50 })
+		// A window of 8 s allows 280 tokens.
+		used := adoptMessage{Host: "h", Hosts: 1, Tokens: map[tables.CustomerID]float64{"c": 225}, OverMS: 8000}
+		home.Adopt(used)
+		home.Adopt(used)
+		_, err := ask(1, func(m *askMessage) { m.Customer, m.Tokens = "c", 60 })
 		Expect(errkind.Of(err)).To(Equal(errkind.CustomerLimit))
+		_, err = ask(2, func(m *askMessage) { m.Customer, m.Tokens = "c", 50 })
+		Expect(err).NotTo(HaveOccurred())
 	})
 
 	It("keeps repeats within their budget", func() {
--- a/internal/pool/messages.go
+++ b/internal/pool/messages.go
@@ -74,6 +74,8 @@
 	Host   tables.HostID                 `json:"h"`
 	Open   []openGrant                   `json:"open,omitempty"`
 	Tokens map[tables.CustomerID]float64 `json:"tokens,omitempty"`
+	// OverMS is the time that Tokens covers, up to the sending.
+	OverMS int64 `json:"over"`
 	// Hosts is the number of hosts that its sender knows.
 	Hosts int `json:"hosts"`
 }
