Hold requests while a host starts and a home learns, instead of refusing them

Ruled out: pace learned anew (answers came within what was foreseen from 36.0 s on).

Change: a request waits up to 500 ms for its host to know configuration, targets and home; a host waits up to 300 ms for the first home; a home waits with a quota for the first second after it took over. A host that does not start in time tells when to come back.

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -30,6 +30,9 @@
 
 // Server serves callers' requests.
 type Server struct {
+	// Started is closed when the host knows the deployment; requests wait for it
+	// for startWait at most.
+	Started   <-chan struct{}
 	Directory Directory
 	Places    Places
 	Targets   Targets
@@ -38,6 +41,24 @@
 	Metrics   *observe.Edge
 }
 
+// startWait bounds how long a request waits for a host that has just started.
+// Its caller has left another host, or will, so a refusal costs it more.
+const startWait = 500 * time.Millisecond
+
+// awaitStart waits until the host has started.
+func (s *Server) awaitStart(ctx context.Context) {
+	select {
+	case <-s.Started:
+		return
+	default:
+	}
+	select {
+	case <-s.Started:
+	case <-ctx.Done():
+	case <-s.Clock.After(startWait):
+	}
+}
+
 // exchange is one request on its way.
 type exchange struct {
 	server   *Server
@@ -61,6 +82,7 @@
 	x := &exchange{server: s, request: r, caller: caller}
 	s.Metrics.Open(1)
 	defer s.Metrics.Open(-1)
+	s.awaitStart(ctx)
 	err := x.admit()
 	if err == nil {
 		if !x.until.IsZero() {
@@ -78,7 +100,7 @@
 func (x *exchange) admit() error {
 	x.config = x.server.Directory.Config()
 	if x.config == nil {
-		return errkind.New(errkind.NotConfigured, "no configuration is known yet")
+		return errkind.NewRetry(errkind.NotConfigured, "no configuration is known yet", startWait)
 	}
 	x.route = x.config.Route(x.request.Host, x.request.Path)
 	if x.route == nil {
--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -40,6 +40,10 @@
 	// loadTimeout bounds one attempt to learn the state at the start.
 	loadTimeout = 2 * time.Second
 	loadPause   = 200 * time.Millisecond
+	// homeWait bounds the wait for the home at the start; homePoll is the time
+	// between two looks.
+	homeWait = 300 * time.Millisecond
+	homePoll = 10 * time.Millisecond
 	// repeatShare of the platform's budget of repeats is used.
 	repeatShare = 0.6
 	// leaveRotation is how long the platform takes to see that a host is not
@@ -73,6 +77,8 @@
 	client   *pool.Client
 	front    *http.Server
 	stopping chan struct{}
+	// started is closed when requests can be served as well as ever.
+	started chan struct{}
 	// cancel ends everything but the requests in flight.
 	cancel  context.CancelFunc
 	closers []io.Closer
@@ -104,6 +110,7 @@
 		metrics:  observe.NewEdge(),
 		mux:      peer.NewMux(),
 		stopping: make(chan struct{}),
+		started:  make(chan struct{}),
 	}
 	p.log = observe.NewBoundedLog(logs)
 	p.logger = p.log.Logger(zapcore.InfoLevel).With(zap.String("node", s.Node))
@@ -169,7 +176,7 @@
 	p.front = observe.NewServer(&platform.Front{
 		Clock: p.clock,
 		Server: &edge.Server{
-			Directory: p.state, Places: p.client, Targets: platform.NewTargets(),
+			Started: p.started, Directory: p.state, Places: p.client, Targets: platform.NewTargets(),
 			Clock: p.clock, Logger: p.logger, Metrics: p.metrics,
 		},
 	})
@@ -227,9 +234,19 @@
 	go p.links.Run(ctx)
 	go p.sharer.Run(ctx)
 	go p.client.Maintain(ctx, p.sharer.Post)
+	go p.awaitHome()
 	p.watcher.Run(ctx)
 }
 
+// awaitHome marks the process as started once the home answers, or none does
+// for homeWait.
+func (p *Process) awaitHome() {
+	defer close(p.started)
+	for waited := time.Duration(0); waited < homeWait && !p.links.FirstAnswers(); waited += homePoll {
+		p.clock.Sleep(homePoll)
+	}
+}
+
 // load reads the store, or asks the seeds while it is away.
 func (p *Process) load(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -172,6 +172,17 @@
 	return all[0], true
 }
 
+// FirstAnswers reports whether the first of all hosts is this one or answers.
+func (l *Links) FirstAnswers() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.ranked) == 0 {
+		return false
+	}
+	row := l.rows[l.ranked[0].ID]
+	return row != nil && l.alive(row, l.clock.Now())
+}
+
 // Live returns the hosts that answer, best first, those that run late last.
 func (l *Links) Live() []Live {
 	l.mu.Lock()
--- a/internal/pool/home.go
+++ b/internal/pool/home.go
@@ -57,10 +57,11 @@
 	crashes *repeat.Crashes
 	waiting map[place.ID]*waiter
 	charged map[place.ID]charge
-	// heard is when any host last took this one for the home, and told holds
-	// the hosts that have told their use of tokens since it became the home.
-	heard time.Time
-	told  map[tables.HostID]bool
+	// heard is when any host last took this one for the home, and tookOver when
+	// the first did so. told holds the hosts that have told their use of tokens
+	// since then.
+	heard, tookOver time.Time
+	told            map[tables.HostID]bool
 	// stepped is the last look at the queues, nextStep the next one if armed.
 	stepped, nextStep time.Time
 	armed             bool
@@ -128,6 +129,12 @@
 // NoTarget, RepeatBudget, Quarantined or CancelledBeforeRun.
 func (h *Home) Ask(ctx context.Context, m askMessage) (grantMessage, error) {
 	w, err := h.enqueue(m)
+	for err != nil && h.settling(err) && m.HoldMS > 0 {
+		if !h.pause(ctx, &m) {
+			return grantMessage{}, h.cancel(m)
+		}
+		w, err = h.enqueue(m)
+	}
 	if err != nil {
 		return grantMessage{}, err
 	}
@@ -140,6 +147,35 @@
 	}
 }
 
+const (
+	// settleTime is the time after a take-over in which a quota that seems used
+	// up may only not be known yet.
+	settleTime = time.Second
+	// settlePause is the time between two looks at such a quota.
+	settlePause = 20 * time.Millisecond
+)
+
+// settling reports whether err is a refusal by quota that may not stand, since
+// this host has just become the home.
+func (h *Home) settling(err error) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return errkind.Of(err) == errkind.CustomerLimit && h.clock.Now().Sub(h.tookOver) < settleTime
+}
+
+// pause waits for settlePause and takes it off the times of m. It reports false
+// when the caller has left.
+func (h *Home) pause(ctx context.Context, m *askMessage) bool {
+	select {
+	case <-h.clock.After(settlePause):
+	case <-ctx.Done():
+		return false
+	}
+	m.AimMS -= settlePause.Milliseconds()
+	m.HoldMS -= settlePause.Milliseconds()
+	return true
+}
+
 func (h *Home) enqueue(m askMessage) (*waiter, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -361,6 +397,7 @@
 // hear notes that a host takes this one for the home. The lock is held.
 func (h *Home) hear(now time.Time) {
 	if now.Sub(h.heard) > takeOverAfter {
+		h.tookOver = now
 		h.buckets.TakeOver(now)
 		clear(h.told)
 	}
--- a/internal/pool/home_test.go
+++ b/internal/pool/home_test.go
@@ -51,6 +51,7 @@
 		home.Refresh(place.Learned{})
 		// Every host tells that nothing was used before.
 		home.Adopt(adoptMessage{Host: "other", Hosts: 1, OverMS: 8000})
+		clock.Advance(settleTime)
 	})
 	ask := func(id place.ID, change func(*askMessage)) (grantMessage, error) {
 		m := askMessage{ID: id, Request: "r", Host: "h", Service: "s", AimMS: 400, HoldMS: 1000, Content: tables.Fingerprint(id)}
@@ -123,6 +124,29 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	It("waits for a quota that it may only not know yet, just after it took over", func() {
+		config := fleet.NewConfig(2)
+		config.AddCustomer(&fleet.Customer{Name: "c", Quota: fleet.Quota{TokensPerSecond: 100, Burst: 100}}, []string{"k"})
+		known.config = config
+		fresh := NewHome(known, Policy{Quota: quota.Bounds{Window: 8 * time.Second}}, func() float64 { return 0 }, func() float64 { return 1 }, func() int { return 1 }, clock, zap.NewNop())
+		fresh.Refresh(place.Learned{})
+		m := askMessage{ID: 1, Host: "h", Service: "s", Customer: "c", Tokens: 10, AimMS: 400, HoldMS: 1000}
+		done := make(chan error, 1)
+		go func() {
+			_, err := fresh.Ask(context.Background(), m)
+			done <- err
+		}()
+		Consistently(done, 20*time.Millisecond).ShouldNot(Receive())
+		for range 200 {
+			clock.Advance(settlePause)
+			if len(done) > 0 {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		Expect(done).To(Receive(BeNil()))
+	})
+
 	It("keeps repeats within their budget", func() {
 		again := func(m *askMessage) { m.Repeat = true }
 		for id := place.ID(1); id <= 2; id++ {
