Take the header and idle timeouts of callers' connections from the configuration

They were fixed at 5 s and 60 s; a configuration with a longer idle time would have had connections closed under requests in flight. http.Server's own limits must not change while it serves, so a small limiter arms a timer for each connection. Specs: idle and slow connections are closed in time and not before, a served request is not, a changed limit holds from the next request on.

--- /dev/null
+++ b/internal/connlimit/connlimit_test.go
@@ -0,0 +1,106 @@
+package connlimit_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bluebellseam/bluebellseam/internal/connlimit"
+)
+
+func TestConnLimit(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "connlimit")
+}
+
+var _ = Describe("Limiter", func() {
+	var clock *clockwork.FakeClock
+	var times atomic.Pointer[connlimit.Times]
+	var conn net.Conn
+	var reader *bufio.Reader
+	hold := make(chan struct{})
+
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		times.Store(&connlimit.Times{Header: 3 * time.Second, Idle: 15 * time.Second})
+		handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/hold" {
+				<-hold
+			}
+		})
+		server := httptest.NewUnstartedServer(handler)
+		connlimit.New(clock, func() connlimit.Times { return *times.Load() }).Watch(server.Config)
+		server.Start()
+		DeferCleanup(server.Close)
+		var err error
+		conn, err = net.Dial("tcp", server.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		reader = bufio.NewReader(conn)
+	})
+	send := func(text string) {
+		GinkgoHelper()
+		_, err := io.WriteString(conn, text)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	answered := func() {
+		GinkgoHelper()
+		Expect(conn.SetReadDeadline(time.Now().Add(2 * time.Second))).To(Succeed())
+		resp, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body.Close()).To(Succeed())
+	}
+	open := func() bool {
+		GinkgoHelper()
+		Expect(conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))).To(Succeed())
+		_, err := reader.ReadByte()
+		timeout, ok := err.(net.Error)
+		return ok && timeout.Timeout()
+	}
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+	It("closes a connection that stays idle, not before its time", func() {
+		send(request)
+		answered()
+		Expect(clock.BlockUntilContext(GinkgoT().Context(), 1)).To(Succeed())
+		clock.Advance(14 * time.Second)
+		Expect(open()).To(BeTrue())
+		clock.Advance(2 * time.Second)
+		Expect(open()).To(BeFalse())
+	})
+
+	It("closes a connection whose header takes too long", func() {
+		send("GET / HTTP/1.1\r\n")
+		Eventually(open).Should(BeTrue())
+		clock.Advance(4 * time.Second)
+		Expect(open()).To(BeFalse())
+	})
+
+	It("keeps a connection while its request is served", func() {
+		send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
+		Expect(open()).To(BeTrue())
+		clock.Advance(time.Minute)
+		hold <- struct{}{}
+		answered()
+	})
+
+	It("takes up a changed limit with the next request", func() {
+		send(request)
+		answered()
+		times.Store(&connlimit.Times{Header: 3 * time.Second, Idle: time.Minute})
+		send(request)
+		answered()
+		Expect(clock.BlockUntilContext(GinkgoT().Context(), 1)).To(Succeed())
+		clock.Advance(20 * time.Second)
+		Expect(open()).To(BeTrue())
+	})
+})
--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/bluebellseam/bluebellseam/internal/connlimit"
 	"github.com/bluebellseam/bluebellseam/internal/edge"
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
@@ -51,9 +52,12 @@
 	leaveRotation = 2500 * time.Millisecond
 	// exitMargin is kept of the grace time for the end of the process.
 	exitMargin = 700 * time.Millisecond
-	// idleTimeout closes callers' connections; the platform's callers reuse
-	// those that were idle for a shorter time.
-	idleTimeout = 60 * time.Second
+	// headerTimeout and idleTimeout hold where the configuration sets none.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 60 * time.Second
+	// idleMargin keeps a connection beyond the configured idle time, since the
+	// caller counts from an earlier moment.
+	idleMargin = time.Second
 )
 
 // Process is a running edge.
@@ -180,7 +184,7 @@
 			Clock: p.clock, Logger: p.logger, Metrics: p.metrics,
 		},
 	})
-	p.front.IdleTimeout = idleTimeout
+	connlimit.New(p.clock, p.connTimes).Watch(p.front)
 	metrics := observe.NewServer(p.metrics.Handler())
 	ready := observe.NewServer(platform.Readiness(p.ready))
 	metricsAddress := fmt.Sprintf("%s:%d", s.IP, s.InternalPorts[0]+metricsPortOffset)
@@ -201,6 +205,22 @@
 	return nil
 }
 
+// connTimes are the limits of callers' connections in force.
+func (p *Process) connTimes() connlimit.Times {
+	times := connlimit.Times{Header: headerTimeout, Idle: idleTimeout}
+	config := p.state.Config()
+	if config == nil {
+		return times
+	}
+	if t := config.Limits.HeaderTimeout; t > 0 {
+		times.Header = t
+	}
+	if t := config.Limits.IdleTimeout; t > 0 {
+		times.Idle = t + idleMargin
+	}
+	return times
+}
+
 func (p *Process) serve(address string, serve func(net.Listener) error) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
