Add a fault soak of real edge processes

Five processes on loopback, each behind proxies towards its callers and its store, and targets behind proxies. Faults drawn from a seed overlap: kills, stops, pauses and reloads by signal; connections delayed, cut one way, reset or silent for good; a store that is down or forgets its history; targets that answer wrongly; new versions. Checked from what callers got and targets ran: nothing that must not run twice does, "not run" is true, answers are whole and the caller's own, no host goes back in the configuration, no process ends by itself, and 98 of 100 calls succeed 12 s after the last fault.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOLANGCI_VERSION := v2.15.0
 TOOLS := $(CURDIR)/.tools
 
-.PHONY: demo test lint generate check-generated known-red model bench bench-full plots capacity soak bench-platform hunt-platform
+.PHONY: demo test lint generate check-generated known-red model bench bench-full plots capacity soak faultsoak bench-platform hunt-platform
 
 demo:
 	go run ./cmd/bluebell-demo
@@ -41,6 +41,11 @@
 soak:
 	go run ./cmd/bluebell-soak $(SOAK)
 
+# faultsoak runs real edge processes under random faults; FAULTSOAK passes flags,
+# for example FAULTSOAK="--seed 10 --seeds 50".
+faultsoak:
+	go run ./cmd/bluebell-faultsoak $(FAULTSOAK)
+
 # model checks a million histories of claims and settling; test checks 20,000.
 model:
 	go test ./internal/model -timeout 3h -ginkgo.timeout=3h -ginkgo.focus='every promise' -histories=1000000 -workers=8
