--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -12,10 +12,17 @@
 )
 
 func (a *app) explainCommand(parser *flaggy.Parser) node {
-	sub := attach(parser, "explain", "explain an error kind, or list all kinds")
-	kind := new(string)
+	sub := attach(parser, "explain", "explain an error kind, or how a request ended; list all kinds without either")
+	kind, request, logs := new(string), new(string), new(string)
 	sub.AddPositionalValue(kind, "KIND", 1, false, "error kind of a refusal")
-	return node{sub, func(context.Context) error { return a.explain(errkind.Kind(*kind)) }}
+	sub.String(request, "r", "request", "ID of a request to follow through the logs")
+	sub.String(logs, "l", "logs", "pattern of the log files of all hosts, with --request")
+	return node{sub, func(context.Context) error {
+		if *request != "" {
+			return a.tell(*request, *logs)
+		}
+		return a.explain(errkind.Kind(*kind))
+	}}
 }
 
 // explanation is the answer of one kind for programs.
