--- a/internal/pool/home_test.go
+++ b/internal/pool/home_test.go
@@ -128,9 +128,11 @@
 		config := fleet.NewConfig(2)
 		config.AddCustomer(&fleet.Customer{Name: "c", Quota: fleet.Quota{TokensPerSecond: 100, Burst: 100}}, []string{"k"})
 		known.config = config
-		fresh := NewHome(known, Policy{Quota: quota.Bounds{Window: 8 * time.Second}}, func() float64 { return 0 }, func() float64 { return 1 }, func() int { return 1 }, clock, zap.NewNop())
+		policy := Policy{Quota: quota.Bounds{Window: 8 * time.Second}, Repeat: repeat.Budget{Slack: 1, Window: 10 * time.Second}}
+		fresh := NewHome(known, policy, func() float64 { return 0 }, func() float64 { return 1 }, func() int { return 1 }, clock, zap.NewNop())
 		fresh.Refresh(place.Learned{})
-		m := askMessage{ID: 1, Host: "h", Service: "s", Customer: "c", Tokens: 10, AimMS: 400, HoldMS: 1000}
+		// A wait must not use up the budget of repeats.
+		m := askMessage{ID: 1, Host: "h", Service: "s", Customer: "c", Tokens: 10, AimMS: 400, HoldMS: 1000, Repeat: true}
 		done := make(chan error, 1)
 		go func() {
 			_, err := fresh.Ask(context.Background(), m)
