Give nothing back for a charge from before a take-over

Found by reading: a request that ended or started after its home had forgotten the window was taken off a window that never held it, so that as many tokens too many could be used. The spec fails without the check.

--- a/internal/systems/quota/quota.go
+++ b/internal/systems/quota/quota.go
@@ -51,8 +51,10 @@
 )
 
 type bucket struct {
-	used  window
-	level float64
+	used window
+	// opened is the slot from which charges are in used.
+	opened int64
+	level  float64
 	// fair is what the customer has left of its bare rate; below zero, others of
 	// its tier go first.
 	fair float64
@@ -126,7 +128,7 @@
 	moved := c
 	moved.slot = b.slot(now)
 	row.used.advance(moved.slot)
-	if row.used.covers(c.slot) {
+	if row.counts(c) {
 		row.used.add(c.slot, -float64(c.Tokens))
 	}
 	row.used.add(moved.slot, float64(c.Tokens))
@@ -136,13 +138,17 @@
 // Return gives back the tokens of a request that did not run.
 func (b *Buckets) Return(c Charge) {
 	row := b.rows[c.Customer]
-	if row == nil || !row.used.covers(c.slot) {
+	if row == nil || !row.counts(c) {
 		return
 	}
 	row.level += float64(c.Tokens)
 	row.used.add(c.slot, -float64(c.Tokens))
 }
 
+// counts reports whether a charge is part of the window: it was made since the
+// bucket was opened and has not left the window.
+func (r *bucket) counts(c Charge) bool { return c.slot >= r.opened && r.used.covers(c.slot) }
+
 // Above reports whether a customer has lately used more than its bare rate,
 // without what the bounds allow beyond it.
 func (b *Buckets) Above(id tables.CustomerID) bool {
@@ -252,9 +258,10 @@
 	}
 	unknown := b.unknown(q, share)
 	return &bucket{
-		used:  window{newest: b.slot(now)},
-		level: unknown + b.known*(b.burst(q, share)-unknown),
-		fair:  fairBurst.Seconds() * q.TokensPerSecond * share,
-		at:    b.since,
+		used:   window{newest: b.slot(now)},
+		opened: b.slot(now),
+		level:  unknown + b.known*(b.burst(q, share)-unknown),
+		fair:   fairBurst.Seconds() * q.TokensPerSecond * share,
+		at:     b.since,
 	}
 }
--- a/internal/systems/quota/quota_test.go
+++ b/internal/systems/quota/quota_test.go
@@ -205,6 +205,18 @@
 		Expect(take(b, start, 40)).To(BeZero())
 	})
 
+	It("gives nothing back for a charge from before a loss", func() {
+		b := known(bounds)
+		charge, wait := b.Take(start, "c", limit, 1, 50)
+		Expect(wait).To(BeZero())
+		later := start.Add(2 * time.Second)
+		b.TakeOver(later)
+		quotas := map[tables.CustomerID]fleet.Quota{"c": limit}
+		b.Told(later, quotas, 1, quota.Told{Tokens: map[tables.CustomerID]float64{"c": 495}, Over: 4 * time.Second, Part: 1})
+		b.Return(charge)
+		Expect(take(b, later, 10)).NotTo(BeZero())
+	})
+
 	It("begins carefully after a loss, and gives no more than a window allows by then", func() {
 		b := quota.NewBuckets(bounds)
 		b.TakeOver(start)
