--- a/internal/faultsoak/host.go
+++ b/internal/faultsoak/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -20,6 +21,8 @@
 	settings platform.Settings
 	// front and store stand between callers, the host and its store.
 	front, store *proxy
+	// callers keep connections to the host open.
+	callers *http.Transport
 
 	mu sync.Mutex
 	// running is the present process; nil between two.
@@ -35,7 +38,7 @@
 }
 
 func newHost(name, binary, dir, storeAddress string, seeds []string) (*host, error) {
-	h := &host{name: name, binary: binary, dir: filepath.Join(dir, name)}
+	h := &host{name: name, binary: binary, dir: filepath.Join(dir, name), callers: standin.KeptConnections()}
 	var err error
 	if h.store, err = newProxy(storeAddress); err != nil {
 		return nil, err
@@ -123,6 +126,7 @@
 	h.signal(syscall.SIGCONT)
 	h.signal(syscall.SIGKILL)
 	<-h.ended()
+	h.callers.CloseIdleConnections()
 	h.front.close()
 	h.store.close()
 }
--- a/internal/faultsoak/load.go
+++ b/internal/faultsoak/load.go
@@ -16,14 +16,18 @@
 	streamEvents = 12
 	streamPause  = 15 * time.Millisecond
 	plainPause   = 10 * time.Millisecond
-	// leaves is the share of callers who leave before their answer is whole.
+	// leaves is the share of callers who leave before their answer is whole, kept
+	// that of posts on connections that were used before.
 	leaves = 0.03
+	kept   = 0.5
 )
 
 // call is one request and what its caller got.
 type call struct {
-	path   string
-	host   *host
+	path string
+	host *host
+	// kept calls use open connections.
+	kept   bool
 	start  int
 	sent   time.Time
 	left   bool
@@ -47,6 +51,7 @@
 		time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
 		c := &call{path: paths[random.IntN(len(paths))], host: l.hosts[random.IntN(len(l.hosts))], sent: time.Now()}
 		c.start, _ = c.host.state()
+		c.kept = random.Float64() < kept
 		patience := time.Duration(0)
 		if random.Float64() < leaves {
 			c.left = true
@@ -68,8 +73,12 @@
 		defer cancel()
 	}
 	request := standin.Call{Method: http.MethodPost, Path: c.path + "x", Key: standin.Key, Tokens: "100,50", Body: "body"}
-	if c.path == standin.LookupPath || c.path == standin.AddedPath {
+	switch {
+	case c.path == standin.LookupPath || c.path == standin.AddedPath:
+		// net/http itself sends a GET again whose kept connection was closed.
 		request = standin.Call{Method: http.MethodGet, Path: c.path + "x", Key: standin.Key}
+	case c.kept:
+		request.Over = c.host.callers
 	}
 	c.answer = request.Do(ctx, c.host.front.address())
 	l.mu.Lock()
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -26,8 +27,10 @@
 }
 
 const (
-	// readyBound is how long hosts may take to serve at the start.
+	// readyBound is how long hosts may take to serve at the start, readyPause the
+	// time between two tries.
 	readyBound = 10 * time.Second
+	readyPause = 50 * time.Millisecond
 	// recoverBound is how long the site may take to serve all again, calmFor
 	// how long it is watched after that.
 	recoverBound = 12 * time.Second
@@ -127,14 +130,14 @@
 	deadline := time.Now().Add(readyBound)
 	for _, h := range s.hosts {
 		for {
-			a := standin.Call{Method: "GET", Path: standin.LookupPath + "x", Key: standin.Key}.Do(ctx, h.front.address())
-			if a.Status == 200 {
+			a := standin.Call{Method: http.MethodGet, Path: standin.LookupPath + "x", Key: standin.Key}.Do(ctx, h.front.address())
+			if a.Status == http.StatusOK {
 				break
 			}
 			if time.Now().After(deadline) {
 				return fmt.Errorf("%w: %s answers %d after %s", errNotReady, h.name, a.Status, readyBound)
 			}
-			time.Sleep(50 * time.Millisecond)
+			time.Sleep(readyPause)
 		}
 	}
 	return nil
