--- a/internal/faultsoak/check.go
+++ b/internal/faultsoak/check.go
@@ -100,11 +100,11 @@
 const ownDelay = time.Second
 
 // share is the part of calls that were answered with success. Those that
-// callers left do not count.
-func share(calls []*call, since time.Time) (part float64, n int) {
+// callers left, and those on the added route before it was added, do not count.
+func share(calls []*call, since, added time.Time) (part float64, n int) {
 	good := 0
 	for _, c := range calls {
-		if c.left || c.sent.Before(since) {
+		if c.left || c.sent.Before(since) || c.sent.Before(added) && c.path == standin.AddedPath {
 			continue
 		}
 		n++
--- a/internal/faultsoak/faults.go
+++ b/internal/faultsoak/faults.go
@@ -18,6 +18,8 @@
 	faultFor = 2500 * time.Millisecond
 	// slowest is the longest delay of a slow connection.
 	slowest = 150 * time.Millisecond
+	// applyBound is how long a configuration may take to be in force.
+	applyBound = 2 * time.Second
 )
 
 // faults injects random faults.
@@ -26,8 +28,10 @@
 	random *rand.Rand
 	note   func(string)
 	going  sync.WaitGroup
-	// version is that of the configuration written last.
+	// version is that of the configuration written last, added when the first
+	// one with the added route was in force everywhere; zero before.
 	version int
+	added   time.Time
 }
 
 // fault harms something and returns how to end it.
@@ -153,6 +157,9 @@
 func configure(f *faults) (heal func(), what string) {
 	f.version += 1 + f.random.IntN(3)
 	f.site.store.Configure(standin.Config(f.version, standin.AddRoute))
+	if f.added.IsZero() {
+		f.added = time.Now().Add(applyBound)
+	}
 	return func() {}, fmt.Sprintf("version %d", f.version)
 }
 
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -163,6 +163,8 @@
 	faulty, cancel := context.WithTimeout(ctx, o.Faults)
 	f.run(faulty)
 	cancel()
+	// The added route must be served by all hosts in the end.
+	configure(f)
 	healed := time.Now()
 	note("all faults have ended")
 	select {
@@ -172,10 +174,10 @@
 	stop()
 	<-finished
 	time.Sleep(quiet)
-	return s.judge(l.calls, began, healed)
+	return s.judge(l.calls, began, healed, f.added)
 }
 
-func (s *site) judge(calls []*call, began, healed time.Time) Result {
+func (s *site) judge(calls []*call, began, healed, added time.Time) Result {
 	r := Result{Calls: len(calls)}
 	r.Broken = append(check(calls, s.targets), regressed(calls)...)
 	for _, h := range s.hosts {
@@ -185,8 +187,8 @@
 		}
 		h.mu.Unlock()
 	}
-	r.During, _ = share(calls, began)
-	after, n := share(calls, healed.Add(recoverBound))
+	r.During, _ = share(calls, began, added)
+	after, n := share(calls, healed.Add(recoverBound), added)
 	r.After = after
 	if after < recovered {
 		r.Broken = append(r.Broken, fmt.Sprintf("not recovered: %.3f of %d calls succeeded later than %s after the last fault", after, n, recoverBound))
