--- a/internal/claims/home_test.go
+++ b/internal/claims/home_test.go
@@ -131,6 +131,21 @@
 		record(w.a, key, o)
 		Expect(acquire(w.home("c"), key, request("g2")).Outcome).To(HaveValue(Equal(o)))
 	}))
+	It("frees a key whose request did not run, and no other", inWorld(func(w *world) {
+		key, first, second := keyAt(time.Now()), request("g1"), request("g2")
+		acquire(w.a, key, first)
+		record(w.b, key, peer.Outcome{ID: first, Kind: errkind.Overloaded})
+		Expect(acquire(w.b, key, second).Won).To(BeTrue())
+		record(w.a, key, peer.Outcome{ID: second, Kind: errkind.OutcomeUnknown})
+		Expect(acquire(w.b, key, request("g1")).Won).To(BeFalse())
+		// A home answers for a held key by what it has read. Its own read of the
+		// outcome ends at the same virtual time as that of the home which wrote it.
+		synctest.Wait()
+		r := acquire(w.b, key, request("g1"))
+		Expect(r.Won).To(BeFalse())
+		Expect(r.Outcome).NotTo(BeNil())
+		Expect(r.Outcome.Kind).To(Equal(errkind.OutcomeUnknown))
+	}))
 	It("settles a lost answer by reading", inWorld(func(w *world) {
 		w.log.LoseAnswers(1)
 		Expect(acquire(w.a, keyAt(time.Now()), request("g")).Won).To(BeTrue())
