--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -1,6 +1,8 @@
 // Package connlimit closes connections whose callers take too long to send a
-// header or stay idle for too long. Unlike the timeouts of http.Server, the
-// limits may change while connections are open.
+// header or stay idle for too long, and those that are idle when the server stops.
+// Unlike the timeouts of http.Server, the limits may change while connections are
+// open. Unlike http.Server, it never closes a connection of which a part of a
+// request has been read.
 package connlimit
 
 import (
@@ -8,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -21,21 +24,30 @@
 	Idle time.Duration
 }
 
-// Limiter enforces timeouts on the connections of one server.
+// Limiter enforces timeouts on the connections of one server. It is safe for
+// concurrent use.
 type Limiter struct {
 	clock clockwork.Clock
 	// timeouts returns the current timeouts.
 	timeouts func() Timeouts
+	// draining is true if each connection is to be closed after its next response.
+	draining atomic.Bool
 
-	mu     sync.Mutex
-	timers map[net.Conn]clockwork.Timer
+	mu    sync.Mutex
+	conns map[*conn]bool
 }
 
 type connKey struct{}
 
 // New returns a limiter. It calls timeouts each time it starts a timer.
 func New(clock clockwork.Clock, timeouts func() Timeouts) *Limiter {
-	return &Limiter{clock: clock, timeouts: timeouts, timers: make(map[net.Conn]clockwork.Timer)}
+	return &Limiter{clock: clock, timeouts: timeouts, conns: make(map[*conn]bool)}
+}
+
+// Listener returns a listener whose connections the limiter tracks. The server of
+// Attach must serve it.
+func (l *Limiter) Listener(inner net.Listener) net.Listener {
+	return &listener{Listener: inner, limiter: l}
 }
 
 // Attach installs the limiter in s and disables the timeouts of s itself.
@@ -46,45 +58,75 @@
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(net.Conn); ok {
-			l.disarm(c)
+		if l.draining.Load() {
+			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
-// onStateChange starts or stops the timer of a connection.
-func (l *Limiter) onStateChange(c net.Conn, state http.ConnState) {
+// Drain makes the server announce with each further response that it closes the
+// connection.
+func (l *Limiter) Drain() { l.draining.Store(true) }
+
+// CloseIdle closes the connections of which no part of a request has been read and
+// returns the number of the others.
+func (l *Limiter) CloseIdle() int {
+	l.mu.Lock()
+	conns := make([]*conn, 0, len(l.conns))
+	for c := range l.conns {
+		conns = append(conns, c)
+	}
+	l.mu.Unlock()
+	open := 0
+	for _, c := range conns {
+		if !c.closeIfIdle() {
+			open++
+		}
+	}
+	return open
+}
+
+// onStateChange updates a connection.
+func (l *Limiter) onStateChange(netConn net.Conn, state http.ConnState) {
+	c, ok := netConn.(*conn)
+	if !ok {
+		return
+	}
 	switch state {
-	case http.StateNew, http.StateActive:
-		l.arm(c, l.timeouts().Header)
+	case http.StateNew:
+		l.track(c, true)
+		c.await(l.timeouts().Header)
+	case http.StateActive:
+		c.beginServing()
 	case http.StateIdle:
-		l.arm(c, l.timeouts().Idle)
+		c.await(l.timeouts().Idle)
 	default:
-		l.disarm(c)
+		c.beginServing()
+		l.track(c, false)
 	}
 }
 
-func (l *Limiter) arm(c net.Conn, after time.Duration) {
+func (l *Limiter) track(c *conn, open bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.stopTimer(c)
-	if after > 0 {
-		// The goroutine that reads the connection notices the close and reports it.
-		l.timers[c] = l.clock.AfterFunc(after, func() { _ = c.Close() })
+	if open {
+		l.conns[c] = true
+		return
 	}
+	delete(l.conns, c)
 }
 
-func (l *Limiter) disarm(c net.Conn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.stopTimer(c)
+type listener struct {
+	net.Listener
+	limiter *Limiter
 }
 
-// stopTimer stops the timer of a connection. The caller must hold mu.
-func (l *Limiter) stopTimer(c net.Conn) {
-	if t := l.timers[c]; t != nil {
-		t.Stop()
-		delete(l.timers, c)
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
+	return &conn{Conn: inner, limiter: l.limiter}, nil
 }
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -25,6 +25,7 @@
 var _ = Describe("Limiter", func() {
 	var clock *clockwork.FakeClock
 	var timeouts atomic.Pointer[connlimit.Timeouts]
+	var limiter *connlimit.Limiter
 	var conn net.Conn
 	var reader *bufio.Reader
 	releaseHandler := make(chan struct{})
@@ -38,7 +39,9 @@
 			}
 		})
 		server := httptest.NewUnstartedServer(handler)
-		connlimit.New(clock, func() connlimit.Timeouts { return *timeouts.Load() }).Attach(server.Config)
+		limiter = connlimit.New(clock, func() connlimit.Timeouts { return *timeouts.Load() })
+		limiter.Attach(server.Config)
+		server.Listener = limiter.Listener(server.Listener)
 		server.Start()
 		DeferCleanup(server.Close)
 		var err error
@@ -103,4 +106,40 @@
 		clock.Advance(20 * time.Second)
 		Expect(isOpen()).To(BeTrue())
 	})
+
+	It("does not close a connection of which a part of a header has been read, nor cut off its request", func() {
+		send(request)
+		readResponse()
+		send("GET / HT")
+		Eventually(limiter.CloseIdle).Should(Equal(1))
+		limiter.Drain()
+		clock.Advance(2 * time.Second)
+		send("TP/1.1\r\nHost: h\r\n\r\n")
+		Expect(conn.SetReadDeadline(time.Now().Add(2 * time.Second))).To(Succeed())
+		resp, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Close).To(BeTrue(), "the server announces the close")
+		Expect(resp.Body.Close()).To(Succeed())
+		Eventually(limiter.CloseIdle).Should(BeZero())
+	})
+
+	It("limits the time for each further header from its first byte", func() {
+		send(request)
+		readResponse()
+		Expect(clock.BlockUntilContext(GinkgoT().Context(), 1)).To(Succeed())
+		clock.Advance(14 * time.Second)
+		send("GET / HT")
+		Eventually(limiter.CloseIdle).Should(Equal(1))
+		clock.Advance(2 * time.Second)
+		Expect(isOpen()).To(BeTrue())
+		clock.Advance(2 * time.Second)
+		Expect(isOpen()).To(BeFalse())
+	})
+
+	It("closes idle connections when the server stops", func() {
+		send(request)
+		readResponse()
+		Eventually(limiter.CloseIdle).Should(BeZero())
+		Expect(isOpen()).To(BeFalse())
+	})
 })
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -66,6 +66,18 @@
 	LastEventID string
 	// NewConnection is true if the call must use a new connection.
 	NewConnection bool
+	// OnNotice is called once the header of an answer that bears a notice has been
+	// read, whatever the answer is.
+	OnNotice func(TargetNotice)
+}
+
+// TargetNotice is what a target says about itself in any of its answers.
+type TargetNotice struct {
+	// Leaving is true if the target is leaving.
+	Leaving bool
+	// QuietFor is how long the target wants no further request from this host; zero
+	// if it does not say so.
+	QuietFor time.Duration
 }
 
 // Response holds the status, header and body that a target returned.
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -57,6 +57,7 @@
 		Timeout:       defaultTimeout,
 		LastEventID:   ex.relay.resumeAfter(ex.request.LastEventID),
 		NewConnection: !ex.route.Retryable(),
+		OnNotice:      func(n TargetNotice) { ex.server.recordNotice(target, n) },
 	}
 	if !ex.deadline.IsZero() {
 		call.Timeout = ex.deadline.Sub(ex.server.Clock.Now())
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -21,6 +21,9 @@
 type Directory interface {
 	Config() *fleet.Config
 	Target(id tables.TargetID) (fleet.Target, bool)
+	Targets() []fleet.Target
+	// MarkLeaving records that a target has announced that it is leaving.
+	MarkLeaving(t fleet.Target)
 }
 
 // SlotAllocator allocates slots at targets.
@@ -39,6 +42,8 @@
 	Clock     clockwork.Clock
 	Logger    *zap.Logger
 	Metrics   *observe.EdgeMetrics
+
+	quiet quietTargets
 }
 
 // maxStartWait bounds how long a request waits for a host that has just
--- a/internal/edge/slot.go
+++ b/internal/edge/slot.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
@@ -28,23 +29,29 @@
 	maxStaleGrants = 3
 )
 
-// acquireSlot acquires a slot at a target that this host knows and that is not
-// leaving.
+// acquireSlot acquires a slot at a target that this host knows, that is not leaving
+// and that does not want to be left alone.
 func (ex *exchange) acquireSlot(ctx context.Context, retry bool) (*pool.Grant, fleet.Target, error) {
 	request := ex.slotRequest(retry)
+	avoided := request.Avoid
 	for range maxStaleGrants {
+		quiet, allFor := ex.server.quietOf(ex.service)
+		if allFor > 0 {
+			return nil, fleet.Target{}, errAllQuiet(ex.service, allFor)
+		}
+		request.Avoid = slices.Concat(avoided, quiet)
 		grant, err := ex.server.Slots.Acquire(ctx, request)
 		if err != nil {
 			return nil, fleet.Target{}, err
 		}
 		target, known := ex.server.Directory.Target(grant.Target)
-		if known && !target.Leaving {
+		if known && !target.Leaving && ex.server.quiet.remaining(ex.server.Clock.Now(), target) <= 0 {
 			return grant, target, nil
 		}
 		grant.Release(allocation.Unused, 0)
-		request.Avoid = append(request.Avoid, grant.Target)
+		avoided = append(avoided, grant.Target)
 	}
-	return nil, fleet.Target{}, errkind.New(errkind.NoTarget, fmt.Sprintf("places at %v, which are leaving", request.Avoid))
+	return nil, fleet.Target{}, errkind.New(errkind.NoTarget, fmt.Sprintf("places at %v, which are leaving or want no request", avoided))
 }
 
 func (ex *exchange) slotRequest(retry bool) pool.SlotRequest {
--- /dev/null
+++ b/internal/edgenode/herd_test.go
@@ -0,0 +1,265 @@
+package edgenode
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/pool"
+	"github.com/bluebellseam/bluebellseam/internal/systems/allocation"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+	"github.com/bluebellseam/bluebellseam/internal/virtualnet"
+	"github.com/bluebellseam/bluebellseam/internal/watch"
+	"github.com/bluebellseam/bluebellseam/platform"
+)
+
+const (
+	herdHosts    = 200
+	herdDomains  = 6
+	herdTargets  = 78
+	targetSlots  = 8
+	herdService  = "s"
+	requestsPerS = 5
+	holdTime     = 300 * time.Millisecond
+	megabit      = 1e6 / 8
+)
+
+// herd is a deployment of herdHosts hosts in virtual time.
+type herd struct {
+	network *virtualnet.Network
+	store   *memoryStore
+	cancel  context.CancelFunc
+	hosts   []*herdHost
+
+	mu       sync.Mutex
+	granted  int
+	fallback int
+}
+
+type herdHost struct {
+	settings platform.Settings
+	process  *Process
+}
+
+func newHerd(count int) *herd {
+	h := &herd{network: virtualnet.New(1400 * time.Microsecond), store: newMemoryStore()}
+	for i := range count {
+		var s platform.Settings
+		s.Node = fmt.Sprintf("host-%03d", i)
+		s.IP = fmt.Sprintf("10.0.%d.%d", i/250, i%250)
+		s.Zone = fmt.Sprintf("domain-%d", i%herdDomains)
+		s.InternalPorts = []int{7600}
+		s.Limits.CPUShare = []float64{0.192, 0.272, 0.4, 0.8}[i%4]
+		s.Bounds.QuotaWindowS, s.Bounds.BudgetWindowS = 8, 10
+		link := []float64{20, 60, 100, 200}[i%4] * megabit
+		h.network.Add(virtualnet.Host{Address: s.PeerAddress(), Domain: s.Zone, Cores: s.CPULimit(), BytesPerSecond: link})
+		h.hosts = append(h.hosts, &herdHost{settings: s})
+	}
+	return h
+}
+
+// startAll starts all hosts within half a second.
+func (h *herd) startAll() {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	for _, host := range h.hosts {
+		delay := time.Duration(rand.Float64() * float64(500*time.Millisecond))
+		time.AfterFunc(delay, func() { h.start(ctx, host) })
+	}
+}
+
+func (h *herd) start(ctx context.Context, host *herdHost) {
+	p := build(host.settings, h.store, io.Discard)
+	p.cancel = func() {}
+	p.peers.Dial = h.network.Dialer(p.self.Address)
+	listener := h.network.Listen(p.self.Address)
+	host.process = p
+	go func() { _ = peer.Serve(ctx, listener, p.mux, "", p.clock) }()
+	go p.run(ctx)
+	go h.load(ctx, p)
+}
+
+// stopAll loses all hosts at once.
+func (h *herd) stopAll() {
+	h.cancel()
+	for _, host := range h.hosts {
+		h.network.Cut(host.process.self.Address)
+		host.process.Close()
+	}
+	// Timers of the stopped processes run out.
+	time.Sleep(time.Minute)
+}
+
+// load sends requests through one host.
+func (h *herd) load(ctx context.Context, p *Process) {
+	for n := 0; ctx.Err() == nil; n++ {
+		time.Sleep(time.Duration(rand.ExpFloat64() * float64(time.Second) / requestsPerS))
+		go h.request(ctx, p, n)
+	}
+}
+
+func (h *herd) request(ctx context.Context, p *Process, n int) {
+	<-p.started
+	grant, err := p.client.Acquire(ctx, pool.SlotRequest{
+		Request: fmt.Sprint(n), Service: herdService, PromptTokens: 1000, FirstByteBudget: time.Second, MaxWait: time.Second,
+		Fingerprint: tables.Fingerprint(rand.Uint64()),
+	})
+	h.mu.Lock()
+	if err == nil {
+		h.granted++
+	} else if errkind.Of(err) == errkind.NoTarget {
+		h.fallback++
+	}
+	h.mu.Unlock()
+	if err != nil {
+		return
+	}
+	time.Sleep(holdTime / 4)
+	grant.ReportFirstByte(holdTime / 4)
+	time.Sleep(holdTime * 3 / 4)
+	grant.Release(allocation.Succeeded, 0)
+}
+
+// withCoordinator returns the share of hosts whose first live host is the one that
+// most of them agree on.
+func (h *herd) withCoordinator() float64 {
+	votes := make(map[tables.HostID]int)
+	most := 0
+	for _, host := range h.hosts {
+		if host.process == nil {
+			continue
+		}
+		if live, ok := host.process.links.FirstLive(); ok {
+			votes[live.Host.ID]++
+			most = max(most, votes[live.Host.ID])
+		}
+	}
+	return float64(most) / float64(len(h.hosts))
+}
+
+// awaitCoordinator returns the time until nine tenths of the hosts have the same
+// coordinator, at most limit.
+func (h *herd) awaitCoordinator(limit time.Duration) time.Duration {
+	start := time.Now()
+	for time.Since(start) < limit && h.withCoordinator() < 0.9 {
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+// memoryStore is a store in memory that answers after a delay.
+type memoryStore struct {
+	mu      sync.Mutex
+	records map[watch.Stream][]watch.Record
+	calls   int
+}
+
+const storeDelay = 4 * time.Millisecond
+
+func newMemoryStore() *memoryStore {
+	s := &memoryStore{records: make(map[watch.Stream][]watch.Record)}
+	s.append(watch.Configs, "config", []byte(`{"version":1,"routes":{},"services":{},"limits":{}}`))
+	for i := range herdTargets {
+		entry, _ := json.Marshal(map[string]any{
+			"service": herdService, "address": fmt.Sprintf("10.9.0.%d:80", i), "zone": fmt.Sprintf("domain-%d", i%herdDomains),
+			"slots": targetSlots, "state": "ready",
+		})
+		s.append(watch.Targets, fmt.Sprintf("target-%02d", i), entry)
+	}
+	return s
+}
+
+func (s *memoryStore) append(name watch.Stream, key string, value []byte) int64 {
+	offset := int64(len(s.records[name]))
+	s.records[name] = append(s.records[name], watch.Record{Key: key, Value: value, Offset: offset})
+	return offset
+}
+
+func (s *memoryStore) call() {
+	time.Sleep(storeDelay)
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+}
+
+// Newest implements watch.Store.
+func (s *memoryStore) Newest(_ context.Context, name watch.Stream) (watch.Page, error) {
+	s.call()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := make(map[string]watch.Record)
+	for _, r := range s.records[name] {
+		newest[r.Key] = r
+	}
+	page := watch.Page{End: int64(len(s.records[name]))}
+	for _, r := range newest {
+		if r.Value != nil {
+			page.Records = append(page.Records, r)
+		}
+	}
+	return page, nil
+}
+
+// Read implements watch.Store.
+func (s *memoryStore) Read(ctx context.Context, name watch.Stream, from int64, wait time.Duration) (watch.Page, error) {
+	s.call()
+	for waited := time.Duration(0); ; waited += storeDelay {
+		s.mu.Lock()
+		end := int64(len(s.records[name]))
+		page := watch.Page{End: end, Records: append([]watch.Record(nil), s.records[name][min(from, end):]...)}
+		s.mu.Unlock()
+		if len(page.Records) > 0 || waited >= wait || ctx.Err() != nil {
+			return page, nil
+		}
+		time.Sleep(storeDelay)
+	}
+}
+
+// Put implements watch.Store.
+func (s *memoryStore) Put(_ context.Context, name watch.Stream, key string, value []byte) (watch.Position, error) {
+	s.call()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return watch.Position{Offset: s.append(name, key, value)}, nil
+}
+
+// These bounds are those of the users' target: served again within two seconds,
+// and 0.3 GB between failure domains on a day in which all hosts are lost once.
+const (
+	coordinatorWithin = 2 * time.Second
+	maxStartBytes     = 60 << 20
+	// maxCallsPerStart bounds the calls to the store for each host that starts.
+	maxCallsPerStart = 5
+)
+
+func TestAllHostsStartTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHerd(herdHosts)
+		for _, phase := range []string{"first start", "start after a loss of all hosts"} {
+			bytes, calls := h.network.CrossBytes(), h.store.calls
+			h.startAll()
+			took := h.awaitCoordinator(10 * time.Second)
+			time.Sleep(3 * time.Second)
+			bytes, calls = h.network.CrossBytes()-bytes, h.store.calls-calls
+			t.Logf("%s: %v until nine tenths have one coordinator, %.1f MB between domains, %d calls to the store, %d grants", phase, took, float64(bytes)/(1<<20), calls, h.granted)
+			if took > 500*time.Millisecond+coordinatorWithin {
+				t.Errorf("%s: %v until nine tenths of the hosts have one coordinator, limit %v after their start", phase, took, coordinatorWithin)
+			}
+			if bytes > maxStartBytes {
+				t.Errorf("%s: %d bytes between failure domains, limit %d", phase, bytes, maxStartBytes)
+			}
+			if calls > maxCallsPerStart*herdHosts {
+				t.Errorf("%s: %d calls to the store, limit %d", phase, calls, maxCallsPerStart*herdHosts)
+			}
+			h.stopAll()
+		}
+	})
+}
--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -52,6 +52,9 @@
 	// readinessDelay is how long the platform takes to notice that a host is no
 	// longer ready. Until then it sends new connections.
 	readinessDelay = 2500 * time.Millisecond
+	// drainPollInterval is the time between checks for idle connections of callers
+	// during a stop.
+	drainPollInterval = 20 * time.Millisecond
 	// exitMargin is the part of the grace period reserved for the process to
 	// exit.
 	exitMargin = 700 * time.Millisecond
@@ -85,7 +88,10 @@
 	fallback    *pool.Coordinator
 	client      *pool.Client
 	front       *http.Server
-	stopping    chan struct{}
+	// limiter tracks the connections of callers, which frontListener accepts.
+	limiter       *connlimit.Limiter
+	frontListener net.Listener
+	stopping      chan struct{}
 	// started is closed after the state was loaded, once the first-ranked
 	// coordinator is reachable or maxCoordinatorWait has passed.
 	started chan struct{}
@@ -99,7 +105,9 @@
 // returns an error if a listener cannot be opened. The structured log is written
 // to logs.
 func Start(s platform.Settings, logs io.Writer) (*Process, error) {
-	p := build(s, logs)
+	store := platform.NewStore(s.Platform.Address)
+	p := build(s, store, logs)
+	store.OnCall = p.metrics.StoreCalled
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	if err := p.listen(ctx); err != nil {
@@ -111,7 +119,8 @@
 	return p, nil
 }
 
-func build(s platform.Settings, logs io.Writer) *Process {
+// build assembles a process without listeners that runs no background work yet.
+func build(s platform.Settings, store watch.Store, logs io.Writer) *Process {
 	p := &Process{
 		settings: s,
 		self: fleet.Host{
@@ -131,8 +140,6 @@
 	p.peers = peer.NewPool(context.Background(), peer.Hello{Host: p.self.ID, Role: "edge"}, p.mux, p.clock)
 	p.links = links.New(p.self, p.peers, p.clock, p.logger)
 	p.state = watch.NewState(platform.Decoder{}, p.logger)
-	store := platform.NewStore(s.Platform.Address)
-	store.OnCall = p.metrics.StoreCalled
 	p.watcher = watch.NewWatcher(p.self, p.state, store, p.links, p.clock, p.logger)
 	p.replicator = watch.NewReplicator(p.self, p.watcher, p.links, p.mux, p.clock, p.logger)
 	p.coordinator = pool.NewCoordinator(p.state, policyOf(s), rand.Float64, p.coordinatorShare, func() int { return 1 }, p.clock, p.logger)
@@ -172,15 +179,15 @@
 func (p *Process) onChange(s watch.Stream) {
 	switch s {
 	case watch.Hosts:
-		ranked := owner.Ranked(coordinatorRankSeed, p.state.Hosts())
+		ranked := owner.SpreadDomains(owner.Ranked(coordinatorRankSeed, p.state.Hosts()), links.MaxLinks)
 		p.links.SetHosts(ranked)
 		event.HostsChanged.Log(p.logger, zap.Int("hosts", len(ranked)))
 	default:
 		estimates := p.client.Estimates()
 		p.coordinator.ReloadTargets(estimates)
 		p.fallback.ReloadTargets(estimates)
+		p.replicator.Wake()
 	}
-	p.replicator.Wake()
 }
 
 // listen opens a listener on every address and serves it.
@@ -193,12 +200,18 @@
 			Clock: p.clock, Logger: p.logger, Metrics: p.metrics,
 		},
 	})
-	connlimit.New(p.clock, p.connTimeouts).Attach(p.front)
+	p.limiter = connlimit.New(p.clock, p.connTimeouts)
+	p.limiter.Attach(p.front)
 	metrics := observe.NewServer(p.metrics.Handler())
 	ready := observe.NewServer(platform.Readiness(p.ready))
 	metricsAddress := fmt.Sprintf("%s:%d", s.IP, s.InternalPorts[0]+metricsPortOffset)
-	for address, server := range map[string]*http.Server{s.Listen.Front: p.front, s.Listen.Ready: ready, metricsAddress: metrics} {
-		if err := p.serve(address, server.Serve); err != nil {
+	frontListener, err := p.serve(s.Listen.Front, func(l net.Listener) error { return p.front.Serve(p.limiter.Listener(l)) })
+	if err != nil {
+		return err
+	}
+	p.frontListener = frontListener
+	for address, server := range map[string]*http.Server{s.Listen.Ready: ready, metricsAddress: metrics} {
+		if _, err := p.serve(address, server.Serve); err != nil {
 			return err
 		}
 	}
@@ -206,7 +219,7 @@
 		if address == "" {
 			continue
 		}
-		err := p.serve(address, func(l net.Listener) error { return peer.Serve(ctx, l, p.mux, "", p.clock) })
+		_, err := p.serve(address, func(l net.Listener) error { return peer.Serve(ctx, l, p.mux, "", p.clock) })
 		if err != nil {
 			return err
 		}
@@ -231,10 +244,11 @@
 	return timeouts
 }
 
-func (p *Process) serve(address string, serve func(net.Listener) error) error {
+// serve opens a listener and runs serve with it in the background.
+func (p *Process) serve(address string, serve func(net.Listener) error) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	p.closers = append(p.closers, listener)
 	go func() {
@@ -242,7 +256,7 @@
 			event.ListenerFailed.Log(p.logger, zap.String("address", address), zap.Error(err))
 		}
 	}()
-	return nil
+	return listener, nil
 }
 
 // ready reports whether the configuration and the targets are known and the
@@ -335,20 +349,38 @@
 func (p *Process) Stop() {
 	event.StopRequested.Log(p.logger)
 	close(p.stopping)
+	p.limiter.Drain()
 	settings := p.currentSettings()
 	ctx, cancel := context.WithTimeout(context.Background(), settings.GracePeriod()-exitMargin)
 	defer cancel()
+	go p.deregister(ctx)
+	p.clock.Sleep(readinessDelay)
+	_ = p.frontListener.Close()
+	if open := p.awaitRequests(ctx); open > 0 {
+		event.StopTimeoutExpired.Log(p.logger, zap.Int("connections", open))
+	}
+	event.ProcessStopped.Log(p.logger)
+	p.Close()
+}
+
+// deregister removes this host from the list of hosts.
+func (p *Process) deregister(ctx context.Context) {
 	if err := p.watcher.Deregister(ctx); err != nil {
 		event.StoreUnreachable.Log(p.logger, zap.Error(err))
 	}
 	p.replicator.Wake()
-	p.front.SetKeepAlivesEnabled(false)
-	p.clock.Sleep(readinessDelay)
-	if err := p.front.Shutdown(ctx); err != nil {
-		event.StopTimeoutExpired.Log(p.logger, zap.Error(err))
+}
+
+// awaitRequests closes the connections of callers as they become idle. It returns
+// the number of open connections once there is none or ctx has ended.
+func (p *Process) awaitRequests(ctx context.Context) int {
+	for {
+		open := p.limiter.CloseIdle()
+		if open == 0 || ctx.Err() != nil {
+			return open
+		}
+		p.clock.Sleep(drainPollInterval)
 	}
-	event.ProcessStopped.Log(p.logger)
-	p.Close()
 }
 
 // Close stops the process immediately, like a crash.
@@ -357,7 +389,9 @@
 	for _, c := range p.closers {
 		_ = c.Close()
 	}
-	_ = p.front.Close()
+	if p.front != nil {
+		_ = p.front.Close()
+	}
 	p.log.Close()
 }
 
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -75,6 +75,7 @@
 	TargetCrashed     = Event{1401, zapcore.WarnLevel, "target crashed", "A target refused connections or restarted with requests in flight."}
 	StragglerDetected = Event{1402, zapcore.WarnLevel, "straggler detected", "A target is much slower than its hardware generation and gets probe requests only."}
 	TargetRecovered   = Event{1403, zapcore.InfoLevel, "target recovered", "A target reached the speed of its hardware generation again."}
+	TargetQuiet       = Event{1404, zapcore.InfoLevel, "target quiet", "A target wants no requests from this host for a time."}
 )
 
 // Catalogue returns all events in ascending order of their numbers.
@@ -87,6 +88,6 @@
 		RequestRefused, RequestFinished, RequestOutcomeUnknown, StreamResumed, StreamSilent, DispatcherLost, ClaimLost,
 		QuarantineAdded, QuarantineLifted, InvariantFailed,
 		SlotGranted, SlotRefused, SendFailed, LocalFallback,
-		TargetCrashed, StragglerDetected, TargetRecovered,
+		TargetCrashed, StragglerDetected, TargetRecovered, TargetQuiet,
 	}
 }
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -19,6 +19,9 @@
 	Leaving bool
 	// StartedAt is when the instance started; zero if it does not report that.
 	StartedAt time.Time
+	// Sequence is the number that the instance gave its latest record; zero if it
+	// gives none. It rises while the instance runs.
+	Sequence int64
 }
 
 // Host is one host of the system.
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -19,20 +20,15 @@
 const (
 	// checkInterval is the time between checks of the connections.
 	checkInterval = 100 * time.Millisecond
-	// connectTimeout bounds one attempt to connect.
-	connectTimeout = 400 * time.Millisecond
+	// connectTimeout bounds one attempt to connect, up to the reply to the first
+	// message. No state is exchanged within it.
+	connectTimeout = time.Second
 	// livenessTimeout is the time without a message after which a host no longer
 	// counts as live. Hosts send heartbeats every HeartbeatInterval.
 	livenessTimeout = 400 * time.Millisecond
-	// maxLinks is the number of highest-ranked hosts to which connections are
-	// kept.
-	maxLinks = 3
 	// overloadDuration is how long a host ranks after the others once it has
 	// reported an overload.
 	overloadDuration = 5 * time.Second
-	// reconnectDelay is the shortest time between attempts to connect to a
-	// host.
-	reconnectDelay = 500 * time.Millisecond
 )
 
 // HeartbeatInterval is the time between heartbeats that a host sends on the
@@ -46,25 +42,19 @@
 	clock  clockwork.Clock
 	logger *zap.Logger
 	// OnConnect is called in its own goroutine after a connection was
-	// established and before it is used. An error closes the connection.
+	// established. The connection is used meanwhile. An error closes it.
 	OnConnect func(ctx context.Context, host fleet.Host, conn *peer.Conn) error
 
 	mu     sync.Mutex
 	ranked []fleet.Host
-	links  map[tables.HostID]*peerLink
+	// candidates are the hosts to which connections are kept, in rank order.
+	candidates []fleet.Host
+	links      map[tables.HostID]*peerLink
 	// overloadedUntil holds the time until which each overloaded host ranks
 	// last.
 	overloadedUntil map[tables.HostID]time.Time
 }
 
-type peerLink struct {
-	host     fleet.Host
-	conn     *peer.Conn
-	dialing  bool
-	dialedAt time.Time
-	up       bool
-}
-
 // New returns Links without hosts.
 func New(self fleet.Host, peers *peer.Pool, clock clockwork.Clock, logger *zap.Logger) *Links {
 	return &Links{self: self, peers: peers, clock: clock, logger: logger, links: make(map[tables.HostID]*peerLink), overloadedUntil: make(map[tables.HostID]time.Time)}
@@ -75,18 +65,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ranked = ranked
-	wanted := make(map[tables.HostID]bool)
-	for _, h := range ranked[:min(maxLinks, len(ranked))] {
-		wanted[h.ID] = true
-		if link := l.links[h.ID]; link == nil || link.host.Address != h.Address {
-			l.links[h.ID] = &peerLink{host: h}
-		}
-	}
-	for id := range l.links {
-		if !wanted[id] {
-			delete(l.links, id)
-		}
-	}
+	l.selectCandidates(l.clock.Now())
 }
 
 // Run establishes the connections and replaces lost ones until ctx ends.
@@ -105,42 +84,71 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
+	l.selectCandidates(now)
 	for _, link := range l.links {
-		l.logState(link, l.linkLive(link, now))
-		if link.host.ID == l.self.ID || link.dialing || l.linkLive(link, now) || now.Sub(link.dialedAt) < reconnectDelay {
+		live := l.linkLive(link, now)
+		l.recordState(link, live, now)
+		if live || !link.mayDial(now) {
 			continue
 		}
-		link.dialing = true
-		link.dialedAt = now
+		link.beginDial(now, rand.Float64())
 		go l.connect(ctx, link)
 	}
 }
 
-// logState logs that a host was reached or lost.
-func (l *Links) logState(link *peerLink, up bool) {
-	if link.up == up || link.host.ID == l.self.ID {
+// selectCandidates chooses the hosts to which connections are kept. The
+// connections to other hosts are closed after retireDelay. The lock must be held.
+func (l *Links) selectCandidates(now time.Time) {
+	l.candidates = candidates(l.ranked, func(id tables.HostID) bool {
+		link := l.links[id]
+		return link != nil && link.unreachable(now)
+	})
+	wanted := make(map[tables.HostID]bool, len(l.candidates))
+	for _, h := range l.candidates {
+		wanted[h.ID] = true
+		link := l.links[h.ID]
+		if link == nil || link.host.Address != h.Address {
+			link.close()
+			link = &peerLink{host: h, self: h.ID == l.self.ID, downSince: now}
+			l.links[h.ID] = link
+		}
+		link.retiredAt = time.Time{}
+	}
+	for id, link := range l.links {
+		if !wanted[id] && link.retire(now) {
+			link.close()
+			delete(l.links, id)
+		}
+	}
+}
+
+// recordState logs that a host was reached or lost and keeps the time of the
+// change.
+func (l *Links) recordState(link *peerLink, up bool, now time.Time) {
+	if link.up == up || link.self {
 		return
 	}
 	link.up = up
 	if up {
+		link.failures = 0
 		event.PeerUp.Log(l.logger, zap.String("host", string(link.host.ID)))
 		return
 	}
+	link.downSince = now
 	event.PeerDown.Log(l.logger, zap.String("host", string(link.host.ID)))
 }
 
 func (l *Links) connect(ctx context.Context, link *peerLink) {
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
-	conn, err := l.peers.Redial(ctx, link.host.Address)
+	dialing, cancel := context.WithTimeout(ctx, connectTimeout)
+	conn, err := l.peers.Redial(dialing, link.host.Address)
+	cancel()
+	if !l.finishDial(link, conn) {
+		return
+	}
 	if err == nil && l.OnConnect != nil {
 		err = l.OnConnect(ctx, link.host, conn)
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	link.dialing = false
 	if err == nil {
-		link.conn = conn
 		return
 	}
 	if conn != nil {
@@ -149,11 +157,22 @@
 	event.PeerConnectionFailed.Log(l.logger, zap.String("host", string(link.host.ID)), zap.Error(err))
 }
 
-func (l *Links) linkLive(link *peerLink, now time.Time) bool {
-	if link.host.ID == l.self.ID {
-		return true
+// finishDial records the result of an attempt to connect; conn is nil if it
+// failed. It closes conn and returns false if the link was closed meanwhile.
+func (l *Links) finishDial(link *peerLink, conn *peer.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	link.dialing = false
+	link.conn = conn
+	if link.closed {
+		link.close()
+		return false
 	}
-	return link.conn != nil && connLive(link.conn, now)
+	return true
+}
+
+func (l *Links) linkLive(link *peerLink, now time.Time) bool {
+	return link.self || (link.conn != nil && connLive(link.conn, now))
 }
 
 // connLive reports whether a message was received on a connection within
@@ -189,14 +208,14 @@
 	return link != nil && l.linkLive(link, l.clock.Now())
 }
 
-// LiveHosts returns those of the maxLinks highest-ranked hosts that are live, in
-// rank order but with overloaded ones last.
+// LiveHosts returns the candidates that are live, in rank order but with
+// overloaded ones last.
 func (l *Links) LiveHosts() []LiveHost {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
 	var out, overloaded []LiveHost
-	for _, h := range l.ranked[:min(maxLinks, len(l.ranked))] {
+	for _, h := range l.candidates {
 		link := l.links[h.ID]
 		switch {
 		case link == nil || !l.linkLive(link, now):
@@ -215,7 +234,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, link := range l.links {
-		if link.conn == conn && (conn != nil || id == l.self.ID) {
+		if link.conn == conn && (conn != nil || link.self) {
 			l.overloadedUntil[id] = l.clock.Now().Add(overloadDuration)
 		}
 	}
--- a/internal/systems/owner/owner.go
+++ b/internal/systems/owner/owner.go
@@ -72,15 +72,37 @@
 // hashing of key. All hosts with the same list compute the same order.
 func Ranked(key string, hosts []fleet.Host) []fleet.Host {
 	sum := xxhash.Sum64String(key)
+	scores := make(map[tables.HostID]uint64, len(hosts))
+	for _, h := range hosts {
+		scores[h.ID] = score(sum, h.ID)
+	}
 	ranked := slices.Clone(hosts)
 	slices.SortFunc(ranked, func(a, b fleet.Host) int {
 		if a.Cores != b.Cores {
 			return cmp.Compare(b.Cores, a.Cores)
 		}
-		if d := cmp.Compare(score(sum, b.ID), score(sum, a.ID)); d != 0 {
+		if d := cmp.Compare(scores[b.ID], scores[a.ID]); d != 0 {
 			return d
 		}
 		return cmp.Compare(a.ID, b.ID)
 	})
 	return ranked
 }
+
+// SpreadDomains moves hosts of a ranking forward so that its first n hosts are in
+// different failure domains. A host is moved only before hosts with the same
+// number of cores; the order is otherwise kept.
+func SpreadDomains(ranked []fleet.Host, n int) []fleet.Host {
+	out := slices.Clone(ranked)
+	used := make(map[tables.DomainID]bool, n)
+	for i := range min(n, len(out)) {
+		next := i + max(0, slices.IndexFunc(out[i:], func(h fleet.Host) bool {
+			return h.Cores == out[i].Cores && !used[h.Domain]
+		}))
+		chosen := out[next]
+		copy(out[i+1:next+1], out[i:next])
+		out[i] = chosen
+		used[chosen.Domain] = true
+	}
+	return out
+}
--- /dev/null
+++ b/internal/watch/apply.go
@@ -0,0 +1,209 @@
+package watch
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/event"
+)
+
+// batch is a set of records of one stream.
+type batch struct {
+	records []Record
+	// span is the part of the stream that the records cover; nil if unknown.
+	span *Span
+	// listed holds every key of a listing; nil if the batch is not a listing.
+	listed map[string]bool
+	// fromStore is true if this host has read the records from the store or has
+	// written them there.
+	fromStore bool
+}
+
+// Apply applies records that this host has read from the store, starting at
+// offset from. It returns false, without effect, if the store has been restored
+// since and the stream must be listed, or if the page is of an older incarnation.
+func (s *State) Apply(now time.Time, name Stream, from int64, page Page) bool {
+	if page.Incarnation != s.Mark(name).Incarnation {
+		return false
+	}
+	span := Span{Mark: Mark{page.Incarnation, page.End}, From: from}
+	b := batch{records: page.stamped(), span: &span, fromStore: true}
+	return s.applyBatch(now, name, b) == covered
+}
+
+// ApplyOwn applies a record that this host has written to the store.
+func (s *State) ApplyOwn(now time.Time, name Stream, r Record) {
+	s.applyBatch(now, name, batch{records: []Record{r}, fromStore: true})
+}
+
+// ApplyListing applies the newest records of all keys. Keys that are not in the
+// listing are removed unless their record is newer than the listing. It returns
+// false, without effect, if the listing is of an older incarnation of the store.
+func (s *State) ApplyListing(now time.Time, name Stream, page Page) bool {
+	if page.Incarnation < s.Mark(name).Incarnation {
+		return false
+	}
+	listed := make(map[string]bool, len(page.Records))
+	for _, r := range page.Records {
+		listed[r.Key] = true
+	}
+	span := Span{Mark: Mark{page.Incarnation, page.End}}
+	b := batch{records: page.stamped(), span: &span, listed: listed, fromStore: true}
+	return s.applyBatch(now, name, b) == covered
+}
+
+// Coverage tells what a batch did to the mark of a stream.
+type Coverage uint8
+
+// The values of Coverage.
+const (
+	// uncovered means that the batch has no span.
+	uncovered Coverage = iota
+	// covered means that all records before the end of the span have been applied.
+	covered
+	// gap means that records before the span are missing.
+	gap
+	// outdated means that the span is of an older incarnation of the store.
+	outdated
+)
+
+// stamped returns the records with the incarnation of the page.
+func (p Page) stamped() []Record {
+	for i := range p.Records {
+		p.Records[i].Incarnation = p.Incarnation
+	}
+	return p.Records
+}
+
+// ApplyUpdate applies changes received from a peer. spans holds the part of each
+// stream that the changes cover.
+func (s *State) ApplyUpdate(now time.Time, changes []Change, spans map[Stream]Span) map[Stream]Coverage {
+	byStream := make(map[Stream][]Record)
+	for _, c := range changes {
+		byStream[c.Stream] = append(byStream[c.Stream], c.Record)
+	}
+	out := make(map[Stream]Coverage, len(s.streams))
+	for _, name := range Streams() {
+		b := batch{records: byStream[name]}
+		if span, reported := spans[name]; reported && span.End != unread {
+			b.span = &span
+		}
+		out[name] = s.applyBatch(now, name, b)
+	}
+	return out
+}
+
+// applyBatch applies a batch. Its records are applied whatever the coverage.
+func (s *State) applyBatch(now time.Time, name Stream, b batch) Coverage {
+	if len(b.records) == 0 && b.span == nil {
+		return uncovered
+	}
+	s.mu.Lock()
+	st := s.streams[name]
+	before := st.mark
+	coverage := st.advance(now, b.span, b.fromStore)
+	changed := false
+	for _, r := range b.records {
+		changed = s.applyRecord(now, name, before, r, b.fromStore) || changed
+	}
+	if b.listed != nil {
+		changed = s.removeUnlisted(now, name, b) || changed
+	}
+	s.mu.Unlock()
+	if changed {
+		s.OnChange(name)
+	}
+	return coverage
+}
+
+// removeUnlisted removes the keys that are missing from a listing and whose
+// records are older than it.
+func (s *State) removeUnlisted(now time.Time, name Stream, b batch) bool {
+	st := s.streams[name]
+	changed := false
+	for key, r := range st.records {
+		if b.listed[key] || r.Value == nil || !r.Position().Before(Position{b.span.Incarnation, b.span.End}) {
+			continue
+		}
+		removal := Record{Key: key, Offset: b.span.End - 1, Incarnation: b.span.Incarnation}
+		changed = s.applyRecord(now, name, st.mark, removal, b.fromStore) || changed
+	}
+	return changed
+}
+
+// applyRecord applies a record unless it is outdated, and reports whether the
+// configuration, the targets or the hosts may have changed. before is the mark of
+// the stream before the batch of the record.
+func (s *State) applyRecord(now time.Time, name Stream, before Mark, r Record, fromStore bool) bool {
+	if r.Key == "" {
+		return false
+	}
+	st := s.streams[name]
+	old, known := st.records[r.Key]
+	if known && old.Position() == r.Position() && r.Offset >= before.End && r.Offset < st.mark.End {
+		// The record was known before the stream had been applied up to it. From now
+		// on, the spans sent to peers cover it.
+		s.seq++
+		old.seq, old.fromStore = s.seq, old.fromStore || fromStore
+		st.records[r.Key] = old
+		return false
+	}
+	if known && !old.Position().Before(r.Position()) && !s.isConfig(name, r) {
+		return false
+	}
+	plain, err := decompress(r)
+	if err != nil {
+		event.EntryIgnored.Log(s.logger, zap.String("key", r.Key), zap.Int64("offset", r.Offset), zap.Error(err))
+		return false
+	}
+	if s.isConfig(name, r) {
+		return s.applyConfig(plain, fromStore)
+	}
+	s.storeRecord(name, plain, fromStore)
+	return s.updateDecoded(now, name, plain)
+}
+
+// storeRecord stores an uncompressed record as the newest one of its key.
+func (s *State) storeRecord(name Stream, plain Record, fromStore bool) {
+	compressed, err := compress(plain)
+	if err != nil {
+		// The uncompressed record is stored instead.
+		event.EntryIgnored.Log(s.logger, zap.String("key", plain.Key), zap.Int64("offset", plain.Offset), zap.Error(err))
+	}
+	s.seq++
+	s.streams[name].records[plain.Key] = appliedRecord{compressed, s.seq, fromStore}
+}
+
+func (s *State) isConfig(name Stream, r Record) bool {
+	return name == Configs && s.decoder.IsConfig(r.Key)
+}
+
+// applyConfig applies a record that holds the configuration, and reports whether it
+// changed. The version decides, not the position: a restored store shows old
+// versions at new positions, which must not reach other hosts either. The
+// configuration is never removed.
+func (s *State) applyConfig(plain Record, fromStore bool) bool {
+	old, known := s.streams[Configs].records[plain.Key]
+	if plain.Value == nil || known && old.Position() == plain.Position() {
+		return false
+	}
+	c, err := s.decoder.Config(plain.Value)
+	if err != nil {
+		event.EntryIgnored.Log(s.logger, zap.String("key", plain.Key), zap.Int64("offset", plain.Offset), zap.Error(err))
+		return false
+	}
+	if s.config != nil && c.Version < s.config.Version {
+		return false
+	}
+	if s.config != nil && c.Version == s.config.Version && !old.Position().Before(plain.Position()) {
+		return false
+	}
+	s.storeRecord(Configs, plain, fromStore)
+	changed := s.config == nil || c.Version > s.config.Version
+	if changed {
+		s.config = c
+		event.ConfigInForce.Log(s.logger, zap.Uint64("version", c.Version), zap.Int64("offset", plain.Offset), zap.Int("routes", c.RouteCount()))
+	}
+	return changed
+}
--- a/internal/watch/ports.go
+++ b/internal/watch/ports.go
@@ -24,21 +24,45 @@
 // Streams lists all streams.
 func Streams() []Stream { return []Stream{Configs, Targets, Hosts} }
 
+// Position orders the records of a stream. The incarnation of the store rises by
+// one each time that the store is restored from an older copy, which gives the
+// offsets of lost records out again.
+type Position struct {
+	Incarnation int64 `json:"incarnation,omitempty"`
+	Offset      int64 `json:"offset"`
+}
+
+// Before reports whether p is older than q.
+func (p Position) Before(q Position) bool {
+	if p.Incarnation != q.Incarnation {
+		return p.Incarnation < q.Incarnation
+	}
+	return p.Offset < q.Offset
+}
+
 // Record is a keyed record. A record without a value removes the key.
 type Record struct {
 	Key    string `json:"key"`
 	Value  []byte `json:"value,omitempty"`
 	Offset int64  `json:"offset"`
+	// Incarnation is the incarnation of the store in which the record was written
+	// or read.
+	Incarnation int64 `json:"incarnation,omitempty"`
 	// Compressed is true if Value is compressed. Hosts compress large values for
 	// sending them to each other; values in the store are not compressed.
 	Compressed bool `json:"packed,omitempty"`
 }
 
+// Position returns the position of the record in its stream.
+func (r Record) Position() Position { return Position{r.Incarnation, r.Offset} }
+
 // Page is a part of a stream.
 type Page struct {
 	Records []Record
 	// End is the offset from which to read on; negative if unknown.
 	End int64
+	// Incarnation is the incarnation of the store that returned the page.
+	Incarnation int64
 }
 
 var (
@@ -56,9 +80,9 @@
 	// Read returns the records from an offset on. If there are none yet, it
 	// waits for the first one, at most for wait.
 	Read(ctx context.Context, s Stream, from int64, wait time.Duration) (Page, error)
-	// Put writes a record and returns its offset. A nil value removes the key.
+	// Put writes a record and returns its position. A nil value removes the key.
 	// The record may have been written even if the call fails.
-	Put(ctx context.Context, s Stream, key string, value []byte) (int64, error)
+	Put(ctx context.Context, s Stream, key string, value []byte) (Position, error)
 }
 
 // Decoder decodes the values of records.
--- a/internal/watch/replicator.go
+++ b/internal/watch/replicator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"maps"
 	"slices"
 	"sync"
@@ -19,21 +20,40 @@
 
 // Methods of the messages between hosts.
 const (
-	// methodAttach requests the full state of a host and its updates from then
-	// on.
+	// methodAttach requests the updates of a host from now on, beginning with the
+	// records that the attaching host lacks.
 	methodAttach = "watch.attach"
 	// methodUpdate carries an Update, in either direction.
 	methodUpdate = "watch.news"
+	// methodResend requests, in either direction, the records that the sender of
+	// the request lacks.
+	methodResend = "watch.resend"
 )
 
-// updateSenders is the number of highest-ranked live hosts that send updates to
-// the hosts attached to them.
-const updateSenders = 2
+const (
+	// updateSenders is the number of highest-ranked live hosts that send updates to
+	// the hosts attached to them.
+	updateSenders = 2
+	// attachTimeout bounds an attempt to attach.
+	attachTimeout = 5 * time.Second
+	// resendInterval is the minimum time between two requests to one host for
+	// missing records.
+	resendInterval = 500 * time.Millisecond
+)
 
-// attachRequest carries the attaching host and its records of the Hosts stream.
+// attachRequest carries the attaching host and up to where it has applied each
+// stream.
 type attachRequest struct {
-	Host  fleet.Host `json:"host"`
-	Hosts []Change   `json:"hosts,omitempty"`
+	Host  fleet.Host      `json:"host"`
+	Marks map[Stream]Mark `json:"marks,omitempty"`
+	// Hosts is sent by the build before Marks, which expects all records in the
+	// response.
+	Hosts []Change `json:"hosts,omitempty"`
+}
+
+// resendRequest tells up to where its sender has applied each stream.
+type resendRequest struct {
+	Marks map[Stream]Mark `json:"marks"`
 }
 
 // Replicator sends the state of this host to the hosts attached to it. To the
@@ -56,56 +76,89 @@
 	// upstreamSeq holds, for each host that this one is attached to, the
 	// sequence number up to which changes were sent to it.
 	upstreamSeq map[*peer.Conn]int
-	wake        chan struct{}
+	// resendAt holds the earliest time of the next request for missing records.
+	resendAt map[*peer.Conn]time.Time
+	wake     chan struct{}
 }
 
-// subscriber is an attached host. sentSeq is the sequence number up to which
-// changes were sent to it.
+// subscriber is an attached host.
 type subscriber struct {
-	host    tables.HostID
-	sentSeq int
+	host tables.HostID
+	// sent tells up to where the state was sent.
+	sent sentState
 }
 
 // NewReplicator returns a replicator and registers its message handlers with
 // mux.
 func NewReplicator(self fleet.Host, w *Watcher, l *links.Links, mux *peer.Mux, clock clockwork.Clock, logger *zap.Logger) *Replicator {
-	r := &Replicator{self: self, watcher: w, links: l, clock: clock, logger: logger, overload: links.NewOverloadDetector(), attached: make(map[*peer.Conn]*subscriber), upstreamSeq: make(map[*peer.Conn]int), wake: make(chan struct{}, 1)}
+	r := &Replicator{
+		self: self, watcher: w, links: l, clock: clock, logger: logger, overload: links.NewOverloadDetector(),
+		attached:    make(map[*peer.Conn]*subscriber),
+		upstreamSeq: make(map[*peer.Conn]int),
+		resendAt:    make(map[*peer.Conn]time.Time),
+		wake:        make(chan struct{}, 1),
+	}
 	peer.Handle(mux, methodAttach, r.onAttach)
-	peer.Handle(mux, methodUpdate, func(_ context.Context, conn *peer.Conn, u Update) (struct{}, error) {
-		if u.Overloaded {
-			l.MarkOverloaded(conn)
-		}
-		w.ApplyUpdate(u)
+	peer.Handle(mux, methodUpdate, r.onUpdate)
+	peer.Handle(mux, methodResend, func(_ context.Context, conn *peer.Conn, request resendRequest) (struct{}, error) {
+		conn.NotifyAsync(methodUpdate, w.newUpdate(w.State.After(request.Marks)))
 		return struct{}{}, nil
 	})
 	return r
 }
 
-// Attach requests the state of the host at the other end of conn and its
-// updates from then on. Errors are those of peer.Conn.Call.
+// Attach requests the updates of the host at the other end of conn, and sends it
+// the records that it lacks. Errors are those of peer.Conn.Call.
 func (r *Replicator) Attach(ctx context.Context, conn *peer.Conn) error {
-	var initial Update
-	hosts := r.watcher.State.AllOf(Hosts)
-	if err := conn.Call(ctx, methodAttach, attachRequest{Host: r.self, Hosts: hosts}, &initial); err != nil {
+	ctx, cancel := context.WithTimeout(ctx, attachTimeout)
+	defer cancel()
+	var reply Update
+	if err := conn.Call(ctx, methodAttach, attachRequest{Host: r.self, Marks: r.watcher.State.Marks()}, &reply); err != nil {
 		return err
 	}
-	r.watcher.ApplyUpdate(initial)
-	newer := r.watcher.State.NewerThan(initial.Changes)
-	conn.NotifyAsync(methodUpdate, r.watcher.newUpdate(newer))
+	if reply.AgeMS != heartbeatAge {
+		// The build before Marks sends its whole state.
+		r.watcher.ApplyUpdate(reply)
+	}
+	lacking := r.watcher.State.After(Snapshot{Spans: reply.spans()}.Marks())
+	conn.NotifyAsync(methodUpdate, r.watcher.newUpdate(lacking))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.upstreamSeq[conn] = newer.Seq
+	r.upstreamSeq[conn] = lacking.Seq
 	return nil
 }
 
+// onAttach adds a subscriber. The records that it lacks follow as its first
+// update, the response contains only up to where this host has applied each
+// stream.
 func (r *Replicator) onAttach(_ context.Context, conn *peer.Conn, a attachRequest) (Update, error) {
 	r.watcher.State.ApplyUpdate(r.clock.Now(), a.Hosts, nil)
-	snapshot := r.watcher.State.Since(0)
+	snapshot := r.watcher.State.After(a.Marks)
+	update := r.watcher.newUpdate(snapshot)
 	r.mu.Lock()
-	r.attached[conn] = &subscriber{host: a.Host.ID, sentSeq: snapshot.Seq}
+	_, again := r.attached[conn]
+	r.attached[conn] = &subscriber{host: a.Host.ID, sent: snapshot.sentState()}
+	if a.Marks != nil {
+		conn.NotifyAsync(methodUpdate, update)
+	}
 	r.mu.Unlock()
-	go r.awaitClose(conn)
-	return r.watcher.newUpdate(snapshot), nil
+	if !again {
+		go r.awaitClose(conn)
+	}
+	if a.Marks == nil {
+		update.Ends = endsOf(snapshot)
+		return update, nil
+	}
+	return Update{Spans: snapshot.Spans, AgeMS: heartbeatAge}, nil
+}
+
+// endsOf returns the offsets that an update of the build before Spans carries.
+func endsOf(s Snapshot) map[Stream]int64 {
+	out := make(map[Stream]int64, len(s.Spans))
+	for name, span := range s.Spans {
+		out[name] = span.End
+	}
+	return out
 }
 
 func (r *Replicator) awaitClose(conn *peer.Conn) {
@@ -120,6 +173,32 @@
 	}
 }
 
+// onUpdate applies an update. If records before it are missing, it requests them
+// from the sender.
+func (r *Replicator) onUpdate(_ context.Context, conn *peer.Conn, u Update) (struct{}, error) {
+	if u.Overloaded {
+		r.links.MarkOverloaded(conn)
+	}
+	if r.watcher.ApplyUpdate(u) && r.mayRequestResend(conn) {
+		conn.NotifyAsync(methodResend, resendRequest{Marks: r.watcher.State.Marks()})
+	}
+	return struct{}{}, nil
+}
+
+// mayRequestResend reports whether resendInterval has passed since the last
+// request for missing records on a connection.
+func (r *Replicator) mayRequestResend(conn *peer.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	maps.DeleteFunc(r.resendAt, func(_ *peer.Conn, at time.Time) bool { return !now.Before(at) })
+	if _, waiting := r.resendAt[conn]; waiting {
+		return false
+	}
+	r.resendAt[conn] = now.Add(resendInterval)
+	return true
+}
+
 // Attached returns the hosts that are attached to this one.
 func (r *Replicator) Attached() map[tables.HostID]bool {
 	r.mu.Lock()
@@ -133,11 +212,24 @@
 
 // Broadcast sends a notification to every attached host.
 func (r *Replicator) Broadcast(method string, params any) {
+	message := encoded(params)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for conn := range r.attached {
-		conn.NotifyAsync(method, params)
+		conn.NotifyAsync(method, message)
+	}
+}
+
+// encoded returns params as JSON, so that a message to many hosts is encoded only
+// once.
+func encoded(params any) any {
+	raw, err := json.Marshal(params)
+	if err != nil {
+		// Sending params itself fails with the same error, which closes the
+		// connection.
+		return params
 	}
+	return json.RawMessage(raw)
 }
 
 // Wake makes Run send the next update immediately.
@@ -180,22 +272,40 @@
 }
 
 // sendToAttached sends new changes to the attached hosts if this host is among the
-// first updateSenders live hosts. Otherwise it sends only heartbeats; the changes
-// follow once this host ranks high enough.
+// first updateSenders live hosts. Otherwise it sends only heartbeats. Once this
+// host ranks high enough, an attached host that lacks changes requests them.
 func (r *Replicator) sendToAttached() {
 	sendsUpdates := r.watcher.rank() < updateSenders
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	updates := make(map[sentState]attachedUpdate)
 	for conn, sub := range r.attached {
-		update := Update{AgeMS: heartbeatAge}
-		if sendsUpdates {
-			snapshot := r.watcher.State.Since(sub.sentSeq)
-			sub.sentSeq = snapshot.Seq
-			update = r.watcher.newUpdate(snapshot)
+		next, made := updates[sub.sent]
+		if !made {
+			next = r.updateAfter(sub.sent, sendsUpdates)
+			updates[sub.sent] = next
 		}
-		update.Overloaded = r.overload.Overloaded()
-		conn.NotifyAsync(methodUpdate, update)
+		sub.sent = next.sent
+		conn.NotifyAsync(methodUpdate, next.message)
+	}
+}
+
+// attachedUpdate is an encoded update for all attached hosts that were sent the
+// same state before.
+type attachedUpdate struct {
+	message any
+	sent    sentState
+}
+
+// updateAfter returns the update that follows a sent state.
+func (r *Replicator) updateAfter(sent sentState, withChanges bool) attachedUpdate {
+	snapshot := r.watcher.State.Since(sent.seq, sent.marks())
+	update := Update{AgeMS: heartbeatAge}
+	if withChanges {
+		update = r.watcher.newUpdate(snapshot)
 	}
+	update.Overloaded = r.overload.Overloaded()
+	return attachedUpdate{message: encoded(update), sent: snapshot.sentState()}
 }
 
 // sendUpstream sends new changes that this host has read from the store or written
@@ -212,7 +322,7 @@
 		}
 		snapshot := r.watcher.State.StoreReadsSince(seq)
 		newSeq[live.Conn] = snapshot.Seq
-		if len(snapshot.Changes) > 0 || r.watcher.readWithin(links.HeartbeatInterval) {
+		if !snapshot.empty() || r.watcher.readWithin(links.HeartbeatInterval) {
 			live.Conn.NotifyAsync(methodUpdate, r.watcher.newUpdate(snapshot))
 		}
 	}
--- a/internal/watch/state.go
+++ b/internal/watch/state.go
@@ -27,50 +27,23 @@
 	config  *fleet.Config
 	targets map[tables.TargetID]fleet.Target
 	hosts   map[tables.HostID]fleet.Host
-	// Until removalsHeldUntil, targets are kept although their records were
-	// removed, since the records may have expired while the store was unavailable.
-	// heldRemovals holds these removals by key.
-	removalsHeldUntil time.Time
-	heldRemovals      map[string]Record
-}
-
-type stream struct {
-	// records holds the newest record of each key, including removals.
-	records map[string]appliedRecord
-	// end is the offset up to which the stream has been applied; -1 before the
-	// first listing.
-	end int64
-}
-
-// appliedRecord is a record with the sequence number of its application. Large
-// values are compressed.
-type appliedRecord struct {
-	Record
-	seq int
-	// fromStore is true if this host has read the record from the store or has
-	// written it there.
-	fromStore bool
-}
-
-// Change is an applied record.
-type Change struct {
-	Stream Stream `json:"stream"`
-	Record Record `json:"record"`
+	// departures holds what is known of targets that left.
+	departures map[tables.TargetID]appliedDeparture
 }
 
 // NewState returns an empty state.
 func NewState(decoder Decoder, logger *zap.Logger) *State {
 	s := &State{
-		decoder:      decoder,
-		logger:       logger,
-		OnChange:     func(Stream) {},
-		streams:      make(map[Stream]*stream),
-		targets:      make(map[tables.TargetID]fleet.Target),
-		hosts:        make(map[tables.HostID]fleet.Host),
-		heldRemovals: make(map[string]Record),
+		decoder:    decoder,
+		logger:     logger,
+		OnChange:   func(Stream) {},
+		streams:    make(map[Stream]*stream),
+		targets:    make(map[tables.TargetID]fleet.Target),
+		hosts:      make(map[tables.HostID]fleet.Host),
+		departures: make(map[tables.TargetID]appliedDeparture),
 	}
 	for _, name := range Streams() {
-		s.streams[name] = &stream{records: make(map[string]appliedRecord), end: -1}
+		s.streams[name] = newStream()
 	}
 	return s
 }
@@ -112,129 +85,60 @@
 	return out
 }
 
-// Complete reports whether there is a configuration and a list of targets.
-func (s *State) Complete() bool {
+// Registered reports whether the store holds the given record of a host, as far
+// as is known.
+func (s *State) Registered(h fleet.Host) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.config != nil && s.streams[Targets].end >= 0
+	st := s.streams[Hosts]
+	r, known := st.records[string(h.ID)]
+	return known && r.Value != nil && r.Incarnation == st.mark.Incarnation && s.hosts[h.ID] == h
 }
 
-// End returns the offset up to which a stream has been applied, or -1 before
-// the first listing.
-func (s *State) End(name Stream) int64 {
+// Complete reports whether there is a configuration and a list of targets.
+func (s *State) Complete() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.streams[name].end
+	return s.config != nil && s.streams[Targets].mark.End >= 0
 }
 
-// Apply applies records that this host has read from the store or has written
-// there.
-func (s *State) Apply(now time.Time, name Stream, page Page) {
-	s.applyBatch(now, name, batch{records: page.Records, end: page.End, fromStore: true})
-}
-
-// ApplyListing applies the newest records of all keys. Keys that are not in the
-// listing are removed unless their record is newer than the listing.
-func (s *State) ApplyListing(now time.Time, name Stream, page Page) {
-	listed := make(map[string]bool, len(page.Records))
-	for _, r := range page.Records {
-		listed[r.Key] = true
-	}
-	s.applyBatch(now, name, batch{records: page.Records, end: page.End, listed: listed, fromStore: true})
-}
-
-// batch is a set of records of one stream.
-type batch struct {
-	records []Record
-	end     int64
-	// listed holds every key of a listing; nil if the batch is not a listing.
-	listed map[string]bool
-	// fromStore is true if this host has read the records from the store or has
-	// written them there.
-	fromStore bool
-}
-
-func (s *State) applyBatch(now time.Time, name Stream, b batch) {
+// Mark returns up to where a stream has been applied.
+func (s *State) Mark(name Stream) Mark {
 	s.mu.Lock()
-	st := s.streams[name]
-	changed := false
-	for _, r := range b.records {
-		changed = s.applyRecord(now, name, st, r, b.fromStore) || changed
-	}
-	if b.listed != nil {
-		for key, r := range st.records {
-			if !b.listed[key] && r.Value != nil && r.Offset < b.end {
-				changed = s.applyRecord(now, name, st, Record{Key: key, Offset: b.end - 1}, b.fromStore) || changed
-			}
-		}
-	}
-	st.end = max(st.end, b.end)
-	s.mu.Unlock()
-	if changed {
-		s.OnChange(name)
-	}
+	defer s.mu.Unlock()
+	return s.streams[name].mark
 }
 
-// applyRecord applies a record unless it is outdated, and reports whether the
-// configuration, the targets or the hosts may have changed.
-func (s *State) applyRecord(now time.Time, name Stream, st *stream, r Record, fromStore bool) bool {
-	if r.Key == "" {
-		return false
-	}
-	if old, known := st.records[r.Key]; known && old.Offset >= r.Offset {
-		return false
-	}
-	plain, err := decompress(r)
-	if err != nil {
-		event.EntryIgnored.Log(s.logger, zap.String("key", r.Key), zap.Int64("offset", r.Offset), zap.Error(err))
-		return false
-	}
-	compressed, err := compress(plain)
-	if err != nil {
-		// The uncompressed record is stored instead.
-		event.EntryIgnored.Log(s.logger, zap.String("key", r.Key), zap.Int64("offset", r.Offset), zap.Error(err))
+// Marks returns up to where each stream has been applied.
+func (s *State) Marks() map[Stream]Mark {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[Stream]Mark, len(s.streams))
+	for name, st := range s.streams {
+		out[name] = st.mark
 	}
-	s.seq++
-	st.records[r.Key] = appliedRecord{compressed, s.seq, fromStore}
-	return s.updateDecoded(now, name, plain)
+	return out
 }
 
-// updateDecoded updates the configuration, the targets or the hosts from a record, and
-// reports whether they may have changed.
+// updateDecoded updates the targets or the hosts from a record, and reports whether
+// they may have changed.
 func (s *State) updateDecoded(now time.Time, name Stream, r Record) bool {
 	switch name {
-	case Configs:
-		return s.updateConfig(r)
 	case Targets:
 		return s.updateTarget(now, r)
+	case Hosts:
+		return s.updateHost(now, r)
 	default:
-		return s.updateHost(r)
-	}
-}
-
-func (s *State) updateConfig(r Record) bool {
-	if r.Value == nil || !s.decoder.IsConfig(r.Key) {
-		return false
-	}
-	c, err := s.decoder.Config(r.Value)
-	if err != nil {
-		event.EntryIgnored.Log(s.logger, zap.String("key", r.Key), zap.Int64("offset", r.Offset), zap.Error(err))
 		return false
 	}
-	if s.config != nil && c.Version <= s.config.Version {
-		return false
-	}
-	s.config = c
-	event.ConfigInForce.Log(s.logger, zap.Uint64("version", c.Version), zap.Int64("offset", r.Offset), zap.Int("routes", c.RouteCount()))
-	return true
 }
 
 func (s *State) updateTarget(now time.Time, r Record) bool {
 	id := tables.TargetID(r.Key)
-	delete(s.heldRemovals, r.Key)
+	st := s.streams[Targets]
+	delete(st.heldRemovals, r.Key)
 	if r.Value == nil {
-		if _, known := s.targets[id]; known && now.Before(s.removalsHeldUntil) {
-			s.heldRemovals[r.Key] = r
+		if _, known := s.targets[id]; known && st.holdsRemoval(now, r) {
 			return true
 		}
 		return s.removeTarget(id, r)
@@ -244,30 +148,52 @@
 		event.EntryIgnored.Log(s.logger, zap.String("key", r.Key), zap.Int64("offset", r.Offset), zap.Error(err))
 		return s.removeTarget(id, r)
 	}
-	if old, known := s.targets[id]; known && old == t {
+	old, known := s.targets[id]
+	old.Sequence = t.Sequence
+	s.targets[id] = s.withDeparture(t, r.Incarnation)
+	if known && old == s.targets[id] {
 		return false
 	}
-	s.targets[id] = t
 	event.TargetListed.Log(s.logger, zap.String("target", string(id)), zap.String("service", string(t.Service)),
-		zap.String("address", t.Address), zap.Bool("leaving", t.Leaving), zap.Int64("offset", r.Offset))
+		zap.String("address", t.Address), zap.Bool("leaving", s.targets[id].Leaving), zap.Int64("offset", r.Offset))
 	return true
 }
 
+// withDeparture returns a target as listed, marked as leaving if that start of it
+// is known to have departed. It records a departure that the listing states.
+func (s *State) withDeparture(t fleet.Target, incarnation int64) fleet.Target {
+	if t.Leaving {
+		s.mergeDeparture(Departure{Target: t.ID, StartedAt: t.StartedAt, Sequence: t.Sequence, Incarnation: incarnation}, false)
+		return t
+	}
+	if d, departed := s.departures[t.ID]; departed {
+		t.Leaving = d.covers(t, incarnation)
+	}
+	return t
+}
+
 func (s *State) removeTarget(id tables.TargetID, r Record) bool {
-	if _, known := s.targets[id]; !known {
+	t, known := s.targets[id]
+	if !known {
 		return false
 	}
 	delete(s.targets, id)
+	s.mergeDeparture(Departure{Target: id, StartedAt: t.StartedAt, Sequence: t.Sequence, Incarnation: r.Incarnation}, false)
 	event.TargetRemoved.Log(s.logger, zap.String("target", string(id)), zap.Int64("offset", r.Offset))
 	return true
 }
 
-func (s *State) updateHost(r Record) bool {
+func (s *State) updateHost(now time.Time, r Record) bool {
 	id := tables.HostID(r.Key)
 	old, known := s.hosts[id]
+	st := s.streams[Hosts]
+	delete(st.heldRemovals, r.Key)
 	if r.Value == nil {
+		if !known || st.holdsRemoval(now, r) {
+			return false
+		}
 		delete(s.hosts, id)
-		return known
+		return true
 	}
 	h, err := decodeHost(r.Value)
 	if err != nil {
@@ -284,109 +210,25 @@
 func (s *State) HoldRemovalsUntil(at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.removalsHeldUntil = at
+	s.streams[Targets].holdRemovalsUntil(at)
 }
 
-// ApplyHeldRemovals removes the targets whose removal was held, once the time set
-// by HoldRemovalsUntil has passed.
+// ApplyHeldRemovals removes the targets and hosts whose removal was held, once
+// the time for it has come.
 func (s *State) ApplyHeldRemovals(now time.Time) {
-	s.mu.Lock()
-	if len(s.heldRemovals) == 0 || now.Before(s.removalsHeldUntil) {
-		s.mu.Unlock()
-		return
-	}
-	for key, r := range s.heldRemovals {
-		s.removeTarget(tables.TargetID(key), r)
-	}
-	clear(s.heldRemovals)
-	s.mu.Unlock()
-	s.OnChange(Targets)
-}
-
-// Snapshot is a part of a state at one point in time.
-type Snapshot struct {
-	Changes []Change
-	// Ends holds the offset up to which each stream had been applied.
-	Ends map[Stream]int64
-	// Seq is the sequence number of the last change that the state had applied.
-	Seq int
-}
-
-// Since returns the newest records of the keys that changed after sequence
-// number n.
-func (s *State) Since(n int) Snapshot {
-	return s.since(func(r appliedRecord) bool { return r.seq > n })
-}
-
-// StoreReadsSince returns the records of Since that this host has read from the
-// store or has written there.
-func (s *State) StoreReadsSince(n int) Snapshot {
-	return s.since(func(r appliedRecord) bool { return r.seq > n && r.fromStore })
-}
-
-func (s *State) since(wanted func(appliedRecord) bool) Snapshot {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := Snapshot{Ends: make(map[Stream]int64, len(s.streams)), Seq: s.seq}
-	for _, name := range Streams() {
-		out.Changes = s.appendWanted(out.Changes, name, wanted)
-		out.Ends[name] = s.streams[name].end
+	for _, name := range []Stream{Targets, Hosts} {
+		if s.applyHeldRemovals(now, name) {
+			s.OnChange(name)
+		}
 	}
-	return out
 }
 
-// AllOf returns the newest record of every key of a stream.
-func (s *State) AllOf(name Stream) []Change {
+func (s *State) applyHeldRemovals(now time.Time, name Stream) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.appendWanted(nil, name, func(appliedRecord) bool { return true })
-}
-
-func (s *State) appendWanted(out []Change, name Stream, wanted func(appliedRecord) bool) []Change {
-	for _, r := range s.streams[name].records {
-		if wanted(r) {
-			out = append(out, Change{Stream: name, Record: r.Record})
-		}
-	}
-	return out
-}
-
-// NewerThan returns the records that another host does not have or has only in
-// an older version. theirs are the records of that host.
-func (s *State) NewerThan(theirs []Change) Snapshot {
-	type key struct {
-		stream Stream
-		key    string
-	}
-	known := make(map[key]int64, len(theirs))
-	for _, c := range theirs {
-		known[key{c.Stream, c.Record.Key}] = c.Record.Offset
-	}
-	out := s.Since(0)
-	newer := out.Changes[:0]
-	for _, c := range out.Changes {
-		offset, has := known[key{c.Stream, c.Record.Key}]
-		if !has || offset < c.Record.Offset {
-			newer = append(newer, c)
-		}
-	}
-	out.Changes = newer
-	return out
-}
-
-// ApplyUpdate applies changes received from a peer. ends holds the offset up to
-// which the peer has applied each stream. With the changes, this state has
-// applied as much.
-func (s *State) ApplyUpdate(now time.Time, changes []Change, ends map[Stream]int64) {
-	byStream := make(map[Stream][]Record)
-	for _, c := range changes {
-		byStream[c.Stream] = append(byStream[c.Stream], c.Record)
-	}
-	for _, name := range Streams() {
-		end, reported := ends[name]
-		if !reported {
-			end = -1
-		}
-		s.applyBatch(now, name, batch{records: byStream[name], end: end})
+	held := s.streams[name].takeHeldRemovals(now)
+	for _, r := range held {
+		s.updateDecoded(now, name, r)
 	}
+	return len(held) > 0
 }
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -34,16 +35,15 @@
 	// host waits for longRetryDelay.
 	retryDelay     = 300 * time.Millisecond
 	longRetryDelay = 800 * time.Millisecond
-	// removalGrace is the time after the end of an outage during which the removal
-	// of a target record takes no effect, so that records that expired during the
-	// outage can be renewed.
-	removalGrace = 2 * time.Second
 	// outageThreshold is the age of the state above which the next confirmation
 	// counts as the end of an outage of the store.
 	outageThreshold = 2 * time.Second
-	// hostsRelistDelay is how long after its registration a host lists the
-	// hosts again.
-	hostsRelistDelay = 1500 * time.Millisecond
+	// registrationInterval is the time between checks that the record of this host
+	// is in the store.
+	registrationInterval = time.Second
+	// hostsReadInterval is the time between reads of the hosts by the first live
+	// host.
+	hostsReadInterval = 1500 * time.Millisecond
 )
 
 // Watcher keeps a State up to date from the store, or from the updates of hosts
@@ -70,6 +70,8 @@
 	// storeDown is true from a failed read or registration of this host until its
 	// next successful read.
 	storeDown bool
+	// leaving is true once this host removes its record.
+	leaving bool
 }
 
 // NewWatcher returns a watcher. Run starts it.
@@ -80,7 +82,7 @@
 // Run keeps the state up to date until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){w.register, w.pollConfigs, w.readWhenStale, w.applyHeldRemovals} {
+	for _, loop := range []func(context.Context){w.keepRegistered, w.pollConfigs, w.readWhenStale, w.readHosts, w.applyHeldRemovals} {
 		loops.Add(1)
 		go func() {
 			defer loops.Done()
@@ -107,53 +109,81 @@
 		w.recordFailure(name, err)
 		return err
 	}
-	w.State.ApplyListing(w.clock.Now(), name, page)
+	w.holdRemovalsAfterOutage(requestedAt)
+	if !w.State.ApplyListing(w.clock.Now(), name, page) {
+		w.recordFailure(name, errOutdated)
+		return errOutdated
+	}
 	w.recordRead(name, requestedAt)
 	return nil
 }
 
-// register writes the record of this host, retrying until the store accepts it.
-// It then lists the hosts again.
-func (w *Watcher) register(ctx context.Context) {
+// errOutdated means that the answer of the store is from before its restoration.
+var errOutdated = fmt.Errorf("%w: the answer is of an older incarnation", ErrUnavailable)
+
+// keepRegistered writes the record of this host whenever the store does not hold
+// it: after the start, and after a restoration of the store.
+func (w *Watcher) keepRegistered(ctx context.Context) {
 	value, err := encodeHost(w.self)
 	if err != nil {
 		event.EntryIgnored.Log(w.logger, zap.String("key", string(w.self.ID)), zap.Error(err))
 		return
 	}
 	for ctx.Err() == nil {
-		offset, err := w.store.Put(ctx, Hosts, string(w.self.ID), value)
-		if err == nil {
-			w.applyOwnRecord(Record{Key: string(w.self.ID), Value: value, Offset: offset})
-			break
+		wait := registrationInterval
+		if !w.State.Registered(w.self) && !w.isLeaving() && !w.register(ctx, value) {
+			wait = longRetryDelay
 		}
+		w.sleep(ctx, wait)
+	}
+}
+
+// register writes the record of this host and reports whether the store has
+// accepted it.
+func (w *Watcher) register(ctx context.Context, value []byte) bool {
+	position, err := w.store.Put(ctx, Hosts, string(w.self.ID), value)
+	if err != nil {
 		w.recordFailure(Hosts, err)
-		w.sleep(ctx, longRetryDelay)
+		return false
 	}
-	w.relistHosts(ctx)
+	w.applyOwnRecord(value, position)
+	return true
 }
 
-// relistHosts lists the hosts again to find those that started at the same time
-// as this one.
-func (w *Watcher) relistHosts(ctx context.Context) {
-	w.sleep(ctx, hostsRelistDelay)
-	for ctx.Err() == nil && w.list(ctx, Hosts) != nil {
-		w.sleep(ctx, longRetryDelay)
+// readHosts reads the hosts regularly while this host is the first live one. The
+// others receive them in updates.
+func (w *Watcher) readHosts(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.sleep(ctx, hostsReadInterval)
+		if w.rank() == 0 {
+			// A failure has been recorded; the next read follows anyway.
+			_ = w.read(ctx, Hosts, 0)
+		}
 	}
 }
 
 // Deregister removes the record of this host. Errors wrap ErrUnavailable.
 func (w *Watcher) Deregister(ctx context.Context) error {
-	offset, err := w.store.Put(ctx, Hosts, string(w.self.ID), nil)
+	w.mu.Lock()
+	w.leaving = true
+	w.mu.Unlock()
+	position, err := w.store.Put(ctx, Hosts, string(w.self.ID), nil)
 	if err != nil {
 		return err
 	}
-	w.applyOwnRecord(Record{Key: string(w.self.ID), Offset: offset})
+	w.applyOwnRecord(nil, position)
 	return nil
 }
 
+func (w *Watcher) isLeaving() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.leaving
+}
+
 // applyOwnRecord applies the record of this host that the store has accepted.
-func (w *Watcher) applyOwnRecord(r Record) {
-	w.State.Apply(w.clock.Now(), Hosts, Page{Records: []Record{r}, End: -1})
+func (w *Watcher) applyOwnRecord(value []byte, p Position) {
+	w.State.ApplyOwn(w.clock.Now(), Hosts, Record{Key: string(w.self.ID), Value: value, Offset: p.Offset, Incarnation: p.Incarnation})
 }
 
 // pollConfigs long-polls the store for new configurations while this host is
@@ -233,18 +263,21 @@
 // if this has not been done before or if new records were truncated. Errors wrap
 // ErrUnavailable.
 func (w *Watcher) read(ctx context.Context, name Stream, wait time.Duration) error {
-	from := w.State.End(name)
-	if from < 0 {
+	mark := w.State.Mark(name)
+	if mark.End == unread {
 		return w.list(ctx, name)
 	}
 	requestedAt := w.clock.Now()
-	page, err := w.store.Read(ctx, name, from, wait)
+	page, err := w.store.Read(ctx, name, mark.End, wait)
+	if err == nil {
+		w.holdRemovalsAfterOutage(requestedAt)
+	}
 	switch {
-	case err == nil:
-		w.State.Apply(w.clock.Now(), name, page)
+	case err == nil && w.State.Apply(w.clock.Now(), name, mark.End, page):
 		w.recordRead(name, requestedAt)
 		return nil
-	case errors.Is(err, ErrTruncated):
+	case err == nil || errors.Is(err, ErrTruncated):
+		// The store has been restored, or has deleted records that are needed.
 		return w.list(ctx, name)
 	default:
 		w.recordFailure(name, err)
@@ -305,17 +338,24 @@
 
 // recordConfirmed records that a read of the store, by this host or another,
 // showed the configuration and the targets to be up to date at the given time.
-// After an outage, it holds the removal of targets for removalGrace.
 func (w *Watcher) recordConfirmed(at time.Time) {
 	w.mu.Lock()
-	outage := at.Sub(w.lastConfirmed)
-	first := w.lastConfirmed.IsZero()
+	defer w.mu.Unlock()
 	if at.After(w.lastConfirmed) {
 		w.lastConfirmed = at
 	}
+}
+
+// holdRemovalsAfterOutage holds the removal of targets for removalGrace if the
+// state was last known to be up to date more than outageThreshold before the given
+// time. It must be called before the records of that time are applied, since
+// removals may be among them.
+func (w *Watcher) holdRemovalsAfterOutage(at time.Time) {
+	w.mu.Lock()
+	outage := !w.lastConfirmed.IsZero() && at.Sub(w.lastConfirmed) > outageThreshold
 	w.mu.Unlock()
-	if !first && outage > outageThreshold {
-		w.State.HoldRemovalsUntil(at.Add(removalGrace))
+	if outage {
+		w.State.HoldRemovalsUntil(w.clock.Now().Add(removalGrace))
 	}
 }
 
@@ -342,36 +382,6 @@
 	}
 }
 
-// Update carries a part of a host's state to another host.
-type Update struct {
-	Changes []Change         `json:"changes,omitempty"`
-	Ends    map[Stream]int64 `json:"ends,omitempty"`
-	// AgeMS is the age of the sender's state in milliseconds, as returned by
-	// Watcher.Age, or heartbeatAge.
-	AgeMS int64 `json:"age_ms"`
-	// Overloaded is true if the sender has too little CPU time.
-	Overloaded bool `json:"busy,omitempty"`
-}
-
-// heartbeatAge marks an update without state, which only shows that its sender
-// is live.
-const heartbeatAge = -1
-
-// ApplyUpdate applies an update received from a peer.
-func (w *Watcher) ApplyUpdate(u Update) {
-	if u.AgeMS == heartbeatAge {
-		return
-	}
-	now := w.clock.Now()
-	w.recordConfirmed(now.Add(-time.Duration(u.AgeMS) * time.Millisecond))
-	w.State.ApplyUpdate(now, u.Changes, u.Ends)
-}
-
-// newUpdate returns an update with a part of this host's state.
-func (w *Watcher) newUpdate(s Snapshot) Update {
-	return Update{Changes: s.Changes, Ends: s.Ends, AgeMS: w.Age().Milliseconds()}
-}
-
 // readWithin reports whether this host has read from the store within d.
 func (w *Watcher) readWithin(d time.Duration) bool {
 	w.mu.Lock()
