--- a/cmd/bluebell-edge/main.go
+++ b/cmd/bluebell-edge/main.go
@@ -7,12 +7,12 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"syscall"
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/edgenode"
 	"github.com/bluebellseam/bluebellseam/internal/settings"
+	"github.com/bluebellseam/bluebellseam/internal/signals"
 	"github.com/bluebellseam/bluebellseam/platform"
 )
 
@@ -27,8 +27,6 @@
 }
 
 func run() error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsVariable)
 	s, err := platform.LoadSettings(path)
 	if err != nil {
@@ -38,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	waitForStop(signals, path, process.Reload)
+	waitForStop(signals.Received(), path, process.Reload)
 	process.Stop()
 	return nil
 }
@@ -49,13 +47,13 @@
 
 // waitForStop blocks until a stop signal arrives. It calls reload on SIGHUP and
 // when the file at path has changed.
-func waitForStop(signals <-chan os.Signal, path string, reload func(path string)) {
+func waitForStop(received <-chan os.Signal, path string, reload func(path string)) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	lastModTime := modTime(path)
 	for {
 		select {
-		case sig := <-signals:
+		case sig := <-received:
 			if sig != syscall.SIGHUP {
 				return
 			}
--- a/internal/edge/idletimer.go
+++ b/internal/edge/idletimer.go
@@ -21,8 +21,22 @@
 	// SLO.
 	firstByteIdleFactor = 6
 	eventGapIdleFactor  = 3
+	// callerIdleShare bounds the idle timeout of a stream, as a fraction of the time
+	// after which its caller leaves, so that another target can continue it before.
+	callerIdleShare = 0.6
 )
 
+// eventIdleTimeout returns how long a target may take for its next event. longestGap
+// is the longest gap between two events of the stream so far: a slow target that
+// keeps its pace is not cut off. callerTimeout is zero if callers do not leave.
+func eventIdleTimeout(gapSLO, longestGap, callerTimeout time.Duration) time.Duration {
+	timeout := max(eventGapIdleFactor*max(gapSLO, longestGap), minIdleTimeout)
+	if callerTimeout > 0 {
+		timeout = min(timeout, max(time.Duration(callerIdleShare*float64(callerTimeout)), minIdleTimeout))
+	}
+	return timeout
+}
+
 // idleTimer cancels a call whose target sends nothing for too long. It is used
 // only for requests that may be retried. For others a late response is better
 // than a retry, which could run the request twice.
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -153,7 +153,6 @@
 	reported := false
 	for {
 		n, err := resp.Body.Read(buffer)
-		ex.idle.reset(max(eventGapIdleFactor*ex.route.EventGapSLO, minIdleTimeout))
 		pending = append(pending, buffer[:n]...)
 		complete := bytes.LastIndex(pending, eventEnd) + len(eventEnd)
 		if complete >= len(eventEnd) {
@@ -164,6 +163,9 @@
 			if err := ex.relayEvents(resp, pending[:complete]); err != nil {
 				return err
 			}
+			// Only whole events count: a target that stalls may still send a byte now
+			// and then.
+			ex.idle.reset(eventIdleTimeout(ex.route.EventGapSLO, ex.relay.longestGap, ex.route.CallerTimeout))
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		switch {
--- a/internal/faultsoak/faults.go
+++ b/internal/faultsoak/faults.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,6 +24,10 @@
 	maxProxyDelay = 150 * time.Millisecond
 	// applyTimeout is how long hosts may take to apply a new configuration.
 	applyTimeout = 2 * time.Second
+	// drillShare is the share of the faults with which a drill begins.
+	drillShare = 0.2
+	// restoreOutage is how long the store is away before it comes back from a copy.
+	restoreOutage = 200 * time.Millisecond
 )
 
 // injector injects random faults into the hosts, targets, proxies and store of a
@@ -30,10 +35,13 @@
 type injector struct {
 	cluster *cluster
 	rng     *rand.Rand
-	log     func(string)
-	active  sync.WaitGroup
-	// configVersion is the version of the latest configuration in the store.
-	configVersion int
+	// drillRNG draws the drills. They were added later and leave the other faults of
+	// a seed as they were.
+	drillRNG *rand.Rand
+	log      func(string)
+	active   sync.WaitGroup
+	// configVersion is the version of the latest configuration that was published.
+	configVersion atomic.Int64
 	// routeExpectedFrom is the time by which all hosts should have applied the
 	// first configuration with the added route; zero if none was published.
 	routeExpectedFrom time.Time
@@ -98,18 +106,27 @@
 		time.Sleep(time.Duration(i.rng.ExpFloat64() * float64(meanFaultInterval)))
 		fault := types[i.rng.IntN(len(types))]
 		duration := time.Duration(i.rng.Int64N(int64(maxFaultDuration)))
-		heal, affected := fault.inject(i)
-		i.log(fmt.Sprintf("%s of %s for %s", fault.name, affected, duration.Round(time.Millisecond)))
-		i.active.Add(1)
-		go func() {
-			defer i.active.Done()
-			time.Sleep(duration)
-			heal()
-		}()
+		i.begin(fault, duration)
+		if i.drillRNG.Float64() < drillShare {
+			drills := drillTypes()
+			i.begin(drills[i.drillRNG.IntN(len(drills))], time.Duration(i.drillRNG.Int64N(int64(maxFaultDuration))))
+		}
 	}
 	i.active.Wait()
 }
 
+// begin injects a fault that lasts for a time.
+func (i *injector) begin(f fault, duration time.Duration) {
+	heal, affected := f.inject(i)
+	i.log(fmt.Sprintf("%s of %s for %s", f.name, affected, duration.Round(time.Millisecond)))
+	i.active.Add(1)
+	go func() {
+		defer i.active.Done()
+		time.Sleep(duration)
+		heal()
+	}()
+}
+
 func (i *injector) randomHost() *host { return i.cluster.hosts[i.rng.IntN(len(i.cluster.hosts))] }
 
 // randomProxy returns a proxy and a description of its connections. The proxy is
@@ -169,12 +186,12 @@
 // publishConfig writes a configuration with a higher version and the added route to
 // the store.
 func publishConfig(i *injector) (heal func(), affected string) {
-	i.configVersion += 1 + i.rng.IntN(3)
-	i.cluster.store.PutConfig(standin.Config(i.configVersion, standin.AddRoute))
+	version := int(i.configVersion.Add(int64(1 + i.rng.IntN(3))))
+	i.cluster.store.PutConfig(standin.Config(version, standin.AddRoute))
 	if i.routeExpectedFrom.IsZero() {
 		i.routeExpectedFrom = time.Now().Add(applyTimeout)
 	}
-	return func() {}, fmt.Sprintf("version %d", i.configVersion)
+	return func() {}, fmt.Sprintf("version %d", version)
 }
 
 // queueTargetFault makes the next request at a random target fail in a random way.
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -89,15 +89,14 @@
 		if i >= modelTargets {
 			t = standin.NewTarget(fmt.Sprintf("p-%d", i), standin.PlainService, "zone-2", 0, plainResponseTime)
 		}
-		entry := t.Entry("ready")
-		address, _ := entry["address"].(string)
+		address, _ := t.Entry("ready")["address"].(string)
 		p, err := newProxy(address)
 		if err != nil {
 			return c, err
 		}
-		entry["address"] = p.address()
-		c.targets = append(c.targets, &target{t, p})
-		c.store.PutTarget(t.ID, entry)
+		proxied := &target{t, p}
+		c.targets = append(c.targets, proxied)
+		proxied.register(c.store)
 	}
 	var seeds []string
 	for i := range o.Hosts {
@@ -155,7 +154,8 @@
 		// A failed write to the log does not stop the soak.
 		_, _ = fmt.Fprintf(o.Out, "%7.3f %s\n", time.Since(startedAt).Seconds(), message)
 	}
-	i := &injector{cluster: c, rng: rand.New(rand.NewPCG(o.Seed, 1)), log: logLine, configVersion: 1}
+	i := &injector{cluster: c, rng: rand.New(rand.NewPCG(o.Seed, 1)), drillRNG: rand.New(rand.NewPCG(o.Seed, 3)), log: logLine}
+	i.configVersion.Store(1)
 	l := &loadGenerator{hosts: c.hosts}
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	loadFinished := make(chan struct{})
--- /dev/null
+++ b/internal/watch/freshness.go
@@ -0,0 +1,102 @@
+package watch
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/event"
+)
+
+// Age returns the time since the configuration and the targets were last known to
+// be up to date.
+func (w *Watcher) Age() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.clock.Now()
+	w.confirmOwnReads(now)
+	return now.Sub(w.lastConfirmed)
+}
+
+// confirmOwnReads applies to lastConfirmed what the reads of this host show. A stream
+// of which a long poll is open counts as up to date. The lock must be held.
+func (w *Watcher) confirmOwnReads(now time.Time) {
+	oldest := now
+	for _, name := range []Stream{Configs, Targets} {
+		if !w.polling[name] && w.confirmedAt[name].Before(oldest) {
+			oldest = w.confirmedAt[name]
+		}
+	}
+	if oldest.After(w.lastConfirmed) {
+		w.lastConfirmed = oldest
+	}
+}
+
+// recordRead records that this host has read a stream from the store; at is when
+// the read began. The state of the stream counts as up to date at that time.
+func (w *Watcher) recordRead(name Stream, at time.Time) {
+	w.mu.Lock()
+	recovered := w.storeDown
+	w.storeDown = false
+	age := at.Sub(w.lastConfirmed)
+	w.confirmedAt[name] = at
+	w.lastRead = w.clock.Now()
+	w.updatedAt = w.lastRead
+	w.confirmOwnReads(w.lastRead)
+	w.mu.Unlock()
+	if recovered {
+		event.StoreReachable.Log(w.logger, zap.Duration("age", age))
+	}
+}
+
+// recordConfirmed records that a read of the store by another host showed the configuration and the targets to be up to date at the given time.
+func (w *Watcher) recordConfirmed(at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.updatedAt = w.clock.Now()
+	if at.After(w.lastConfirmed) {
+		w.lastConfirmed = at
+	}
+}
+
+// UpdatedSince reports whether the configuration and the targets have been confirmed,
+// by the store or another host, at the given time or later.
+func (w *Watcher) UpdatedSince(at time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.updatedAt.Before(at)
+}
+
+// holdRemovalsAfterOutage holds the removal of targets for removalGrace if the
+// state was last known to be up to date more than outageThreshold before the given
+// time. It must be called before the records of that time are applied, since
+// removals may be among them.
+func (w *Watcher) holdRemovalsAfterOutage(at time.Time) {
+	w.mu.Lock()
+	outage := !w.lastConfirmed.IsZero() && at.Sub(w.lastConfirmed) > outageThreshold
+	w.mu.Unlock()
+	if outage {
+		w.State.HoldRemovalsUntil(w.clock.Now().Add(removalGrace))
+	}
+}
+
+// recordFailure records that a call to the store failed. The stream no longer counts
+// as polled.
+func (w *Watcher) recordFailure(name Stream, err error) {
+	w.mu.Lock()
+	w.polling[name] = false
+	wasDown := w.storeDown
+	w.storeDown = true
+	age := w.clock.Now().Sub(w.lastConfirmed)
+	w.mu.Unlock()
+	if !wasDown {
+		event.StoreUnreachable.Log(w.logger, zap.Duration("age", age), zap.Error(err))
+	}
+}
+
+// readWithin reports whether this host has read from the store within d.
+func (w *Watcher) readWithin(d time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.clock.Now().Sub(w.lastRead) <= d
+}
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -10,14 +10,13 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
-	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
 	"github.com/bluebellseam/bluebellseam/internal/links"
 )
 
 const (
-	// longPollWait is how long the store may hold a read of the configuration
-	// open.
+	// longPollWait is how long the store may hold a read of the configuration or
+	// the targets open.
 	longPollWait = time.Second
 	// The first-ranked host reads the store when its state is firstStaleAfter old,
 	// and the second one when it is secondStaleAfter old. For the others, this age
@@ -65,8 +64,8 @@
 	// confirmedAt is when the last successful read of each stream by this host
 	// began.
 	confirmedAt map[Stream]time.Time
-	// polling is true while a long poll of the configuration is open.
-	polling bool
+	// polling holds the streams that are being long-polled.
+	polling map[Stream]bool
 	// lastRead is when this host last read from the store successfully.
 	lastRead time.Time
 	// storeDown is true from a failed read or registration of this host until its
@@ -78,13 +77,13 @@
 
 // NewWatcher returns a watcher. Run starts it.
 func NewWatcher(self fleet.Host, state *State, store Store, l *links.Links, clock clockwork.Clock, logger *zap.Logger) *Watcher {
-	return &Watcher{State: state, self: self, store: store, links: l, clock: clock, logger: logger, confirmedAt: make(map[Stream]time.Time)}
+	return &Watcher{State: state, self: self, store: store, links: l, clock: clock, logger: logger, confirmedAt: make(map[Stream]time.Time), polling: make(map[Stream]bool)}
 }
 
 // Run keeps the state up to date until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){w.keepRegistered, w.pollConfigs, w.readWhenStale, w.readHosts, w.applyHeldRemovals} {
+	for _, loop := range []func(context.Context){w.keepRegistered, w.pollConfigs, w.pollTargets, w.readWhenStale, w.readHosts, w.applyHeldRemovals} {
 		loops.Add(1)
 		go func() {
 			defer loops.Done()
@@ -123,88 +122,31 @@
 // errOutdated means that the answer of the store is from before its restoration.
 var errOutdated = fmt.Errorf("%w: the answer is of an older incarnation", ErrUnavailable)
 
-// keepRegistered writes the record of this host whenever the store does not hold
-// it: after the start, and after a restoration of the store.
-func (w *Watcher) keepRegistered(ctx context.Context) {
-	value, err := encodeHost(w.self)
-	if err != nil {
-		event.EntryIgnored.Log(w.logger, zap.String("key", string(w.self.ID)), zap.Error(err))
-		return
-	}
-	for ctx.Err() == nil {
-		wait := registrationInterval
-		if !w.State.Registered(w.self) && !w.isLeaving() && !w.register(ctx, value) {
-			wait = longRetryDelay
-		}
-		w.sleep(ctx, wait)
-	}
-}
-
-// register writes the record of this host and reports whether the store has
-// accepted it.
-func (w *Watcher) register(ctx context.Context, value []byte) bool {
-	position, err := w.store.Put(ctx, Hosts, string(w.self.ID), value)
-	if err != nil {
-		w.recordFailure(Hosts, err)
-		return false
-	}
-	w.applyOwnRecord(value, position)
-	return true
-}
-
-// readHosts reads the hosts regularly while this host is the first live one. The
-// others receive them in updates.
-func (w *Watcher) readHosts(ctx context.Context) {
-	for ctx.Err() == nil {
-		w.sleep(ctx, hostsReadInterval)
-		if w.rank() == 0 {
-			// A failure has been recorded; the next read follows anyway.
-			_ = w.read(ctx, Hosts, 0)
-		}
-	}
-}
-
-// Deregister removes the record of this host. Errors wrap ErrUnavailable.
-func (w *Watcher) Deregister(ctx context.Context) error {
-	w.mu.Lock()
-	w.leaving = true
-	w.mu.Unlock()
-	position, err := w.store.Put(ctx, Hosts, string(w.self.ID), nil)
-	if err != nil {
-		return err
-	}
-	w.applyOwnRecord(nil, position)
-	return nil
-}
-
-func (w *Watcher) isLeaving() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.leaving
-}
-
-// applyOwnRecord applies the record of this host that the store has accepted.
-func (w *Watcher) applyOwnRecord(value []byte, p Position) {
-	w.State.ApplyOwn(w.clock.Now(), Hosts, Record{Key: string(w.self.ID), Value: value, Offset: p.Offset, Incarnation: p.Incarnation})
-}
-
-// pollConfigs long-polls the store for new configurations while this host is
-// the first live one.
-func (w *Watcher) pollConfigs(ctx context.Context) {
+// poll long-polls the store for new records of a stream while this host is the
+// first live one.
+func (w *Watcher) poll(ctx context.Context, name Stream) {
 	for ctx.Err() == nil {
 		if w.rank() != 0 {
+			w.setPolling(name, false)
 			w.sleep(ctx, links.HeartbeatInterval)
 			continue
 		}
-		w.setPolling(true)
-		err := w.read(ctx, Configs, longPollWait)
-		w.setPolling(false)
-		if err != nil {
+		wait := longPollWait
+		if !w.isPolling(name) {
+			wait = 0
+		}
+		if w.read(ctx, name, wait) != nil {
 			w.sleep(ctx, retryDelay)
+			continue
 		}
+		w.setPolling(name, true)
 	}
 }
 
+func (w *Watcher) pollConfigs(ctx context.Context) { w.poll(ctx, Configs) }
+
+func (w *Watcher) pollTargets(ctx context.Context) { w.poll(ctx, Targets) }
+
 // readWhenStale reads the store whenever the state is older than allowed for
 // the rank of this host.
 func (w *Watcher) readWhenStale(ctx context.Context) {
@@ -220,13 +162,17 @@
 	}
 }
 
+// readAll reads the streams that are not being polled.
 func (w *Watcher) readAll(ctx context.Context) error {
-	if !w.isPolling() {
-		if err := w.read(ctx, Configs, 0); err != nil {
+	for _, name := range []Stream{Configs, Targets} {
+		if w.isPolling(name) {
+			continue
+		}
+		if err := w.read(ctx, name, 0); err != nil {
 			return err
 		}
 	}
-	return w.read(ctx, Targets, 0)
+	return nil
 }
 
 // staleAfter returns the age of the state at which a host with the given rank
@@ -249,16 +195,16 @@
 	return longRetryDelay
 }
 
-func (w *Watcher) setPolling(on bool) {
+func (w *Watcher) setPolling(name Stream, on bool) {
 	w.mu.Lock()
-	w.polling = on
+	w.polling[name] = on
 	w.mu.Unlock()
 }
 
-func (w *Watcher) isPolling() bool {
+func (w *Watcher) isPolling(name Stream) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.polling
+	return w.polling[name]
 }
 
 // read reads and applies the new records of a stream. It lists the stream instead
@@ -307,95 +253,9 @@
 	}
 }
 
-// Age returns the time since the configuration and the targets were last known to
-// be up to date.
-func (w *Watcher) Age() time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.clock.Now().Sub(w.lastConfirmed)
-}
-
-// recordRead records that this host has read a stream from the store; at is when
-// the read began. The state of the stream counts as up to date at that time.
-// While a long poll is open, the configuration always counts as up to date.
-func (w *Watcher) recordRead(name Stream, at time.Time) {
-	w.mu.Lock()
-	recovered := w.storeDown
-	w.storeDown = false
-	w.confirmedAt[name] = at
-	oldest := w.confirmedAt[Targets]
-	if configs := w.confirmedAt[Configs]; !w.polling && configs.Before(oldest) {
-		oldest = configs
-	}
-	w.lastRead = w.clock.Now()
-	age := at.Sub(w.lastConfirmed)
-	w.mu.Unlock()
-	if !oldest.IsZero() {
-		w.recordConfirmed(oldest)
-	}
-	if recovered {
-		event.StoreReachable.Log(w.logger, zap.Duration("age", age))
-	}
-}
-
-// recordConfirmed records that a read of the store, by this host or another,
-// showed the configuration and the targets to be up to date at the given time.
-func (w *Watcher) recordConfirmed(at time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.updatedAt = w.clock.Now()
-	if at.After(w.lastConfirmed) {
-		w.lastConfirmed = at
-	}
-}
-
-// UpdatedSince reports whether the configuration and the targets have been confirmed,
-// by the store or another host, at the given time or later.
-func (w *Watcher) UpdatedSince(at time.Time) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return !w.updatedAt.Before(at)
-}
-
-// holdRemovalsAfterOutage holds the removal of targets for removalGrace if the
-// state was last known to be up to date more than outageThreshold before the given
-// time. It must be called before the records of that time are applied, since
-// removals may be among them.
-func (w *Watcher) holdRemovalsAfterOutage(at time.Time) {
-	w.mu.Lock()
-	outage := !w.lastConfirmed.IsZero() && at.Sub(w.lastConfirmed) > outageThreshold
-	w.mu.Unlock()
-	if outage {
-		w.State.HoldRemovalsUntil(w.clock.Now().Add(removalGrace))
-	}
-}
-
-// recordFailure records that a call to the store failed. After a failed long poll
-// the configuration no longer counts as up to date.
-func (w *Watcher) recordFailure(name Stream, err error) {
-	w.mu.Lock()
-	if name == Configs {
-		w.polling = false
-	}
-	wasDown := w.storeDown
-	w.storeDown = true
-	age := w.clock.Now().Sub(w.lastConfirmed)
-	w.mu.Unlock()
-	if !wasDown {
-		event.StoreUnreachable.Log(w.logger, zap.Duration("age", age), zap.Error(err))
-	}
-}
-
 func (w *Watcher) sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-w.clock.After(d):
 	}
 }
-
-// readWithin reports whether this host has read from the store within d.
-func (w *Watcher) readWithin(d time.Duration) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.clock.Now().Sub(w.lastRead) <= d
-}
