Remove the records of hosts that are gone, and look for a coordinator beyond any number of them

Cause: records of hosts lost for good stay, so the shares of quotas that a coordinator grants fall with each of them, and all hosts run on the fallback for good once the first three are gone. Change: the first live host removes the record of a host that has been detached for 30 s, one every 5 s; connections are tried beyond any number of unreachable hosts. Measured: specs.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -51,6 +51,7 @@
 	HostsChanged         = Event{1219, zapcore.InfoLevel, "hosts changed", "The list of hosts of the system changed."}
 	CoordinatorChanged   = Event{1220, zapcore.InfoLevel, "coordinator changed", "Another host became the coordinator, which grants the slots at targets."}
 	HostOverloadChanged  = Event{1221, zapcore.WarnLevel, "host overload changed", "The process became overloaded (busy is true) or recovered. While it is overloaded, its timers fire late and slot requests go to other hosts."}
+	HostRemoved          = Event{1222, zapcore.InfoLevel, "host removed", "The record of a host was removed because the host has been gone for a while."}
 )
 
 // Requests: 1300 to 1399.
@@ -85,7 +86,7 @@
 		ProcessStarted, SettingsInForce, StopRequested, StopTimeoutExpired, ProcessStopped, ListenerFailed, SettingsReloaded, LogLinesDropped, ProcessResumed,
 		ConfigInForce, PatchRejected, LogUnreachable, LogTruncated, LogReachable, SnapshotAppended, RecordIgnored,
 		PeerUp, PeerDown, TargetLeaving, TargetOwned, TargetOwnershipLost, LeaseAcquired, LeaseLost, OrderSent, OrderRefused, PeerStateChanged, FeedConnected, FeedLost,
-		PeerConnectionFailed, StoreUnreachable, StoreReachable, TargetListed, TargetRemoved, EntryIgnored, HostsChanged, CoordinatorChanged, HostOverloadChanged,
+		PeerConnectionFailed, StoreUnreachable, StoreReachable, TargetListed, TargetRemoved, EntryIgnored, HostsChanged, CoordinatorChanged, HostOverloadChanged, HostRemoved,
 		RequestRefused, RequestFinished, RequestOutcomeUnknown, StreamResumed, StreamSilent, DispatcherLost, ClaimLost,
 		QuarantineAdded, QuarantineLifted, InvariantFailed,
 		SlotGranted, SlotRefused, SendFailed, LocalFallback,
--- a/internal/links/candidates.go
+++ b/internal/links/candidates.go
@@ -5,12 +5,8 @@
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
-const (
-	// MaxLinks is the number of reachable hosts to which connections are kept.
-	MaxLinks = 3
-	// maxCandidates limits the hosts to which connections are attempted.
-	maxCandidates = 24
-)
+// MaxLinks is the number of reachable hosts to which connections are kept.
+const MaxLinks = 3
 
 // candidates returns the hosts to which connections are kept: the highest-ranked
 // ones up to and including the first MaxLinks that are not known to be
@@ -19,7 +15,7 @@
 func candidates(ranked []fleet.Host, unreachable func(tables.HostID) bool) []fleet.Host {
 	reachable := 0
 	for i, h := range ranked {
-		if reachable == MaxLinks || i == maxCandidates {
+		if reachable == MaxLinks {
 			return ranked[:i]
 		}
 		if !unreachable(h.ID) {
--- a/internal/pool/coordinator_test.go
+++ b/internal/pool/coordinator_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
+	"github.com/bluebellseam/bluebellseam/internal/links"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/systems/allocation"
 	"github.com/bluebellseam/bluebellseam/internal/systems/quota"
 	"github.com/bluebellseam/bluebellseam/internal/systems/retry"
@@ -193,3 +195,27 @@
 		Expect(coordinator.scheduler.InUse()).To(BeZero())
 	})
 })
+
+var _ = Describe("Client", func() {
+	It("gives back a slot that was requested before a stall and requests another", func() {
+		clock := clockwork.NewFakeClock()
+		self := fleet.Host{ID: "h", Address: "127.0.0.1:1"}
+		hosts := links.New(self, peer.NewPool(context.Background(), peer.Hello{Host: self.ID}, peer.NewMux(), clock), clock, zap.NewNop())
+		hosts.SetHosts([]fleet.Host{self})
+		deployment := &view{config: fleet.NewConfig(1), targets: []fleet.Target{{ID: "t", Service: "s", Address: "t", Slots: 4}}}
+		whole := func() float64 { return 1 }
+		coordinator := NewCoordinator(deployment, Policy{}, func() float64 { return 0 }, whole, func() int { return 1 }, clock, zap.NewNop())
+		coordinator.ReloadTargets(allocation.Estimates{})
+		client := NewClient(self, hosts, coordinator, coordinator, 1, time.Second, clock, zap.NewNop())
+		checks := 0
+		client.ResumedSince = func(time.Time) bool {
+			checks++
+			return checks == 1
+		}
+		grant, err := client.Acquire(context.Background(), SlotRequest{Service: "s", FirstByteBudget: time.Second, MaxWait: time.Second})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(grant.Target).To(Equal(tables.TargetID("t")))
+		Expect(checks).To(Equal(2))
+		Expect(coordinator.scheduler.InUse()).To(Equal(1))
+	})
+})
--- a/internal/systems/owner/owner_test.go
+++ b/internal/systems/owner/owner_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/bluebellseam/bluebellseam/internal/fleet"
 	"github.com/bluebellseam/bluebellseam/internal/systems/owner"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
@@ -83,3 +84,28 @@
 		Expect(moved).To(BeNumerically("<", 64/2))
 	})
 })
+
+var _ = Describe("SpreadDomains", func() {
+	host := func(id, domain string, cores float64) fleet.Host {
+		return fleet.Host{ID: tables.HostID(id), Domain: tables.DomainID(domain), Cores: cores}
+	}
+	ids := func(hosts []fleet.Host) string {
+		out := ""
+		for _, h := range hosts {
+			out += string(h.ID)
+		}
+		return out
+	}
+
+	It("places the first hosts in different failure domains and keeps the order otherwise", func() {
+		ranked := []fleet.Host{host("a", "1", 1), host("b", "1", 1), host("c", "2", 1), host("d", "1", 1), host("e", "3", 1)}
+		Expect(ids(owner.SpreadDomains(ranked, 3))).To(Equal("acebd"))
+		Expect(ids(ranked)).To(Equal("abcde"))
+	})
+
+	It("never prefers a smaller host", func() {
+		ranked := []fleet.Host{host("a", "1", 1), host("b", "1", 1), host("c", "2", 0.5)}
+		Expect(ids(owner.SpreadDomains(ranked, 3))).To(Equal("abc"))
+		Expect(owner.SpreadDomains(nil, 3)).To(BeEmpty())
+	})
+})
--- a/internal/watch/replicator.go
+++ b/internal/watch/replicator.go
@@ -98,6 +98,7 @@
 		resendAt:    make(map[*peer.Conn]time.Time),
 		wake:        make(chan struct{}, 1),
 	}
+	w.Attached = r.Attached
 	peer.Handle(mux, methodAttach, r.onAttach)
 	peer.Handle(mux, methodUpdate, r.onUpdate)
 	peer.Handle(mux, methodResend, func(_ context.Context, conn *peer.Conn, request resendRequest) (struct{}, error) {
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -12,6 +12,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
 	"github.com/bluebellseam/bluebellseam/internal/links"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
 const (
@@ -54,6 +55,9 @@
 	links  *links.Links
 	clock  clockwork.Clock
 	logger *zap.Logger
+	// Attached returns the hosts that are attached to this one. NewReplicator sets
+	// it.
+	Attached func() map[tables.HostID]bool
 
 	mu sync.Mutex
 	// lastConfirmed is when the configuration and the targets were last known to
@@ -83,7 +87,7 @@
 // Run keeps the state up to date until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){w.keepRegistered, w.pollConfigs, w.pollTargets, w.readWhenStale, w.readHosts, w.applyHeldRemovals} {
+	for _, loop := range []func(context.Context){w.keepRegistered, w.pollConfigs, w.pollTargets, w.readWhenStale, w.readHosts, w.removeGoneHosts, w.applyHeldRemovals} {
 		loops.Add(1)
 		go func() {
 			defer loops.Done()
