--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -112,5 +112,5 @@
 // lock must be held.
 func (c *conn) closeLocked() {
 	c.closed = true
-	_ = c.Conn.Close()
+	_ = c.Close()
 }
--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -56,6 +56,8 @@
 	// drainPollInterval is the time between checks for idle connections of callers
 	// during a stop.
 	drainPollInterval = 20 * time.Millisecond
+	// logFlushTimeout bounds the wait for the last log lines at a stop.
+	logFlushTimeout = 100 * time.Millisecond
 	// exitMargin is the part of the grace period reserved for the process to
 	// exit.
 	exitMargin = 700 * time.Millisecond
@@ -286,56 +288,6 @@
 	}
 }
 
-// run loads the state and then runs the background work until ctx ends.
-func (p *Process) run(ctx context.Context) {
-	go p.stalls.Run(ctx)
-	for ctx.Err() == nil && !p.load(ctx) {
-		p.clock.Sleep(loadRetryDelay)
-	}
-	go p.links.Run(ctx)
-	go p.replicator.Run(ctx)
-	go p.client.Run(ctx, p.replicator.Broadcast)
-	go p.awaitCoordinator()
-	p.watcher.Run(ctx)
-}
-
-// awaitCoordinator closes started once the first-ranked coordinator is reachable,
-// or after maxCoordinatorWait.
-func (p *Process) awaitCoordinator() {
-	defer close(p.started)
-	for waited := time.Duration(0); waited < maxCoordinatorWait && !p.links.FirstReachable(); waited += coordinatorPollInterval {
-		p.clock.Sleep(coordinatorPollInterval)
-	}
-}
-
-// load reads the state from the store, or from the seed hosts if the store is
-// unavailable. It reports whether that succeeded.
-func (p *Process) load(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	if p.watcher.Load(ctx) == nil {
-		return true
-	}
-	settings := p.currentSettings()
-	for _, seed := range settings.Seeds {
-		if seed == settings.Listen.Control {
-			continue
-		}
-		conn, err := p.peers.Get(ctx, seed)
-		if err == nil {
-			err = p.replicator.Attach(ctx, conn)
-		}
-		if err != nil {
-			event.PeerConnectionFailed.Log(p.logger, zap.String("address", seed), zap.Error(err))
-			continue
-		}
-		if p.state.Complete() {
-			return true
-		}
-	}
-	return false
-}
-
 // Reload rereads the settings file at path. Bounds, seeds and the grace
 // period take effect immediately. A change of the addresses is logged and takes
 // effect at the next start. An invalid file is ignored and logged.
@@ -361,56 +313,5 @@
 	return p.settings
 }
 
-// Stop lets requests in flight finish within the grace period and then closes
-// everything.
-func (p *Process) Stop() {
-	event.StopRequested.Log(p.logger)
-	close(p.stopping)
-	p.limiter.Drain()
-	settings := p.currentSettings()
-	ctx, cancel := context.WithTimeout(context.Background(), settings.GracePeriod()-exitMargin)
-	defer cancel()
-	go p.deregister(ctx)
-	p.clock.Sleep(readinessDelay)
-	_ = p.frontListener.Close()
-	if open := p.awaitRequests(ctx); open > 0 {
-		event.StopTimeoutExpired.Log(p.logger, zap.Int("connections", open))
-	}
-	event.ProcessStopped.Log(p.logger)
-	p.Close()
-}
-
-// deregister removes this host from the list of hosts.
-func (p *Process) deregister(ctx context.Context) {
-	if err := p.watcher.Deregister(ctx); err != nil {
-		event.StoreUnreachable.Log(p.logger, zap.Error(err))
-	}
-	p.replicator.Wake()
-}
-
-// awaitRequests closes the connections of callers as they become idle. It returns
-// the number of open connections once there is none or ctx has ended.
-func (p *Process) awaitRequests(ctx context.Context) int {
-	for {
-		open := p.limiter.CloseIdle()
-		if open == 0 || ctx.Err() != nil {
-			return open
-		}
-		p.clock.Sleep(drainPollInterval)
-	}
-}
-
-// Close stops the process immediately, like a crash.
-func (p *Process) Close() {
-	p.cancel()
-	for _, c := range p.closers {
-		_ = c.Close()
-	}
-	if p.front != nil {
-		_ = p.front.Close()
-	}
-	p.log.Close()
-}
-
 // Ready reports whether the process can serve requests.
 func (p *Process) Ready() bool { return p.ready() }
--- /dev/null
+++ b/internal/edgenode/stop.go
@@ -0,0 +1,61 @@
+package edgenode
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/event"
+)
+
+// Stop lets requests in flight finish within the grace period and then closes
+// everything.
+func (p *Process) Stop() {
+	event.StopRequested.Log(p.logger)
+	close(p.stopping)
+	p.limiter.Drain()
+	settings := p.currentSettings()
+	ctx, cancel := context.WithTimeout(context.Background(), settings.GracePeriod()-exitMargin)
+	defer cancel()
+	go p.deregister(ctx)
+	p.clock.Sleep(readinessDelay)
+	_ = p.frontListener.Close()
+	if open := p.awaitRequests(ctx); open > 0 {
+		event.StopTimeoutExpired.Log(p.logger, zap.Int("connections", open))
+	}
+	event.ProcessStopped.Log(p.logger)
+	p.Close()
+	p.log.AwaitWritten(logFlushTimeout)
+}
+
+// deregister removes this host from the list of hosts.
+func (p *Process) deregister(ctx context.Context) {
+	if err := p.watcher.Deregister(ctx); err != nil {
+		event.StoreUnreachable.Log(p.logger, zap.Error(err))
+	}
+	p.replicator.Wake()
+}
+
+// awaitRequests closes the connections of callers as they become idle. It returns
+// the number of open connections once there is none or ctx has ended.
+func (p *Process) awaitRequests(ctx context.Context) int {
+	for {
+		open := p.limiter.CloseIdle()
+		if open == 0 || ctx.Err() != nil {
+			return open
+		}
+		p.clock.Sleep(drainPollInterval)
+	}
+}
+
+// Close stops the process immediately, like a crash.
+func (p *Process) Close() {
+	p.cancel()
+	for _, c := range p.closers {
+		_ = c.Close()
+	}
+	if p.front != nil {
+		_ = p.front.Close()
+	}
+	p.log.Close()
+}
--- a/internal/observe/bounded.go
+++ b/internal/observe/bounded.go
@@ -33,7 +33,9 @@
 	limiter      *rate.Limiter
 	droppedLines atomic.Int64
 	done         chan struct{}
-	once         sync.Once
+	// finished is closed when Run has returned.
+	finished chan struct{}
+	once     sync.Once
 	// OnDropped is called from Run with the number of lines dropped since the last
 	// call; it may be nil.
 	OnDropped func(lines int64)
@@ -42,16 +44,18 @@
 // NewBoundedLog returns a log that writes to out. Lines are queued until Run is called.
 func NewBoundedLog(out io.Writer) *BoundedLog {
 	b := &BoundedLog{
-		out:     out,
-		lines:   make(chan []byte, logQueueLines),
-		limiter: rate.NewLimiter(logLinesPerSecond, logBurst),
-		done:    make(chan struct{}),
+		out:      out,
+		lines:    make(chan []byte, logQueueLines),
+		limiter:  rate.NewLimiter(logLinesPerSecond, logBurst),
+		done:     make(chan struct{}),
+		finished: make(chan struct{}),
 	}
 	return b
 }
 
 // Run writes lines until Close is called, and then those that are still queued.
 func (b *BoundedLog) Run() {
+	defer close(b.finished)
 	ticker := time.NewTicker(droppedReportInterval)
 	defer ticker.Stop()
 	for {
@@ -118,5 +122,13 @@
 // Close makes Run write the queued lines and return. Calling it again has no effect.
 func (b *BoundedLog) Close() { b.once.Do(func() { close(b.done) }) }
 
+// AwaitWritten waits until Run has written all lines after Close, at most for limit.
+func (b *BoundedLog) AwaitWritten(limit time.Duration) {
+	select {
+	case <-b.finished:
+	case <-time.After(limit):
+	}
+}
+
 // Logger returns a logger that writes to the log.
 func (b *BoundedLog) Logger(level zapcore.Level) *zap.Logger { return NewLogger(b, level) }
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -27,6 +27,9 @@
 	// reconcileInterval is how often a host sends the slots that it holds to
 	// the coordinator.
 	reconcileInterval = time.Second
+	// estimatesInterval is how often a coordinator sends its target estimates to the
+	// other hosts.
+	estimatesInterval = 5 * time.Second
 )
 
 // Client acquires slots from the coordinator, or from the local fallback when
@@ -266,9 +269,10 @@
 
 // Run sends the slots held by this host to the coordinator every
 // reconcileInterval until ctx ends. While this host is the coordinator, Run
-// also passes its target estimates to broadcast, which sends them to the other
-// hosts.
+// also passes its target estimates to broadcast every estimatesInterval, which sends
+// them to the other hosts.
 func (c *Client) Run(ctx context.Context, broadcast func(method string, params any)) {
+	var broadcastAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -284,7 +288,10 @@
 			c.coordinator.Reconcile(c.newReconcileMessage())
 			estimates := c.coordinator.Estimates()
 			c.setEstimates(estimates)
-			broadcast(methodEstimates, estimates)
+			if now := c.clock.Now(); !now.Before(broadcastAt) {
+				broadcastAt = now.Add(estimatesInterval)
+				broadcast(methodEstimates, estimates)
+			}
 		}
 	}
 }
--- a/internal/systems/allocation/scheduler.go
+++ b/internal/systems/allocation/scheduler.go
@@ -1,6 +1,7 @@
 package allocation
 
 import (
+	"math"
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
@@ -99,6 +100,9 @@
 	EventGap time.Duration   `json:"gap"`
 }
 
+// slowdownPrecision is the number of steps per unit in which slowdowns are sent.
+const slowdownPrecision = 1000
+
 // Estimates returns the estimates of all services and targets that have any,
 // observed or imported.
 func (sched *Scheduler) Estimates() Estimates {
@@ -109,7 +113,7 @@
 		}
 		for id, target := range s.targets {
 			if target.slowdown.Known() {
-				estimates.Slowdowns[id] = target.slowdown.Value()
+				estimates.Slowdowns[id] = math.Round(target.slowdown.Value()*slowdownPrecision) / slowdownPrecision
 			}
 		}
 	}
--- a/internal/watch/replicator.go
+++ b/internal/watch/replicator.go
@@ -78,7 +78,10 @@
 	upstreamSeq map[*peer.Conn]int
 	// resendAt holds the earliest time of the next request for missing records.
 	resendAt map[*peer.Conn]time.Time
-	wake     chan struct{}
+	// current holds the connections with whose last update this host had all that
+	// the sender had.
+	current map[*peer.Conn]bool
+	wake    chan struct{}
 }
 
 // subscriber is an attached host.
@@ -96,6 +99,7 @@
 		attached:    make(map[*peer.Conn]*subscriber),
 		upstreamSeq: make(map[*peer.Conn]int),
 		resendAt:    make(map[*peer.Conn]time.Time),
+		current:     make(map[*peer.Conn]bool),
 		wake:        make(chan struct{}, 1),
 	}
 	w.Attached = r.Attached
@@ -119,7 +123,8 @@
 	}
 	if reply.AgeMS != heartbeatAge {
 		// The build before Marks sends its whole state.
-		r.watcher.ApplyUpdate(reply)
+		current, _ := r.watcher.ApplyUpdate(reply)
+		r.setCurrent(conn, current)
 	}
 	lacking := r.watcher.State.After(Snapshot{Spans: reply.spans()}.Marks())
 	conn.NotifyAsync(methodUpdate, r.watcher.newUpdate(lacking))
@@ -180,12 +185,35 @@
 	if u.Overloaded {
 		r.links.MarkOverloaded(conn)
 	}
-	if r.watcher.ApplyUpdate(u) && r.mayRequestResend(conn) {
-		conn.NotifyAsync(methodResend, resendRequest{Marks: r.watcher.State.Marks()})
+	switch {
+	case u.AgeMS == heartbeatAge:
+	case u.Unchanged:
+		if r.isCurrent(conn) {
+			r.watcher.confirmUnchanged(u.AgeMS)
+		}
+	default:
+		current, missing := r.watcher.ApplyUpdate(u)
+		r.setCurrent(conn, current)
+		if missing && r.mayRequestResend(conn) {
+			conn.NotifyAsync(methodResend, resendRequest{Marks: r.watcher.State.Marks()})
+		}
 	}
 	return struct{}{}, nil
 }
 
+func (r *Replicator) isCurrent(conn *peer.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.current[conn]
+}
+
+func (r *Replicator) setCurrent(conn *peer.Conn, current bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.current, func(c *peer.Conn, _ bool) bool { return !c.Open() })
+	r.current[conn] = current
+}
+
 // mayRequestResend reports whether resendInterval has passed since the last
 // request for missing records on a connection.
 func (r *Replicator) mayRequestResend(conn *peer.Conn) bool {
@@ -302,11 +330,16 @@
 func (r *Replicator) updateAfter(sent sentState, withChanges bool) attachedUpdate {
 	snapshot := r.watcher.State.Since(sent.seq, sent.marks())
 	update := Update{AgeMS: heartbeatAge}
-	if withChanges {
+	switch {
+	case withChanges && sent.carried && snapshot.empty() && snapshot.sentState().sameAs(sent):
+		update = Update{Unchanged: true, AgeMS: r.watcher.Age().Milliseconds()}
+	case withChanges:
 		update = r.watcher.newUpdate(snapshot)
 	}
 	update.Overloaded = r.overload.Overloaded()
-	return attachedUpdate{message: encoded(update), sent: snapshot.sentState()}
+	next := snapshot.sentState()
+	next.carried = withChanges
+	return attachedUpdate{message: encoded(update), sent: next}
 }
 
 // sendUpstream sends new changes that this host has read from the store or written
--- a/internal/watch/snapshot.go
+++ b/internal/watch/snapshot.go
@@ -30,6 +30,14 @@
 type sentState struct {
 	seq                     int
 	configs, targets, hosts Mark
+	// carried is true if the last update carried the state. The next one may then say
+	// that nothing has changed.
+	carried bool
+}
+
+// sameAs reports whether nothing was applied between two states.
+func (s sentState) sameAs(other sentState) bool {
+	return s.seq == other.seq && s.configs == other.configs && s.targets == other.targets && s.hosts == other.hosts
 }
 
 func (s Snapshot) sentState() sentState {
--- a/internal/watch/state.go
+++ b/internal/watch/state.go
@@ -92,7 +92,7 @@
 	defer s.mu.Unlock()
 	st := s.streams[Hosts]
 	r, known := st.records[string(h.ID)]
-	return known && r.Value != nil && r.Incarnation == st.mark.Incarnation && s.hosts[h.ID] == h
+	return known && r.Value != nil && r.Incarnation >= st.mark.Incarnation && s.hosts[h.ID] == h
 }
 
 // Complete reports whether there is a configuration and a list of targets.
--- a/internal/watch/update.go
+++ b/internal/watch/update.go
@@ -7,6 +7,9 @@
 	Changes []Change `json:"changes,omitempty"`
 	// Spans holds the part of each stream that Changes covers.
 	Spans map[Stream]Span `json:"spans,omitempty"`
+	// Unchanged is true if nothing has changed since the last update on the
+	// connection. Only AgeMS and Overloaded are set then.
+	Unchanged bool `json:"same,omitempty"`
 	// Departures holds targets that are leaving or gone.
 	Departures []Departure `json:"departures,omitempty"`
 	// Ends is sent by the build before Spans: the sender claims that the receiver
@@ -35,24 +38,29 @@
 	return out
 }
 
-// ApplyUpdate applies an update received from a peer. It reports whether records
-// are missing before the part that the update covers.
-func (w *Watcher) ApplyUpdate(u Update) (missing bool) {
-	if u.AgeMS == heartbeatAge {
-		return false
-	}
+// ApplyUpdate applies an update received from a peer. It reports whether this host
+// now has all that the sender had, and otherwise whether records are missing before
+// the part that the update covers.
+func (w *Watcher) ApplyUpdate(u Update) (current, missing bool) {
 	now := w.clock.Now()
 	confirmedAt := now.Add(-time.Duration(u.AgeMS) * time.Millisecond)
 	w.holdRemovalsAfterOutage(confirmedAt)
 	w.State.ApplyDepartures(u.Departures)
 	coverage := w.State.ApplyUpdate(now, u.Changes, u.spans())
-	if coverage[Configs] == covered && coverage[Targets] == covered {
+	current = coverage[Configs] == covered && coverage[Targets] == covered
+	if current {
 		w.recordConfirmed(confirmedAt)
 	}
 	for _, c := range coverage {
 		missing = missing || c == gap
 	}
-	return missing
+	return current, missing
+}
+
+// confirmUnchanged records that nothing has changed since an update with which this
+// host had all that its sender had.
+func (w *Watcher) confirmUnchanged(ageMS int64) {
+	w.recordConfirmed(w.clock.Now().Add(-time.Duration(ageMS) * time.Millisecond))
 }
 
 // newUpdate returns an update with a part of this host's state.
