Do not use an older start of a target again after a newer one has left, in a restored store

Cause: a departure compared the numbers of records also across starts, so an old copy's record of an earlier start with a higher number was used. Change: after a restoration an earlier start than the departed one never counts.

--- a/internal/watch/departure.go
+++ b/internal/watch/departure.go
@@ -51,8 +51,10 @@
 		return false
 	case d.Announced:
 		return true
+	case incarnation <= d.Incarnation:
+		return false
 	default:
-		return incarnation > d.Incarnation && t.Sequence <= d.Sequence
+		return t.StartedAt.Before(d.StartedAt) || t.Sequence <= d.Sequence
 	}
 }
 
