--- a/internal/watch/freshness.go
+++ b/internal/watch/freshness.go
@@ -49,7 +49,8 @@
 	}
 }
 
-// recordConfirmed records that a read of the store by another host showed the configuration and the targets to be up to date at the given time.
+// recordConfirmed records that a read of the store by another host showed the
+// configuration and the targets to be up to date at the given time.
 func (w *Watcher) recordConfirmed(at time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
