Let a host without updates read the list of hosts again

Cause: at a first start a host may list the others before they have written their records. Such hosts attached to hosts that send no updates, and never learned of the rest: two coordinators for good. Change: a host that has heard from no other reads the hosts again 0.5 s after its start, and one whose state is old reads them with the other streams.

--- a/internal/watch/freshness.go
+++ b/internal/watch/freshness.go
@@ -54,7 +54,7 @@
 func (w *Watcher) recordConfirmed(at time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.updatedAt = w.clock.Now()
+	w.updatedAt, w.heard = w.clock.Now(), true
 	if at.After(w.lastConfirmed) {
 		w.lastConfirmed = at
 	}
@@ -101,3 +101,17 @@
 	defer w.mu.Unlock()
 	return w.clock.Now().Sub(w.lastRead) <= d
 }
+
+// readSince reports whether this host has read a stream from the store within d.
+func (w *Watcher) readSince(name Stream, d time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.clock.Now().Sub(w.confirmedAt[name]) < d
+}
+
+// heardFromPeer reports whether another host has ever confirmed the state.
+func (w *Watcher) heardFromPeer() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.heard
+}
--- a/internal/watch/registration.go
+++ b/internal/watch/registration.go
@@ -40,8 +40,8 @@
 // readHosts reads the hosts regularly while this host is the first live one. The
 // others receive them in updates.
 func (w *Watcher) readHosts(ctx context.Context) {
-	for ctx.Err() == nil {
-		w.sleep(ctx, hostsReadInterval)
+	for wait := firstHostsReadDelay; ctx.Err() == nil; wait = hostsReadInterval {
+		w.sleep(ctx, wait)
 		if w.rank() == 0 {
 			// A failure has been recorded; the next read follows anyway.
 			_ = w.read(ctx, Hosts, 0)
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -41,6 +41,10 @@
 	// registrationInterval is the time between checks that the record of this host
 	// is in the store.
 	registrationInterval = time.Second
+	// firstHostsReadDelay is how long after its start a host reads the hosts again if
+	// no other host has sent it an update: it may have listed them before others had
+	// written their records.
+	firstHostsReadDelay = 500 * time.Millisecond
 	// hostsReadInterval is the time between reads of the hosts by the first live
 	// host.
 	hostsReadInterval = 1500 * time.Millisecond
@@ -63,8 +67,10 @@
 	// lastConfirmed is when the configuration and the targets were last known to
 	// be up to date, from reads of the store by this host or by another.
 	lastConfirmed time.Time
-	// updatedAt is when that was last learned.
+	// updatedAt is when that was last learned, and heard whether another host has
+	// ever told it.
 	updatedAt time.Time
+	heard     bool
 	// confirmedAt is when the last successful read of each stream by this host
 	// began.
 	confirmedAt map[Stream]time.Time
@@ -156,6 +162,9 @@
 func (w *Watcher) readWhenStale(ctx context.Context) {
 	for ctx.Err() == nil {
 		hostRank := w.rank()
+		if hostRank != 0 && !w.heardFromPeer() && !w.readSince(Hosts, firstHostsReadDelay) && w.read(ctx, Hosts, 0) != nil {
+			w.sleep(ctx, longRetryDelay)
+		}
 		if w.Age() < staleAfter(hostRank) {
 			w.sleep(ctx, ageCheckInterval)
 			continue
@@ -166,10 +175,12 @@
 	}
 }
 
-// readAll reads the streams that are not being polled.
+// readAll reads the streams that are not being polled. It includes the hosts: a host
+// that gets no updates may be attached to hosts that do not send any, because it
+// knows too few to find the first live one.
 func (w *Watcher) readAll(ctx context.Context) error {
-	for _, name := range []Stream{Configs, Targets} {
-		if w.isPolling(name) {
+	for _, name := range Streams() {
+		if w.isPolling(name) || (name == Hosts && w.readSince(Hosts, hostsReadInterval)) {
 			continue
 		}
 		if err := w.read(ctx, name, 0); err != nil {
