Pass on what a target announced here although another host has told more; clearer names in watch

Cause: a departure that a peer told was merged over this host's own observation, which then never went to the hosts it is attached to. Found by reading the change.

--- a/internal/watch/departure.go
+++ b/internal/watch/departure.go
@@ -85,18 +85,20 @@
 	}
 }
 
-// addDeparture merges a departure with what is known, and reports whether that
-// changed it.
+// addDeparture calls mergeDeparture with the lock held.
 func (s *State) addDeparture(d Departure, observed bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.mergeDeparture(d, observed)
 }
 
-// mergeDeparture is addDeparture. The lock must be held.
+// mergeDeparture merges a departure with what is known, and reports whether that
+// changed it. observed is true if the target announced it to this host. The lock
+// must be held.
 func (s *State) mergeDeparture(d Departure, observed bool) bool {
 	old, known := s.departures[d.Target]
 	if known {
+		observed = observed || old.observed
 		d = old.merge(d)
 		if d == old.Departure {
 			return false
--- a/internal/watch/freshness.go
+++ b/internal/watch/freshness.go
@@ -95,15 +95,15 @@
 	}
 }
 
-// readWithin reports whether this host has read from the store within d.
+// readWithin reports whether this host has read any stream from the store within d.
 func (w *Watcher) readWithin(d time.Duration) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.clock.Now().Sub(w.lastRead) <= d
 }
 
-// readSince reports whether this host has read a stream from the store within d.
-func (w *Watcher) readSince(name Stream, d time.Duration) bool {
+// streamReadWithin reports whether this host has read a stream from the store within d.
+func (w *Watcher) streamReadWithin(name Stream, d time.Duration) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.clock.Now().Sub(w.confirmedAt[name]) < d
--- a/internal/watch/restore_test.go
+++ b/internal/watch/restore_test.go
@@ -205,6 +205,13 @@
 		Expect(other.StoreReadsSince(0).Departures).To(BeEmpty(), "a host passes on upwards only what it has observed")
 	})
 
+	It("that a target announced here still go to the other hosts after one of them has told more", func() {
+		t, _ := s.Target("a")
+		s.MarkLeaving(t)
+		s.ApplyDepartures([]watch.Departure{{Target: "a", StartedAt: t.StartedAt, Sequence: 9}})
+		Expect(s.StoreReadsSince(0).Departures).To(ConsistOf(HaveField("Announced", true)))
+	})
+
 	It("leave the store's order alone within one incarnation", func() {
 		s.Apply(start, watch.Targets, 1, page(2, record("a", "", 1)))
 		s.Apply(start, watch.Targets, 2, page(3, record("a", "x;start=1000;sequence=7", 2)))
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -67,8 +67,8 @@
 	// lastConfirmed is when the configuration and the targets were last known to
 	// be up to date, from reads of the store by this host or by another.
 	lastConfirmed time.Time
-	// updatedAt is when that was last learned, and heard whether another host has
-	// ever told it.
+	// updatedAt is when lastConfirmed was last confirmed or raised. heard is true
+	// once another host has done so.
 	updatedAt time.Time
 	heard     bool
 	// confirmedAt is when the last successful read of each stream by this host
@@ -162,7 +162,7 @@
 func (w *Watcher) readWhenStale(ctx context.Context) {
 	for ctx.Err() == nil {
 		hostRank := w.rank()
-		if hostRank != 0 && !w.heardFromPeer() && !w.readSince(Hosts, firstHostsReadDelay) && w.read(ctx, Hosts, 0) != nil {
+		if hostRank != 0 && !w.heardFromPeer() && !w.streamReadWithin(Hosts, firstHostsReadDelay) && w.read(ctx, Hosts, 0) != nil {
 			w.sleep(ctx, longRetryDelay)
 		}
 		if w.Age() < staleAfter(hostRank) {
@@ -180,7 +180,7 @@
 // knows too few to find the first live one.
 func (w *Watcher) readAll(ctx context.Context) error {
 	for _, name := range Streams() {
-		if w.isPolling(name) || (name == Hosts && w.readSince(Hosts, hostsReadInterval)) {
+		if w.isPolling(name) || (name == Hosts && w.streamReadWithin(Hosts, hostsReadInterval)) {
 			continue
 		}
 		if err := w.read(ctx, name, 0); err != nil {
