--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -35,7 +35,11 @@
 type Server struct {
 	// Started is closed when the host is ready to serve. Requests wait for it
 	// for at most maxStartWait.
-	Started   <-chan struct{}
+	Started <-chan struct{}
+	// UpToDate reports whether the directory has been confirmed since this process
+	// last resumed after a stall. Requests wait for that as for the start. It may be
+	// nil.
+	UpToDate  func() bool
 	Directory Directory
 	Slots     SlotAllocator
 	Transport Transport
@@ -51,13 +55,25 @@
 // have moved here from another host or would have to move to one.
 const maxStartWait = 500 * time.Millisecond
 
-// awaitStart waits until Started is closed, maxStartWait has passed or ctx ends.
+// upToDatePollInterval is the time between two calls of UpToDate while a request
+// waits.
+const upToDatePollInterval = 10 * time.Millisecond
+
+// awaitStart waits until Started is closed and the directory is up to date,
+// maxStartWait has passed or ctx ends.
 func (s *Server) awaitStart(ctx context.Context) {
+	deadline := s.Clock.Now().Add(maxStartWait)
 	select {
 	case <-s.Started:
-		return
 	default:
+		s.awaitStarted(ctx)
+	}
+	for s.UpToDate != nil && !s.UpToDate() && ctx.Err() == nil && s.Clock.Now().Before(deadline) {
+		s.Clock.Sleep(upToDatePollInterval)
 	}
+}
+
+func (s *Server) awaitStarted(ctx context.Context) {
 	select {
 	case <-s.Started:
 	case <-ctx.Done():
--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -25,6 +25,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/observe"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/pool"
+	"github.com/bluebellseam/bluebellseam/internal/stall"
 	"github.com/bluebellseam/bluebellseam/internal/systems/owner"
 	"github.com/bluebellseam/bluebellseam/internal/systems/quota"
 	"github.com/bluebellseam/bluebellseam/internal/systems/retry"
@@ -87,6 +88,7 @@
 	coordinator *pool.Coordinator
 	fallback    *pool.Coordinator
 	client      *pool.Client
+	stalls      *stall.Detector
 	front       *http.Server
 	// limiter tracks the connections of callers, which frontListener accepts.
 	limiter       *connlimit.Limiter
@@ -147,6 +149,9 @@
 	firstSlotRequestID := xxhash.Sum64String(s.Node+p.clock.Now().String()) &^ 0xffffffff
 	p.client = pool.NewClient(p.self, p.links, p.coordinator, p.fallback, firstSlotRequestID, policyOf(s).Quota.Window, p.clock, p.logger)
 	p.client.Register(p.mux)
+	p.client.ResumedSince = func(at time.Time) bool { return p.stalls.ResumedSince(at) }
+	p.stalls = stall.New(p.clock, stall.BootTime)
+	p.stalls.OnResume = p.onResume
 	p.state.OnChange = p.onChange
 	p.replicator.OnDetach = p.coordinator.ReleaseHost
 	p.links.OnConnect = func(ctx context.Context, _ fleet.Host, conn *peer.Conn) error { return p.replicator.Attach(ctx, conn) }
@@ -190,13 +195,24 @@
 	}
 }
 
+// onResume is called after the process did not run for a while.
+func (p *Process) onResume(length time.Duration) {
+	event.ProcessResumed.Log(p.logger, zap.Duration("after", length))
+	p.coordinator.Resume()
+	p.fallback.Resume()
+}
+
+// upToDate reports whether the configuration and the targets have been confirmed
+// since the process last resumed after a stall.
+func (p *Process) upToDate() bool { return p.watcher.UpdatedSince(p.stalls.ResumedAt()) }
+
 // listen opens a listener on every address and serves it.
 func (p *Process) listen(ctx context.Context) error {
 	s := p.settings
 	p.front = observe.NewServer(&platform.FrontHandler{
 		Clock: p.clock,
 		Server: &edge.Server{
-			Started: p.started, Directory: p.state, Slots: p.client, Transport: platform.NewTargetClient(),
+			Started: p.started, UpToDate: p.upToDate, Directory: p.state, Slots: p.client, Transport: platform.NewTargetClient(),
 			Clock: p.clock, Logger: p.logger, Metrics: p.metrics,
 		},
 	})
@@ -272,6 +288,7 @@
 
 // run loads the state and then runs the background work until ctx ends.
 func (p *Process) run(ctx context.Context) {
+	go p.stalls.Run(ctx)
 	for ctx.Err() == nil && !p.load(ctx) {
 		p.clock.Sleep(loadRetryDelay)
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -14,6 +14,7 @@
 	ListenerFailed     = Event{1006, zapcore.ErrorLevel, "listener failed", "A listening socket returned an error."}
 	SettingsReloaded   = Event{1007, zapcore.InfoLevel, "settings reloaded", "The settings file was read again; on an error the previous settings stay in force."}
 	LogLinesDropped    = Event{1008, zapcore.WarnLevel, "log lines dropped", "Log lines were dropped because the rate limit was exceeded or the reader was too slow; lines is their number since the last event of this kind."}
+	ProcessResumed     = Event{1009, zapcore.WarnLevel, "process resumed", "The process did not run for the time stated, because it was paused, its host was suspended or it got no processor time."}
 )
 
 // Configuration and log reading: 1100 to 1199.
@@ -81,7 +82,7 @@
 // Catalogue returns all events in ascending order of their numbers.
 func Catalogue() []Event {
 	return []Event{
-		ProcessStarted, SettingsInForce, StopRequested, StopTimeoutExpired, ProcessStopped, ListenerFailed, SettingsReloaded, LogLinesDropped,
+		ProcessStarted, SettingsInForce, StopRequested, StopTimeoutExpired, ProcessStopped, ListenerFailed, SettingsReloaded, LogLinesDropped, ProcessResumed,
 		ConfigInForce, PatchRejected, LogUnreachable, LogTruncated, LogReachable, SnapshotAppended, RecordIgnored,
 		PeerUp, PeerDown, TargetLeaving, TargetOwned, TargetOwnershipLost, LeaseAcquired, LeaseLost, OrderSent, OrderRefused, PeerStateChanged, FeedConnected, FeedLost,
 		PeerConnectionFailed, StoreUnreachable, StoreReachable, TargetListed, TargetRemoved, EntryIgnored, HostsChanged, CoordinatorChanged, HostOverloadChanged,
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -38,6 +38,9 @@
 	fallback    *Coordinator
 	clock       clockwork.Clock
 	logger      *zap.Logger
+	// ResumedSince reports whether this process has been stalled and has resumed at
+	// the given time or later. It may be nil.
+	ResumedSince func(time.Time) bool
 
 	mu            sync.Mutex
 	nextID        allocation.ID
@@ -156,6 +159,19 @@
 // Acquire blocks until the request has a slot, is refused, or ctx ends. An error
 // means that the request has no slot and must not be sent to a target.
 func (c *Client) Acquire(ctx context.Context, r SlotRequest) (*Grant, error) {
+	for {
+		requestedAt := c.clock.Now()
+		grant, err := c.acquire(ctx, r)
+		if err != nil || c.ResumedSince == nil || !c.ResumedSince(requestedAt) {
+			return grant, err
+		}
+		// The coordinator may have given the slot to another host while this process
+		// did not run.
+		grant.Release(allocation.Unused, 0)
+	}
+}
+
+func (c *Client) acquire(ctx context.Context, r SlotRequest) (*Grant, error) {
 	if err := c.cachedQuotaRefusal(r); err != nil {
 		return nil, err
 	}
--- a/internal/pool/takeover.go
+++ b/internal/pool/takeover.go
@@ -60,13 +60,29 @@
 // must be held.
 func (c *Coordinator) recordContact(now time.Time) {
 	if now.Sub(c.lastContact) > takeoverTimeout {
-		c.takeoverAt = now
-		c.buckets.Reset(now)
-		clear(c.usageReported)
+		c.takeOver(now)
 	}
 	c.lastContact = now
 }
 
+// takeOver forgets what is known of the use of quotas, which another host may have
+// granted meanwhile, until the hosts report it. The lock must be held.
+func (c *Coordinator) takeOver(now time.Time) {
+	c.takeoverAt = now
+	c.buckets.Reset(now)
+	clear(c.usageReported)
+}
+
+// Resume records that this process did not run for a while. Another host may have
+// been the coordinator meanwhile.
+func (c *Coordinator) Resume() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	c.takeOver(now)
+	c.lastContact = now
+}
+
 const (
 	// takeoverGrace is the time after a takeover during which a quota may look
 	// exhausted only because hosts have not yet reported their usage.
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -60,6 +60,8 @@
 	// lastConfirmed is when the configuration and the targets were last known to
 	// be up to date, from reads of the store by this host or by another.
 	lastConfirmed time.Time
+	// updatedAt is when that was last learned.
+	updatedAt time.Time
 	// confirmedAt is when the last successful read of each stream by this host
 	// began.
 	confirmedAt map[Stream]time.Time
@@ -341,11 +343,20 @@
 func (w *Watcher) recordConfirmed(at time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.updatedAt = w.clock.Now()
 	if at.After(w.lastConfirmed) {
 		w.lastConfirmed = at
 	}
 }
 
+// UpdatedSince reports whether the configuration and the targets have been confirmed,
+// by the store or another host, at the given time or later.
+func (w *Watcher) UpdatedSince(at time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.updatedAt.Before(at)
+}
+
 // holdRemovalsAfterOutage holds the removal of targets for removalGrace if the
 // state was last known to be up to date more than outageThreshold before the given
 // time. It must be called before the records of that time are applied, since
