Stay with a silent target until another one has a slot for its request

A resumable stream ended in the middle, or an idempotent request got 502, although its target was sound and only silent for a second or so. Cause: after 1 s without an event the call was cut first and a slot elsewhere requested then. If that was refused (all slots in use, retry budget, a quota that a change of the configuration had just lowered, no other target) or the other target refused the request, nothing was left to go on with. Change: internal/edge/failover.go seeks the slot while the call goes on. The call ends once there is one; an event withdraws the search; a refused search is repeated after the next idle timeout. If the next target has not run the request, the silent one may get it again. Event 1405 tells what was found.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -165,7 +165,7 @@
 			}
 			// Only whole events count: a target that stalls may still send a byte now
 			// and then.
-			ex.idle.reset(eventIdleTimeout(ex.route.EventGapSLO, ex.relay.longestGap, ex.route.CallerTimeout))
+			ex.failover.reset(eventIdleTimeout(ex.route.EventGapSLO, ex.relay.longestGap, ex.route.CallerTimeout))
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		switch {
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,22 +12,23 @@
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
-	"github.com/bluebellseam/bluebellseam/internal/pool"
 	"github.com/bluebellseam/bluebellseam/internal/systems/allocation"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
 // serve sends the request to one target after another until one has responded
 // or no further attempt is allowed. ctx ends at the deadline, callerCtx when
 // the caller disconnects.
 func (ex *exchange) serve(ctx, callerCtx context.Context) error {
+	defer func() { ex.nextSlot.release() }()
 	var lastErr error
 	for {
-		grant, target, err := ex.acquireSlot(ctx, len(ex.tried) > 0)
+		slot, err := ex.takeSlot(ctx)
 		if err != nil {
 			return ex.noSlotError(callerCtx, err, lastErr)
 		}
-		outcome, err := ex.send(ctx, grant, target)
-		grant.Release(outcome, ex.relay.meanGap())
+		outcome, err := ex.send(ctx, slot)
+		slot.grant.Release(outcome, ex.relay.meanGap())
 		if err == nil {
 			return nil
 		}
@@ -37,6 +39,16 @@
 	}
 }
 
+// takeSlot returns the slot that was found while the target before was silent, or
+// acquires one.
+func (ex *exchange) takeSlot(ctx context.Context) (*heldSlot, error) {
+	if slot := ex.nextSlot; slot != nil {
+		ex.nextSlot = nil
+		return slot, nil
+	}
+	return ex.acquireSlot(ctx, len(ex.tried) > 0, ex.tried)
+}
+
 // noSlotError returns the error of a request that got no slot. The failure of an
 // earlier call takes precedence, since its target may have run the request.
 func (ex *exchange) noSlotError(callerCtx context.Context, err, lastErr error) error {
@@ -51,7 +63,8 @@
 
 // send makes one call and relays its response. An error that is not a
 // *SendError ends the request.
-func (ex *exchange) send(ctx context.Context, grant *pool.Grant, target fleet.Target) (allocation.Outcome, error) {
+func (ex *exchange) send(ctx context.Context, slot *heldSlot) (allocation.Outcome, error) {
+	grant, target := slot.grant, slot.target
 	call := Call{
 		Request:       ex.request,
 		Timeout:       defaultTimeout,
@@ -71,13 +84,12 @@
 	ex.server.Metrics.Sent(string(ex.service))
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if ex.mayFailOver() {
-		ex.idle = startIdleTimer(ex.server.Clock, max(firstByteIdleFactor*grant.ExpectedFirstByte, minIdleTimeout), cancel)
-		defer ex.idle.stop()
-	}
+	ex.failover = ex.newFailover(ctx, slot, cancel)
 	err := ex.sendAndRelay(sending, target, call, func() { grant.ReportFirstByte(ex.server.Clock.Now().Sub(startedAt)) })
+	ex.nextSlot = ex.failover.stop()
 	if err != nil {
 		ex.recordSendFailure(target, err)
+		ex.recordSilence(sending, target, err)
 		return outcomeOf(ctx, err), err
 	}
 	return allocation.Succeeded, nil
@@ -114,6 +126,20 @@
 	event.SendFailed.Log(ex.server.Logger, zap.String("request", ex.request.ID), zap.String("target", string(target.ID)), zap.Error(err))
 }
 
+// recordSilence keeps a target that was left because it was silent, with ctx as the
+// context of the call. If the next one does not run the request, the silent one may get
+// it again.
+func (ex *exchange) recordSilence(ctx context.Context, target fleet.Target, err error) {
+	var sendErr *SendError
+	switch {
+	case errors.Is(context.Cause(ctx), errIdleTimeout):
+		ex.silent = target.ID
+	case errors.As(err, &sendErr) && sendErr.Delivery != MayHaveRun:
+		ex.tried = slices.DeleteFunc(ex.tried, func(id tables.TargetID) bool { return id == ex.silent })
+		ex.silent = ""
+	}
+}
+
 // outcomeOf returns the outcome that is reported to the coordinator for a failed
 // call.
 func outcomeOf(ctx context.Context, err error) allocation.Outcome {
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -96,9 +96,13 @@
 	// tried lists the targets to which the request was sent.
 	tried []tables.TargetID
 	relay relay
-	// idle cancels the current call if its target stops sending; nil if the
-	// request may not be sent to another target.
-	idle *idleTimer
+	// failover seeks a slot at another target while the current one is silent; nil if
+	// the request may not be sent to another target. nextSlot is a slot that it found.
+	failover *failover
+	nextSlot *heldSlot
+	// silent is the target that the request has left because it was silent; empty if
+	// there is none.
+	silent tables.TargetID
 }
 
 // Serve processes one request and responds to caller exactly once.
--- a/internal/edge/slot.go
+++ b/internal/edge/slot.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
-	"github.com/bluebellseam/bluebellseam/internal/fleet"
 	"github.com/bluebellseam/bluebellseam/internal/pool"
 	"github.com/bluebellseam/bluebellseam/internal/systems/allocation"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -29,29 +28,29 @@
 	maxStaleGrants = 3
 )
 
-// acquireSlot acquires a slot at a target that this host knows, that is not leaving
-// and that does not want to be left alone.
-func (ex *exchange) acquireSlot(ctx context.Context, retry bool) (*pool.Grant, fleet.Target, error) {
+// acquireSlot acquires a slot at a target that this host knows, that is not leaving,
+// that does not want to be left alone and that is not in avoid.
+func (ex *exchange) acquireSlot(ctx context.Context, retry bool, avoid []tables.TargetID) (*heldSlot, error) {
 	request := ex.slotRequest(retry)
-	avoided := request.Avoid
+	avoided := slices.Clone(avoid)
 	for range maxStaleGrants {
 		quiet, allFor := ex.server.quietOf(ex.service)
 		if allFor > 0 {
-			return nil, fleet.Target{}, errAllQuiet(ex.service, allFor)
+			return nil, errAllQuiet(ex.service, allFor)
 		}
 		request.Avoid = slices.Concat(avoided, quiet)
 		grant, err := ex.server.Slots.Acquire(ctx, request)
 		if err != nil {
-			return nil, fleet.Target{}, err
+			return nil, err
 		}
 		target, known := ex.server.Directory.Target(grant.Target)
 		if known && !target.Leaving && ex.server.quiet.remaining(ex.server.Clock.Now(), target) <= 0 {
-			return grant, target, nil
+			return &heldSlot{grant, target}, nil
 		}
 		grant.Release(allocation.Unused, 0)
 		avoided = append(avoided, grant.Target)
 	}
-	return nil, fleet.Target{}, errkind.New(errkind.NoTarget, fmt.Sprintf("places at %v, which are leaving or want no request", avoided))
+	return nil, errkind.New(errkind.NoTarget, fmt.Sprintf("places at %v, which are leaving or want no request", avoided))
 }
 
 func (ex *exchange) slotRequest(retry bool) pool.SlotRequest {
@@ -64,7 +63,6 @@
 		PromptTokens:    ex.request.PromptTokens,
 		FirstByteBudget: ex.firstByteSLO() - now.Sub(ex.request.Arrived),
 		EventGapSLO:     ex.route.EventGapSLO,
-		Avoid:           append([]tables.TargetID(nil), ex.tried...),
 		Fingerprint:     ex.request.Fingerprint,
 		Retry:           retry,
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -78,6 +78,7 @@
 	StragglerDetected = Event{1402, zapcore.WarnLevel, "straggler detected", "A target is much slower than its hardware generation and gets probe requests only."}
 	TargetRecovered   = Event{1403, zapcore.InfoLevel, "target recovered", "A target reached the speed of its hardware generation again."}
 	TargetQuiet       = Event{1404, zapcore.InfoLevel, "target quiet", "A target wants no requests from this host for a time."}
+	TargetSilent      = Event{1405, zapcore.WarnLevel, "target silent", "A target has sent nothing for too long; the request moves to the target next, or stays where it is if there is none."}
 )
 
 // Catalogue returns all events in ascending order of their numbers.
@@ -90,6 +91,6 @@
 		RequestRefused, RequestFinished, RequestOutcomeUnknown, StreamResumed, StreamSilent, DispatcherLost, ClaimLost,
 		QuarantineAdded, QuarantineLifted, InvariantFailed,
 		SlotGranted, SlotRefused, SendFailed, LocalFallback,
-		TargetCrashed, StragglerDetected, TargetRecovered, TargetQuiet,
+		TargetCrashed, StragglerDetected, TargetRecovered, TargetQuiet, TargetSilent,
 	}
 }
