Let a stream in the middle wait for its next slot as long as its caller does

What callers saw: a resumable stream whose target had broken off or was silent ended in the middle if no slot was free at that very moment, after 1.5 s of its life. Cause: the wait for a slot was limited by three quarters of the time after which callers that get nothing leave, counted from the arrival of the request, also once events had been sent. For a stream that is older the limit was zero. Change: the time counts from the last event sent.

--- a/internal/edge/failover.go
+++ b/internal/edge/failover.go
@@ -13,7 +13,6 @@
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
 	"github.com/bluebellseam/bluebellseam/internal/pool"
 	"github.com/bluebellseam/bluebellseam/internal/systems/allocation"
-	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
 // errIdleTimeout is the cancellation cause of a call whose target sent nothing
@@ -64,14 +63,15 @@
 // could run the request twice. It is safe for concurrent use.
 type failover struct {
 	clock clockwork.Clock
-	// seek requests a slot at another target.
-	seek func(context.Context) (*heldSlot, error)
+	seek  seekSlot
 	// cancelCall ends the call.
 	cancelCall context.CancelCauseFunc
 
 	mu      sync.Mutex
 	timer   clockwork.Timer
 	timeout time.Duration
+	// lastByteAt is when the target last sent something; zero if it has sent nothing.
+	lastByteAt time.Time
 	// search is the search in progress; nil if there is none.
 	search *slotSearch
 	// slot is the slot that was found.
@@ -79,11 +79,15 @@
 	stopped bool
 }
 
+// seekSlot requests a slot at another target. lastByteAt is when the target of the call
+// last sent something; zero if it has sent nothing.
+type seekSlot func(ctx context.Context, lastByteAt time.Time) (*heldSlot, error)
+
 // slotSearch is one search for a slot. withdraw ends it.
 type slotSearch struct{ withdraw context.CancelFunc }
 
 // startFailover starts a failover whose first idle timeout is d. Searches end with ctx.
-func startFailover(ctx context.Context, clock clockwork.Clock, d time.Duration, seek func(context.Context) (*heldSlot, error), cancelCall context.CancelCauseFunc) *failover {
+func startFailover(ctx context.Context, clock clockwork.Clock, d time.Duration, seek seekSlot, cancelCall context.CancelCauseFunc) *failover {
 	f := &failover{clock: clock, seek: seek, cancelCall: cancelCall, timeout: d}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -97,23 +101,24 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	current := &slotSearch{withdraw: cancel}
-	if !f.begin(current) {
+	lastByteAt, began := f.begin(current)
+	if !began {
 		return
 	}
-	slot, err := f.seek(ctx)
+	slot, err := f.seek(ctx, lastByteAt)
 	if !f.conclude(current, slot, err) {
 		slot.release()
 	}
 }
 
-func (f *failover) begin(s *slotSearch) bool {
+func (f *failover) begin(s *slotSearch) (lastByteAt time.Time, began bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.stopped || f.search != nil || f.slot != nil {
-		return false
+		return time.Time{}, false
 	}
 	f.search = s
-	return true
+	return f.lastByteAt, true
 }
 
 // conclude ends a search. It returns false if the slot is not needed.
@@ -144,6 +149,7 @@
 		return
 	}
 	f.timeout = d
+	f.lastByteAt = f.clock.Now()
 	f.withdrawLocked()
 	f.timer.Reset(d)
 }
@@ -178,10 +184,15 @@
 	if !ex.mayFailOver() || ex.relay.started && !ex.relay.resumable() {
 		return nil
 	}
-	// The search runs beside the call, which changes ex.tried.
-	avoid := append(append([]tables.TargetID(nil), ex.tried...), current.target.ID)
-	seek := func(ctx context.Context) (*heldSlot, error) {
-		slot, err := ex.acquireSlot(ctx, true, avoid)
+	// The search runs beside the call, which changes the state of the exchange.
+	need := ex.need()
+	need.retry, need.avoid = true, append(need.avoid, current.target.ID)
+	seek := func(ctx context.Context, lastByteAt time.Time) (*heldSlot, error) {
+		need := need
+		if !lastByteAt.IsZero() {
+			need.waitingSince = lastByteAt
+		}
+		slot, err := ex.acquireSlot(ctx, need)
 		ex.logSilence(current.target, slot, err)
 		return slot, err
 	}
--- a/internal/edge/failover_test.go
+++ b/internal/edge/failover_test.go
@@ -43,7 +43,7 @@
 
 func watchCall(t *testing.T) *callUnderWatch {
 	c := &callUnderWatch{clock: clockwork.NewFakeClock(), searches: make(chan chan searchResult, 1), ended: make(chan error, 1)}
-	seek := func(ctx context.Context) (*heldSlot, error) {
+	seek := func(ctx context.Context, _ time.Time) (*heldSlot, error) {
 		answer := make(chan searchResult, 1)
 		c.searches <- answer
 		select {
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -46,7 +46,7 @@
 		ex.nextSlot = nil
 		return slot, nil
 	}
-	return ex.acquireSlot(ctx, len(ex.tried) > 0, ex.tried)
+	return ex.acquireSlot(ctx, ex.need())
 }
 
 // noSlotError returns the error of a request that got no slot. The failure of an
--- a/internal/edge/slot.go
+++ b/internal/edge/slot.go
@@ -28,11 +28,31 @@
 	maxStaleGrants = 3
 )
 
-// acquireSlot acquires a slot at a target that this host knows, that is not leaving,
-// that does not want to be left alone and that is not in avoid.
-func (ex *exchange) acquireSlot(ctx context.Context, retry bool, avoid []tables.TargetID) (*heldSlot, error) {
-	request := ex.slotRequest(retry)
-	avoided := slices.Clone(avoid)
+// slotNeed is what a request needs from its next slot.
+type slotNeed struct {
+	// retry is true if the request has already been sent to a target.
+	retry bool
+	// avoid lists targets that must not be granted.
+	avoid []tables.TargetID
+	// waitingSince is when the caller was last sent something, or when its request
+	// arrived.
+	waitingSince time.Time
+}
+
+// need returns what the request needs from its next slot while no call is in progress.
+func (ex *exchange) need() slotNeed {
+	n := slotNeed{retry: len(ex.tried) > 0, avoid: slices.Clone(ex.tried), waitingSince: ex.request.Arrived}
+	if ex.relay.started {
+		n.waitingSince = ex.relay.latestAt
+	}
+	return n
+}
+
+// acquireSlot acquires a slot at a target that this host knows, that is not leaving
+// and that does not want to be left alone.
+func (ex *exchange) acquireSlot(ctx context.Context, need slotNeed) (*heldSlot, error) {
+	request := ex.slotRequest(need)
+	avoided := need.avoid
 	for range maxStaleGrants {
 		quiet, allFor := ex.server.quietOf(ex.service)
 		if allFor > 0 {
@@ -53,7 +73,7 @@
 	return nil, errkind.New(errkind.NoTarget, fmt.Sprintf("places at %v, which are leaving or want no request", avoided))
 }
 
-func (ex *exchange) slotRequest(retry bool) pool.SlotRequest {
+func (ex *exchange) slotRequest(need slotNeed) pool.SlotRequest {
 	now := ex.server.Clock.Now()
 	r := pool.SlotRequest{
 		Request:         ex.request.ID,
@@ -64,13 +84,13 @@
 		FirstByteBudget: ex.firstByteSLO() - now.Sub(ex.request.Arrived),
 		EventGapSLO:     ex.route.EventGapSLO,
 		Fingerprint:     ex.request.Fingerprint,
-		Retry:           retry,
+		Retry:           need.retry,
 	}
 	remaining := defaultTimeout
 	if !ex.deadline.IsZero() {
 		remaining = ex.deadline.Sub(now)
 	}
-	r.MaxWait = ex.maxWait(remaining)
+	r.MaxWait = maxWait(remaining, now.Sub(need.waitingSince), ex.route.CallerTimeout)
 	if ex.customer != nil {
 		r.Customer = ex.customer.Name
 		r.QuotaTokens = ex.quotaTokens()
@@ -78,13 +98,13 @@
 	return r
 }
 
-// maxWait returns how long the request may wait for a slot, given the time
-// remaining until its deadline.
-func (ex *exchange) maxWait(remaining time.Duration) time.Duration {
+// maxWait returns how long a request may wait for a slot. remaining is the time until
+// its deadline, silence the time since its caller was last sent something. callerTimeout
+// is zero if callers wait until their deadline.
+func maxWait(remaining, silence, callerTimeout time.Duration) time.Duration {
 	wait := time.Duration(deadlineWaitShare * float64(remaining))
-	if ex.route.CallerTimeout > 0 {
-		waited := ex.server.Clock.Now().Sub(ex.request.Arrived)
-		wait = min(wait, time.Duration(silenceWaitShare*float64(ex.route.CallerTimeout))-waited)
+	if callerTimeout > 0 {
+		wait = min(wait, time.Duration(silenceWaitShare*float64(callerTimeout))-silence)
 	}
 	return max(wait, 0)
 }
