An event without end is cut off at 64 KiB and treated like a broken stream

Callers saw a stream that stood still until the deadline or the time limit of its route, status 504 in place of 502, and a host that spent a core on it.

Cause: relayStream kept all bytes after the last complete event, however many, and searched all of them again after each read.

Change: MaxEventBytes, 64 KiB, some hundred times an event of the users. More bytes without the end of an event are errEventTooLong, a *SendError with MayHaveRun, so that another target goes on where that is allowed. A hundred such streams at once hold some 10 MB.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -20,6 +20,9 @@
 	maxBufferedBody = 1 << 20
 	// readBufferSize is the buffer size for reading a stream.
 	readBufferSize = 16 << 10
+	// MaxEventBytes bounds the length of an event of a stream. A target may send bytes
+	// without end that complete no event.
+	MaxEventBytes = 64 << 10
 	// minGapEvents is the minimum number of events for computing a mean gap.
 	minGapEvents = 4
 )
@@ -28,6 +31,7 @@
 	errServerError        = errors.New("the target answered with a server error")
 	errUnsigned           = errors.New("the answer lacks the target's signature")
 	errTruncated          = errors.New("the answer broke off")
+	errEventTooLong       = fmt.Errorf("an event exceeds %d bytes", MaxEventBytes)
 	errEventOrder         = errors.New("an event is missing or comes twice")
 	errCallerDisconnected = errors.New("the caller left")
 )
@@ -168,6 +172,9 @@
 			ex.idle.reset(eventIdleTimeout(ex.route.EventGapSLO, ex.relay.longestGap, ex.route.CallerTimeout))
 			pending = append(pending[:0], pending[complete:]...)
 		}
+		if len(pending) > MaxEventBytes {
+			err = errEventTooLong
+		}
 		switch {
 		case errors.Is(err, io.EOF) && len(pending) == 0 && ex.relay.started:
 			return nil
