What is no event of a stream is withheld from the caller

Cause: an event without an ID was relayed as soon as it was complete.

Change: what follows the last event with an ID is kept until another one follows, or relayed at the end of a stream that ends whole. So a first or last event without an ID still arrives, only a run of them longer than MaxEventBytes does not.

Evidence: both specs "never reaches the caller with what is no event" failed before: a stream that was not complete although another target could go on, and 2.51 s for a stream that cannot (bound 1 s). With it: go test ./internal/edge ./platform passes.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -158,8 +158,7 @@
 	for {
 		n, err := resp.Body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
-		complete := bytes.LastIndex(pending, eventEnd) + len(eventEnd)
-		if complete >= len(eventEnd) {
+		if complete := numberedLength(pending); complete > 0 {
 			if !reported {
 				onFirstByte()
 				reported = true
@@ -176,8 +175,8 @@
 			err = errEventTooLong
 		}
 		switch {
-		case errors.Is(err, io.EOF) && len(pending) == 0 && ex.relay.started:
-			return nil
+		case errors.Is(err, io.EOF) && endsWhole(pending, ex.relay.started):
+			return ex.relayEvents(resp, pending)
 		case err != nil:
 			return ex.mayHaveRunError(fmt.Errorf("%w after event %d: %w", errTruncated, ex.relay.lastID, err))
 		case ctx.Err() != nil:
@@ -186,9 +185,6 @@
 	}
 }
 
-// eventEnd ends an event of text/event-stream.
-var eventEnd = []byte("\n\n")
-
 // relayEvents relays complete events.
 func (ex *exchange) relayEvents(resp *Response, events []byte) error {
 	for len(events) > 0 {
