--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// maxBufferedBody bounds the size of responses that are buffered before any
+	// MaxBufferedBody bounds the size of responses that are buffered before any
 	// part is relayed.
-	maxBufferedBody = 1 << 20
+	MaxBufferedBody = 1 << 20
 	// readBufferSize is the buffer size for reading a stream.
 	readBufferSize = 16 << 10
 	// MaxEventBytes bounds the length of an event of a stream. A target may send bytes
@@ -121,12 +121,12 @@
 }
 
 func readBody(body io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxBufferedBody+1))
+	data, err := io.ReadAll(io.LimitReader(body, MaxBufferedBody+1))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errTruncated, err)
 	}
-	if len(data) > maxBufferedBody {
-		return nil, fmt.Errorf("answer exceeds %d bytes", maxBufferedBody)
+	if len(data) > MaxBufferedBody {
+		return nil, fmt.Errorf("answer exceeds %d bytes", MaxBufferedBody)
 	}
 	return data, nil
 }
