A message of a peer without end is cut off

Cause: internal/peer read a message of whatever length its first bytes state, and kept all of it until it was whole, also before the sender had said who it is. Whoever connects to a host's port for peers, or listens where a host once did, could fill its memory.

Change: a codec that rejects a message above a limit before it reads it (MessageTooLongError), which closes the connection. The limit is 64 KiB until the peer has sent a valid Hello, or has answered ours; then Mux.MaxMessageBytes, 16 MiB for bluebell-edge, and otherwise 1.5 GiB: a request's body may be configured up to 1 GiB.

A long message right after the Hello still arrives.

--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -38,6 +38,9 @@
 	// metricsPortOffset is the offset of the metrics port from the first
 	// internal port.
 	metricsPortOffset = 1
+	// maxPeerMessageBytes is the size limit of a message of another host, far above the
+	// state of a large fleet.
+	maxPeerMessageBytes = 16 << 20
 	// coordinatorRankSeed is hashed with each host ID. The hash breaks ties between
 	// hosts with the same number of cores when hosts are ranked as coordinators.
 	coordinatorRankSeed = "home"
@@ -137,6 +140,7 @@
 		stopping: make(chan struct{}),
 		started:  make(chan struct{}),
 	}
+	p.mux.MaxMessageBytes = maxPeerMessageBytes
 	p.log = observe.NewBoundedLog(logs)
 	p.logger = p.log.Logger(zapcore.InfoLevel).With(zap.String("node", s.Node))
 	p.log.OnDropped = func(n int64) { event.LogLinesDropped.Log(p.logger, zap.Int64("lines", n)) }
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -43,8 +43,10 @@
 	mux           *Mux
 	sharedKey     string
 	authenticated atomic.Bool
-	peer          atomic.Pointer[Hello]
-	lastReceived  atomic.Int64
+	// introduced is true once the peer has sent a valid Hello or has answered one.
+	introduced   atomic.Bool
+	peer         atomic.Pointer[Hello]
+	lastReceived atomic.Int64
 	// lastAnsweredPing is when the latest answered ping was sent, in Unix nanoseconds.
 	// It is zero before the first one.
 	lastAnsweredPing atomic.Int64
@@ -64,7 +66,7 @@
 	c := &Conn{clock: clock, mux: mux, sharedKey: key, outbox: newOutbox(), ready: make(chan struct{}), useStarted: make(chan struct{}, 1)}
 	c.authenticated.Store(authenticated)
 	c.lastReceived.Store(clock.Now().UnixNano())
-	stream := jsonrpc2.NewBufferedStream(&deadlineSocket{socket}, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(&deadlineSocket{socket}, boundedCodec{limit: c.maxMessageBytes})
 	c.rpc = jsonrpc2.NewConn(ctx, stream, c, jsonrpc2.OnRecv(c.onReceive), jsonrpc2.SetLogger(silentLogger{}))
 	close(c.ready)
 	go c.monitor(ctx)
@@ -201,13 +203,30 @@
 		h.Key = ""
 		c.peer.Store(&h)
 		c.authenticated.Store(true)
+		c.introduced.Store(true)
 		return struct{}{}, nil
 	})
 	return mux.dispatch(ctx, c, MethodHello, req.Params)
 }
 
-func (c *Conn) onReceive(*jsonrpc2.Request, *jsonrpc2.Response) {
+// onReceive is called by the goroutine that reads, before it reads the next message.
+func (c *Conn) onReceive(_ *jsonrpc2.Request, resp *jsonrpc2.Response) {
 	c.lastReceived.Store(c.clock.Now().UnixNano())
+	if resp != nil && resp.Error == nil && c.authenticated.Load() {
+		c.introduced.Store(true)
+	}
+}
+
+// maxMessageBytes returns the size limit of the next message.
+func (c *Conn) maxMessageBytes() uint64 {
+	switch {
+	case !c.introduced.Load():
+		return MaxUnknownPeerBytes
+	case c.mux.MaxMessageBytes > 0:
+		return c.mux.MaxMessageBytes
+	default:
+		return defaultMaxMessageBytes
+	}
 }
 
 // monitor probes a connection in use and closes it if a probe fails, because an open
--- a/internal/peer/mux.go
+++ b/internal/peer/mux.go
@@ -13,6 +13,10 @@
 
 // Mux maps methods to handlers. All handlers must be registered before it is used.
 type Mux struct {
+	// MaxMessageBytes is the size limit of a message that arrives, in bytes; zero means
+	// defaultMaxMessageBytes.
+	MaxMessageBytes uint64
+
 	handlers map[string]handler
 }
 
