Headers without end are cut off at 64 KiB by all clients

Cause: the clients of engines, plain services, the log, the host list and the weight store left MaxResponseHeaderBytes at the default of net/http, 10 MB.

Change: httpcall.MaxHeaderBytes, 64 KiB, in the transports of internal/target, internal/ports and internal/httpcall; internal/node uses httpcall.NewClient, the default client with that limit.

--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -16,6 +16,20 @@
 	"go.opentelemetry.io/otel/propagation"
 )
 
+// MaxHeaderBytes is the size limit of the header of a response, for the transports of
+// all clients. A server may send without end.
+const MaxHeaderBytes = 64 << 10
+
+// NewClient returns a client with the default settings of net/http and MaxHeaderBytes.
+func NewClient() *http.Client {
+	transport := &http.Transport{}
+	if defaults, ok := http.DefaultTransport.(*http.Transport); ok {
+		transport = defaults.Clone()
+	}
+	transport.MaxResponseHeaderBytes = MaxHeaderBytes
+	return &http.Client{Transport: transport}
+}
+
 // Request is an HTTP request.
 type Request struct {
 	Method string
--- a/internal/httpcall/permit.go
+++ b/internal/httpcall/permit.go
@@ -57,7 +57,8 @@
 func NewGuarded(dialTimeout time.Duration) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: guardedTransport{&http.Transport{
-		DisableKeepAlives: true,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: MaxHeaderBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			call, guarded := ctx.Value(callKey{}).(*guardedCall)
--- a/internal/httpcall/permit_test.go
+++ b/internal/httpcall/permit_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -77,6 +78,18 @@
 		Expect(failed.Sent).To(BeFalse())
 		Expect(err).To(MatchError(httpcall.ErrUnguarded))
 	})
+	It("cuts off a header without end, and reports the request as sent", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Long", strings.Repeat("x", 2*httpcall.MaxHeaderBytes))
+		}))
+		DeferCleanup(server.Close)
+		for _, client := range []*http.Client{httpcall.NewGuarded(time.Second), httpcall.NewClient()} {
+			_, err := httpcall.Do(context.Background(), client, httpcall.Request{Method: http.MethodPost, URL: server.URL}, 1<<10)
+			var failed *httpcall.Error
+			Expect(errors.As(err, &failed)).To(BeTrue())
+			Expect(failed.Sent).To(BeTrue())
+		}
+	})
 	It("reports the request as sent when the connection breaks before the response", func() {
 		abortingServer := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 		DeferCleanup(abortingServer.Close)
--- a/internal/node/env.go
+++ b/internal/node/env.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 
@@ -14,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
+	"github.com/bluebellseam/bluebellseam/internal/httpcall"
 	"github.com/bluebellseam/bluebellseam/internal/observe"
 	"github.com/bluebellseam/bluebellseam/internal/ports"
 	"github.com/bluebellseam/bluebellseam/internal/settings"
@@ -46,7 +46,7 @@
 	if err != nil {
 		return Env{}, err
 	}
-	client := &http.Client{}
+	client := httpcall.NewClient()
 	return Env{
 		Clock:   clockwork.NewRealClock(),
 		Logger:  logger.With(zap.String("node", string(s.Host)), zap.String("program", program)),
--- a/internal/ports/log_client.go
+++ b/internal/ports/log_client.go
@@ -119,5 +119,7 @@
 	if c != nil {
 		return c
 	}
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}}
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: httpcall.MaxHeaderBytes,
+	}}
 }
--- a/internal/target/engine_client_test.go
+++ b/internal/target/engine_client_test.go
@@ -1,6 +1,7 @@
 package target_test
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/bluebellseam/bluebellseam/internal/httpcall"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
 
@@ -39,6 +41,33 @@
 		_, err = client.Cancel(ctx, "h.x")
 		Expect(err).To(MatchError(target.ErrUnknown))
 	})
+	It("cuts off a header without end", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Long", strings.Repeat("x", 2*httpcall.MaxHeaderBytes))
+			_, _ = w.Write([]byte("{}"))
+		}))
+		defer server.Close()
+		client := target.NewEngineClient(strings.TrimPrefix(server.URL, "http://"))
+		_, err := client.Load(ctx)
+		Expect(err).To(MatchError(target.ErrUnknown))
+		_, err = client.Generate(ctx, target.Generation{ID: "h.x", Prompt: "p"})
+		Expect(err).To(MatchError(target.ErrUnknown))
+	})
+	It("cuts off a line of a stream without end", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			for {
+				if _, err := w.Write([]byte(strings.Repeat("x", 16<<10))); err != nil {
+					return
+				}
+			}
+		}))
+		defer server.Close()
+		stream, err := target.NewEngineClient(strings.TrimPrefix(server.URL, "http://")).Generate(ctx, target.Generation{ID: "h.x", Prompt: "p"})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = stream.Next(ctx)
+		Expect(err).To(MatchError(bufio.ErrTooLong))
+		Expect(err).To(MatchError(target.ErrUnknown))
+	})
 	It("returns ErrUnknown for a generation whose connection was lost after the send", func() {
 		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 		defer server.Close()
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -39,8 +39,11 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return httpClients{
 		baseURL: "http://" + address,
-		pooled:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: idleTimeout}},
-		fresh:   httpcall.NewGuarded(dialTimeout),
+		pooled: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: idleTimeout,
+			MaxResponseHeaderBytes: httpcall.MaxHeaderBytes,
+		}},
+		fresh: httpcall.NewGuarded(dialTimeout),
 	}
 }
 
