--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -15,11 +15,14 @@
 )
 
 const (
-	// maxBufferedBody bounds the size of responses that are buffered before any
+	// MaxBufferedBody bounds the size of responses that are buffered before any
 	// part is relayed.
-	maxBufferedBody = 1 << 20
+	MaxBufferedBody = 1 << 20
 	// readBufferSize is the buffer size for reading a stream.
 	readBufferSize = 16 << 10
+	// MaxEventBytes bounds the length of an event of a stream. A target may send bytes
+	// without end that complete no event.
+	MaxEventBytes = 64 << 10
 	// minGapEvents is the minimum number of events for computing a mean gap.
 	minGapEvents = 4
 )
@@ -28,6 +31,7 @@
 	errServerError        = errors.New("the target answered with a server error")
 	errUnsigned           = errors.New("the answer lacks the target's signature")
 	errTruncated          = errors.New("the answer broke off")
+	errEventTooLong       = fmt.Errorf("an event exceeds %d bytes", MaxEventBytes)
 	errEventOrder         = errors.New("an event is missing or comes twice")
 	errCallerDisconnected = errors.New("the caller left")
 )
@@ -117,12 +121,12 @@
 }
 
 func readBody(body io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxBufferedBody+1))
+	data, err := io.ReadAll(io.LimitReader(body, MaxBufferedBody+1))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errTruncated, err)
 	}
-	if len(data) > maxBufferedBody {
-		return nil, fmt.Errorf("answer exceeds %d bytes", maxBufferedBody)
+	if len(data) > MaxBufferedBody {
+		return nil, fmt.Errorf("answer exceeds %d bytes", MaxBufferedBody)
 	}
 	return data, nil
 }
@@ -154,8 +158,7 @@
 	for {
 		n, err := resp.Body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
-		complete := bytes.LastIndex(pending, eventEnd) + len(eventEnd)
-		if complete >= len(eventEnd) {
+		if complete := numberedLength(pending); complete > 0 {
 			if !reported {
 				onFirstByte()
 				reported = true
@@ -168,9 +171,12 @@
 			ex.failover.reset(eventIdleTimeout(ex.route.EventGapSLO, ex.relay.longestGap, ex.route.CallerTimeout))
 			pending = append(pending[:0], pending[complete:]...)
 		}
+		if len(pending) > MaxEventBytes {
+			err = errEventTooLong
+		}
 		switch {
-		case errors.Is(err, io.EOF) && len(pending) == 0 && ex.relay.started:
-			return nil
+		case errors.Is(err, io.EOF) && endsWhole(pending, ex.relay.started):
+			return ex.relayEvents(resp, pending)
 		case err != nil:
 			return ex.mayHaveRunError(fmt.Errorf("%w after event %d: %w", errTruncated, ex.relay.lastID, err))
 		case ctx.Err() != nil:
@@ -179,9 +185,6 @@
 	}
 }
 
-// eventEnd ends an event of text/event-stream.
-var eventEnd = []byte("\n\n")
-
 // relayEvents relays complete events.
 func (ex *exchange) relayEvents(resp *Response, events []byte) error {
 	for len(events) > 0 {
