--- a/internal/harness/host.go
+++ b/internal/harness/host.go
@@ -151,6 +151,19 @@
 // open without delivering anything more. New connections work.
 func (n *Host) SilencePeers() { n.peerListener.SilenceConns() }
 
+// Suspend holds all traffic between the host's processes and other hosts and the
+// platform for d, as if the processes did not run. Then everything that was held is
+// delivered. Connections to callers and targets are not affected.
+func (n *Host) Suspend(d time.Duration) {
+	outgoing := n.harness.network.suspension(n.ID)
+	n.peerListener.Suspension.Begin()
+	outgoing.Begin()
+	time.AfterFunc(d, func() {
+		n.peerListener.Suspension.End()
+		outgoing.End()
+	})
+}
+
 // Version returns the lowest configuration version of the host's running
 // processes, or the highest uint64 if none runs.
 func (n *Host) Version() uint64 {
--- a/internal/harness/network.go
+++ b/internal/harness/network.go
@@ -27,6 +27,8 @@
 	// the platform.
 	listeners map[string]tables.HostID
 	links     map[*link]struct{}
+	// suspensions holds the traffic on the connections that a host has opened.
+	suspensions map[tables.HostID]*endpoint.Suspension
 }
 
 // link is an open connection from a host. An empty to means the platform.
@@ -40,6 +42,7 @@
 		partitioned: make(map[tables.HostID]bool),
 		listeners:   make(map[string]tables.HostID),
 		links:       make(map[*link]struct{}),
+		suspensions: make(map[tables.HostID]*endpoint.Suspension),
 	}
 }
 
@@ -103,6 +106,7 @@
 func (n *network) track(inner net.Conn, from tables.HostID, address string) net.Conn {
 	l := &link{from: from}
 	l.conn = endpoint.NewConn(inner, func() { n.untrack(l) })
+	l.conn.Suspension = n.suspension(from)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l.to = n.listeners[address]
@@ -113,6 +117,16 @@
 	return l.conn
 }
 
+// suspension returns the suspension of the connections that a host has opened.
+func (n *network) suspension(host tables.HostID) *endpoint.Suspension {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.suspensions[host] == nil {
+		n.suspensions[host] = &endpoint.Suspension{}
+	}
+	return n.suspensions[host]
+}
+
 func (n *network) untrack(l *link) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/scenario/faults.go
+++ b/internal/scenario/faults.go
@@ -43,11 +43,7 @@
 		return setDown(s.harness.Weights.SetDown, action)
 	}
 	if host, err := s.harness.Host(name); err == nil {
-		if action != "silent" {
-			return errUnknownAction
-		}
-		host.SilencePeers()
-		return nil
+		return setHostFault(host, action, value)
 	}
 	t, err := s.harness.Target(name)
 	if err != nil {
@@ -56,6 +52,18 @@
 	return setTargetFault(t, action, value)
 }
 
+func setHostFault(host *harness.Host, action, value string) error {
+	switch action {
+	case "silent":
+		host.SilencePeers()
+	case "suspend":
+		return setDuration(value, host.Suspend)
+	default:
+		return errUnknownAction
+	}
+	return nil
+}
+
 var errUnknownAction = fmt.Errorf("unknown action")
 
 func setDown(set func(bool), action string) error {
@@ -88,6 +96,7 @@
 	Restart() error
 	CrashOn(substring string)
 	SilenceConns()
+	Suspend(d time.Duration)
 	LoseSends(n int)
 	LoseAnswers(n int)
 	Lost() (sends, answers int)
@@ -149,6 +158,8 @@
 		s.CrashOn(value)
 	case "silent":
 		s.SilenceConns()
+	case "suspend":
+		return setDuration(value, s.Suspend)
 	case "lose-sends":
 		return setNumber(value, s.LoseSends)
 	case "lose-answers":
--- a/internal/standin/endpoint/conn.go
+++ b/internal/standin/endpoint/conn.go
@@ -9,6 +9,8 @@
 // has accepted. Its methods may be called concurrently.
 type Listener struct {
 	net.Listener
+	// Suspension holds all traffic while it lasts. Nothing is lost.
+	Suspension *Suspension
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -16,7 +18,7 @@
 
 // NewListener wraps inner.
 func NewListener(inner net.Listener) *Listener {
-	return &Listener{Listener: inner, conns: make(map[*Conn]struct{})}
+	return &Listener{Listener: inner, Suspension: &Suspension{}, conns: make(map[*Conn]struct{})}
 }
 
 // Accept returns the next connection, wrapped in a Conn.
@@ -27,6 +29,7 @@
 	}
 	var c *Conn
 	c = NewConn(inner, func() { l.remove(c) })
+	c.Suspension = l.Suspension
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = struct{}{}
@@ -52,7 +55,10 @@
 // Conn is a net.Conn that can stop carrying data while it stays open.
 type Conn struct {
 	net.Conn
-	onClose     func()
+	onClose func()
+	// Suspension holds all traffic while it lasts; nil means none. It must be set
+	// before the first use of the connection.
+	Suspension  *Suspension
 	silenceOnce sync.Once
 	closeOnce   sync.Once
 	silenced    chan struct{}
@@ -78,10 +84,18 @@
 	}
 }
 
+// awaitSuspension blocks during the suspension, until Close at the latest.
+func (c *Conn) awaitSuspension() {
+	if c.Suspension != nil {
+		c.Suspension.Await(c.closed)
+	}
+}
+
 // Read reads from the wrapped connection. After Silence it blocks until Close
 // and then returns net.ErrClosed; bytes that have arrived are dropped.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.awaitSuspension()
 	if !c.isSilenced() {
 		return n, err
 	}
@@ -92,6 +106,7 @@
 // Write writes to the wrapped connection. After Silence it drops p and reports
 // success.
 func (c *Conn) Write(p []byte) (int, error) {
+	c.awaitSuspension()
 	if c.isSilenced() {
 		return len(p), nil
 	}
--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -23,6 +23,7 @@
 	address     string
 	server      *http.Server
 	listener    *Listener
+	suspension  *Suspension
 	reservation *reservation
 	closed      bool
 }
@@ -37,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Endpoint{handler: handler, address: reservation.address, reservation: reservation}
+	e := &Endpoint{handler: handler, address: reservation.address, reservation: reservation, suspension: &Suspension{}}
 	if err := e.Up(); err != nil {
 		reservation.release()
 		return nil, err
@@ -72,6 +73,7 @@
 	}
 	e.server = &http.Server{Handler: e.handler, ReadHeaderTimeout: readHeaderTimeout}
 	e.listener = NewListener(l)
+	e.listener.Suspension = e.suspension
 	go serve(e.server, e.listener)
 	return nil
 }
--- a/internal/standin/endpoint/endpoint_test.go
+++ b/internal/standin/endpoint/endpoint_test.go
@@ -4,7 +4,9 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -56,3 +58,28 @@
 		Expect(err).To(HaveOccurred())
 	})
 })
+
+var _ = Describe("Process", func() {
+	It("answers nothing while it is suspended, and then everything that it received", func() {
+		clock := clockwork.NewFakeClock()
+		p := endpoint.NewProcess(endpoint.ProcessOptions{
+			Clock: clock, OnCrash: func() {},
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
+		})
+		address, err := p.Listen("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(p.Close)
+		p.Suspend(time.Second)
+		statuses := make(chan int, 1)
+		go func() {
+			defer GinkgoRecover()
+			resp, err := http.Get("http://" + address)
+			Expect(err).NotTo(HaveOccurred())
+			defer resp.Body.Close()
+			statuses <- resp.StatusCode
+		}()
+		Consistently(statuses).ShouldNot(Receive())
+		clock.Advance(time.Second)
+		Eventually(statuses, "10s").Should(Receive(Equal(http.StatusNoContent)))
+	})
+})
--- a/internal/standin/endpoint/process.go
+++ b/internal/standin/endpoint/process.go
@@ -121,3 +121,20 @@
 		ep.SilenceConns()
 	}
 }
+
+// Suspend stops the process for d, as if it did not run, after which it goes on with
+// all its state. Meanwhile connections stay open and new ones are made, but nothing
+// is read or written. It has no effect before Listen.
+func (p *Process) Suspend(d time.Duration) {
+	if ep := p.currentEndpoint(); ep != nil {
+		ep.suspension.Begin()
+		p.opts.Clock.AfterFunc(d, ep.suspension.End)
+	}
+}
+
+// AwaitSuspension blocks while the process is suspended.
+func (p *Process) AwaitSuspension() {
+	if ep := p.currentEndpoint(); ep != nil {
+		ep.suspension.Await(nil)
+	}
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -197,6 +197,7 @@
 			return
 		}
 		<-e.opts.Clock.After(s.duration)
+		e.AwaitSuspension()
 		if e.endStep(incarnation, s) {
 			e.Crash()
 			return
--- a/internal/standin/plain/service.go
+++ b/internal/standin/plain/service.go
@@ -100,6 +100,7 @@
 	if d := s.opts.delay(operation); d > 0 {
 		<-s.opts.Clock.After(d)
 	}
+	s.AwaitSuspension()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.Incarnation() != incarnation {
