Ask a target twice before a request without a token is cancelled there

What callers saw: a request sent to a sound target that was silent for 3 s ended with ran_failed, status 502, no token, although the target had it and would have completed it.

Cause: after 2 s the dispatcher closes the connection of the send and asks for the stream on a new one. A target that goes on serves both connections at once; if it answers the query first, it does not know the request yet. That was taken as final: the request was cancelled at the target, which had begun it meanwhile.

Change: before the first token, 'unknown dispatch' counts after a second query 200 ms later, in the dispatcher that sent the request and in one that takes it over. After a token one answer suffices: the target has lost its state.

Why it works: the answer to the first query shows that the target runs again, and what it had received before is read within the 200 ms; the tombstone still comes before anything is reported as not run.

--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -27,6 +27,11 @@
 // connection.
 const streamStallTimeout = 2 * time.Second
 
+// unknownDispatchDelay is the time after which a target is asked again about a
+// request that it did not know. A target that was silent may answer the first query
+// before it reads the request, which arrived earlier on another connection.
+const unknownDispatchDelay = 200 * time.Millisecond
+
 // openStream is an answer stream and the function that closes its connection.
 type openStream struct {
 	target.Stream
@@ -184,13 +189,31 @@
 }
 
 // resume continues the stream of a dispatch from a token offset on a new
-// connection.
+// connection. Before the first token it asks twice whether the engine knows the
+// dispatch.
 func (d *Dispatcher) resume(engine target.Engine, id tables.RequestID, offset int) (*openStream, error) {
+	stream, err := d.resumeOnce(engine, id, offset)
+	if offset > 0 || !errors.Is(err, target.ErrNotAdmitted) {
+		return stream, err
+	}
+	d.sleep(unknownDispatchDelay)
+	return d.resumeOnce(engine, id, offset)
+}
+
+func (d *Dispatcher) resumeOnce(engine target.Engine, id tables.RequestID, offset int) (*openStream, error) {
 	return d.open(d.ctx, func(ctx context.Context) (target.Stream, error) {
 		return engine.Resume(ctx, id, offset)
 	})
 }
 
+// sleep waits for a time, or until the dispatcher's context ends.
+func (d *Dispatcher) sleep(t time.Duration) {
+	select {
+	case <-d.Clock.After(t):
+	case <-d.ctx.Done():
+	}
+}
+
 // open opens a stream with dial, which must return within targetTimeout. The
 // stream stays open until its connection is closed.
 func (d *Dispatcher) open(ctx context.Context, dial func(context.Context) (target.Stream, error)) (*openStream, error) {
--- a/internal/dispatcher/resolver.go
+++ b/internal/dispatcher/resolver.go
@@ -157,7 +157,7 @@
 		r.facts.RecordAnswerNotKept(r.j.target)
 	default:
 		r.facts.RecordProgress(r.j.target, progress)
-		r.wait(outcomePollInterval)
+		r.d.sleep(outcomePollInterval)
 	}
 }
 
@@ -165,14 +165,7 @@
 	r.lastErr = err
 	r.crashed = r.crashed || isConnectionRefused(err)
 	r.facts.RecordFailure(r.j.target)
-	r.wait(r.queryBackoff.NextBackOff())
-}
-
-func (r *resolver) wait(d time.Duration) {
-	select {
-	case <-r.d.Clock.After(d):
-	case <-r.d.ctx.Done():
-	}
+	r.d.sleep(r.queryBackoff.NextBackOff())
 }
 
 // finish ends the job with the given kind. It does nothing for None, because the
