Ask a plain service twice before a call that it has not started is given up

What callers saw: a call to a sound plain service that was silent for 3 s was refused as not admitted (503, not run), although the service had the call and would have answered it within its deadline.

Cause: after 2 s without an answer the dispatcher queries the service on a new connection. A service that goes on may answer the query before it reads the call, so 'never started' did not prove that no answer would come on the first connection, which was closed; a tombstone followed.

Change: 'never started' counts after a second query 200 ms later. The specs' document is now one of the fake dependencies, so that a spec can change it; no check changed.

Evidence: the new spec failed before with not_admitted.

Why it works: as for engines, the first answer shows that the service runs again, and it reads what had arrived within the 200 ms. A call that was lost still ends after 2.2 s, by the tombstone.

--- a/internal/dispatcher/fakes_test.go
+++ b/internal/dispatcher/fakes_test.go
@@ -101,14 +101,16 @@
 // fakeDeps implements the dependencies of a dispatcher that owns one engine.
 type fakeDeps struct {
 	engine *fakeEngine
+	plain  target.PlainService
 
 	mu      sync.Mutex
 	crashes []dispatcher.SuspectFingerprint
 	records []peer.Record
+	change  func(*config.Document)
 }
 
 func (d *fakeDeps) Engine(string) target.Engine                           { return d.engine }
-func (d *fakeDeps) Plain(string, tables.ServiceID) target.PlainService    { return nil }
+func (d *fakeDeps) Plain(string, tables.ServiceID) target.PlainService    { return d.plain }
 func (d *fakeDeps) Owner(tables.TargetID, tables.DomainID) tables.HostID  { return "h1" }
 func (d *fakeDeps) TargetState(tables.TargetID) tables.HostState          { return tables.HostLive }
 func (d *fakeDeps) Check(tables.Fingerprint) (refused, mustRunAlone bool) { return false, false }
@@ -143,11 +145,25 @@
 	return append([]dispatcher.SuspectFingerprint(nil), d.crashes...)
 }
 
-func document() *config.Document {
-	return &config.Document{
+// document returns the configuration. change, if it is set, is applied to it.
+func (d *fakeDeps) document() *config.Document {
+	doc := &config.Document{
 		Services: map[string]config.Service{"report": {Kind: config.ModelService, Model: "m"}},
 		Targets:  map[string]config.Target{"e1": {Address: "127.0.0.1:1", Services: []string{"report"}, WindowMax: 1}},
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.change != nil {
+		d.change(doc)
+	}
+	return doc
+}
+
+// configure changes the configuration.
+func (d *fakeDeps) configure(change func(*config.Document)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.change = change
 }
 
 // fakeGate records the notifications that a dispatcher sends to its gate.
--- a/internal/dispatcher/plain.go
+++ b/internal/dispatcher/plain.go
@@ -48,12 +48,21 @@
 }
 
 // mayBeRunning reports whether the service runs the call. If the query fails, it
-// returns true.
+// returns true. It asks again about a call that the service has not started.
 func (d *Dispatcher) mayBeRunning(j *job, service target.PlainService) bool {
+	progress, err := d.queryProgress(j, service)
+	if err == nil && progress == target.NeverStarted {
+		d.sleep(unknownDispatchDelay)
+		progress, err = d.queryProgress(j, service)
+	}
+	return err != nil || progress == target.InProgress
+}
+
+func (d *Dispatcher) queryProgress(j *job, service target.PlainService) (target.Progress, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, targetTimeout)
 	defer cancel()
 	_, progress, err := service.Outcome(ctx, j.msg.ID)
-	return err != nil || progress == target.InProgress
+	return progress, err
 }
 
 func (d *Dispatcher) handleCallResult(j *job, ep endpoint, result callResult) {
--- a/internal/dispatcher/rig_test.go
+++ b/internal/dispatcher/rig_test.go
@@ -12,7 +12,6 @@
 	"go.opentelemetry.io/otel/trace/noop"
 	"go.uber.org/zap"
 
-	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/dispatcher"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -38,7 +37,7 @@
 	clock := clockwork.NewRealClock()
 	r.d = dispatcher.New(ctx, dispatcher.Options{
 		Host: "h1", Clock: clock, Logger: zap.NewNop(), Tracer: noop.NewTracerProvider().Tracer(""),
-		Document:   func() *config.Document { return document() },
+		Document:   r.deps.document,
 		Membership: r.deps, Quarantine: r.deps, Outcomes: r.deps, Targets: r.deps, Observer: r.deps,
 	})
 	done := make(chan struct{})
--- a/internal/dispatcher/silent_test.go
+++ b/internal/dispatcher/silent_test.go
@@ -1,13 +1,18 @@
 package dispatcher_test
 
 import (
+	"context"
 	"io"
+	"net/http"
+	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
 
@@ -51,3 +56,54 @@
 		Expect(resumes).To(Equal([]int{2}))
 	})
 })
+
+// silentService is a plain service that answers the first query before it reads the
+// call.
+type silentService struct {
+	target.PlainService
+	queries atomic.Int64
+	cancels atomic.Int64
+	release chan struct{}
+}
+
+func (s *silentService) Call(ctx context.Context, _ target.Call) (target.Response, error) {
+	select {
+	case <-s.release:
+		return target.Response{Status: http.StatusOK, Body: []byte("{}")}, nil
+	case <-ctx.Done():
+		return target.Response{}, errReset
+	}
+}
+
+func (s *silentService) Outcome(context.Context, tables.RequestID) (target.Response, target.Progress, error) {
+	if s.queries.Add(1) == 1 {
+		return target.Response{}, target.NeverStarted, nil
+	}
+	return target.Response{}, target.InProgress, nil
+}
+
+func (s *silentService) Cancel(context.Context, tables.RequestID) (target.Progress, error) {
+	s.cancels.Add(1)
+	return target.NeverStarted, nil
+}
+
+var _ = Describe("A plain service that was silent and answers a query before the call that it received earlier", func() {
+	It("does not lose the answer of its caller", func() {
+		r := newRig()
+		service := &silentService{release: make(chan struct{})}
+		r.deps.plain = service
+		r.deps.configure(func(doc *config.Document) {
+			doc.Services["desk"] = config.Service{Kind: config.PlainService, Operations: map[string]config.Operation{"confirm": {}}}
+			doc.Targets["p1"] = config.Target{Address: "127.0.0.1:2", Services: []string{"desk"}, WindowMax: 1}
+		})
+		r.d.SyncTargets()
+		Eventually(func() []tables.TargetSummary { return r.d.Summary(r.ctx) }).WithTimeout(timeout).Should(HaveLen(2))
+		r.submitWith(func(m *peer.Submit) {
+			m.Service, m.Operation, m.Plain, m.Allowed = "desk", "confirm", true, []tables.TargetID{"p1"}
+		})
+		Eventually(func() int { return int(service.queries.Load()) + len(r.gate.outcomes()) }).WithTimeout(timeout).Should(BeNumerically(">=", 2))
+		close(service.release)
+		Expect(r.firstOutcome().Kind).To(Equal(errkind.None))
+		Expect(service.cancels.Load()).To(BeZero())
+	})
+})
