Do not close the connection that another request has just made to the same dispatcher

What callers saw: a queued or new request refused as not admitted ('the dispatcher of the request was lost', 503) although its dispatcher ran and held it.

Cause: each request that lost its connection to a dispatcher replaced the gate's connection to it, also when another request had replaced it already. With several requests on one connection each closed the next one's new connection; after two attempts a request went to the targets, where it was cancelled if it was queued.

Change: Pool.Replace closes only the connection that the request lost, and gives all that lost it the same new one.

Why it works: a connection is replaced once for each loss, however many requests used it.

--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -82,6 +82,13 @@
 	})
 }
 
+// currentSource returns the connection of the current attempt.
+func (rs *requestState) currentSource() *peer.Conn {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	return rs.source
+}
+
 // updateFrom applies change if conn is the connection of the current attempt.
 func (rs *requestState) updateFrom(conn *peer.Conn, change func()) {
 	rs.update(func() {
--- a/internal/gate/settle.go
+++ b/internal/gate/settle.go
@@ -68,7 +68,7 @@
 		if !ok {
 			return false
 		}
-		conn, err := g.Peers.Redial(g.ctx, address)
+		conn, err := g.Peers.Replace(g.ctx, address, rs.currentSource())
 		if err != nil {
 			return false
 		}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -77,6 +77,19 @@
 	return p.Get(ctx, address)
 }
 
+// Replace returns a connection to address other than lost, which it closes. Callers
+// that lost the same connection get the same new one. Errors wrap ErrNotSent.
+func (p *Pool) Replace(ctx context.Context, address string, lost *Conn) (*Conn, error) {
+	e := p.entry(address)
+	e.mu.Lock()
+	if e.conn != nil && e.conn == lost {
+		_ = lost.Close()
+		e.conn = nil
+	}
+	e.mu.Unlock()
+	return p.Get(ctx, address)
+}
+
 // Call sends a request to address and waits for the response. Errors wrap ErrNotSent
 // or ErrBroken, or have the kind that the peer returned.
 func (p *Pool) Call(ctx context.Context, address, method string, params, result any) error {
