Fault soak: two software versions, releases, and callers that take up a broken stream

Cause: the soak had one software version, and no caller took up a stream, so it could not see a stream go on at another version than the one that began it.

With any number of versions, a caller whose resumable stream breaks off takes it up at another host, up to two times, with Resumes and Last-Event-Id; the answer must bring just the events that are missing, and the last line of a seed says how many streams went on. The draws of earlier seeds are unchanged: releases and resumptions have generators of their own.

--- a/cmd/bluebell-faultsoak/main.go
+++ b/cmd/bluebell-faultsoak/main.go
@@ -24,7 +24,7 @@
 }
 
 func run() error {
-	hosts, perSecond, seeds := 5, 60, 1
+	hosts, perSecond, seeds, versions := 5, 60, 1, 1
 	var firstSeed uint64 = 1
 	duration := 10 * time.Second
 	logDir := ""
@@ -35,6 +35,7 @@
 	flaggy.UInt64(&firstSeed, "", "seed", "first seed")
 	flaggy.Int(&seeds, "", "seeds", "number of consecutive seeds to run")
 	flaggy.Duration(&duration, "", "duration", "how long new faults are started")
+	flaggy.Int(&versions, "", "versions", "number of software versions of the model targets; with more than one, no stream may hold events of two")
 	flaggy.String(&logDir, "", "logs", "directory for the logs; by default a temporary directory that is deleted at exit")
 	flaggy.Parse()
 
@@ -56,7 +57,7 @@
 	for seed := firstSeed; seed < firstSeed+uint64(seeds) && ctx.Err() == nil; seed++ {
 		o := faultsoak.Options{
 			Binary: binary, Dir: filepath.Join(logDir, fmt.Sprintf("seed-%d", seed)), Hosts: hosts, Seed: seed,
-			FaultDuration: duration, RequestsPerSecond: float64(perSecond), Out: os.Stdout,
+			FaultDuration: duration, RequestsPerSecond: float64(perSecond), Versions: versions, Out: os.Stdout,
 		}
 		report, err := faultsoak.Run(ctx, o)
 		if err != nil {
@@ -66,8 +67,8 @@
 			fmt.Println("VIOLATION", violation)
 		}
 		violations += len(report.Violations)
-		fmt.Printf("seed %d: %d calls, success rate %.3f under faults and %.3f after, %d guarantees violated\n",
-			seed, report.Calls, report.SuccessRate, report.RecoveredSuccessRate, len(report.Violations))
+		fmt.Printf("seed %d: %d calls, success rate %.3f under faults and %.3f after, %d of %d resumed streams went on, %d guarantees violated\n",
+			seed, report.Calls, report.SuccessRate, report.RecoveredSuccessRate, report.WentOn, report.Resumed, len(report.Violations))
 	}
 	if violations > 0 {
 		return fmt.Errorf("%d guarantees violated", violations)
--- a/internal/faultsoak/check.go
+++ b/internal/faultsoak/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/platform/standin"
@@ -18,12 +19,10 @@
 
 // checkCalls compares the responses that callers received with the runs that
 // targets recorded. It returns a line for each call that violated a guarantee.
-func checkCalls(calls []*call, targets []*target) []string {
+func checkCalls(calls []*call, allRuns []standin.Run) []string {
 	runs := make(map[string]int)
-	for _, t := range targets {
-		for _, r := range t.Runs() {
-			runs[r.ID]++
-		}
+	for _, r := range allRuns {
+		runs[r.ID]++
 	}
 	var violations []string
 	for _, c := range calls {
@@ -71,7 +70,7 @@
 // expectedBody returns the body of a complete, successful response to the call.
 func (c *call) expectedBody() string {
 	if c.path == standin.StreamPath || c.path == standin.NonResumablePath {
-		return standin.StreamBody(streamEvents)
+		return strings.TrimPrefix(standin.StreamBody(streamEvents), standin.StreamBody(c.received))
 	}
 	return "answer to " + c.response.ID
 }
--- a/internal/faultsoak/faults.go
+++ b/internal/faultsoak/faults.go
@@ -38,8 +38,12 @@
 	// drillRNG draws the drills. They were added later and leave the other faults of
 	// a seed as they were.
 	drillRNG *rand.Rand
-	log      func(string)
-	active   sync.WaitGroup
+	// releaseRNG draws the releases, which there are if versions is above one.
+	releaseRNG *rand.Rand
+	releases   atomic.Int64
+	versions   int
+	log        func(string)
+	active     sync.WaitGroup
 	// configVersion is the version of the latest configuration that was published.
 	configVersion atomic.Int64
 	// routeExpectedFrom is the time by which all hosts should have applied the
@@ -104,13 +108,16 @@
 	types := faultTypes()
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(i.rng.ExpFloat64() * float64(meanFaultInterval)))
-		fault := types[i.rng.IntN(len(types))]
+		drawn := types[i.rng.IntN(len(types))]
 		duration := time.Duration(i.rng.Int64N(int64(maxFaultDuration)))
-		i.begin(fault, duration)
+		i.begin(drawn, duration)
 		if i.drillRNG.Float64() < drillShare {
 			drills := drillTypes()
 			i.begin(drills[i.drillRNG.IntN(len(drills))], time.Duration(i.drillRNG.Int64N(int64(maxFaultDuration))))
 		}
+		if i.versions > 1 && i.releaseRNG.Float64() < releaseShare {
+			i.begin(fault{"release", releaseTarget}, time.Duration(i.releaseRNG.Int64N(int64(maxFaultDuration))))
+		}
 	}
 	i.active.Wait()
 }
@@ -139,7 +146,7 @@
 	case 1:
 		return h.storeProxy, "store of " + h.name
 	default:
-		t := i.cluster.targets[i.rng.IntN(len(i.cluster.targets))]
+		t := i.cluster.drawTarget(i.rng)
 		return t.proxy, "target " + t.ID
 	}
 }
@@ -196,7 +203,7 @@
 
 // queueTargetFault makes the next request at a random target fail in a random way.
 func queueTargetFault(i *injector) (heal func(), affected string) {
-	t := i.cluster.targets[i.rng.IntN(len(i.cluster.targets))]
+	t := i.cluster.drawTarget(i.rng)
 	kind := standin.Fault(1 + i.rng.IntN(int(standin.MissingSignature)))
 	t.QueueFaults(kind)
 	return func() {}, fmt.Sprintf("%s, kind %d", t.ID, kind)
--- a/internal/faultsoak/load.go
+++ b/internal/faultsoak/load.go
@@ -31,14 +31,22 @@
 	sentAt      time.Time
 	abandoned   bool
 	response    standin.Response
+	// received is the number of events of the stream that the caller had before.
+	received int
+	// resumeAt are the hosts at which the caller takes up the stream if it breaks off.
+	resumeAt []*host
 }
 
 // loadGenerator sends requests to random hosts and records the calls.
 type loadGenerator struct {
 	hosts []*host
+	// resumeRNG draws the hosts at which callers take up streams. It was added later
+	// and leaves the calls of a seed as they were.
+	resumeRNG *rand.Rand
 
 	mu       sync.Mutex
 	calls    []*call
+	streams  []*standin.Stream
 	inFlight sync.WaitGroup
 }
 
@@ -57,6 +65,9 @@
 			c.abandoned = true
 			timeout = time.Duration(rng.IntN(200)) * time.Millisecond
 		}
+		if c.path == standin.StreamPath {
+			c.resumeAt = l.drawOtherHosts(c.host)
+		}
 		l.inFlight.Add(1)
 		go l.send(c, timeout)
 	}
@@ -82,7 +93,15 @@
 	case c.keepAlive:
 		request.Transport = c.host.keepAliveTransport
 	}
+	if c.path == standin.StreamPath {
+		l.stream(ctx, c, request)
+		return
+	}
 	c.response = request.Do(ctx, c.host.frontProxy.address())
+	l.record(c)
+}
+
+func (l *loadGenerator) record(c *call) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls = append(l.calls, c)
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -24,6 +24,9 @@
 	// rate of requests.
 	FaultDuration     time.Duration
 	RequestsPerSecond float64
+	// Versions is the number of software versions of the model targets. With more than
+	// one, releases are drawn, and no stream may hold events of two versions.
+	Versions int
 	// Out receives a log line for each fault.
 	Out io.Writer
 }
@@ -46,15 +49,20 @@
 
 // cluster holds the hosts of a soak and the stand-ins for store and targets.
 type cluster struct {
-	store   *standin.Store
-	targets []*target
-	hosts   []*host
+	store *standin.Store
+	hosts []*host
+
+	mu sync.Mutex
+	// targets has one target for each place. replaced are the targets that had a place
+	// before; they finish their requests.
+	targets, replaced []*target
 }
 
 // target is a stand-in target behind a proxy.
 type target struct {
 	*standin.Target
-	proxy *proxy
+	proxy   *proxy
+	version int
 }
 
 // Result holds the results of a soak.
@@ -65,6 +73,9 @@
 	// SuccessRate is the success rate of all calls of the run. RecoveredSuccessRate is
 	// the success rate of the calls sent after the recovery time.
 	SuccessRate, RecoveredSuccessRate float64
+	// Resumed is the number of streams that broke off and were taken up, WentOn the
+	// number of them that were completed.
+	Resumed, WentOn int
 }
 
 // Run runs a soak with one seed. An error means that the cluster could not be
@@ -89,12 +100,10 @@
 		if i >= modelTargets {
 			t = standin.NewTarget(fmt.Sprintf("p-%d", i), standin.PlainService, "zone-2", 0, plainResponseTime)
 		}
-		address, _ := t.Entry("ready")["address"].(string)
-		p, err := newProxy(address)
+		proxied, err := newTarget(t, i, o.Versions)
 		if err != nil {
 			return c, err
 		}
-		proxied := &target{t, p}
 		c.targets = append(c.targets, proxied)
 		proxied.register(c.store)
 	}
@@ -119,7 +128,7 @@
 	for _, h := range c.hosts {
 		h.close()
 	}
-	for _, t := range c.targets {
+	for _, t := range c.allTargets() {
 		t.proxy.close()
 		t.Close()
 	}
@@ -154,9 +163,9 @@
 		// A failed write to the log does not stop the soak.
 		_, _ = fmt.Fprintf(o.Out, "%7.3f %s\n", time.Since(startedAt).Seconds(), message)
 	}
-	i := &injector{cluster: c, rng: rand.New(rand.NewPCG(o.Seed, 1)), drillRNG: rand.New(rand.NewPCG(o.Seed, 3)), log: logLine}
+	i := &injector{cluster: c, rng: rand.New(rand.NewPCG(o.Seed, 1)), drillRNG: rand.New(rand.NewPCG(o.Seed, 3)), releaseRNG: rand.New(rand.NewPCG(o.Seed, 5)), versions: o.Versions, log: logLine}
 	i.configVersion.Store(1)
-	l := &loadGenerator{hosts: c.hosts}
+	l := &loadGenerator{hosts: c.hosts, resumeRNG: rand.New(rand.NewPCG(o.Seed, 4))}
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	loadFinished := make(chan struct{})
 	go func() {
@@ -178,12 +187,17 @@
 	stopLoad()
 	<-loadFinished
 	time.Sleep(lateRunDelay)
-	return c.evaluate(l.calls, startedAt, faultsEndedAt, i.routeExpectedFrom)
+	r := c.evaluate(l.calls, startedAt, faultsEndedAt, i.routeExpectedFrom)
+	r.Resumed, r.WentOn = countResumed(l.streams)
+	if o.Versions > 1 {
+		r.Violations = append(r.Violations, standin.MixedVersions(l.streams, c.runs())...)
+	}
+	return r
 }
 
 func (c *cluster) evaluate(calls []*call, startedAt, faultsEndedAt, routeExpectedFrom time.Time) Result {
 	r := Result{Calls: len(calls)}
-	r.Violations = append(checkCalls(calls, c.targets), configRegressions(calls)...)
+	r.Violations = append(checkCalls(calls, c.runs()), configRegressions(calls)...)
 	for _, h := range c.hosts {
 		h.mu.Lock()
 		for _, exit := range h.unexpectedExits {
