Long bodies of many requests at once share 32 MiB

Cause: a body is buffered up to 1 MiB before any part is relayed, for each request.

Change: beyond 64 KiB, which is 13 times the longest answer of the users' sites, a body is read only while all buffered bodies together are below 32 MiB. Otherwise the call fails with errBodiesTooLong, a *SendError with MayHaveRun: another target answers if it may, or the caller gets 502. The limit for one body stays 1 MiB; its error is errBodyTooLong now.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	// MaxBufferedBody bounds the size of responses that are buffered before any
-	// part is relayed.
-	MaxBufferedBody = 1 << 20
 	// readBufferSize is the buffer size for reading a stream.
 	readBufferSize = 16 << 10
 	// MaxEventBytes bounds the length of an event of a stream. A target may send bytes
@@ -110,7 +107,7 @@
 // keepServerError buffers a server error, which is relayed unless another
 // target responds.
 func (ex *exchange) keepServerError(resp *Response) error {
-	body, err := readBody(resp.Body)
+	body, err := ex.readBody(resp.Body)
 	if err != nil {
 		return ex.mayHaveRunError(err)
 	}
@@ -120,20 +117,9 @@
 	return ex.mayHaveRunError(errServerError)
 }
 
-func readBody(body io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, MaxBufferedBody+1))
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", errTruncated, err)
-	}
-	if len(data) > MaxBufferedBody {
-		return nil, fmt.Errorf("answer exceeds %d bytes", MaxBufferedBody)
-	}
-	return data, nil
-}
-
 func (ex *exchange) relayBuffered(_ context.Context, resp *Response, onFirstByte func()) error {
 	onFirstByte()
-	body, err := readBody(resp.Body)
+	body, err := ex.readBody(resp.Body)
 	if err != nil {
 		return ex.mayHaveRunError(err)
 	}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -48,6 +49,8 @@
 	Metrics   *observe.EdgeMetrics
 
 	quiet quietTargets
+	// bufferedBytes is the size of all bodies that are buffered now.
+	bufferedBytes atomic.Int64
 }
 
 // maxStartWait bounds how long a request waits for a host that has just
@@ -99,6 +102,8 @@
 	// idle cancels the current call if its target stops sending; nil if the
 	// request may not be sent to another target.
 	idle *idleTimer
+	// bufferedBytes is the share of this request in Server.bufferedBytes.
+	bufferedBytes int64
 }
 
 // Serve processes one request and responds to caller exactly once.
@@ -106,6 +111,7 @@
 	ex := &exchange{server: s, request: r, caller: caller}
 	s.Metrics.AddOpenRequests(1)
 	defer s.Metrics.AddOpenRequests(-1)
+	defer ex.releaseBodies()
 	s.awaitStart(ctx)
 	err := ex.admit()
 	if err == nil {
