--- a/internal/peer/endless_test.go
+++ b/internal/peer/endless_test.go
@@ -119,7 +119,7 @@
 			if err != nil {
 				return
 			}
-			defer conn.Close()
+			defer func() { _ = conn.Close() }()
 			closed <- writeEndlessly(conn)
 		}()
 		p := pool(ctx, key, peer.NewMux())
