--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -22,6 +22,8 @@
 	// Sequence is the number that the instance gave its latest record; zero if it
 	// gives none. It rises while the instance runs.
 	Sequence int64
+	// Version is the version of the target's software; empty if it reports none.
+	Version tables.SoftwareVersion
 }
 
 // Host is one host of the system.
--- a/internal/tables/ids.go
+++ b/internal/tables/ids.go
@@ -25,6 +25,10 @@
 // TargetID identifies a target.
 type TargetID string
 
+// SoftwareVersion is the version of the software that a target runs, as the target
+// reports it. Versions have no order, only equality.
+type SoftwareVersion string
+
 // RequestID identifies a request: "<host>.<UUIDv7>". The host is the home of the
 // request, the host whose gate accepted it. The request ID is also the dispatch ID
 // at targets.
