Log the version of a target and the attempt that a caller takes up

The logs that were collected could not tell whether a stream changed versions: 1311 named neither the version of the target nor where the stream goes on. It now has version, first_attempt and after. The hypotheses differ in these lines: a change of version within one request, or between a request and its first attempt, at a target that started again or at another one.

--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -36,6 +36,9 @@
 	HasTokenCounts                bool
 	// LastEventID is the ID of the last event received by the caller; empty if none.
 	LastEventID string
+	// FirstAttempt is the ID of the request that brought the first event of the stream
+	// that the caller takes up; empty if it names none.
+	FirstAttempt string
 	// Fingerprint is the same for requests with the same content from the same
 	// caller.
 	Fingerprint tables.Fingerprint
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -80,6 +80,7 @@
 	}
 	startedAt := ex.server.Clock.Now()
 	event.SlotGranted.Log(ex.server.Logger, zap.String("request", ex.request.ID), zap.String("target", string(target.ID)),
+		zap.String("version", string(target.Version)), zap.String("first_attempt", ex.request.FirstAttempt), zap.String("after", call.LastEventID),
 		zap.Duration("expected", grant.ExpectedFirstByte), zap.Duration("waited", startedAt.Sub(ex.request.Arrived)), zap.Uint64("config", ex.config.Version))
 	ex.server.Metrics.Sent(string(ex.service))
 	sending, cancel := context.WithCancelCause(ctx)
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -66,7 +66,7 @@
 	QuarantineAdded       = Event{1308, zapcore.WarnLevel, "quarantine added", "Requests with a fingerprint were in flight at two target crashes; all hosts refuse the fingerprint."}
 	QuarantineLifted      = Event{1309, zapcore.InfoLevel, "quarantine lifted", "A quarantine entry expired or was released by an operator."}
 	InvariantFailed       = Event{1310, zapcore.ErrorLevel, "invariant failed", "An internal check failed; report it with the surrounding log."}
-	SlotGranted           = Event{1311, zapcore.InfoLevel, "slot granted", "A request got a slot at a target; expected is the expected time to first byte."}
+	SlotGranted           = Event{1311, zapcore.InfoLevel, "slot granted", "A request got a slot at a target; expected is the expected time to first byte. A stream goes on after the event of the ID after; first_attempt is the request that began it."}
 	SlotRefused           = Event{1312, zapcore.InfoLevel, "slot refused", "A request got no slot; reason, waiting and in_use describe the cause."}
 	SendFailed            = Event{1313, zapcore.WarnLevel, "send failed", "A target did not return a complete answer; the error states whether the request may have run."}
 	LocalFallback         = Event{1314, zapcore.WarnLevel, "local fallback", "No coordinator responds; this host grants slots from its own share of the targets."}
