--- /dev/null
+++ b/internal/systems/origin/registry.go
@@ -0,0 +1,168 @@
+package origin
+
+import (
+	"container/list"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+// Registry holds the version that began each stream: what this host recorded and what
+// it got from other hosts. It is not safe for concurrent use.
+type Registry struct {
+	lifetime time.Duration
+	// entries is ordered by the time of the last use.
+	entries *simplelru.LRU[StreamID, *entry]
+	// recorded holds the entries that this host recorded, ordered by their sequence
+	// number. sequence is the highest one.
+	recorded *list.List
+	sequence int
+	// latest is the latest time passed in.
+	latest time.Time
+}
+
+// entry is what a registry knows of a stream.
+type entry struct {
+	id      StreamID
+	version tables.SoftwareVersion
+	usedAt  time.Time
+	// conflicting is true if another host reported another version.
+	conflicting bool
+	// sequence and recorded are set if this host recorded the entry and no other host
+	// contradicted it. recorded is its place in Registry.recorded.
+	sequence int
+	recorded *list.Element
+}
+
+// NewRegistry returns an empty registry. An entry expires lifetime after its last use,
+// or once maxEntries others were used after it. maxEntries should exceed the number of
+// streams that all hosts begin in a lifetime: a host that lost an entry may believe
+// another host that knows an earlier grant, at another version, of the same stream.
+func NewRegistry(lifetime time.Duration, maxEntries int) *Registry {
+	r := &Registry{lifetime: lifetime, recorded: list.New()}
+	// NewLRU fails only for a size below one.
+	r.entries, _ = simplelru.NewLRU(max(maxEntries, 1), func(_ StreamID, e *entry) { r.removeRecorded(e) })
+	return r
+}
+
+// Record records that this host granted a target of the version to the stream. It
+// replaces what is known of the stream.
+func (r *Registry) Record(now time.Time, id StreamID, version tables.SoftwareVersion) {
+	if id == 0 {
+		return
+	}
+	r.advance(now)
+	e, _ := r.use(id)
+	if e.recorded != nil && e.version == version {
+		return
+	}
+	r.removeRecorded(e)
+	r.sequence++
+	e.version, e.conflicting, e.sequence = version, false, r.sequence
+	e.recorded = r.recorded.PushBack(e)
+}
+
+// Lookup returns the version that began the stream. It returns false if that is
+// unknown, or if hosts reported several versions.
+func (r *Registry) Lookup(now time.Time, id StreamID) (tables.SoftwareVersion, bool) {
+	r.advance(now)
+	if e, known := r.entries.Peek(id); !known || e.conflicting {
+		return "", false
+	}
+	e, _ := r.use(id)
+	return e.version, true
+}
+
+// Forget removes a stream that ended with all its events.
+func (r *Registry) Forget(id StreamID) { r.entries.Remove(id) }
+
+// Since returns the entries that this host recorded after a sequence number, and the
+// sequence number to pass in next time. It returns neither entries from other hosts
+// nor those that another host contradicted.
+func (r *Registry) Since(sequence int) (Batch, int) {
+	b := make(Batch)
+	for element := r.recorded.Back(); element != nil; element = element.Prev() {
+		e := element.Value.(*entry)
+		if e.sequence <= sequence {
+			break
+		}
+		b.add(e.id, e.version)
+	}
+	return b, r.sequence
+}
+
+// All returns the entries of all hosts, without those that are contradicted.
+func (r *Registry) All(now time.Time) Batch {
+	r.advance(now)
+	b := make(Batch)
+	for _, e := range r.entries.Values() {
+		if !e.conflicting {
+			b.add(e.id, e.version)
+		}
+	}
+	return b
+}
+
+// Merge adds the entries of another host. A stream that is known with another version
+// is contradicted: Lookup returns false until it is recorded again.
+func (r *Registry) Merge(now time.Time, b Batch) {
+	r.advance(now)
+	for _, version := range slices.Sorted(maps.Keys(b)) {
+		for id := range streams(b[version]) {
+			if id != 0 {
+				r.merge(id, version)
+			}
+		}
+	}
+}
+
+func (r *Registry) merge(id StreamID, version tables.SoftwareVersion) {
+	e, known := r.use(id)
+	switch {
+	case !known:
+		e.version = version
+	case e.version != version:
+		e.conflicting = true
+		r.removeRecorded(e)
+	}
+}
+
+// Len returns the number of entries, which includes contradicted ones.
+func (r *Registry) Len() int { return r.entries.Len() }
+
+// advance removes the entries that have expired. A time before the latest one counts
+// as the latest one.
+func (r *Registry) advance(now time.Time) {
+	if now.After(r.latest) {
+		r.latest = now
+	}
+	for {
+		_, e, ok := r.entries.GetOldest()
+		if !ok || r.latest.Sub(e.usedAt) < r.lifetime {
+			return
+		}
+		r.entries.RemoveOldest()
+	}
+}
+
+// use returns the entry of a stream as the one used last, and whether it was known.
+func (r *Registry) use(id StreamID) (*entry, bool) {
+	e, known := r.entries.Get(id)
+	if !known {
+		e = &entry{id: id}
+		r.entries.Add(id, e)
+	}
+	e.usedAt = r.latest
+	return e, known
+}
+
+func (r *Registry) removeRecorded(e *entry) {
+	if e.recorded != nil {
+		r.recorded.Remove(e.recorded)
+		e.recorded = nil
+	}
+}
