--- a/internal/systems/allocation/schedule.go
+++ b/internal/systems/allocation/schedule.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
 const (
@@ -42,10 +44,10 @@
 func (sched *Scheduler) scheduleService(now time.Time, s *service, out []Decision) []Decision {
 	slices.SortStableFunc(s.queue, func(a, b *SlotRequest) int { return compareRequests(now, a, b) })
 	free := s.freeTargets(now)
-	var unplaced unplaceable
+	unplaced := make(unplaceable)
 	waiting := s.queue[:0]
 	for _, r := range s.queue {
-		d, decided := sched.decide(now, s, r, free, &unplaced)
+		d, decided := sched.decide(now, s, r, free, unplaced)
 		if decided {
 			out = append(out, d)
 			free = s.filterFree(free)
@@ -74,8 +76,9 @@
 }
 
 // compareRequests orders the queue. Late requests come last. Among the late
-// ones, those retried after the advised wait go first. Further keys are tier, urgency, whether the
-// customer is within its rate, and the time at which the first byte is due.
+// ones, those retried after the advised wait go first. Further keys are tier, urgency,
+// whether the stream has begun, whether the customer is within its rate, and the time at
+// which the first byte is due.
 func compareRequests(now time.Time, a, b *SlotRequest) int {
 	aLate, bLate := a.late(now), b.late(now)
 	switch {
@@ -91,6 +94,10 @@
 		return a.Tier - b.Tier
 	case a.Urgency != b.Urgency:
 		return a.Urgency - b.Urgency
+	case a.Resumed != b.Resumed && a.Resumed:
+		return -1
+	case a.Resumed != b.Resumed:
+		return 1
 	case a.OverRate != b.OverRate && a.OverRate:
 		return 1
 	case a.OverRate != b.OverRate:
@@ -100,33 +107,57 @@
 	}
 }
 
-// unplaceable holds the requests that got no target in this pass: onTime is the
-// last one that was not late, late is the last late one. Requests that are no
-// easier to place (see covers) are skipped without evaluating the targets. This
-// keeps a pass over a long queue cheap.
-type unplaceable struct {
-	onTime, late *SlotRequest
+// unplaceable holds the requests that got no target in this pass, the last one of each
+// class. Requests that are no easier to place (see covers) are skipped without
+// evaluating the targets. This keeps a pass over a long queue cheap.
+type unplaceable map[placementClass]*SlotRequest
+
+// placementClass is what must be equal in requests that covers compares.
+type placementClass struct {
+	late, resumed, bound bool
+	version              tables.SoftwareVersion
+}
+
+func (r *SlotRequest) placementClass(now time.Time) placementClass {
+	c := placementClass{late: r.late(now), resumed: r.Resumed, bound: r.VersionBound}
+	if r.VersionBound {
+		c.version = r.Version
+	}
+	return c
 }
 
-// covers reports whether r is no easier to place than the stored request of its
-// kind: p.late if r is late, otherwise p.onTime. That is so if the prompt of r is
-// at least as long and, for an r that is not late, its first byte is due no later.
-func (p *unplaceable) covers(now time.Time, r *SlotRequest) bool {
-	if r.late(now) {
-		return p.late != nil && r.PromptTokens >= p.late.PromptTokens
+// covers reports whether r is no easier to place than the stored request of its class.
+// That is so if the prompt of r is at least as long and, for an r that is neither late
+// nor resumed, its first byte is due no later. For a resumed or bound r, its event-gap
+// SLO must not be longer either.
+func (p unplaceable) covers(now time.Time, r *SlotRequest) bool {
+	class := r.placementClass(now)
+	stored := p[class]
+	switch {
+	case stored == nil || r.PromptTokens < stored.PromptTokens:
+		return false
+	case (class.resumed || class.bound) && hasLongerEventGap(r, stored):
+		return false
+	default:
+		return class.late || class.resumed || !r.FirstByteDue.After(stored.FirstByteDue)
 	}
-	return p.onTime != nil && r.PromptTokens >= p.onTime.PromptTokens && !r.FirstByteDue.After(p.onTime.FirstByteDue)
 }
 
-func (p *unplaceable) add(now time.Time, r *SlotRequest) {
-	if r.late(now) {
-		p.late = r
+// hasLongerEventGap reports whether a allows longer event gaps than b.
+func hasLongerEventGap(a, b *SlotRequest) bool {
+	return b.EventGapSLO > 0 && (a.EventGapSLO <= 0 || a.EventGapSLO > b.EventGapSLO)
+}
+
+// add stores r. A resumed or bound request that avoids targets says nothing of others.
+func (p unplaceable) add(now time.Time, r *SlotRequest) {
+	class := r.placementClass(now)
+	if (class.resumed || class.bound) && len(r.Avoid) > 0 {
 		return
 	}
-	p.onTime = r
+	p[class] = r
 }
 
-func (sched *Scheduler) decide(now time.Time, s *service, r *SlotRequest, free []*target, unplaced *unplaceable) (Decision, bool) {
+func (sched *Scheduler) decide(now time.Time, s *service, r *SlotRequest, free []*target, unplaced unplaceable) (Decision, bool) {
 	if len(s.targets) == 0 {
 		return Decision{Request: r, Reason: NoTargets, RetryAfter: noTargetsRetryAfter}, true
 	}
@@ -148,23 +179,40 @@
 }
 
 // trimLate refuses late requests from the end of the queue until at most
-// maxLate of them remain.
+// maxLate of them remain. Requests bound to a version without a target do not count:
+// they compete for no slot, and wait until their queue deadline.
 func (sched *Scheduler) trimLate(now time.Time, s *service, out []Decision) []Decision {
-	late := 0
+	excess := -s.maxLate(now)
 	for _, r := range s.queue {
-		if r.late(now) {
-			late++
+		if s.trimmable(now, r) {
+			excess++
 		}
 	}
-	for excess := late - s.maxLate(now); excess > 0; excess-- {
-		last := len(s.queue) - 1
-		out = append(out, sched.refuse(now, s, s.queue[last]))
-		s.queue[last] = nil
-		s.queue = s.queue[:last]
+	for i := len(s.queue) - 1; i >= 0 && excess > 0; i-- {
+		if r := s.queue[i]; s.trimmable(now, r) {
+			out = append(out, sched.refuse(now, s, r))
+			s.queue = slices.Delete(s.queue, i, i+1)
+			excess--
+		}
 	}
 	return out
 }
 
+// trimmable reports whether the request is late and competes for slots.
+func (s *service) trimmable(now time.Time, r *SlotRequest) bool {
+	return r.late(now) && (!r.VersionBound || s.hasVersion(r.Version))
+}
+
+// hasVersion reports whether a target of the version is listed and not leaving.
+func (s *service) hasVersion(version tables.SoftwareVersion) bool {
+	for _, t := range s.targets {
+		if t.Version == version && !t.removed && !t.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // maxLate returns the number of late requests that may be queued.
 func (s *service) maxLate(now time.Time) int {
 	slots := 0
@@ -176,12 +224,16 @@
 	return max(int(maxLatePerSlot*float64(slots)), 1)
 }
 
-// worthGranting reports whether to grant the target now rather than wait. A
+// worthGranting reports whether to grant the target now rather than wait. It always is
+// for a resumed request, whose caller waits in the middle of a stream. For others, a
 // grant is worthwhile if the first byte is expected in time with a margin and
 // the request was not refused before. Otherwise, a grant is worthwhile only if the
 // target has no other prompt to process and one of these holds: the target is idle,
 // the request cannot meet its SLO there, or the request was refused before.
 func (s *service) worthGranting(now time.Time, r *SlotRequest, t *target, expected time.Duration) bool {
+	if r.Resumed {
+		return true
+	}
 	remaining := r.FirstByteDue.Sub(now)
 	if !r.Retried && float64(expected) <= firstByteSLOShare*float64(remaining) {
 		return true
@@ -197,13 +249,13 @@
 
 // bestTarget returns the free target with the lowest expected time to the first
 // byte plus the cost of crossing failure domains. It also returns that expected
-// time. It returns nil if every target is in r.Avoid or would break the
+// time. It returns nil if the request accepts no target or all would break the
 // event-gap SLO of the request.
 func (s *service) bestTarget(now time.Time, r *SlotRequest, free []*target) (*target, time.Duration) {
 	var best *target
 	var bestCost, bestExpected time.Duration
 	for _, t := range free {
-		if slices.Contains(r.Avoid, t.ID) {
+		if !r.accepts(t) {
 			continue
 		}
 		expected := s.expectedFirstByte(now, r, t)
@@ -248,5 +300,5 @@
 	g := &grant{request: r, target: chosen, grantedAt: now, baseline: chosen.slowdown.Unscale(expected)}
 	sched.grants[r.ID] = g
 	chosen.admit(now, g, chosen.slowdown.Scale(s.latency.Prefill(r.PromptTokens)))
-	return Decision{Request: r, Target: chosen.ID, ExpectedFirstByte: now.Add(expected)}
+	return Decision{Request: r, Target: chosen.ID, Version: chosen.Version, ExpectedFirstByte: now.Add(expected)}
 }
--- a/internal/systems/allocation/slot.go
+++ b/internal/systems/allocation/slot.go
@@ -4,6 +4,7 @@
 package allocation
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -45,17 +46,32 @@
 	OverRate bool
 	// Avoid lists targets that already failed the request. They are not granted.
 	Avoid []tables.TargetID
+	// Version is the software version at which the request must be served, if
+	// VersionBound is true. Targets of other versions are not granted.
+	Version      tables.SoftwareVersion
+	VersionBound bool
+	// Resumed is true if the caller already has events of the stream.
+	Resumed bool
 }
 
 // late reports whether the first byte is overdue or the request was refused
-// before.
-func (r *SlotRequest) late(now time.Time) bool { return r.Retried || now.After(r.FirstByteDue) }
+// before. A resumed request is never late: its caller waits in the middle of a stream.
+func (r *SlotRequest) late(now time.Time) bool {
+	return !r.Resumed && (r.Retried || now.After(r.FirstByteDue))
+}
+
+// accepts reports whether the target may be granted to the request.
+func (r *SlotRequest) accepts(t *target) bool {
+	return (!r.VersionBound || t.Version == r.Version) && !slices.Contains(r.Avoid, t.ID)
+}
 
 // Decision is the answer to a slot request: a grant or a refusal.
 type Decision struct {
 	Request *SlotRequest
 	// Target is the granted target; empty if the request is refused.
 	Target tables.TargetID
+	// Version is the software version of the granted target.
+	Version tables.SoftwareVersion
 	// ExpectedFirstByte is the estimated time of the first byte.
 	ExpectedFirstByte time.Time
 	// Reason is set if the request is refused.
