Let a stream go on only at the software version that began it

Cause: the version in a target's entry was not decoded, and a stream that was resumed, within its response or by its caller at another host, went to any target of the service. Change: the coordinator records stream and version with every grant, and sends them in batches of 50 ms to the first 16 hosts while a service has several versions; hosts tell each other all they know when they connect. A resumed stream is granted targets of its version only; one decision (origin.Decide) serves slots, local fallback, retries, resumption within a response and by callers. What nobody knows goes on only while one version has been seen in 30 s and the view is at most 2 s old; otherwise its caller is told 503 (origin_unknown). The store's record of versions, one write at each change, tells a host that starts which versions have just left. The host compares the grant with the version that it knows of the target. Why it works: the coordinator chooses the target, so it knows the version before the first event; every host that can become the coordinator learns it before or soon after; what is lost with all of them is refused, not joined.

--- a/internal/edge/failover.go
+++ b/internal/edge/failover.go
@@ -190,7 +190,7 @@
 	seek := func(ctx context.Context, lastByteAt time.Time) (*heldSlot, error) {
 		need := need
 		if !lastByteAt.IsZero() {
-			need.waitingSince = lastByteAt
+			need.continueStream(lastByteAt, current.target.Version)
 		}
 		slot, err := ex.acquireSlot(ctx, need)
 		ex.logSilence(current.target, slot, err)
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
 const (
@@ -45,6 +46,8 @@
 	events     int
 	// lastID is the ID of the last event sent; zero if none.
 	lastID int64
+	// version is the software version of the target that sent the first event.
+	version tables.SoftwareVersion
 	// mayHaveRun is true if the target of a failed call may have run the
 	// request.
 	mayHaveRun bool
@@ -192,6 +195,7 @@
 	if !ex.relay.started {
 		ex.relay.started = true
 		ex.relay.firstAt = now
+		ex.relay.version = ex.target.Version
 		ex.caller.Begin(resp.Status, resp.Header, resp.Length)
 		ex.server.Metrics.FirstEvent(string(ex.service), now.Sub(ex.request.Arrived))
 	}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -44,6 +44,9 @@
 	Fingerprint tables.Fingerprint
 }
 
+// takesUp reports whether the caller already has events of the stream.
+func (r *Request) takesUp() bool { return r.LastEventID != "" || r.FirstAttempt != "" }
+
 // Caller writes the response to one request. It is not safe for concurrent use.
 type Caller interface {
 	// Begin sends the status and header of a target's response. A negative
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -65,6 +65,7 @@
 // *SendError ends the request.
 func (ex *exchange) send(ctx context.Context, slot *heldSlot) (allocation.Outcome, error) {
 	grant, target := slot.grant, slot.target
+	ex.target = target
 	call := Call{
 		Request:       ex.request,
 		Timeout:       defaultTimeout,
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -99,6 +99,8 @@
 	// tried lists the targets to which the request was sent.
 	tried []tables.TargetID
 	relay relay
+	// target is the target of the latest call.
+	target fleet.Target
 	// failover seeks a slot at another target while the current one is silent; nil if
 	// the request may not be sent to another target. nextSlot is a slot that it found.
 	failover *failover
--- a/internal/edge/slot.go
+++ b/internal/edge/slot.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/fleet"
 	"github.com/bluebellseam/bluebellseam/internal/pool"
 	"github.com/bluebellseam/bluebellseam/internal/systems/allocation"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -37,17 +38,36 @@
 	// waitingSince is when the caller was last sent something, or when its request
 	// arrived.
 	waitingSince time.Time
+	// resumed is true if the caller already has events of the stream.
+	resumed bool
+	// version is the software version that began the stream; nil if this host did not
+	// relay its first event.
+	version *tables.SoftwareVersion
 }
 
 // need returns what the request needs from its next slot while no call is in progress.
 func (ex *exchange) need() slotNeed {
-	n := slotNeed{retry: len(ex.tried) > 0, avoid: slices.Clone(ex.tried), waitingSince: ex.request.Arrived}
+	n := slotNeed{retry: len(ex.tried) > 0, avoid: slices.Clone(ex.tried), waitingSince: ex.request.Arrived, resumed: ex.request.takesUp()}
 	if ex.relay.started {
-		n.waitingSince = ex.relay.latestAt
+		n.continueStream(ex.relay.latestAt, ex.relay.version)
 	}
 	return n
 }
 
+// continueStream makes n the need of a stream of which a target of the version has sent
+// the latest event at a time.
+func (n *slotNeed) continueStream(latestAt time.Time, version tables.SoftwareVersion) {
+	n.waitingSince, n.resumed, n.version = latestAt, true, &version
+}
+
+// mayUse reports whether a slot at a target is of use. The coordinator may know another
+// start of the target than this host, or be of a build that knows no versions.
+func (n *slotNeed) mayUse(g *pool.Grant, t fleet.Target) bool {
+	granted := g.Version == nil || *g.Version == t.Version
+	needed := n.version == nil || *n.version == t.Version
+	return granted && needed
+}
+
 // acquireSlot acquires a slot at a target that this host knows, that is not leaving
 // and that does not want to be left alone.
 func (ex *exchange) acquireSlot(ctx context.Context, need slotNeed) (*heldSlot, error) {
@@ -64,13 +84,13 @@
 			return nil, err
 		}
 		target, known := ex.server.Directory.Target(grant.Target)
-		if known && !target.Leaving && ex.server.quiet.remaining(ex.server.Clock.Now(), target) <= 0 {
+		if known && !target.Leaving && need.mayUse(grant, target) && ex.server.quiet.remaining(ex.server.Clock.Now(), target) <= 0 {
 			return &heldSlot{grant, target}, nil
 		}
 		grant.Release(allocation.Unused, 0)
 		avoided = append(avoided, grant.Target)
 	}
-	return nil, errkind.New(errkind.NoTarget, fmt.Sprintf("places at %v, which are leaving or want no request", avoided))
+	return nil, errkind.New(errkind.NoTarget, fmt.Sprintf("places at %v, which are leaving, want no request or have started again", avoided))
 }
 
 func (ex *exchange) slotRequest(need slotNeed) pool.SlotRequest {
@@ -85,6 +105,10 @@
 		EventGapSLO:     ex.route.EventGapSLO,
 		Fingerprint:     ex.request.Fingerprint,
 		Retry:           need.retry,
+		Resumable:       ex.route.Kind == fleet.Stream && ex.route.Resumable,
+		Resumed:         need.resumed,
+		FirstAttempt:    ex.request.FirstAttempt,
+		Version:         need.version,
 	}
 	remaining := defaultTimeout
 	if !ex.deadline.IsZero() {
--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -93,6 +93,7 @@
 	coordinator *pool.Coordinator
 	fallback    *pool.Coordinator
 	client      *pool.Client
+	origins     *pool.Origins
 	stalls      *stall.Detector
 	front       *http.Server
 	// limiter tracks the connections of callers, which frontListener accepts.
@@ -155,12 +156,14 @@
 	firstSlotRequestID := xxhash.Sum64String(s.Node+p.clock.Now().String()) &^ 0xffffffff
 	p.client = pool.NewClient(p.self, p.links, p.coordinator, p.fallback, firstSlotRequestID, policyOf(s).Quota.Window, p.clock, p.logger)
 	p.client.Register(p.mux)
+	p.origins = pool.NewOrigins(p.clock)
 	p.client.ResumedSince = func(at time.Time) bool { return p.stalls.ResumedSince(at) }
 	p.stalls = stall.New(p.clock, stall.BootTime)
 	p.stalls.OnResume = p.onResume
 	p.state.OnChange = p.onChange
 	p.replicator.OnDetach = p.coordinator.ReleaseHost
-	p.links.OnConnect = func(ctx context.Context, _ fleet.Host, conn *peer.Conn) error { return p.replicator.Attach(ctx, conn) }
+	p.links.OnConnect = p.onConnect
+	p.connectOrigins()
 	return p
 }
 
@@ -192,8 +195,10 @@
 	case watch.Hosts:
 		ranked := owner.SpreadDomains(owner.Ranked(coordinatorRankSeed, p.state.Hosts()), links.MaxLinks)
 		p.links.SetHosts(ranked)
+		p.origins.Import(p.state.Versions())
 		event.HostsChanged.Log(p.logger, zap.Int("hosts", len(ranked)))
 	default:
+		p.origins.Observe(p.state.Targets())
 		estimates := p.client.Estimates()
 		p.coordinator.ReloadTargets(estimates)
 		p.fallback.ReloadTargets(estimates)
@@ -201,6 +206,15 @@
 	}
 }
 
+// onConnect is called after a connection to a host was established.
+func (p *Process) onConnect(ctx context.Context, host fleet.Host, conn *peer.Conn) error {
+	if err := p.replicator.Attach(ctx, conn); err != nil {
+		return err
+	}
+	p.shareOrigins(host.ID, conn)
+	return nil
+}
+
 // onResume is called after the process did not run for a while.
 func (p *Process) onResume(length time.Duration) {
 	event.ProcessResumed.Log(p.logger, zap.Duration("after", length))
--- a/internal/edgenode/run.go
+++ b/internal/edgenode/run.go
@@ -18,6 +18,7 @@
 	go p.links.Run(ctx)
 	go p.replicator.Run(ctx)
 	go p.client.Run(ctx, p.replicator.Broadcast)
+	go p.recordVersions(ctx)
 	go p.awaitCoordinator()
 	p.watcher.Run(ctx)
 }
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -38,6 +38,7 @@
 	Displaced             Kind = "displaced"
 	DeadlineUnmeetable    Kind = "deadline_unmeetable"
 	NoTarget              Kind = "no_target"
+	OriginUnknown         Kind = "origin_unknown"
 	NotConfigured         Kind = "not_configured"
 	ClaimsUnavailable     Kind = "claims_unavailable"
 	ShuttingDown          Kind = "shutting_down"
@@ -111,6 +112,7 @@
 	Displaced:             {http.StatusServiceUnavailable, RanNo, longRetryAfter, "A request of a higher tier took the place in the queue."},
 	DeadlineUnmeetable:    {http.StatusServiceUnavailable, RanNo, longRetryAfter, "The answer could not have been finished before its deadline."},
 	NoTarget:              {http.StatusServiceUnavailable, RanNo, longRetryAfter, "No live target serves this service now."},
+	OriginUnknown:         {http.StatusServiceUnavailable, RanNo, shortRetryAfter, "The stream goes on only at the software version that began it, which no host knows."},
 	NotConfigured:         {http.StatusServiceUnavailable, RanNo, shortRetryAfter, "The host has not yet read the configuration."},
 	ClaimsUnavailable:     {http.StatusServiceUnavailable, RanNo, longRetryAfter, "The log cannot record the Idempotency-Key now."},
 	ShuttingDown:          {http.StatusServiceUnavailable, RanNo, shortRetryAfter, "The host is shutting down; another host takes the request."},
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -268,6 +269,13 @@
 	return len(l.ranked)
 }
 
+// AmongFirst reports whether a host is one of the n highest-ranked ones.
+func (l *Links) AmongFirst(id tables.HostID, n int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.ContainsFunc(l.ranked[:min(n, len(l.ranked))], func(h fleet.Host) bool { return h.ID == id })
+}
+
 // HostCount returns the number of hosts, at least 1.
 func (l *Links) HostCount() int {
 	l.mu.Lock()
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -14,6 +14,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/links"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/systems/allocation"
+	"github.com/bluebellseam/bluebellseam/internal/systems/origin"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -41,6 +42,8 @@
 	fallback    *Coordinator
 	clock       clockwork.Clock
 	logger      *zap.Logger
+	// Origins may be nil. The coordinators of this host use the same.
+	Origins *Origins
 	// ResumedSince reports whether this process has been stalled and has resumed at
 	// the given time or later. It may be nil.
 	ResumedSince func(time.Time) bool
@@ -82,6 +85,23 @@
 	Avoid []tables.TargetID
 	// Retry is true if the request has already been sent to a target.
 	Retry bool
+	// Resumable is true for a stream that may go on at another target, but only at one
+	// of the software version that began it.
+	Resumable bool
+	// Resumed is true if the caller already has events of the stream.
+	Resumed bool
+	// FirstAttempt is the ID of the request that began the stream; empty if that is the
+	// request itself.
+	FirstAttempt string
+	// Version is the software version that began the stream; nil if the sender does not
+	// know it.
+	Version *tables.SoftwareVersion
+}
+
+// stream returns the stream that the request is part of; zero if it is not part of a
+// resumable stream.
+func (r SlotRequest) stream() origin.StreamID {
+	return streamOf(r.Resumable, r.FirstAttempt, r.Request)
 }
 
 // NewClient returns a client. It uses coordinator while this host is the
@@ -122,6 +142,18 @@
 		c.setEstimates(estimates)
 		return struct{}{}, nil
 	})
+	peer.Handle(mux, MethodOrigins, func(_ context.Context, _ *peer.Conn, batch origin.Batch) (struct{}, error) {
+		c.Origins.Merge(batch)
+		return struct{}{}, nil
+	})
+}
+
+// ShareOrigins sends all that this host knows of the versions that began streams to
+// the host at the other end of conn, if a service has several versions.
+func (c *Client) ShareOrigins(conn *peer.Conn) {
+	if batch := c.Origins.All(); len(batch) > 0 {
+		conn.NotifyAsync(MethodOrigins, batch)
+	}
 }
 
 func cancelWhenDone(ctx context.Context, cancel context.CancelFunc, conn *peer.Conn) {
@@ -179,6 +211,9 @@
 		return nil, err
 	}
 	m := c.newMessage(r)
+	if version, known := c.Origins.lookup(r.stream()); known && r.Resumed && r.Version == nil {
+		m.Version = &version
+	}
 	for _, live := range c.links.LiveHosts() {
 		g, err := c.acquireFrom(ctx, live, m)
 		if err == nil || !peer.IsBroken(err) {
@@ -208,6 +243,7 @@
 		PromptTokens: r.PromptTokens, QuotaTokens: r.QuotaTokens,
 		FirstByteBudgetMS: r.FirstByteBudget.Milliseconds(), EventGapSLOMS: r.EventGapSLO.Milliseconds(),
 		MaxWaitMS: r.MaxWait.Milliseconds(), Avoid: r.Avoid, Fingerprint: r.Fingerprint, Retry: r.Retry,
+		Resumable: r.Resumable, Resumed: r.Resumed, FirstAttempt: r.FirstAttempt, Version: r.Version,
 	}
 }
 
--- a/internal/pool/coordinator.go
+++ b/internal/pool/coordinator.go
@@ -13,6 +13,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
 	"github.com/bluebellseam/bluebellseam/internal/systems/allocation"
+	"github.com/bluebellseam/bluebellseam/internal/systems/origin"
 	"github.com/bluebellseam/bluebellseam/internal/systems/quota"
 	"github.com/bluebellseam/bluebellseam/internal/systems/retry"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -53,6 +54,8 @@
 	// slotDivisor returns the number of hosts among which each target's slots
 	// are divided.
 	slotDivisor func() int
+	// Origins may be nil.
+	Origins *Origins
 
 	mu        sync.Mutex
 	scheduler *allocation.Scheduler
@@ -87,6 +90,7 @@
 type charge struct {
 	quota.Charge
 	fingerprint tables.Fingerprint
+	stream      origin.StreamID
 }
 
 // NewCoordinator returns a coordinator. share returns the fraction of quotas
@@ -136,12 +140,12 @@
 }
 
 // Acquire blocks until a slot is granted or refused. Errors have the kind
-// CustomerLimit, Overloaded, NoTarget, RetryBudget, Quarantined or
+// CustomerLimit, Overloaded, NoTarget, OriginUnknown, RetryBudget, Quarantined or
 // CancelledBeforeRun.
 func (c *Coordinator) Acquire(ctx context.Context, m slotRequestMessage) (grantMessage, error) {
 	w, err := c.enqueue(m)
-	for err != nil && c.quotaMayRecover(err) && m.MaxWaitMS > 0 {
-		if !c.waitForUsage(ctx, &m) {
+	for err != nil && c.mayRecover(err) && m.MaxWaitMS > 0 {
+		if !c.waitForReports(ctx, &m) {
 			return grantMessage{}, c.cancel(m)
 		}
 		w, err = c.enqueue(m)
@@ -167,6 +171,10 @@
 	if c.crashes.ShouldRefuse(now, m.Fingerprint) {
 		return nil, errkind.New(errkind.Quarantined, fmt.Sprintf("request %q has the content of requests under which several targets broke off", m.Request))
 	}
+	bound := c.Origins.constraint(m)
+	if bound.Kind == origin.Unknown {
+		return nil, errkind.New(errkind.OriginUnknown, fmt.Sprintf("request %q resumes a stream of request %q", m.Request, m.FirstAttempt))
+	}
 	limit := c.quotaOf(m.Customer)
 	quotaCharge, wait := c.buckets.Take(now, m.Customer, limit, share, m.QuotaTokens)
 	if wait > 0 {
@@ -181,10 +189,11 @@
 	if !m.Retry {
 		c.retries.RecordRequest(now, m.Service)
 	}
-	c.charges[m.ID] = charge{quotaCharge, m.Fingerprint}
+	c.charges[m.ID] = charge{quotaCharge, m.Fingerprint, m.stream()}
 	w := &waiter{request: m, done: make(chan allocation.Decision, 1)}
 	c.waiting[m.ID] = w
 	request := m.toSlotRequest(now)
+	request.Version, request.VersionBound = bound.Binding()
 	request.Retried, request.RetriedAsAdvised = c.refusals.CheckRetry(now, m.Fingerprint)
 	request.OverRate = c.buckets.OverRate(m.Customer)
 	c.scheduler.Enqueue(request)
@@ -205,6 +214,7 @@
 		Tier: m.Tier, Urgency: m.Urgency, PromptTokens: m.PromptTokens,
 		ArrivedAt: now, FirstByteDue: now.Add(fromMS(float64(m.FirstByteBudgetMS))),
 		EventGapSLO: fromMS(float64(m.EventGapSLOMS)), QueueDeadline: now.Add(fromMS(float64(m.MaxWaitMS))), Avoid: m.Avoid,
+		Resumed: m.Resumed,
 	}
 }
 
@@ -228,7 +238,7 @@
 	for _, d := range c.scheduler.Schedule(c.lastPass) {
 		if w := c.waiting[d.Request.ID]; w != nil {
 			delete(c.waiting, d.Request.ID)
-			c.markChargeSent(d)
+			c.recordGrant(w, d)
 			w.done <- d
 		}
 	}
@@ -237,11 +247,20 @@
 	}
 }
 
+// recordGrant records a decision if it is a grant. The lock must be held.
+func (c *Coordinator) recordGrant(w *waiter, d allocation.Decision) {
+	if d.Target == "" {
+		return
+	}
+	c.markChargeSent(d)
+	c.Origins.recordGrant(w.request.stream(), d.Version)
+}
+
 // markChargeSent moves the quota charge of a granted request to the time of the
 // current pass. The lock must be held.
 func (c *Coordinator) markChargeSent(d allocation.Decision) {
 	entry, ok := c.charges[d.Request.ID]
-	if !ok || d.Target == "" {
+	if !ok {
 		return
 	}
 	entry.Charge = c.buckets.MarkSent(c.lastPass, entry.Charge)
@@ -272,7 +291,7 @@
 
 func (c *Coordinator) respond(m slotRequestMessage, d allocation.Decision) (grantMessage, error) {
 	if d.Target != "" {
-		return grantMessage{Target: d.Target, ExpectedMS: d.ExpectedFirstByte.Sub(c.clock.Now()).Milliseconds()}, nil
+		return grantMessage{Target: d.Target, Version: &d.Version, ExpectedMS: d.ExpectedFirstByte.Sub(c.clock.Now()).Milliseconds()}, nil
 	}
 	c.mu.Lock()
 	c.refund(m.ID)
@@ -349,12 +368,13 @@
 // recordOutcome reports a completed request or a lost connection to the crash
 // detector, under the request's fingerprint. The lock must be held.
 func (c *Coordinator) recordOutcome(now time.Time, e releaseReport) {
-	fingerprint := c.charges[e.ID].fingerprint
+	entry := c.charges[e.ID]
 	switch e.Outcome {
 	case allocation.ConnectionLost:
-		c.crashes.RecordConnectionLoss(now, fingerprint, c.scheduler.TargetOf(e.ID))
+		c.crashes.RecordConnectionLoss(now, entry.fingerprint, c.scheduler.TargetOf(e.ID))
 	case allocation.Succeeded:
-		c.crashes.RecordCompletion(fingerprint)
+		c.crashes.RecordCompletion(entry.fingerprint)
+		c.Origins.end(entry.stream)
 	}
 }
 
--- a/internal/pool/coordinator_test.go
+++ b/internal/pool/coordinator_test.go
@@ -145,7 +145,7 @@
 		}()
 		Consistently(done, 20*time.Millisecond).ShouldNot(Receive())
 		for range 200 {
-			clock.Advance(quotaRetryInterval)
+			clock.Advance(reportRetryInterval)
 			if len(done) > 0 {
 				break
 			}
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -5,6 +5,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/links"
 	"github.com/bluebellseam/bluebellseam/internal/systems/allocation"
+	"github.com/bluebellseam/bluebellseam/internal/systems/origin"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -14,14 +15,19 @@
 	Target tables.TargetID
 	// ExpectedFirstByte is the expected time from the grant to the first byte.
 	ExpectedFirstByte time.Duration
-	client            *Client
-	id                allocation.ID
-	service           tables.ServiceID
+	// Version is the software version of the target; nil if the coordinator did not
+	// tell it.
+	Version *tables.SoftwareVersion
+	client  *Client
+	id      allocation.ID
+	service tables.ServiceID
 	// coordinator is the local coordinator or fallback that granted the slot;
 	// nil if another host did.
 	coordinator   *Coordinator
 	coordinatorID tables.HostID
 	released      bool
+	// stream is the stream for which the slot is; zero if it is not resumable.
+	stream origin.StreamID
 }
 
 func (c *Client) newGrant(r SlotRequest, m slotRequestMessage, live links.LiveHost, g grantMessage, err error) (*Grant, error) {
@@ -29,7 +35,10 @@
 		c.cacheQuotaRefusal(r, err)
 		return nil, err
 	}
-	grant := &Grant{Target: g.Target, ExpectedFirstByte: fromMS(float64(g.ExpectedMS)), client: c, id: m.ID, service: m.Service, coordinatorID: live.Host.ID}
+	grant := &Grant{Target: g.Target, ExpectedFirstByte: fromMS(float64(g.ExpectedMS)), client: c, id: m.ID, service: m.Service, coordinatorID: live.Host.ID, Version: g.Version, stream: m.stream()}
+	if g.Version != nil {
+		c.Origins.note(grant.stream, *g.Version)
+	}
 	switch live.Host.ID {
 	case "":
 		grant.coordinator = c.fallback
@@ -64,6 +73,9 @@
 	c.mu.Lock()
 	delete(c.open, g.id)
 	c.mu.Unlock()
+	if outcome == allocation.Succeeded {
+		c.Origins.end(g.stream)
+	}
 	r := releaseReport{ID: g.id, Service: g.service, Outcome: outcome, MeanEventGapMS: toMS(meanGap)}
 	if g.coordinator != nil {
 		g.coordinator.Report(reportMessage{Releases: []releaseReport{r}})
--- a/internal/pool/messages.go
+++ b/internal/pool/messages.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/systems/allocation"
+	"github.com/bluebellseam/bluebellseam/internal/systems/origin"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -19,6 +20,8 @@
 	// methodEstimates carries allocation.Estimates from the coordinator to the
 	// other hosts, any of which may become the next coordinator.
 	methodEstimates = "pool.learned"
+	// MethodOrigins carries an origin.Batch between hosts.
+	MethodOrigins = "pool.origins"
 )
 
 // slotRequestMessage requests a slot. Times are durations in milliseconds
@@ -46,6 +49,30 @@
 	Fingerprint tables.Fingerprint `json:"f,omitempty"`
 	// Retry is true if the request has already been sent to a target.
 	Retry bool `json:"r,omitempty"`
+	// Resumable, Resumed, FirstAttempt and Version are those of SlotRequest.
+	Resumable    bool                    `json:"rb,omitempty"`
+	Resumed      bool                    `json:"rs,omitempty"`
+	FirstAttempt string                  `json:"fa,omitempty"`
+	Version      *tables.SoftwareVersion `json:"v,omitempty"`
+}
+
+// stream returns the stream that the request is part of; zero if it is not part of a
+// resumable stream.
+func (m slotRequestMessage) stream() origin.StreamID {
+	return streamOf(m.Resumable, m.FirstAttempt, m.Request)
+}
+
+// streamOf returns the stream that a request is part of. firstAttempt is the request
+// that began it; empty if that is the request itself.
+func streamOf(resumable bool, firstAttempt, request string) origin.StreamID {
+	switch {
+	case !resumable:
+		return 0
+	case firstAttempt != "":
+		return origin.StreamIDOf(firstAttempt)
+	default:
+		return origin.StreamIDOf(request)
+	}
 }
 
 // grantMessage is the answer to a granted slot request.
@@ -53,6 +80,8 @@
 	Target tables.TargetID `json:"t"`
 	// ExpectedMS is the expected time from the grant to the first byte.
 	ExpectedMS int64 `json:"e"`
+	// Version is the software version of the target; nil from the build before it.
+	Version *tables.SoftwareVersion `json:"v,omitempty"`
 }
 
 // reportMessage carries first bytes and releases of grants.
--- /dev/null
+++ b/internal/pool/origins.go
@@ -0,0 +1,234 @@
+package pool
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/bluebellseam/bluebellseam/internal/fleet"
+	"github.com/bluebellseam/bluebellseam/internal/systems/origin"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+const (
+	// originLifetime is how long the version that began a stream is kept after the
+	// last use. It exceeds the time in which a caller takes up a stream again.
+	originLifetime = time.Minute
+	// endedOriginLifetime is how long it is kept after the stream has ended: the end
+	// may not have reached the caller.
+	endedOriginLifetime = 5 * time.Second
+	// maxOrigins bounds the number of streams that are kept.
+	maxOrigins = 1 << 16
+	// versionWindow is how long a version counts as present after its last target has
+	// left. It exceeds the time from the begin of a stream to its last resumption.
+	versionWindow = 30 * time.Second
+	// originDelay is how long an entry is delayed so that further ones can be sent in
+	// the same message. It is shorter than the usual time to the first event.
+	originDelay = 50 * time.Millisecond
+)
+
+// Origins holds what this host knows of the software versions that began the streams,
+// and of the versions that the services have. It is safe for concurrent use. A nil
+// Origins knows and keeps nothing.
+type Origins struct {
+	clock clockwork.Clock
+	// Fresh reports whether the targets that this host knows are up to date.
+	Fresh func() bool
+	// Send sends entries to other hosts. It may be nil.
+	Send func(origin.Batch)
+
+	mu       sync.Mutex
+	registry *origin.Registry
+	seen     *origin.Seen
+	// sentSequence is the sequence number up to which entries were sent. While sending
+	// is true, a timer sends further ones.
+	sentSequence int
+	sending      bool
+	// ended lists the streams that have ended, the earliest first.
+	ended []endedStream
+	// mixed is true if a service had several versions at the last Observe or Import.
+	mixed bool
+	// imported holds the versions of the last Import.
+	imported map[tables.ServiceID][]tables.SoftwareVersion
+}
+
+type endedStream struct {
+	id origin.StreamID
+	at time.Time
+}
+
+// NewOrigins returns Origins without entries.
+func NewOrigins(clock clockwork.Clock) *Origins {
+	return &Origins{
+		clock:    clock,
+		Fresh:    func() bool { return true },
+		registry: origin.NewRegistry(originLifetime, maxOrigins),
+		seen:     origin.NewSeen(versionWindow),
+	}
+}
+
+// Observe records the targets that this host knows.
+func (o *Origins) Observe(targets []fleet.Target) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.clock.Now()
+	o.seen.Observe(now, targets)
+	o.updateMixed(now)
+}
+
+// Import records the versions that services had lately according to the store. Those
+// that were not imported before count as present now.
+func (o *Origins) Import(versions map[tables.ServiceID][]tables.SoftwareVersion) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.clock.Now()
+	for service, names := range versions {
+		added := slices.DeleteFunc(slices.Clone(names), func(v tables.SoftwareVersion) bool { return slices.Contains(o.imported[service], v) })
+		o.seen.Import(now, service, added)
+	}
+	o.imported = versions
+	o.updateMixed(now)
+}
+
+// updateMixed finds out whether a service has several versions, and sends all entries
+// once that has begun. The lock must be held.
+func (o *Origins) updateMixed(now time.Time) {
+	before := o.mixed
+	o.mixed = slices.ContainsFunc(o.seen.Services(), func(id tables.ServiceID) bool { return len(o.seen.Versions(now, id)) > 1 })
+	if o.mixed && !before {
+		o.sendLater()
+	}
+}
+
+// Versions returns the versions that each service has or had lately.
+func (o *Origins) Versions() map[tables.ServiceID][]tables.SoftwareVersion {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make(map[tables.ServiceID][]tables.SoftwareVersion)
+	now := o.clock.Now()
+	for _, id := range o.seen.Services() {
+		if versions := o.seen.Versions(now, id); len(versions) > 0 {
+			out[id] = versions
+		}
+	}
+	return out
+}
+
+// lookup returns the version that began a stream, if that is known.
+func (o *Origins) lookup(id origin.StreamID) (tables.SoftwareVersion, bool) {
+	if o == nil || id == 0 {
+		return "", false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.registry.Lookup(o.clock.Now(), id)
+}
+
+// constraint returns at which versions the request of a message may run.
+func (o *Origins) constraint(m slotRequestMessage) origin.Constraint {
+	if o == nil || !m.Resumable {
+		return origin.Constraint{Kind: origin.AnyVersion}
+	}
+	q := origin.Question{Resumed: m.Resumed}
+	if m.Version != nil {
+		q.Known, q.Version = true, *m.Version
+	} else {
+		q.Version, q.Known = o.lookup(m.stream())
+	}
+	q.ViewFresh = o.Fresh()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	q.Seen = o.seen.Versions(o.clock.Now(), m.Service)
+	return origin.Decide(q)
+}
+
+// note records that this host has a slot for a stream.
+func (o *Origins) note(id origin.StreamID, version tables.SoftwareVersion) {
+	if o == nil || id == 0 {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.clock.Now()
+	o.forgetEnded(now)
+	o.registry.Record(now, id, version)
+}
+
+// recordGrant records that this host granted a slot to a stream, and sends that to the
+// other hosts if a service has several versions.
+func (o *Origins) recordGrant(id origin.StreamID, version tables.SoftwareVersion) {
+	if o == nil || id == 0 {
+		return
+	}
+	o.note(id, version)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.mixed {
+		o.sendLater()
+	}
+}
+
+// end records that a stream has ended with all its events.
+func (o *Origins) end(id origin.StreamID) {
+	if o == nil || id == 0 {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ended = append(o.ended, endedStream{id, o.clock.Now()})
+}
+
+// forgetEnded forgets the streams that ended endedOriginLifetime ago. The lock must be
+// held.
+func (o *Origins) forgetEnded(now time.Time) {
+	for len(o.ended) > 0 && now.Sub(o.ended[0].at) >= endedOriginLifetime {
+		o.registry.Forget(o.ended[0].id)
+		o.ended = o.ended[1:]
+	}
+}
+
+// sendLater sends the entries that were not sent after originDelay. The lock must be
+// held.
+func (o *Origins) sendLater() {
+	if o.sending || o.Send == nil {
+		return
+	}
+	o.sending = true
+	o.clock.AfterFunc(originDelay, o.sendNew)
+}
+
+func (o *Origins) sendNew() {
+	o.mu.Lock()
+	o.sending = false
+	o.updateMixed(o.clock.Now())
+	if !o.mixed {
+		o.mu.Unlock()
+		return
+	}
+	batch, sequence := o.registry.Since(o.sentSequence)
+	o.sentSequence = sequence
+	o.mu.Unlock()
+	if len(batch) > 0 {
+		o.Send(batch)
+	}
+}
+
+// Merge adds the entries of another host.
+func (o *Origins) Merge(batch origin.Batch) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.registry.Merge(o.clock.Now(), batch)
+}
+
+// All returns all entries if a service has several versions, otherwise nil: without
+// them nobody needs to know.
+func (o *Origins) All() origin.Batch {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.mixed {
+		return nil
+	}
+	return o.registry.All(o.clock.Now())
+}
--- a/internal/pool/takeover.go
+++ b/internal/pool/takeover.go
@@ -85,30 +85,32 @@
 
 const (
 	// takeoverGrace is the time after a takeover during which a quota may look
-	// exhausted only because hosts have not yet reported their usage.
+	// exhausted, or the origin of a stream unknown, only because hosts have not yet
+	// reported what they know.
 	takeoverGrace = time.Second
-	// quotaRetryInterval is the time between attempts to charge a quota during
+	// reportRetryInterval is the time between attempts to admit a request during
 	// takeoverGrace.
-	quotaRetryInterval = 20 * time.Millisecond
+	reportRetryInterval = 20 * time.Millisecond
 )
 
-// quotaMayRecover reports whether err is a quota refusal during takeoverGrace.
-// A later attempt may succeed once more hosts have reported their usage.
-func (c *Coordinator) quotaMayRecover(err error) bool {
+// mayRecover reports whether err is a refusal during takeoverGrace for what the hosts
+// are still to report: the usage of quotas, or the versions that began streams.
+func (c *Coordinator) mayRecover(err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return errkind.Of(err) == errkind.CustomerLimit && c.clock.Now().Sub(c.takeoverAt) < takeoverGrace
+	kind := errkind.Of(err)
+	return (kind == errkind.CustomerLimit || kind == errkind.OriginUnknown) && c.clock.Now().Sub(c.takeoverAt) < takeoverGrace
 }
 
-// waitForUsage waits for quotaRetryInterval and subtracts it from the time
+// waitForReports waits for reportRetryInterval and subtracts it from the time
 // limits of m. It returns false if ctx ends first.
-func (c *Coordinator) waitForUsage(ctx context.Context, m *slotRequestMessage) bool {
+func (c *Coordinator) waitForReports(ctx context.Context, m *slotRequestMessage) bool {
 	select {
-	case <-c.clock.After(quotaRetryInterval):
+	case <-c.clock.After(reportRetryInterval):
 	case <-ctx.Done():
 		return false
 	}
-	m.FirstByteBudgetMS -= quotaRetryInterval.Milliseconds()
-	m.MaxWaitMS -= quotaRetryInterval.Milliseconds()
+	m.FirstByteBudgetMS -= reportRetryInterval.Milliseconds()
+	m.MaxWaitMS -= reportRetryInterval.Milliseconds()
 	return true
 }
--- a/internal/watch/replicator.go
+++ b/internal/watch/replicator.go
@@ -70,6 +70,8 @@
 	// OnDetach is called when the last connection of a host has closed. It may
 	// be nil.
 	OnDetach func(tables.HostID)
+	// OnAttach is called when a host has attached. It may be nil.
+	OnAttach func(tables.HostID, *peer.Conn)
 
 	mu       sync.Mutex
 	attached map[*peer.Conn]*subscriber
@@ -151,6 +153,9 @@
 	if !again {
 		go r.awaitClose(conn)
 	}
+	if r.OnAttach != nil {
+		r.OnAttach(a.Host.ID, conn)
+	}
 	if a.Marks == nil {
 		update.Ends = endsOf(snapshot)
 		return update, nil
@@ -241,11 +246,18 @@
 
 // Broadcast sends a notification to every attached host.
 func (r *Replicator) Broadcast(method string, params any) {
+	r.BroadcastTo(func(tables.HostID) bool { return true }, method, params)
+}
+
+// BroadcastTo sends a notification to the attached hosts for which wanted returns true.
+func (r *Replicator) BroadcastTo(wanted func(tables.HostID) bool, method string, params any) {
 	message := encoded(params)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for conn := range r.attached {
-		conn.NotifyAsync(method, message)
+	for conn, sub := range r.attached {
+		if wanted(sub.host) {
+			conn.NotifyAsync(method, message)
+		}
 	}
 }
 
--- a/internal/watch/state.go
+++ b/internal/watch/state.go
@@ -29,6 +29,8 @@
 	hosts   map[tables.HostID]fleet.Host
 	// departures holds what is known of targets that left.
 	departures map[tables.TargetID]appliedDeparture
+	// versions are the software versions that the store's record of them lists.
+	versions ServiceVersions
 }
 
 // NewState returns an empty state.
@@ -102,6 +104,9 @@
 	return s.config != nil && s.streams[Targets].mark.End >= 0
 }
 
+// Read reports whether a stream has been read.
+func (s *State) Read(name Stream) bool { return s.Mark(name).End != unread }
+
 // Mark returns up to where a stream has been applied.
 func (s *State) Mark(name Stream) Mark {
 	s.mu.Lock()
@@ -127,6 +132,9 @@
 	case Targets:
 		return s.updateTarget(now, r)
 	case Hosts:
+		if r.Key == versionsKey {
+			return s.updateVersions(r)
+		}
 		return s.updateHost(now, r)
 	default:
 		return false
