Do not ping a new connection before its peer has answered the greeting

What callers saw: beside a host whose processes did not run for 1.4 s, a queued request was refused as not admitted ('the dispatcher of the request was lost', 503), and a call with a key as claims_unavailable ('the home of the key did not answer').

Cause: the Hello of a new connection marked it as in use, so that it was pinged after 500 ms. A peer that goes on serves Hello and ping at once; a ping that is served first is refused as unauthenticated, which closed the connection. The dial failed although the peer answered within the 2 s that a Hello may take.

Change: the Hello does not mark the connection as in use; its own limit of 2 s stays.

Why it works: there is nothing to probe before the greeting, whose limit is as long as that of a ping.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -152,6 +152,15 @@
 	return nil
 }
 
+// greet sends the Hello and waits for the reply. It does not mark the connection as in
+// use, because the peer would refuse a probe that overtakes the Hello.
+func (c *Conn) greet(ctx context.Context, hello Hello) error {
+	if err := c.rpc.Call(ctx, MethodHello, hello, nil); err != nil {
+		return decodeError(MethodHello, err)
+	}
+	return nil
+}
+
 // Notify sends a notification, which has no response. Errors wrap ErrBroken.
 func (c *Conn) Notify(ctx context.Context, method string, params any) error {
 	if err := c.rpc.Notify(ctx, method, params); err != nil {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -131,7 +131,7 @@
 	conn := newConn(p.ctx, socket, p.mux, p.hello.Key, p.clock, true)
 	ctx, cancel := clockwork.WithTimeout(ctx, p.clock, pingTimeout)
 	defer cancel()
-	if err := conn.Call(ctx, MethodHello, p.hello, nil); err != nil {
+	if err := conn.greet(ctx, p.hello); err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("greet peer %s: %w: %w", address, ErrNotSent, err)
 	}
