Continue a stream only at the target that began it, also when its dispatcher or gate was lost

What callers could see: an answer whose first part is from one target and the rest from another, where a target continues a stream without checking that it began it, as targets of several software versions side by side may.

Cause: after its dispatcher was lost, a stream that could not be resumed at its target was asked for at every other allowed target, with its dispatch ID and offset; likewise for a caller that joined with a key (followAtTargets) and for the holder of a key whose gate was lost (resolveHolder). That no other target knows the dispatch was a duty of the targets only.

Change: once a token has arrived, settle.Next resumes only at the target that began the stream. The gate passes that target on each step; a joined caller asks only it. Before the first token all allowed targets are asked, as before.

The spec 'queries all targets for a running stream before it cancels' asked with seven tokens received for both targets, which is this fault. It keeps its check before the first token; a new spec says what must happen after it, down to the outcome.

Why it works: the target that began a stream is known whenever a token has arrived, because its report comes first on the same connection.

--- a/internal/gate/holder.go
+++ b/internal/gate/holder.go
@@ -82,8 +82,9 @@
 func (g *Gate) resolveHolder(rs *requestState, adm admittedRequest) {
 	facts := &settle.Facts{
 		PlainService: rs.msg.Plain, MayHaveBeenSent: true, SenderStopped: true,
-		Allowed: slices.Sorted(maps.Keys(adm.targetsInClaim)), Offset: rs.snapshotFrom(0).tokens,
+		Allowed: slices.Sorted(maps.Keys(adm.targetsInClaim)),
 	}
+	rs.updateFacts(facts)
 	g.resolveAtTargets(rs, "", facts, g.Clock.Now())
 	g.recordGateOutcome(rs)
 }
--- a/internal/gate/join.go
+++ b/internal/gate/join.go
@@ -131,10 +131,21 @@
 	rs.finish(peer.Finished{Kind: errkind.OutcomeUnknown, Detail: fmt.Sprintf("request %s holds the key and no host knows its outcome", rs.id), Sent: true})
 }
 
+// begunElsewhere reports whether a part of the answer has arrived from another target
+// than id.
+func (rs *requestState) begunElsewhere(id tables.TargetID) bool {
+	snap := rs.snapshotFrom(0)
+	return snap.tokens > 0 && snap.target != id
+}
+
 // followAtTargets follows the holder at the first target that knows it, and
-// reports whether the holder then has its outcome.
+// reports whether the holder then has its outcome. A stream of which a part has
+// arrived goes on only at the target that began it.
 func (g *Gate) followAtTargets(rs *requestState) bool {
 	for _, v := range g.views(g.Document(), string(rs.msg.Service)) {
+		if rs.begunElsewhere(v.Target) {
+			continue
+		}
 		conn := g.connectOwner("", v.Target, 0)
 		if conn == nil {
 			conn = g.connectOther("", rs.id, 0)
--- a/internal/gate/settle.go
+++ b/internal/gate/settle.go
@@ -34,11 +34,10 @@
 		return
 	}
 	lostAt := g.Clock.Now()
-	snap := rs.snapshotFrom(0)
 	facts := &settle.Facts{
-		PlainService: rs.msg.Plain, MayHaveBeenSent: true, Allowed: c.Targets,
-		DispatchTarget: snap.target, Offset: snap.tokens, CallerGone: rs.abandoned(),
+		PlainService: rs.msg.Plain, MayHaveBeenSent: true, Allowed: c.Targets, CallerGone: rs.abandoned(),
 	}
+	rs.updateFacts(facts)
 	g.resolveAtTargets(rs, c.Owner, facts, lostAt)
 }
 
@@ -56,10 +55,17 @@
 		if g.performStep(rs, avoidedHost, facts, step, lostAt) {
 			return
 		}
-		facts.Offset = rs.snapshotFrom(0).tokens
+		rs.updateFacts(facts)
 	}
 }
 
+// updateFacts records in facts how much of the answer has arrived and from which
+// target.
+func (rs *requestState) updateFacts(facts *settle.Facts) {
+	snap := rs.snapshotFrom(0)
+	facts.DispatchTarget, facts.Offset = snap.target, snap.tokens
+}
+
 // reattach attaches to the same dispatcher on new connections, because possibly
 // only the old connection failed. It reports whether the request has its outcome.
 func (g *Gate) reattach(rs *requestState, owner tables.HostID) bool {
--- a/internal/systems/settle/facts.go
+++ b/internal/systems/settle/facts.go
@@ -61,7 +61,8 @@
 	// Allowed lists all targets that may have started the request.
 	Allowed []tables.TargetID
 	// DispatchTarget is the target to which the dispatcher last reported sending the
-	// request; empty if it reported none.
+	// request; empty if it reported none. If Offset is not zero, it is the target that
+	// began the answer.
 	DispatchTarget tables.TargetID
 	// Offset is the number of answer tokens received.
 	Offset int
--- a/internal/systems/settle/settle.go
+++ b/internal/systems/settle/settle.go
@@ -1,6 +1,8 @@
 package settle
 
 import (
+	"slices"
+
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 	"github.com/bluebellseam/bluebellseam/internal/target"
@@ -103,14 +105,20 @@
 
 // resumeTargets returns the targets to query for a running stream. They are
 // queried before any target is cancelled, because a cancel would end a generation
-// that a caller waits for.
+// that a caller waits for. A stream of which a part has arrived goes on only at the
+// target that began it: targets with other software write other text, and a target
+// may not check which stream it continues.
 func (f *Facts) resumeTargets() []tables.TargetID {
 	if f.PlainService || f.CallerGone {
 		return nil
 	}
-	return f.filter(func(r TargetReport) bool {
+	ids := f.filter(func(r TargetReport) bool {
 		return r.Progress == "" && !r.NoStream && r.Failures < MaxFailures
 	})
+	if f.Offset == 0 || f.DispatchTarget == "" {
+		return ids
+	}
+	return slices.DeleteFunc(ids, func(id tables.TargetID) bool { return id != f.DispatchTarget })
 }
 
 // cancelTargets returns the targets that have not yet acknowledged a tombstone. A
--- a/internal/systems/settle/settle_test.go
+++ b/internal/systems/settle/settle_test.go
@@ -63,8 +63,17 @@
 		Expect(settle.Next(f)).To(Equal(settle.Step{Kind: errkind.OutcomeUnknown}))
 	})
 	It("queries all targets for a running stream before it cancels", func() {
+		f.PlainService, f.DispatchTarget = false, "b"
+		Expect(settle.Next(f)).To(Equal(settle.Step{Action: settle.Resume, Targets: []tables.TargetID{"b", "a"}}))
+	})
+	It("never continues a stream at another target than the one that began it", func() {
 		f.PlainService, f.Offset, f.DispatchTarget = false, 7, "b"
-		Expect(settle.Next(f)).To(Equal(settle.Step{Action: settle.Resume, Targets: []tables.TargetID{"b", "a"}, Offset: 7}))
+		Expect(settle.Next(f)).To(Equal(settle.Step{Action: settle.Resume, Targets: []tables.TargetID{"b"}, Offset: 7}))
+		f.RecordNoStream("b")
+		Expect(settle.Next(f)).To(Equal(settle.Step{Action: settle.Cancel, Targets: []tables.TargetID{"b", "a"}}))
+		f.RecordProgress("b", target.NotKnown)
+		f.RecordProgress("a", target.NeverStarted)
+		Expect(settle.Next(f)).To(Equal(settle.Step{Kind: errkind.RanFailed}))
 	})
 	It("never reports a request as not run after a token was received", func() {
 		f.PlainService, f.Offset = false, 1
