Guard: a stream goes on only at the address where it began, and never at a target that has lost it

No fault found here. The dispatcher that sent a request resumes its stream at the address of the send, also after a change of the configuration has given the target's name another address, and ends it (ran_failed) when the process there no longer knows it; it never sends it again.

The fakes tell addresses apart for this; no check changed.

--- a/internal/dispatcher/fakes_test.go
+++ b/internal/dispatcher/fakes_test.go
@@ -94,6 +94,23 @@
 
 func (s channelStream) Close() error { return nil }
 
+// breakableStream is a stream that breaks once broken is closed.
+type breakableStream struct {
+	channelStream
+	broken <-chan struct{}
+}
+
+func (s breakableStream) Next(ctx context.Context) (target.Chunk, error) {
+	select {
+	case c := <-s.channelStream:
+		return c, nil
+	case <-s.broken:
+		return target.Chunk{}, errReset
+	case <-ctx.Done():
+		return target.Chunk{}, errReset
+	}
+}
+
 var errReset = fmt.Errorf("%w: connection reset", target.ErrUnknown)
 
 var errNoStream = fmt.Errorf("%w: unknown dispatch", target.ErrNotAdmitted)
@@ -102,6 +119,9 @@
 type fakeDeps struct {
 	engine *fakeEngine
 	plain  target.PlainService
+	// otherEngine is the engine at every address but that of e1 in document; nil means
+	// that engine is at every address.
+	otherEngine *fakeEngine
 
 	mu      sync.Mutex
 	crashes []dispatcher.SuspectFingerprint
@@ -109,7 +129,6 @@
 	change  func(*config.Document)
 }
 
-func (d *fakeDeps) Engine(string) target.Engine                           { return d.engine }
 func (d *fakeDeps) Plain(string, tables.ServiceID) target.PlainService    { return d.plain }
 func (d *fakeDeps) Owner(tables.TargetID, tables.DomainID) tables.HostID  { return "h1" }
 func (d *fakeDeps) TargetState(tables.TargetID) tables.HostState          { return tables.HostLive }
@@ -117,6 +136,13 @@
 func (d *fakeDeps) Dispatched(tables.ServiceID, int, time.Duration)       {}
 func (d *fakeDeps) Ended(*tables.Request, peer.Finished, time.Time)       {}
 
+func (d *fakeDeps) Engine(address string) target.Engine {
+	if address != engineAddress && d.otherEngine != nil {
+		return d.otherEngine
+	}
+	return d.engine
+}
+
 func (d *fakeDeps) RecordCrash(_ tables.TargetID, inFlight []dispatcher.SuspectFingerprint) <-chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -145,11 +171,14 @@
 	return append([]dispatcher.SuspectFingerprint(nil), d.crashes...)
 }
 
+// engineAddress is the address of e1 in document.
+const engineAddress = "127.0.0.1:1"
+
 // document returns the configuration. change, if it is set, is applied to it.
 func (d *fakeDeps) document() *config.Document {
 	doc := &config.Document{
 		Services: map[string]config.Service{"report": {Kind: config.ModelService, Model: "m"}},
-		Targets:  map[string]config.Target{"e1": {Address: "127.0.0.1:1", Services: []string{"report"}, WindowMax: 1}},
+		Targets:  map[string]config.Target{"e1": {Address: engineAddress, Services: []string{"report"}, WindowMax: 1}},
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
