Cancel a request at the address to which it was sent

What callers saw: 'cancelled before it ran', not run, for a request that a target was running, when the configuration had given its target another address meanwhile; the request went on at the old address.

Cause: a cancel looked the target up in the present configuration. The process at the new address does not know the request and answers 'never started', which ended it as not run.

Change: a job keeps the endpoint of its send, or of its takeover, for queries, resumes and cancels. That the resolver already did so is now the same field. A target that was removed from the configuration is cancelled at as well.

Why it works: only the process that received a request can say whether it ran.

--- a/internal/dispatcher/address_test.go
+++ b/internal/dispatcher/address_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/config"
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/target"
 )
 
@@ -16,6 +17,7 @@
 		r      *rig
 		stream chan target.Chunk
 		broken chan struct{}
+		msg    peer.Submit
 	)
 	BeforeEach(func() {
 		r = newRig()
@@ -27,7 +29,7 @@
 			cancel: func() (target.Progress, error) { return target.NeverStarted, nil },
 		}
 		r.deps.engine.generate = func() (target.Stream, error) { return breakableStream{channelStream(stream), broken}, nil }
-		r.submit()
+		msg, _ = r.submit()
 		stream <- answer(0, 1, answerTokens, nil).chunks[0]
 		r.deps.configure(func(doc *config.Document) {
 			e1 := doc.Targets["e1"]
@@ -61,4 +63,11 @@
 		Expect(generateCalls).To(Equal(1))
 		noCallAtOtherEngine()
 	})
+	It("is not reported as never run by the target at the new address when it is cancelled", func() {
+		r.deps.engine.cancel = func() (target.Progress, error) { return target.Cancelled, nil }
+		var result peer.CancelResult
+		Expect(r.conn.Call(r.ctx, peer.MethodCancel, peer.CancelRequest{ID: msg.ID}, &result)).To(Succeed())
+		Expect(r.firstOutcome().Kind).To(Equal(errkind.CancelledWhileRunning))
+		noCallAtOtherEngine()
+	})
 })
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -27,7 +27,10 @@
 	// counts towards the number of requests at its target.
 	request *tables.Request
 	target  tables.TargetID
-	started bool
+	// endpoint is where target was when the request was sent or taken over. The
+	// configuration may give the target another address later.
+	endpoint endpoint
+	started  bool
 	// cancelReason is the reason for which the request was cancelled at its
 	// target; empty if it was not, or if the cancel had no effect.
 	cancelReason errkind.Kind
--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -52,6 +52,7 @@
 	}
 	j.started = true
 	j.target = id
+	j.endpoint = ep
 	d.Observer.Dispatched(j.request.Service, j.request.Tier, d.Clock.Now().Sub(j.request.Arrived))
 	j.notify(peer.NotifyStarted, peer.Started{ID: j.msg.ID, Target: id})
 	ctx, span := d.Tracer.Start(httpcall.WithPermit(j.ctx, permit), "target", trace.WithSpanKind(trace.SpanKindClient),
@@ -62,7 +63,7 @@
 	}
 	d.spawn(func() {
 		defer span.End()
-		run(ctx, j, ep)
+		run(ctx, j)
 	})
 }
 
@@ -116,8 +117,8 @@
 }
 
 // runModel sends a generation request once and reads its answer.
-func (d *Dispatcher) runModel(ctx context.Context, j *job, ep endpoint) {
-	engine := d.Targets.Engine(ep.address)
+func (d *Dispatcher) runModel(ctx context.Context, j *job) {
+	engine := d.Targets.Engine(j.endpoint.address)
 	stream, err := d.open(ctx, func(ctx context.Context) (target.Stream, error) {
 		return engine.Generate(ctx, target.Generation{
 			ID: j.msg.ID, Model: j.msg.Model, Adapter: j.msg.Adapter,
@@ -128,7 +129,7 @@
 		d.finishNotAdmitted(j, err)
 		return
 	}
-	r := d.newResolver(j, ep)
+	r := d.newResolver(j)
 	if err == nil {
 		r.readStream(stream)
 	} else {
--- a/internal/dispatcher/plain.go
+++ b/internal/dispatcher/plain.go
@@ -20,8 +20,8 @@
 // connection may be dead. If the service does not run the call, no answer will
 // arrive on the first connection, so the connection is closed and the outcome is
 // resolved immediately.
-func (d *Dispatcher) runPlain(ctx context.Context, j *job, ep endpoint) {
-	service := d.Targets.Plain(ep.address, j.msg.Service)
+func (d *Dispatcher) runPlain(ctx context.Context, j *job) {
+	service := d.Targets.Plain(j.endpoint.address, j.msg.Service)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan callResult, 1)
@@ -35,13 +35,13 @@
 	for {
 		select {
 		case result := <-results:
-			d.handleCallResult(j, ep, result)
+			d.handleCallResult(j, result)
 			return
 		case <-d.Clock.After(streamStallTimeout):
 		}
 		if !d.mayBeRunning(j, service) {
 			cancel()
-			d.handleCallResult(j, ep, <-results)
+			d.handleCallResult(j, <-results)
 			return
 		}
 	}
@@ -65,7 +65,7 @@
 	return progress, err
 }
 
-func (d *Dispatcher) handleCallResult(j *job, ep endpoint, result callResult) {
+func (d *Dispatcher) handleCallResult(j *job, result callResult) {
 	switch {
 	case result.err == nil:
 		d.finishAnswered(j, result.answer)
@@ -74,7 +74,7 @@
 	case errors.Is(result.err, target.ErrFailed):
 		d.finishFailed(j, result.err)
 	default:
-		r := d.newResolver(j, ep)
+		r := d.newResolver(j)
 		r.lastErr = result.err
 		r.run()
 	}
--- a/internal/dispatcher/recover.go
+++ b/internal/dispatcher/recover.go
@@ -157,7 +157,7 @@
 		return peer.AttachResult{}, noResponseError(q.Target, err)
 	}
 	_, err = callInLoop(ctx, d, func() bool {
-		r := d.newResolver(d.adopt(conn, q, false), ep)
+		r := d.newResolver(d.adopt(conn, q, ep))
 		d.spawn(func() {
 			r.readStream(stream)
 			r.run()
@@ -178,7 +178,7 @@
 		return peer.AttachResult{Progress: progress}, nil
 	}
 	_, err = callInLoop(ctx, d, func() bool {
-		j := d.adopt(conn, q, true)
+		j := d.adopt(conn, q, ep)
 		d.finish(j, peer.Finished{Kind: errkind.None, Status: answer.Status, Body: answer.Body, Sent: true})
 		return true
 	})
@@ -194,17 +194,17 @@
 
 // adopt adds a job for a request that another dispatcher sent. The job counts
 // towards the window of its target.
-func (d *Dispatcher) adopt(conn *peer.Conn, q peer.Attach, plain bool) *job {
+func (d *Dispatcher) adopt(conn *peer.Conn, q peer.Attach, ep endpoint) *job {
 	j := &job{
 		msg: peer.Submit{
-			ID: q.ID, Customer: q.Customer, Service: q.Service, Plain: plain,
+			ID: q.ID, Customer: q.Customer, Service: q.Service, Plain: ep.plainService,
 			Tier: q.Tier, Fingerprint: q.Fingerprint, Key: q.Key,
 		},
-		target: q.Target, started: true, received: stream.ResumeAt(q.Offset, q.ReceivedText),
+		target: q.Target, endpoint: ep, started: true, received: stream.ResumeAt(q.Offset, q.ReceivedText),
 	}
 	d.jobs[q.ID] = j
 	d.state.Requests.Put(&tables.Request{
-		ID: q.ID, Customer: q.Customer, Service: q.Service, Tier: q.Tier, PlainService: plain,
+		ID: q.ID, Customer: q.Customer, Service: q.Service, Tier: q.Tier, PlainService: ep.plainService,
 		Fingerprint: q.Fingerprint, State: tables.Running, Target: q.Target, Started: d.Clock.Now(),
 	})
 	d.addListener(j, conn, nil)
@@ -221,17 +221,13 @@
 	if r := d.state.Requests.Get(j.msg.ID); r != nil {
 		r.Cancelling = true
 	}
-	ep, ok := d.findEndpoint(j.target)
-	if !ok {
-		return
-	}
-	d.spawn(func() { d.sendCancel(j, ep) })
+	d.spawn(func() { d.sendCancel(j) })
 }
 
-func (d *Dispatcher) sendCancel(j *job, ep endpoint) {
+func (d *Dispatcher) sendCancel(j *job) {
 	ctx, cancel := context.WithTimeout(d.ctx, targetTimeout)
 	defer cancel()
-	progress, err := d.Targets.Engine(ep.address).Cancel(ctx, j.msg.ID)
+	progress, err := d.Targets.Engine(j.endpoint.address).Cancel(ctx, j.msg.ID)
 	if err != nil {
 		progress = target.NotKnown
 	}
--- a/internal/dispatcher/resolver.go
+++ b/internal/dispatcher/resolver.go
@@ -30,7 +30,6 @@
 type resolver struct {
 	d            *Dispatcher
 	j            *job
-	endpoint     endpoint
 	facts        *settle.Facts
 	queryBackoff *backoff.ExponentialBackOff
 	// lastErr is the latest error, which becomes the detail of the outcome.
@@ -40,12 +39,12 @@
 	crashed bool
 }
 
-func (d *Dispatcher) newResolver(j *job, ep endpoint) *resolver {
+func (d *Dispatcher) newResolver(j *job) *resolver {
 	queryBackoff := backoff.NewExponentialBackOff()
 	queryBackoff.InitialInterval = minQueryInterval
 	queryBackoff.MaxInterval = maxQueryInterval
 	return &resolver{
-		d: d, j: j, endpoint: ep, queryBackoff: queryBackoff,
+		d: d, j: j, queryBackoff: queryBackoff,
 		facts: &settle.Facts{
 			PlainService: j.msg.Plain, MayHaveBeenSent: true, SenderStopped: true,
 			Allowed: []tables.TargetID{j.target}, DispatchTarget: j.target,
@@ -104,7 +103,7 @@
 }
 
 func (r *resolver) resume(offset int) {
-	stream, err := r.d.resume(r.d.Targets.Engine(r.endpoint.address), r.j.msg.ID, offset)
+	stream, err := r.d.resume(r.d.Targets.Engine(r.j.endpoint.address), r.j.msg.ID, offset)
 	switch {
 	case err == nil:
 		event.StreamResumed.Log(r.d.Logger, zap.String("request", string(r.j.msg.ID)), zap.Int("offset", offset))
@@ -129,10 +128,10 @@
 	defer done()
 	var progress target.Progress
 	var err error
-	if r.endpoint.plainService {
-		progress, err = r.d.Targets.Plain(r.endpoint.address, r.endpoint.service).Cancel(ctx, r.j.msg.ID)
+	if r.j.endpoint.plainService {
+		progress, err = r.d.Targets.Plain(r.j.endpoint.address, r.j.endpoint.service).Cancel(ctx, r.j.msg.ID)
 	} else {
-		progress, err = r.d.Targets.Engine(r.endpoint.address).Cancel(ctx, r.j.msg.ID)
+		progress, err = r.d.Targets.Engine(r.j.endpoint.address).Cancel(ctx, r.j.msg.ID)
 	}
 	if err != nil {
 		r.recordQueryFailure(err)
@@ -146,7 +145,7 @@
 func (r *resolver) fetch() {
 	ctx, done := context.WithTimeout(r.d.ctx, targetTimeout)
 	defer done()
-	answer, progress, err := r.d.Targets.Plain(r.endpoint.address, r.endpoint.service).Outcome(ctx, r.j.msg.ID)
+	answer, progress, err := r.d.Targets.Plain(r.j.endpoint.address, r.j.endpoint.service).Outcome(ctx, r.j.msg.ID)
 	switch {
 	case err != nil:
 		r.recordQueryFailure(err)
