Ask about a request at the addresses to which it may have been sent

What callers saw: 'not admitted', not run, for a request that a target was running, when the configuration had given the target's name the address of another process and the request's dispatcher was then lost. A retry may run it again.

Cause: another dispatcher looked the target up in the present configuration. The process at the new address has never seen the request and says so, before and after the send lease, which proved 'not run'.

Change: a gate names the addresses of the allowed targets in each submission, as it did for requests with a key, and the dispatcher sends to no others; attach and cancel messages carry the address. So a stream also goes on, at the process that began it, after its name has moved.

Why it works: the sender can reach only addresses that the gate knows, and exactly these are asked.

--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -46,7 +46,7 @@
 		return
 	}
 	ep, ok := d.findEndpoint(id)
-	if claimed, keyed := j.msg.Addresses[id]; !ok || keyed && claimed != ep.address {
+	if address, known := j.msg.Addresses[id]; !ok || known && address != ep.address {
 		d.finish(j, peer.Finished{Kind: errkind.NoTarget})
 		return
 	}
--- a/internal/dispatcher/recover.go
+++ b/internal/dispatcher/recover.go
@@ -33,7 +33,7 @@
 	allNeverStarted := true
 	var queryErr error
 	for _, id := range q.Targets {
-		progress, err := d.cancelAtTarget(ctx, id, q.ID)
+		progress, err := d.cancelAtTarget(ctx, id, q)
 		switch {
 		case err != nil:
 			queryErr = err
@@ -54,8 +54,8 @@
 
 // cancelAtTarget cancels a request at one target, which sets a tombstone, and
 // returns the progress that the target reports.
-func (d *Dispatcher) cancelAtTarget(ctx context.Context, id tables.TargetID, request tables.RequestID) (target.Progress, error) {
-	ep, ok := d.findEndpoint(id)
+func (d *Dispatcher) cancelAtTarget(ctx context.Context, id tables.TargetID, q peer.CancelRequest) (target.Progress, error) {
+	ep, ok := d.findEndpointAt(id, q.Addresses[id])
 	if !ok {
 		return "", errkind.New(errkind.UnknownTarget, fmt.Sprintf("target %q", id))
 	}
@@ -64,9 +64,9 @@
 	var progress target.Progress
 	var err error
 	if ep.plainService {
-		progress, err = d.Targets.Plain(ep.address, ep.service).Cancel(ctx, request)
+		progress, err = d.Targets.Plain(ep.address, ep.service).Cancel(ctx, q.ID)
 	} else {
-		progress, err = d.Targets.Engine(ep.address).Cancel(ctx, request)
+		progress, err = d.Targets.Engine(ep.address).Cancel(ctx, q.ID)
 	}
 	if err != nil {
 		return "", noResponseError(id, err)
@@ -96,6 +96,16 @@
 	return endpoint{address: t.Address, plainService: isPlain(doc, t), service: tables.ServiceID(service)}, true
 }
 
+// findEndpointAt returns the endpoint of a target at the address to which a request
+// was sent; an empty address means the configured one.
+func (d *Dispatcher) findEndpointAt(id tables.TargetID, address string) (endpoint, bool) {
+	ep, ok := d.findEndpoint(id)
+	if address != "" {
+		ep.address = address
+	}
+	return ep, ok
+}
+
 // attach sends the answer of a request to conn. If this dispatcher has no answer
 // that applies to q, and q names a target, it takes the answer over from that
 // target without sending the request again.
@@ -141,7 +151,7 @@
 // may divide the answer into chunks at other tokens, and the chunks would then
 // overlap with those that the gate has.
 func (d *Dispatcher) takeOver(ctx context.Context, conn *peer.Conn, q peer.Attach) (peer.AttachResult, error) {
-	ep, ok := d.findEndpoint(q.Target)
+	ep, ok := d.findEndpointAt(q.Target, q.Address)
 	if !ok {
 		return peer.AttachResult{}, errkind.New(errkind.UnknownTarget, fmt.Sprintf("target %q", q.Target))
 	}
--- a/internal/gate/dispatch.go
+++ b/internal/gate/dispatch.go
@@ -121,7 +121,8 @@
 	msg.Attempt = rs.attempt
 	msg.Allowed = c.Targets
 	msg.SendBy = rs.arrived.Add(settle.MaxSendDelay)
-	msg.Addresses = rs.targetsInClaim.addresses(c.Targets)
+	rs.addresses = g.addressesFor(rs, c.Targets)
+	msg.Addresses = rs.addresses
 	rs.setSource(conn)
 	var result peer.SubmitResult
 	if err := conn.Call(g.ctx, peer.MethodSubmit, msg, &result); err != nil {
--- a/internal/gate/holder.go
+++ b/internal/gate/holder.go
@@ -53,18 +53,26 @@
 	})
 }
 
-// addresses returns the addresses of the given targets, or nil if the set is nil.
-func (s targetSet) addresses(ids []tables.TargetID) map[tables.TargetID]string {
-	if s == nil {
-		return nil
-	}
-	out := make(map[tables.TargetID]string, len(ids))
+// addresses returns the addresses of the given targets. The address of a target that is
+// not in the set is empty.
+func (s targetSet) addresses(ids []tables.TargetID) targetSet {
+	out := make(targetSet, len(ids))
 	for _, id := range ids {
 		out[id] = s[id]
 	}
 	return out
 }
 
+// addressesFor returns the addresses to which a request may be sent: those in its
+// claim, or the configured ones if it has no key.
+func (g *Gate) addressesFor(rs *requestState, ids []tables.TargetID) targetSet {
+	allowed := rs.targetsInClaim
+	if allowed == nil {
+		allowed = targetsOf(g.Document(), string(rs.msg.Service))
+	}
+	return allowed.addresses(ids)
+}
+
 // holderStopped reports whether the request that holds a key can no longer be sent
 // to a target, and the targets that may have received it are the claimed targets
 // of adm.
@@ -85,6 +93,7 @@
 		Allowed: slices.Sorted(maps.Keys(adm.targetsInClaim)),
 	}
 	rs.updateFacts(facts)
+	rs.addresses = adm.targetsInClaim
 	g.resolveAtTargets(rs, "", facts, g.Clock.Now())
 	g.recordGateOutcome(rs)
 }
--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -28,6 +28,9 @@
 	// attempt is the number of submissions so far. Only the dispatching goroutine
 	// uses it.
 	attempt int
+	// addresses are the addresses at which targets may have received the request. Only
+	// the dispatching goroutine uses it.
+	addresses targetSet
 	// resolvedAtTargets is set if the gate resolved the outcome by querying the
 	// targets. Only the dispatching goroutine uses it.
 	resolvedAtTargets bool
--- a/internal/gate/settle.go
+++ b/internal/gate/settle.go
@@ -127,7 +127,7 @@
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	return peer.Attach{
-		ID: rs.id, Target: at, Attempt: rs.attempt, Offset: rs.answer.EndOffset(), ReceivedText: string(rs.answer.Text()),
+		ID: rs.id, Target: at, Address: rs.addresses[at], Attempt: rs.attempt, Offset: rs.answer.EndOffset(), ReceivedText: string(rs.answer.Text()),
 		Customer: rs.msg.Customer, Service: rs.msg.Service, Tier: rs.msg.Tier,
 		Fingerprint: rs.msg.Fingerprint, Key: rs.msg.Key,
 	}
@@ -172,7 +172,7 @@
 	ctx, cancel := context.WithTimeout(g.ctx, queryTimeout)
 	defer cancel()
 	var result peer.CancelResult
-	q := peer.CancelRequest{ID: rs.id, Targets: []tables.TargetID{id}}
+	q := peer.CancelRequest{ID: rs.id, Targets: []tables.TargetID{id}, Addresses: rs.addresses.addresses([]tables.TargetID{id})}
 	if err := conn.Call(ctx, peer.MethodCancel, q, &result); err != nil {
 		g.recordQueryFailure(facts, id)
 		return
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -75,8 +75,9 @@
 	Allowed      []tables.TargetID `json:"allowed"`
 	// Key is the idempotency key, if the caller set one.
 	Key string `json:"key,omitempty"`
-	// Addresses are the addresses of the allowed targets when the key was claimed. A
-	// keyed request is sent to no other address.
+	// Addresses are the addresses of the allowed targets when the key was claimed, or
+	// as the gate knows them if there is no key. The request is sent to no other
+	// address.
 	Addresses map[tables.TargetID]string `json:"addresses,omitempty"`
 	// SendBy is the latest time at which a keyed request may be sent. It is an
 	// absolute time on the hosts' clocks, so that neither a paused process nor a
@@ -152,6 +153,9 @@
 	ID tables.RequestID `json:"id"`
 	// Targets are contacted directly if the dispatcher does not know the request.
 	Targets []tables.TargetID `json:"targets,omitempty"`
+	// Addresses are the addresses at which the targets may have received the request.
+	// A target without one is contacted at its configured address.
+	Addresses map[tables.TargetID]string `json:"addresses,omitempty"`
 }
 
 // CancelResult is the response to CancelRequest. It states what is proved about the
@@ -165,7 +169,10 @@
 type Attach struct {
 	ID     tables.RequestID `json:"id"`
 	Target tables.TargetID  `json:"target"`
-	Offset int              `json:"offset"`
+	// Address is the address at which the target may have received the request; empty
+	// means its configured address.
+	Address string `json:"address,omitempty"`
+	Offset  int    `json:"offset"`
 	// Attempt is the number of the submission that the gate waits for; a refusal of an
 	// earlier submission does not apply to it. Zero means any submission.
 	Attempt int `json:"attempt,omitempty"`
