--- a/internal/target/ports.go
+++ b/internal/target/ports.go
@@ -129,7 +129,8 @@
 	Generate(ctx context.Context, g Generation) (Stream, error)
 	// Resume continues the stream of a dispatch from the token at offset on a new
 	// connection. It never starts a generation. Errors wrap ErrNotAdmitted if the
-	// engine does not know the dispatch, and otherwise ErrUnknown or ErrFailed.
+	// engine does not know the dispatch, for example because it has restarted, perhaps
+	// with other software, and otherwise ErrUnknown or ErrFailed.
 	Resume(ctx context.Context, id tables.RequestID, offset int) (Stream, error)
 	// Cancel stops a dispatch and leaves a tombstone for its ID, so that the
 	// engine does not run it if it arrives later. Errors wrap ErrUnknown.
