--- a/internal/dispatcher/recover.go
+++ b/internal/dispatcher/recover.go
@@ -33,7 +33,7 @@
 	allNeverStarted := true
 	var queryErr error
 	for _, id := range q.Targets {
-		progress, err := d.cancelAtTarget(ctx, id, q.ID)
+		progress, err := d.cancelAtTarget(ctx, id, q)
 		switch {
 		case err != nil:
 			queryErr = err
@@ -54,8 +54,8 @@
 
 // cancelAtTarget cancels a request at one target, which sets a tombstone, and
 // returns the progress that the target reports.
-func (d *Dispatcher) cancelAtTarget(ctx context.Context, id tables.TargetID, request tables.RequestID) (target.Progress, error) {
-	ep, ok := d.findEndpoint(id)
+func (d *Dispatcher) cancelAtTarget(ctx context.Context, id tables.TargetID, q peer.CancelRequest) (target.Progress, error) {
+	ep, ok := d.findEndpointAt(id, q.Addresses[id])
 	if !ok {
 		return "", errkind.New(errkind.UnknownTarget, fmt.Sprintf("target %q", id))
 	}
@@ -64,9 +64,9 @@
 	var progress target.Progress
 	var err error
 	if ep.plainService {
-		progress, err = d.Targets.Plain(ep.address, ep.service).Cancel(ctx, request)
+		progress, err = d.Targets.Plain(ep.address, ep.service).Cancel(ctx, q.ID)
 	} else {
-		progress, err = d.Targets.Engine(ep.address).Cancel(ctx, request)
+		progress, err = d.Targets.Engine(ep.address).Cancel(ctx, q.ID)
 	}
 	if err != nil {
 		return "", noResponseError(id, err)
@@ -96,6 +96,16 @@
 	return endpoint{address: t.Address, plainService: isPlain(doc, t), service: tables.ServiceID(service)}, true
 }
 
+// findEndpointAt returns the endpoint of a target at the address to which a request
+// was sent; an empty address means the configured one.
+func (d *Dispatcher) findEndpointAt(id tables.TargetID, address string) (endpoint, bool) {
+	ep, ok := d.findEndpoint(id)
+	if address != "" {
+		ep.address = address
+	}
+	return ep, ok
+}
+
 // attach sends the answer of a request to conn. If this dispatcher has no answer
 // that applies to q, and q names a target, it takes the answer over from that
 // target without sending the request again.
@@ -141,7 +151,7 @@
 // may divide the answer into chunks at other tokens, and the chunks would then
 // overlap with those that the gate has.
 func (d *Dispatcher) takeOver(ctx context.Context, conn *peer.Conn, q peer.Attach) (peer.AttachResult, error) {
-	ep, ok := d.findEndpoint(q.Target)
+	ep, ok := d.findEndpointAt(q.Target, q.Address)
 	if !ok {
 		return peer.AttachResult{}, errkind.New(errkind.UnknownTarget, fmt.Sprintf("target %q", q.Target))
 	}
@@ -157,7 +167,7 @@
 		return peer.AttachResult{}, noResponseError(q.Target, err)
 	}
 	_, err = callInLoop(ctx, d, func() bool {
-		r := d.newResolver(d.adopt(conn, q, false), ep)
+		r := d.newResolver(d.adopt(conn, q, ep))
 		d.spawn(func() {
 			r.readStream(stream)
 			r.run()
@@ -178,7 +188,7 @@
 		return peer.AttachResult{Progress: progress}, nil
 	}
 	_, err = callInLoop(ctx, d, func() bool {
-		j := d.adopt(conn, q, true)
+		j := d.adopt(conn, q, ep)
 		d.finish(j, peer.Finished{Kind: errkind.None, Status: answer.Status, Body: answer.Body, Sent: true})
 		return true
 	})
@@ -194,17 +204,17 @@
 
 // adopt adds a job for a request that another dispatcher sent. The job counts
 // towards the window of its target.
-func (d *Dispatcher) adopt(conn *peer.Conn, q peer.Attach, plain bool) *job {
+func (d *Dispatcher) adopt(conn *peer.Conn, q peer.Attach, ep endpoint) *job {
 	j := &job{
 		msg: peer.Submit{
-			ID: q.ID, Customer: q.Customer, Service: q.Service, Plain: plain,
+			ID: q.ID, Customer: q.Customer, Service: q.Service, Plain: ep.plainService,
 			Tier: q.Tier, Fingerprint: q.Fingerprint, Key: q.Key,
 		},
-		target: q.Target, started: true, received: stream.ResumeAt(q.Offset, q.ReceivedText),
+		target: q.Target, endpoint: ep, started: true, received: stream.ResumeAt(q.Offset, q.ReceivedText),
 	}
 	d.jobs[q.ID] = j
 	d.state.Requests.Put(&tables.Request{
-		ID: q.ID, Customer: q.Customer, Service: q.Service, Tier: q.Tier, PlainService: plain,
+		ID: q.ID, Customer: q.Customer, Service: q.Service, Tier: q.Tier, PlainService: ep.plainService,
 		Fingerprint: q.Fingerprint, State: tables.Running, Target: q.Target, Started: d.Clock.Now(),
 	})
 	d.addListener(j, conn, nil)
@@ -221,17 +231,13 @@
 	if r := d.state.Requests.Get(j.msg.ID); r != nil {
 		r.Cancelling = true
 	}
-	ep, ok := d.findEndpoint(j.target)
-	if !ok {
-		return
-	}
-	d.spawn(func() { d.sendCancel(j, ep) })
+	d.spawn(func() { d.sendCancel(j) })
 }
 
-func (d *Dispatcher) sendCancel(j *job, ep endpoint) {
+func (d *Dispatcher) sendCancel(j *job) {
 	ctx, cancel := context.WithTimeout(d.ctx, targetTimeout)
 	defer cancel()
-	progress, err := d.Targets.Engine(ep.address).Cancel(ctx, j.msg.ID)
+	progress, err := d.Targets.Engine(j.endpoint.address).Cancel(ctx, j.msg.ID)
 	if err != nil {
 		progress = target.NotKnown
 	}
