--- /dev/null
+++ b/internal/pool/origins_test.go
@@ -0,0 +1,112 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bluebellseam/bluebellseam/internal/fleet"
+	"github.com/bluebellseam/bluebellseam/internal/systems/origin"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+var _ = Describe("Origins", func() {
+	var clock *clockwork.FakeClock
+	var o *Origins
+	var sent chan origin.Batch
+	targets := func(versions ...tables.SoftwareVersion) []fleet.Target {
+		var out []fleet.Target
+		for _, v := range versions {
+			out = append(out, fleet.Target{ID: tables.TargetID("t-" + v), Service: "s", Version: v})
+		}
+		return out
+	}
+	resumed := func(request string) slotRequestMessage {
+		return slotRequestMessage{Service: "s", Request: "r", Resumable: true, Resumed: true, FirstAttempt: request}
+	}
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		batches := make(chan origin.Batch, 10)
+		sent = batches
+		o = NewOrigins(clock)
+		o.Send = func(b origin.Batch) { batches <- b }
+	})
+
+	It("send nothing while a service has one version, and all that they know once it has two", func() {
+		o.Observe(targets("v1"))
+		o.recordGrant(origin.StreamIDOf("a"), "v1")
+		clock.Advance(time.Second)
+		Consistently(sent, 50*time.Millisecond).ShouldNot(Receive())
+		o.Observe(targets("v1", "v2"))
+		clock.Advance(originDelay)
+		var batch origin.Batch
+		Eventually(sent).Should(Receive(&batch))
+		Expect(batch).To(HaveKey(tables.SoftwareVersion("v1")))
+		other := NewOrigins(clock)
+		other.Observe(targets("v1", "v2"))
+		other.Merge(batch)
+		Expect(other.constraint(resumed("a"))).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v1"}))
+	})
+
+	It("send the grants of a service with two versions in batches, each once", func() {
+		o.Observe(targets("v1", "v2"))
+		clock.Advance(originDelay)
+		for _, request := range []string{"a", "b", "c"} {
+			o.recordGrant(origin.StreamIDOf(request), "v2")
+		}
+		clock.Advance(originDelay)
+		var batch origin.Batch
+		Eventually(sent).Should(Receive(&batch))
+		Expect(batch.Len()).To(Equal(3))
+		o.recordGrant(origin.StreamIDOf("d"), "v1")
+		clock.Advance(originDelay)
+		Eventually(sent).Should(Receive(&batch))
+		Expect(batch.Len()).To(Equal(1))
+	})
+
+	It("refuse a stream that nobody knows while a second version may have begun it", func() {
+		o.Observe(targets("v1"))
+		Expect(o.constraint(resumed("a")).Kind).To(Equal(origin.AnyVersion))
+		o.Import(map[tables.ServiceID][]tables.SoftwareVersion{"s": {"v0", "v1"}})
+		Expect(o.constraint(resumed("a")).Kind).To(Equal(origin.Unknown))
+		clock.Advance(versionWindow + time.Millisecond)
+		Expect(o.constraint(resumed("a")).Kind).To(Equal(origin.AnyVersion))
+		o.Fresh = func() bool { return false }
+		Expect(o.constraint(resumed("a")).Kind).To(Equal(origin.Unknown))
+	})
+
+	It("count a version of the store's record once, not at each further read of the record", func() {
+		record := map[tables.ServiceID][]tables.SoftwareVersion{"s": {"v0", "v1"}}
+		o.Observe(targets("v1"))
+		o.Import(record)
+		clock.Advance(versionWindow / 2)
+		o.Import(record)
+		clock.Advance(versionWindow/2 + time.Millisecond)
+		Expect(o.Versions()).To(Equal(map[tables.ServiceID][]tables.SoftwareVersion{"s": {"v1"}}))
+	})
+
+	It("keep a stream for a while after its end, which its caller may not have got", func() {
+		o.Observe(targets("v1", "v2"))
+		o.recordGrant(origin.StreamIDOf("a"), "v2")
+		o.end(origin.StreamIDOf("a"))
+		clock.Advance(endedOriginLifetime - time.Millisecond)
+		o.note(origin.StreamIDOf("b"), "v1")
+		Expect(o.constraint(resumed("a")).Kind).To(Equal(origin.OnlyVersion))
+		clock.Advance(time.Millisecond)
+		o.note(origin.StreamIDOf("c"), "v1")
+		Expect(o.constraint(resumed("a")).Kind).To(Equal(origin.Unknown))
+	})
+
+	It("bind a request by what its host knows, and bind no new stream", func() {
+		o.Observe(targets("v1", "v2"))
+		o.recordGrant(origin.StreamIDOf("a"), "v2")
+		v1 := tables.SoftwareVersion("v1")
+		m := resumed("a")
+		m.Version = &v1
+		Expect(o.constraint(m)).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v1"}))
+		m.Resumed = false
+		Expect(o.constraint(m).Kind).To(Equal(origin.AnyVersion))
+	})
+})
