A request that has arrived but was not read yet is answered when its idle connection ends

Callers saw a connection reset, neither an answer nor a refusal, for a request that had arrived in time at a process that was busy or had just resumed.

Cause: the end of the idle time, or CloseIdle at a stop, sets a read deadline in the past. A read whose deadline has passed fails in Go without looking for bytes, so the goroutine that reads closed the connection, whose receive buffer held the request.

Change: when the read of an ending connection fails at its deadline, it reads once more with a deadline 10 ms ahead (lastReadTime). Such a read tries the socket before it waits. Bytes make the connection go on; none closes it as before. The deadline is set under the lock, so a deadline of the server that comes meanwhile is only remembered, as for every ending connection.

Left: if the process is paused for over 10 ms between setting the last deadline and the read that follows at once, the request is still cut.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -1,7 +1,9 @@
 package connlimit
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -34,15 +36,22 @@
 	// at that moment are not passed on.
 	closed bool
 	// ending is true once an idle connection is to be closed by the goroutine that reads
-	// it, unless that has read a byte. The read deadline of the inner connection has
-	// passed then; readDeadline is the one that the server has set.
+	// it, unless that has read a byte. The read deadline of the inner connection has then
+	// passed, or is that of beginLastRead; readDeadline is the one that the server has set.
 	ending       bool
 	readDeadline time.Time
 }
 
+// lastReadTime is how long the last read of an ending connection may take. It only has
+// to begin in time, since a read that begins takes what has arrived without waiting.
+const lastReadTime = 10 * time.Millisecond
+
 // Read implements net.Conn. The first byte of a request ends the idle time.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.beginLastRead() {
+		n, err = c.Conn.Read(p)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n == 0 && c.ending {
@@ -65,6 +74,18 @@
 	return n, err
 }
 
+// beginLastRead gives an ending connection time for one more read, and reports whether it
+// is ending. A read whose deadline has passed does not look for bytes: a request may have
+// arrived that this process, busy or paused, has not read yet.
+func (c *conn) beginLastRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ending || c.closed {
+		return false
+	}
+	return c.Conn.SetReadDeadline(time.Now().Add(lastReadTime)) == nil
+}
+
 // SetReadDeadline implements net.Conn. It does not keep an ending connection open.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -132,8 +153,8 @@
 }
 
 // endLocked ends the read in progress, or the next one, whose goroutine then closes the
-// connection. A read that has taken bytes off the connection is not affected: only
-// its goroutine knows of them. The lock must be held.
+// connection unless its last read takes bytes off it. A read that has taken bytes off
+// the connection is not affected: only its goroutine knows of them. The lock must be held.
 func (c *conn) endLocked() {
 	if c.ending || c.closed {
 		return
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -69,8 +69,9 @@
 // connection.
 func (l *Limiter) Drain() { l.draining.Store(true) }
 
-// CloseIdle closes the connections of which no part of a request has been read and
-// returns the number of the others.
+// CloseIdle closes the connections of which no part of a request has arrived and
+// returns the number of those that are still open. Those that are about to be closed
+// count until they are.
 func (l *Limiter) CloseIdle() int {
 	l.mu.Lock()
 	conns := make([]*conn, 0, len(l.conns))
