A raised idle timeout applies to connections that wait already

Callers saw connections close that the configuration in force allowed them to reuse: up to the old idle time after the configuration was acknowledged.

Cause: the timer of a connection was started with the limit of that moment and closed the connection when it expired, whatever the limit was by then.

Change: a connection remembers when its wait began and which of the limits it is under. When the timer expires, the limit in force counts: if it is longer, the timer starts again for the rest; if there is none any more, the connection stays open. A lowered limit applies from the next wait on, as before. The same holds for the time limit of a header.

Evidence: the specs "applies a raised timeout to a connection that waits already", "keeps a connection that waits already if the timeout is dropped" and "applies a raised time limit to a header of which a part has been read" failed before: the connection was closed at the old limit.

Left: a connection whose timeout was dropped stays without a limit until its next request, also if a timeout is set again meanwhile.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -32,6 +32,9 @@
 	// started is true once the header of the first request has been read.
 	started bool
 	timer   clockwork.Timer
+	// limit selects the time limit of the present phase, which began at since.
+	limit func(Timeouts) time.Duration
+	since time.Time
 	// closed is true once the limiter has closed the connection. Bytes that arrive
 	// at that moment are not passed on.
 	closed bool
@@ -68,7 +71,7 @@
 		c.phase = reading
 		if c.started || revived {
 			// The time of the first header began with the connection.
-			c.arm(c.limiter.timeouts().Header)
+			c.arm(headerLimit)
 		}
 	}
 	return n, err
@@ -97,12 +100,16 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// await begins the wait for the next request, which must arrive within the timeout.
-func (c *conn) await(timeout time.Duration) {
+func headerLimit(t Timeouts) time.Duration { return t.Header }
+
+func idleLimit(t Timeouts) time.Duration { return t.Idle }
+
+// await begins the wait for the next request, which must arrive within the limit.
+func (c *conn) await(limit func(Timeouts) time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = idle
-	c.arm(timeout)
+	c.arm(limit)
 }
 
 // beginServing ends the wait for a request.
@@ -112,7 +119,7 @@
 	c.phase = serving
 	c.started = true
 	c.reviveLocked()
-	c.arm(0)
+	c.startTimer(0)
 }
 
 // closeIfIdle makes the goroutine that reads the connection close it, unless a part of a
@@ -126,8 +133,14 @@
 	return c.closed
 }
 
-// arm starts the timer, or stops it if after is zero. The lock must be held.
-func (c *conn) arm(after time.Duration) {
+// arm begins a time limit and starts its timer. The lock must be held.
+func (c *conn) arm(limit func(Timeouts) time.Duration) {
+	c.limit, c.since = limit, c.limiter.clock.Now()
+	c.startTimer(limit(c.limiter.timeouts()))
+}
+
+// startTimer starts the timer, or stops it if after is zero. The lock must be held.
+func (c *conn) startTimer(after time.Duration) {
 	if c.timer != nil {
 		c.timer.Stop()
 		c.timer = nil
@@ -140,14 +153,22 @@
 }
 
 // expire closes the connection if it is still in the phase for which the timer was
-// started.
+// started. If the limit has been raised since then, it starts the timer for the rest.
 func (c *conn) expire(armed phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.phase == serving || (c.phase != armed && c.started) {
+		return
+	}
+	limit := c.limit(c.limiter.timeouts())
+	rest := limit - c.limiter.clock.Since(c.since)
 	switch {
-	case c.phase == idle && armed == idle:
+	case limit <= 0:
+	case rest > 0:
+		c.startTimer(rest)
+	case c.phase == idle:
 		c.endLocked()
-	case c.phase == armed || (!c.started && c.phase != serving):
+	default:
 		c.closeLocked()
 	}
 }
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -39,7 +39,8 @@
 
 type connKey struct{}
 
-// New returns a limiter. It calls timeouts each time it starts a timer.
+// New returns a limiter. It calls timeouts each time it starts a timer and each time one
+// has expired: a raised timeout applies at once, a lowered one from the next wait on.
 func New(clock clockwork.Clock, timeouts func() Timeouts) *Limiter {
 	return &Limiter{clock: clock, timeouts: timeouts, conns: make(map[*conn]bool)}
 }
@@ -97,11 +98,11 @@
 	switch state {
 	case http.StateNew:
 		l.track(c, true)
-		c.await(l.timeouts().Header)
+		c.await(headerLimit)
 	case http.StateActive:
 		c.beginServing()
 	case http.StateIdle:
-		c.await(l.timeouts().Idle)
+		c.await(idleLimit)
 	default:
 		c.beginServing()
 		l.track(c, false)
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -107,6 +107,41 @@
 		Expect(isOpen()).To(BeTrue())
 	})
 
+	It("applies a raised timeout to a connection that waits already", func() {
+		send(request)
+		readResponse()
+		Expect(clock.BlockUntilContext(GinkgoT().Context(), 1)).To(Succeed())
+		clock.Advance(10 * time.Second)
+		timeouts.Store(&connlimit.Timeouts{Header: 3 * time.Second, Idle: 40 * time.Second})
+		clock.Advance(5 * time.Second)
+		Expect(isOpen()).To(BeTrue())
+		Expect(clock.BlockUntilContext(GinkgoT().Context(), 1)).To(Succeed(), "armed for the rest")
+		clock.Advance(24 * time.Second)
+		Expect(isOpen()).To(BeTrue())
+		clock.Advance(2 * time.Second)
+		Expect(isOpen()).To(BeFalse())
+	})
+
+	It("keeps a connection that waits already if the timeout is dropped", func() {
+		send(request)
+		readResponse()
+		Expect(clock.BlockUntilContext(GinkgoT().Context(), 1)).To(Succeed())
+		timeouts.Store(&connlimit.Timeouts{})
+		clock.Advance(16 * time.Second)
+		Expect(isOpen()).To(BeTrue())
+	})
+
+	It("applies a raised time limit to a header of which a part has been read", func() {
+		send("GET / HT")
+		Eventually(limiter.Reading).Should(Equal(1))
+		timeouts.Store(&connlimit.Timeouts{Header: 10 * time.Second})
+		clock.Advance(4 * time.Second)
+		Expect(isOpen()).To(BeTrue())
+		Expect(clock.BlockUntilContext(GinkgoT().Context(), 1)).To(Succeed())
+		clock.Advance(7 * time.Second)
+		Expect(isOpen()).To(BeFalse())
+	})
+
 	It("does not close a connection of which a part of a header has been read, nor cut off its request", func() {
 		send(request)
 		readResponse()
