--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -1,7 +1,9 @@
 package connlimit
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -30,19 +32,29 @@
 	// started is true once the header of the first request has been read.
 	started bool
 	timer   clockwork.Timer
+	// limit selects the time limit of the present phase, which began at since.
+	limit func(Timeouts) time.Duration
+	since time.Time
 	// closed is true once the limiter has closed the connection. Bytes that arrive
 	// at that moment are not passed on.
 	closed bool
 	// ending is true once an idle connection is to be closed by the goroutine that reads
-	// it, unless that has read a byte. The read deadline of the inner connection has
-	// passed then; readDeadline is the one that the server has set.
+	// it, unless that has read a byte. The read deadline of the inner connection has then
+	// passed, or is that of beginLastRead; readDeadline is the one that the server has set.
 	ending       bool
 	readDeadline time.Time
 }
 
+// lastReadTime is how long the last read of an ending connection may take. It only has
+// to begin in time, since a read that begins takes what has arrived without waiting.
+const lastReadTime = 10 * time.Millisecond
+
 // Read implements net.Conn. The first byte of a request ends the idle time.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.beginLastRead() {
+		n, err = c.Conn.Read(p)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n == 0 && c.ending {
@@ -59,12 +71,24 @@
 		c.phase = reading
 		if c.started || revived {
 			// The time of the first header began with the connection.
-			c.arm(c.limiter.timeouts().Header)
+			c.arm(headerLimit)
 		}
 	}
 	return n, err
 }
 
+// beginLastRead gives an ending connection time for one more read, and reports whether it
+// is ending. A read whose deadline has passed does not look for bytes: a request may have
+// arrived that this process, busy or paused, has not read yet.
+func (c *conn) beginLastRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ending || c.closed {
+		return false
+	}
+	return c.Conn.SetReadDeadline(time.Now().Add(lastReadTime)) == nil
+}
+
 // SetReadDeadline implements net.Conn. It does not keep an ending connection open.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -76,12 +100,16 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// await begins the wait for the next request, which must arrive within the timeout.
-func (c *conn) await(timeout time.Duration) {
+func headerLimit(t Timeouts) time.Duration { return t.Header }
+
+func idleLimit(t Timeouts) time.Duration { return t.Idle }
+
+// await begins the wait for the next request, which must arrive within the limit.
+func (c *conn) await(limit func(Timeouts) time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = idle
-	c.arm(timeout)
+	c.arm(limit)
 }
 
 // beginServing ends the wait for a request.
@@ -91,7 +119,7 @@
 	c.phase = serving
 	c.started = true
 	c.reviveLocked()
-	c.arm(0)
+	c.startTimer(0)
 }
 
 // closeIfIdle makes the goroutine that reads the connection close it, unless a part of a
@@ -105,8 +133,14 @@
 	return c.closed
 }
 
-// arm starts the timer, or stops it if after is zero. The lock must be held.
-func (c *conn) arm(after time.Duration) {
+// arm begins a time limit and starts its timer. The lock must be held.
+func (c *conn) arm(limit func(Timeouts) time.Duration) {
+	c.limit, c.since = limit, c.limiter.clock.Now()
+	c.startTimer(limit(c.limiter.timeouts()))
+}
+
+// startTimer starts the timer, or stops it if after is zero. The lock must be held.
+func (c *conn) startTimer(after time.Duration) {
 	if c.timer != nil {
 		c.timer.Stop()
 		c.timer = nil
@@ -119,21 +153,29 @@
 }
 
 // expire closes the connection if it is still in the phase for which the timer was
-// started.
+// started. If the limit has been raised since then, it starts the timer for the rest.
 func (c *conn) expire(armed phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.phase == serving || (c.phase != armed && c.started) {
+		return
+	}
+	limit := c.limit(c.limiter.timeouts())
+	rest := limit - c.limiter.clock.Since(c.since)
 	switch {
-	case c.phase == idle && armed == idle:
+	case limit <= 0:
+	case rest > 0:
+		c.startTimer(rest)
+	case c.phase == idle:
 		c.endLocked()
-	case c.phase == armed || (!c.started && c.phase != serving):
+	default:
 		c.closeLocked()
 	}
 }
 
 // endLocked ends the read in progress, or the next one, whose goroutine then closes the
-// connection. A read that has taken bytes off the connection is not affected: only
-// its goroutine knows of them. The lock must be held.
+// connection unless its last read takes bytes off it. A read that has taken bytes off
+// the connection is not affected: only its goroutine knows of them. The lock must be held.
 func (c *conn) endLocked() {
 	if c.ending || c.closed {
 		return
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -39,7 +39,8 @@
 
 type connKey struct{}
 
-// New returns a limiter. It calls timeouts each time it starts a timer.
+// New returns a limiter. It calls timeouts each time it starts a timer and each time one
+// has expired: a raised timeout applies at once, a lowered one from the next wait on.
 func New(clock clockwork.Clock, timeouts func() Timeouts) *Limiter {
 	return &Limiter{clock: clock, timeouts: timeouts, conns: make(map[*conn]bool)}
 }
@@ -69,8 +70,9 @@
 // connection.
 func (l *Limiter) Drain() { l.draining.Store(true) }
 
-// CloseIdle closes the connections of which no part of a request has been read and
-// returns the number of the others.
+// CloseIdle closes the connections of which no part of a request has arrived and
+// returns the number of those that are still open. Those that are about to be closed
+// count until they are.
 func (l *Limiter) CloseIdle() int {
 	l.mu.Lock()
 	conns := make([]*conn, 0, len(l.conns))
@@ -96,11 +98,11 @@
 	switch state {
 	case http.StateNew:
 		l.track(c, true)
-		c.await(l.timeouts().Header)
+		c.await(headerLimit)
 	case http.StateActive:
 		c.beginServing()
 	case http.StateIdle:
-		c.await(l.timeouts().Idle)
+		c.await(idleLimit)
 	default:
 		c.beginServing()
 		l.track(c, false)
