A failure of the target that resumes a stream is no part of the stream

What callers saw: a stream whose second target answered 400 (or 302) got the body of that answer appended and ended as a complete one, with a second status written; after a 204 it ended as complete in the middle.

Cause: relayResponse delivered every signed answer below 500 that was no stream, also after the response had begun.

Change: once the response has begun, anything but a signed 2xx other than 204 is a failed call whose target may have run the request (errNotResumed): another target goes on with the stream where the route allows one more, and else the stream is aborted. The target's outcome is Failed, as for a server error: its connection did not break.

--- a/internal/edge/fakes_test.go
+++ b/internal/edge/fakes_test.go
@@ -268,3 +268,12 @@
 
 // silentFor is longer than the idle timeout of a stream of resumableStream.
 const silentFor = 1100 * time.Millisecond
+
+// unsignedAnswer is a target whose response lacks the signature.
+func unsignedAnswer(s step) step {
+	return func(ctx context.Context, silent chan<- struct{}) (*Response, error) {
+		resp, err := s(ctx, silent)
+		resp.Signed = false
+		return resp, err
+	}
+}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -30,6 +30,7 @@
 	errTruncated          = errors.New("the answer broke off")
 	errEventTooLong       = fmt.Errorf("an event exceeds %d bytes", MaxEventBytes)
 	errEventOrder         = errors.New("an event is missing or comes twice")
+	errNotResumed         = errors.New("the target did not go on with the stream")
 	errCallerDisconnected = errors.New("the caller left")
 )
 
@@ -84,13 +85,15 @@
 func (r *relay) meanGap() time.Duration { return meanEventGap(r.firstAt, r.latestAt, r.events) }
 
 // relayResponse relays a response. Errors are of type *SendError if another
-// target may be tried.
+// target may be tried. A response that has started is only continued by a stream.
 func (ex *exchange) relayResponse(ctx context.Context, resp *Response, onFirstByte func()) error {
 	switch {
 	case resp.Status >= http.StatusInternalServerError:
 		return ex.keepServerError(resp)
 	case !resp.Signed:
 		return ex.mayHaveRunError(errUnsigned)
+	case ex.relay.started && !isStream(resp.Status):
+		return ex.mayHaveRunError(fmt.Errorf("%w: status %d", errNotResumed, resp.Status))
 	case resp.Status < http.StatusMultipleChoices && ex.route.Kind == fleet.Stream:
 		return ex.relayStream(ctx, resp, onFirstByte)
 	default:
@@ -98,6 +101,11 @@
 	}
 }
 
+// isStream reports whether a response with the given status may hold events.
+func isStream(status int) bool {
+	return status < http.StatusMultipleChoices && status != http.StatusNoContent
+}
+
 // mayHaveRunError wraps the cause of a failed call whose target may have run the
 // request.
 func (ex *exchange) mayHaveRunError(cause error) error {
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -151,7 +151,7 @@
 		return allocation.NotRun
 	case sendErr.Delivery == WrongTarget:
 		return allocation.TargetReplaced
-	case errors.Is(err, errServerError):
+	case errors.Is(err, errServerError), errors.Is(err, errNotResumed):
 		return allocation.Failed
 	default:
 		return allocation.ConnectionLost
