A target that was left because it was silent is not reported as broken off

What callers saw: after a request had left three silent targets, the same request was refused for a minute, as one under which targets crash. And one pause of a sound target, of which many streams leave at once, ejected it for up to 4 s.

Cause: the outcome of such a call was ConnectionLost. The crash detector counts those by fingerprint, and each one doubles the ejection of its target.

The target is ejected as after a lost connection, but streams that leave it while it is ejected do not prolong that; the crash detector does not count it.

--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		ex.recordSendFailure(target, err)
 		ex.recordSilence(sending, target, err)
-		return outcomeOf(ctx, err), err
+		return outcomeOf(ctx, context.Cause(sending), err), err
 	}
 	return allocation.Succeeded, nil
 }
@@ -175,8 +175,8 @@
 }
 
 // outcomeOf returns the outcome that is reported to the coordinator for a failed
-// call.
-func outcomeOf(ctx context.Context, err error) allocation.Outcome {
+// call. cause is why the call was ended; nil if it was not.
+func outcomeOf(ctx context.Context, cause, err error) allocation.Outcome {
 	var sendErr *SendError
 	switch {
 	case ctx.Err() != nil || !errors.As(err, &sendErr):
@@ -185,6 +185,8 @@
 		return allocation.NotRun
 	case sendErr.Delivery == WrongTarget:
 		return allocation.TargetReplaced
+	case errors.Is(cause, errIdleTimeout):
+		return allocation.Silent
 	case errors.Is(err, errServerError), errors.Is(err, errNotResumed):
 		return allocation.Failed
 	default:
--- a/internal/pool/coordinator_test.go
+++ b/internal/pool/coordinator_test.go
@@ -179,6 +179,20 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	It("does not count targets that were left because they were silent as crashed", func() {
+		same := func(m *slotRequestMessage) { m.Fingerprint = 77 }
+		for id := allocation.ID(1); id <= 3; id++ {
+			_, err := acquire(id, same)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		for id := allocation.ID(1); id <= 3; id++ {
+			release(id, allocation.Silent)
+		}
+		Expect(coordinator.scheduler.InUse()).To(BeZero())
+		_, err := acquire(4, same)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("drops a grant and its charge when the reconcile message of its host omits the grant", func() {
 		_, err := acquire(1, nil)
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/systems/allocation/target.go
+++ b/internal/systems/allocation/target.go
@@ -130,6 +130,8 @@
 	switch outcome {
 	case ConnectionLost:
 		t.recordConnectionLoss(now)
+	case Silent:
+		t.recordSilence(now)
 	case TargetReplaced:
 		t.ejectedUntil = now.Add(replacedEjection)
 	case Succeeded:
@@ -146,6 +148,14 @@
 	t.ejectedUntil = now.Add(ejection)
 }
 
+// recordSilence ejects the target as after a broken connection, once for all its
+// streams: one pause of a target makes several of them leave.
+func (t *target) recordSilence(now time.Time) {
+	if !now.Before(t.ejectedUntil) {
+		t.recordConnectionLoss(now)
+	}
+}
+
 func (t *target) recordResponse(now time.Time, failure float64) {
 	t.connectionLosses = 0
 	t.responses++
