A slow caller does not make its target a silent one

What callers saw: a caller that took longer than the idle timeout to take up an event lost its stream's place: the request moved to another target, although its own went on.

Cause: the timer of the failover ran while caller.Write blocked, since it was reset only after the write.

Change: failover.pause, before events or a whole answer are relayed, ends a search in progress and lets none begin; reset, after the write, starts the idle timeout anew.

--- a/internal/edge/failover.go
+++ b/internal/edge/failover.go
@@ -76,7 +76,9 @@
 	// search is the search in progress; nil if there is none.
 	search *slotSearch
 	// slot is the slot that was found.
-	slot    *heldSlot
+	slot *heldSlot
+	// paused is true while the caller takes up what the target has sent.
+	paused  bool
 	stopped bool
 }
 
@@ -115,7 +117,7 @@
 func (f *failover) begin(s *slotSearch) (lastByteAt time.Time, began bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.stopped || f.search != nil || f.slot != nil {
+	if f.stopped || f.paused || f.search != nil || f.slot != nil {
 		return time.Time{}, false
 	}
 	f.search = s
@@ -149,12 +151,26 @@
 	if f.stopped {
 		return
 	}
+	f.paused = false
 	f.timeout = d
 	f.lastByteAt = f.clock.Now()
 	f.withdrawLocked()
 	f.timer.Reset(d)
 }
 
+// pause records that the target has sent something. Until reset is called the target
+// does not count as silent: the caller may be slow to take up what was sent.
+func (f *failover) pause() {
+	if f == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.paused = true
+	f.withdrawLocked()
+	f.timer.Stop()
+}
+
 // stop ends the failover. It returns the slot at another target that was found; nil
 // if there is none.
 func (f *failover) stop() *heldSlot {
--- a/internal/edge/fakes_test.go
+++ b/internal/edge/fakes_test.go
@@ -54,14 +54,20 @@
 // recordedSlots records the slot requests that it passes on.
 type recordedSlots struct {
 	inner *pool.Client
-	mu    sync.Mutex
-	asked []pool.SlotRequest
+	// asking gets a value for each request while it has room.
+	asking chan struct{}
+	mu     sync.Mutex
+	asked  []pool.SlotRequest
 }
 
 func (s *recordedSlots) Acquire(ctx context.Context, r pool.SlotRequest) (*pool.Grant, error) {
 	s.mu.Lock()
 	s.asked = append(s.asked, r)
 	s.mu.Unlock()
+	select {
+	case s.asking <- struct{}{}:
+	default:
+	}
 	return s.inner.Acquire(ctx, r)
 }
 
@@ -184,7 +190,9 @@
 	started := make(chan struct{})
 	close(started)
 	e := &testServer{
-		clock: clock, directory: directory, slots: &recordedSlots{inner: newSlotClient(t, directory, clock, logger)},
+		clock: clock, directory: directory,
+		slots: &recordedSlots{inner: newSlotClient(t, directory, clock, logger), asking: make(chan struct{}, 100)},
+
 		transport: &scriptedTransport{steps: steps, called: make(chan tables.TargetID, 100), silent: make(chan struct{}, 100)},
 		caller:    &recordedCaller{written: make(chan struct{}, 100)},
 		done:      make(chan struct{}),
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -131,6 +131,7 @@
 	if err != nil {
 		return ex.mayHaveRunError(err)
 	}
+	ex.failover.pause()
 	ex.deliver(&bufferedResponse{resp.Status, resp.Header, body})
 	return nil
 }
@@ -179,8 +180,9 @@
 	}
 }
 
-// relayEvents relays complete events.
+// relayEvents relays complete events. The failover is paused from then on.
 func (ex *exchange) relayEvents(resp *Response, events []byte) error {
+	ex.failover.pause()
 	for len(events) > 0 {
 		end := bytes.Index(events, eventEnd) + len(eventEnd)
 		if err := ex.relayEvent(resp, events[:end]); err != nil {
