Answer a stream that is taken up after its last event with its end

What callers saw: a caller that had all events of a stream but not its end, since its connection broke there, took the stream up and got 502. Cause: a stream without an event counted as broken off. Change: it is whole if the caller named its last event and the response has a length or chunks; one that ends with its connection may have broken off.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -175,6 +175,10 @@
 		switch {
 		case errors.Is(err, io.EOF) && endsWhole(pending, ex.relay.started):
 			return ex.relayEvents(resp, pending)
+		case errors.Is(err, io.EOF) && len(pending) == 0 && resp.Framed && ex.request.LastEventID != "":
+			// The caller already has the last event.
+			ex.beginStream(resp)
+			return nil
 		case err != nil:
 			return ex.mayHaveRunError(fmt.Errorf("%w after event %d: %w", errTruncated, ex.relay.lastID, err))
 		case ctx.Err() != nil:
@@ -196,6 +200,16 @@
 	return nil
 }
 
+// beginStream sends the status and header of a stream.
+func (ex *exchange) beginStream(resp *Response) {
+	now := ex.server.Clock.Now()
+	ex.relay.started = true
+	ex.relay.firstAt = now
+	ex.relay.version = ex.target.Version
+	ex.caller.Begin(resp.Status, resp.Header, resp.Length)
+	ex.server.Metrics.FirstEvent(string(ex.service), now.Sub(ex.request.Arrived))
+}
+
 func (ex *exchange) relayEvent(resp *Response, e []byte) error {
 	id, numbered := eventID(e)
 	if numbered && ex.relay.lastID > 0 && id != ex.relay.lastID+1 {
@@ -203,11 +217,7 @@
 	}
 	now := ex.server.Clock.Now()
 	if !ex.relay.started {
-		ex.relay.started = true
-		ex.relay.firstAt = now
-		ex.relay.version = ex.target.Version
-		ex.caller.Begin(resp.Status, resp.Header, resp.Length)
-		ex.server.Metrics.FirstEvent(string(ex.service), now.Sub(ex.request.Arrived))
+		ex.beginStream(resp)
 	}
 	if err := ex.caller.Write(e); err != nil {
 		return errkind.Wrap(errors.Join(errCallerDisconnected, err), errkind.CancelledWhileRunning, "the caller left")
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -94,6 +94,8 @@
 	Signed bool
 	// Length is the length of the body; negative if unknown.
 	Length int64
+	// Framed is true if the end of the body can be told from the end of the connection.
+	Framed bool
 	Body   io.ReadCloser
 }
 
