A withdrawn search is not logged as a silent target

Cause: event 1405 was logged for each search that ended, also for one that was withdrawn because the target went on or the request ended.

Change: it is logged only if the search was not withdrawn.

Evidence: the new test failed before with one event where the target went on and one where the caller left; with the change there is none, and one where the request moves. 20 runs with -race passed.

--- a/internal/edge/failover.go
+++ b/internal/edge/failover.go
@@ -210,7 +210,9 @@
 			need.waitingSince = lastByteAt
 		}
 		slot, err := ex.acquireSlot(ctx, need)
-		ex.logSilence(current.target, slot, err)
+		if ctx.Err() == nil {
+			ex.logSilence(current.target, slot, err)
+		}
 		return slot, err
 	}
 	timeout := max(firstByteIdleFactor*current.grant.ExpectedFirstByte, minIdleTimeout)
