A request without a deadline ends if its target is silent for good

What callers saw: neither an answer nor a refusal, for as long as they stayed, if neither they nor their route set a deadline and the target sent nothing more.

Cause: only the deadline ended a call at a silent target where no other target was free or allowed.

Change: such a call ends after defaultTimeout (10 s, the time that its target is told) in which the target sends nothing: no header, no byte of a buffered body and no whole event of a stream. It is a failed call that may have run, with the outcome Silent. Its length has no limit, and the time in which the caller takes up what was sent does not count. Requests with a deadline are as before.

--- a/internal/edge/bodies.go
+++ b/internal/edge/bodies.go
@@ -59,6 +59,9 @@
 func (r *bodyReader) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	r.read += n
+	if n > 0 {
+		r.ex.silence.reset()
+	}
 	if all := r.ex.countBody(int64(n)); all > maxBufferedBodies && r.read > ordinaryBody {
 		return n, errBodiesTooLong
 	}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -131,7 +131,7 @@
 	if err != nil {
 		return ex.mayHaveRunError(err)
 	}
-	ex.failover.pause()
+	ex.pauseSilence()
 	ex.deliver(&bufferedResponse{resp.Status, resp.Header, body})
 	return nil
 }
@@ -163,6 +163,7 @@
 			}
 			// Only whole events count: a target that stalls may still send a byte now
 			// and then.
+			ex.silence.reset()
 			ex.failover.reset(eventIdleTimeout(ex.route.EventGapSLO, ex.relay.longestGap, ex.route.CallerTimeout))
 			pending = append(pending[:0], pending[complete:]...)
 		}
@@ -180,9 +181,16 @@
 	}
 }
 
+// pauseSilence stops all timers for the silence of the target, since its caller may be
+// slow to take up what it has sent.
+func (ex *exchange) pauseSilence() {
+	ex.failover.pause()
+	ex.silence.stop()
+}
+
 // relayEvents relays complete events. The failover is paused from then on.
 func (ex *exchange) relayEvents(resp *Response, events []byte) error {
-	ex.failover.pause()
+	ex.pauseSilence()
 	for len(events) > 0 {
 		end := bytes.Index(events, eventEnd) + len(eventEnd)
 		if err := ex.relayEvent(resp, events[:end]); err != nil {
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -85,6 +85,8 @@
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	ex.failover = ex.newFailover(ctx, slot, cancel)
+	ex.silence = ex.newSilenceLimit(cancel)
+	defer ex.silence.stop()
 	err := ex.sendAndRelay(sending, target, call, func() { grant.ReportFirstByte(ex.server.Clock.Now().Sub(startedAt)) })
 	ex.nextSlot = ex.failover.stop()
 	if err != nil {
@@ -142,6 +144,7 @@
 		return err
 	}
 	defer resp.Body.Close()
+	ex.silence.reset()
 	ex.recordTried(target.ID)
 	return ex.relayResponse(ctx, resp, onFirstByte)
 }
@@ -185,7 +188,7 @@
 		return allocation.NotRun
 	case sendErr.Delivery == WrongTarget:
 		return allocation.TargetReplaced
-	case errors.Is(cause, errIdleTimeout):
+	case errors.Is(cause, errIdleTimeout), errors.Is(cause, errSilentTooLong):
 		return allocation.Silent
 	case errors.Is(err, errServerError), errors.Is(err, errNotResumed):
 		return allocation.Failed
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -103,6 +103,9 @@
 	// the request may not be sent to another target. nextSlot is a slot that it found.
 	failover *failover
 	nextSlot *heldSlot
+	// silence ends a call whose target is silent for good; nil if the request has a
+	// deadline.
+	silence *silenceLimit
 	// silent is the target that the request has left because it was silent; empty if
 	// there is none. mayReturn is true if the next one did not run the request, so that
 	// the silent one may get it again.
--- a/internal/systems/allocation/slot.go
+++ b/internal/systems/allocation/slot.go
@@ -98,7 +98,7 @@
 	TargetReplaced
 	// Unused means that the slot was released before anything was sent.
 	Unused
-	// Silent means that the request moved to another target because this one sent
-	// nothing for too long. It may be sound.
+	// Silent means that the request left the target because it sent nothing for too
+	// long. The target may be sound.
 	Silent
 )
