--- a/internal/edge/slot_test.go
+++ b/internal/edge/slot_test.go
@@ -7,6 +7,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
+	"github.com/bluebellseam/bluebellseam/internal/pool"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -28,3 +29,25 @@
 		t.Errorf("a caller that got an event 0.1s ago may wait %v, want %v", got, want)
 	}
 }
+
+func TestSlotAtAnotherStartOfATargetIsNotUsed(t *testing.T) {
+	v1, v2 := tables.SoftwareVersion("v1"), tables.SoftwareVersion("v2")
+	target := fleet.Target{ID: "t", Version: v1}
+	for _, c := range []struct {
+		name            string
+		granted, needed *tables.SoftwareVersion
+		want            bool
+	}{
+		{"a new stream", &v1, nil, true},
+		{"a coordinator of the build before", nil, nil, true},
+		{"the coordinator knows another start", &v2, nil, false},
+		{"a stream that began at the version", &v1, &v1, true},
+		{"a stream that began at another version, by a coordinator of the build before", nil, &v2, false},
+		{"a stream that began at another version", &v2, &v2, false},
+	} {
+		need := slotNeed{version: c.needed}
+		if got := need.mayUse(&pool.Grant{Target: "t", Version: c.granted}, target); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
