A slot request of which nothing was sent returns its retry budget

Callers saw refusals with repeat_budget although no retry had reached a target: searches for another target that found no slot, withdrawn slot requests and slots given back unused had used up the budget of the service.

Cause: enqueue counts a retry when its slot is requested; nothing took it off.

Change: retry.Counter has ReturnRetry, which takes a retry off the part of the window in which it was counted. The coordinator returns the retry of a request that is refused, withdrawn, or whose slot is released as Unused. Other outcomes keep it: the budget counts arrivals at targets, also those that a target refuses. A retry that still waits for its slot counts meanwhile.

--- a/internal/pool/coordinator.go
+++ b/internal/pool/coordinator.go
@@ -87,6 +87,9 @@
 type charge struct {
 	quota.Charge
 	fingerprint tables.Fingerprint
+	service     tables.ServiceID
+	// retriedAt is when the request was counted as a retry; zero if it was not.
+	retriedAt time.Time
 }
 
 // NewCoordinator returns a coordinator. share returns the fraction of quotas
@@ -181,7 +184,11 @@
 	if !m.Retry {
 		c.retries.RecordRequest(now, m.Service)
 	}
-	c.charges[m.ID] = charge{quotaCharge, m.Fingerprint}
+	entry := charge{Charge: quotaCharge, fingerprint: m.Fingerprint, service: m.Service}
+	if m.Retry {
+		entry.retriedAt = now
+	}
+	c.charges[m.ID] = entry
 	w := &waiter{request: m, done: make(chan allocation.Decision, 1)}
 	c.waiting[m.ID] = w
 	request := m.toSlotRequest(now)
@@ -275,6 +282,7 @@
 		return grantMessage{Target: d.Target, ExpectedMS: d.ExpectedFirstByte.Sub(c.clock.Now()).Milliseconds()}, nil
 	}
 	c.mu.Lock()
+	c.returnRetry(m.ID)
 	c.refund(m.ID)
 	c.refusals.Record(c.clock.Now(), m.Fingerprint, d.RetryAfter)
 	waiting, inUse := c.scheduler.Queued(), c.scheduler.InUse()
@@ -297,6 +305,7 @@
 	delete(c.waiting, m.ID)
 	c.scheduler.Cancel(m.Service, m.ID)
 	c.scheduler.Release(c.clock.Now(), m.ID, allocation.Abandoned)
+	c.returnRetry(m.ID)
 	c.refund(m.ID)
 	c.mu.Unlock()
 	return errkind.New(errkind.CancelledBeforeRun, fmt.Sprintf("ask of request %q was withdrawn", m.Request))
@@ -339,6 +348,9 @@
 	c.recordOutcome(now, e)
 	c.scheduler.RecordEventGap(e.ID, fromMS(e.MeanEventGapMS))
 	c.scheduler.Release(now, e.ID, e.Outcome)
+	if e.Outcome == allocation.Unused {
+		c.returnRetry(e.ID)
+	}
 	if e.Outcome == allocation.NotRun || e.Outcome == allocation.TargetReplaced || e.Outcome == allocation.Unused {
 		c.refund(e.ID)
 		return
--- a/internal/systems/retry/retry.go
+++ b/internal/systems/retry/retry.go
@@ -69,9 +69,28 @@
 	return true
 }
 
+// ReturnRetry takes off a retry that AllowRetry counted at countedAt, since nothing was
+// sent to a target.
+func (c *Counter) ReturnRetry(now, countedAt time.Time, s tables.ServiceID) {
+	if c.budget.Window <= 0 {
+		return
+	}
+	w := c.window(now, s)
+	part := c.partOf(countedAt)
+	if part > w.part || part <= w.part-windowParts {
+		return
+	}
+	w.retries[part%windowParts] = max(w.retries[part%windowParts]-1, 0)
+}
+
+// partOf returns the number of the part of a window to which a time belongs.
+func (c *Counter) partOf(t time.Time) int64 {
+	return t.UnixNano() / max(int64(c.budget.Window/windowParts), 1)
+}
+
 func (c *Counter) window(now time.Time, s tables.ServiceID) *window {
 	w := c.windows[s]
-	part := now.UnixNano() / max(int64(c.budget.Window/windowParts), 1)
+	part := c.partOf(now)
 	if w == nil {
 		w = &window{part: part}
 		c.windows[s] = w
--- a/internal/systems/retry/retry_test.go
+++ b/internal/systems/retry/retry_test.go
@@ -54,6 +54,53 @@
 		Expect(allowed).To(Equal(5))
 		Expect(c.AllowRetry(start, "other", 1)).To(BeTrue())
 	})
+
+	allowAll := func(c *retry.Counter, now time.Time) int {
+		for n := 0; ; n++ {
+			if !c.AllowRetry(now, "s", 1) {
+				return n
+			}
+		}
+	}
+
+	It("allows another retry for each one that is returned", func() {
+		c := retry.NewCounter(budget)
+		Expect(allowAll(c, start)).To(Equal(10))
+		for range 4 {
+			c.ReturnRetry(start.Add(3*time.Second), start, "s")
+		}
+		Expect(allowAll(c, start.Add(3*time.Second))).To(Equal(4))
+	})
+
+	It("takes a returned retry off the time at which it was counted", func() {
+		c := retry.NewCounter(budget)
+		Expect(c.AllowRetry(start, "s", 1)).To(BeTrue())
+		Expect(allowAll(c, start.Add(6*time.Second))).To(Equal(9))
+		c.ReturnRetry(start.Add(6*time.Second), start, "s")
+		Expect(allowAll(c, start.Add(6*time.Second))).To(Equal(1))
+		Expect(allowAll(c, start.Add(11*time.Second))).To(BeZero(), "all ten count from the sixth second")
+	})
+
+	It("gains nothing from retries that no longer count, or that another service made", func() {
+		c := retry.NewCounter(budget)
+		Expect(c.AllowRetry(start, "s", 1)).To(BeTrue())
+		later := start.Add(11 * time.Second)
+		Expect(allowAll(c, later)).To(Equal(10))
+		c.ReturnRetry(later, start, "s")
+		c.ReturnRetry(later, later, "other")
+		Expect(allowAll(c, later)).To(BeZero())
+		for range 10 {
+			Expect(c.AllowRetry(later, "other", 1)).To(BeTrue())
+		}
+		Expect(c.AllowRetry(later, "other", 1)).To(BeFalse())
+	})
+
+	It("keeps no count without a window", func() {
+		c := retry.NewCounter(retry.Budget{})
+		Expect(c.AllowRetry(start, "s", 1)).To(BeTrue())
+		c.ReturnRetry(start, start, "s")
+		Expect(c.AllowRetry(start, "s", 1)).To(BeTrue())
+	})
 })
 
 var _ = Describe("Refusals", func() {
