A slot that was not used is charged to no quota

Customers had less than their quota: a slot request that a host withdrew from the coordinator kept its charge, and a new coordinator was told of tokens whose slots had been given back unused.

Cause: acquireRemote reported a withdrawn or broken slot request as Abandoned, after which the charge stays since the request may have run. But without an answer the host sends nothing. The client's count of used tokens, which a new coordinator gets, was never corrected.

Change: the report says Unused, and the release of a slot as Unused takes its tokens off the client's count.

Evidence: "reports a slot request that it withdrew from another host as unused" failed before with outcome 4 (Abandoned) for 6 (Unused); "does not tell a new coordinator of tokens that were not used" failed with 80 tokens for 30.

Left: tokens of requests that a target refused (NotRun, TargetReplaced) stay in the client's count, though the coordinator refunds them.

--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -238,7 +238,8 @@
 		select {
 		case r := <-done:
 			if r.err != nil && peer.IsBroken(r.err) {
-				c.reportRelease(live.Host.ID, releaseReport{ID: m.ID, Service: m.Service, Outcome: allocation.Abandoned})
+				// The slot may have been granted, but nothing is sent without the answer.
+				c.reportRelease(live.Host.ID, releaseReport{ID: m.ID, Service: m.Service, Outcome: allocation.Unused})
 			}
 			return r.grant, r.err
 		case <-c.clock.After(livenessInterval):
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -22,6 +22,9 @@
 	coordinator   *Coordinator
 	coordinatorID tables.HostID
 	released      bool
+	// customer and counted are what was added to the client's usage.
+	customer tables.CustomerID
+	counted  tokenUse
 }
 
 func (c *Client) newGrant(r SlotRequest, m slotRequestMessage, live links.LiveHost, g grantMessage, err error) (*Grant, error) {
@@ -39,7 +42,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open[m.ID] = openGrant{ID: m.ID, Service: m.Service, Target: g.Target, Customer: r.Customer}
-	c.usage.add(c.clock.Now(), r.Customer, r.QuotaTokens)
+	grant.customer, grant.counted = r.Customer, tokenUse{c.clock.Now(), r.QuotaTokens}
+	c.usage.add(grant.counted.at, r.Customer, r.QuotaTokens)
 	return grant, nil
 }
 
@@ -63,6 +67,9 @@
 	c := g.client
 	c.mu.Lock()
 	delete(c.open, g.id)
+	if outcome == allocation.Unused {
+		c.usage.remove(g.customer, g.counted)
+	}
 	c.mu.Unlock()
 	r := releaseReport{ID: g.id, Service: g.service, Outcome: outcome, MeanEventGapMS: toMS(meanGap)}
 	if g.coordinator != nil {
--- a/internal/pool/usage.go
+++ b/internal/pool/usage.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -25,6 +26,14 @@
 	u.byCustomer[id] = append(u.trim(now, id), tokenUse{now, tokens})
 }
 
+// remove undoes add for tokens that were not used.
+func (u *usage) remove(id tables.CustomerID, use tokenUse) {
+	uses := u.byCustomer[id]
+	if i := slices.Index(uses, use); i >= 0 {
+		u.byCustomer[id] = slices.Delete(uses, i, i+1)
+	}
+}
+
 func (u *usage) trim(now time.Time, id tables.CustomerID) []tokenUse {
 	uses := u.byCustomer[id]
 	for len(uses) > 0 && now.Sub(uses[0].at) > u.window {
