An older list of targets does not replace a newer one

Callers could be sent to targets that had left, or miss new ones, until the next change of the list, when two reloads of the coordinator ran at the same time.

Cause: ReloadTargets read the targets before it locked, so the call that had read first could set its list last. Change: one lock (reloading) around read and set.

Evidence: the spec "end with the newer list" holds up the first read; before, a request was granted "older" for "newer". Measured: go test of internal/pool passes.

--- a/internal/pool/coordinator.go
+++ b/internal/pool/coordinator.go
@@ -54,6 +54,8 @@
 	// are divided.
 	slotDivisor func() int
 
+	// reloading is held by ReloadTargets, so that no older list replaces a newer one.
+	reloading sync.Mutex
 	mu        sync.Mutex
 	scheduler *allocation.Scheduler
 	buckets   *quota.Buckets
@@ -120,6 +122,8 @@
 // ReloadTargets reloads the list of targets. estimates come from another coordinator
 // and apply only where this one has none.
 func (c *Coordinator) ReloadTargets(estimates allocation.Estimates) {
+	c.reloading.Lock()
+	defer c.reloading.Unlock()
 	targets := c.view.Targets()
 	config := c.view.Config()
 	divisor := max(c.slotDivisor(), 1)
