A resumed stream that ends with its connection before any event is not complete

What callers saw: a stream that looks complete in the middle, if the target that goes on with it sends a head without length or chunks and its connection closes before the first event. Cause: an end without events counted as the end of the stream. Evidence: the new case of TestFailureOfTheTargetThatResumesAStreamIsNotPartOfTheStream failed. Change: without an event, only a response with a length or chunks tells its end.

--- a/internal/edge/failover_resume_test.go
+++ b/internal/edge/failover_resume_test.go
@@ -10,10 +10,11 @@
 func TestFailureOfTheTargetThatResumesAStreamIsNotPartOfTheStream(t *testing.T) {
 	unsigned := func(status int, body string) step { return unsignedAnswer(answers(status, body)) }
 	for name, next := range map[string]step{
-		"a refusal":               answers(http.StatusBadRequest, `{"error":"cannot resume"}`),
-		"a redirect":              answers(http.StatusFound, "elsewhere\n\n"),
-		"an empty answer":         answers(http.StatusNoContent, ""),
-		"no event":                answers(http.StatusOK, "{}"),
+		"a refusal":       answers(http.StatusBadRequest, `{"error":"cannot resume"}`),
+		"a redirect":      answers(http.StatusFound, "elsewhere\n\n"),
+		"an empty answer": answers(http.StatusNoContent, ""),
+		"no event":        answers(http.StatusOK, "{}"),
+		"a stream that ends with its connection before any event": answers(http.StatusOK, ""),
 		"a server error":          answers(http.StatusBadGateway, "error\n\n"),
 		"an unsigned stream":      unsigned(http.StatusOK, "id: 2\ndata: b\n\n"),
 		"an unsigned refusal":     unsigned(http.StatusBadRequest, "refused\n\n"),
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -174,9 +174,12 @@
 			err = errEventTooLong
 		}
 		switch {
+		case errors.Is(err, io.EOF) && len(pending) == 0 && !reported && !resp.Framed:
+			// Without an event, the end of the connection may be a failure.
+			return ex.mayHaveRunError(errTruncated)
 		case errors.Is(err, io.EOF) && endsWhole(pending, ex.relay.started):
 			return ex.relayEvents(resp, pending)
-		case errors.Is(err, io.EOF) && len(pending) == 0 && resp.Framed && ex.request.LastEventID != "":
+		case errors.Is(err, io.EOF) && len(pending) == 0 && ex.request.LastEventID != "":
 			// The caller already has the last event.
 			ex.beginStream(resp)
 			return nil
