Requests that avoid targets neither hide them from others nor push others out of the queue

What callers saw: while a request that must not go back to a silent target waits, other requests with prompts as long were skipped although that target was free, and late ones were refused for its place in the queue. Cause: the shortcut for requests that could not be placed ignored Avoid, and late requests counted although no target was left for them. Change: a request that avoids targets is no example for others; one for which there is no target is not counted among the late.

--- a/internal/systems/allocation/schedule.go
+++ b/internal/systems/allocation/schedule.go
@@ -148,13 +148,11 @@
 	return b.EventGapSLO > 0 && (a.EventGapSLO <= 0 || a.EventGapSLO > b.EventGapSLO)
 }
 
-// add stores r. A resumed or bound request that avoids targets says nothing of others.
+// add stores r. A request that avoids targets says nothing of others.
 func (p unplaceable) add(now time.Time, r *SlotRequest) {
-	class := r.placementClass(now)
-	if (class.resumed || class.bound) && len(r.Avoid) > 0 {
-		return
+	if len(r.Avoid) == 0 {
+		p[r.placementClass(now)] = r
 	}
-	p[class] = r
 }
 
 func (sched *Scheduler) decide(now time.Time, s *service, r *SlotRequest, free []*target, unplaced unplaceable) (Decision, bool) {
@@ -179,8 +177,9 @@
 }
 
 // trimLate refuses late requests from the end of the queue until at most
-// maxLate of them remain. Requests bound to a version without a target do not count:
-// they compete for no slot, and wait until their queue deadline.
+// maxLate of them remain. Requests for which there is no target, since they avoid all or
+// are bound to a version that has none, do not count: they compete for no slot, and wait
+// until their queue deadline.
 func (sched *Scheduler) trimLate(now time.Time, s *service, out []Decision) []Decision {
 	excess := -s.maxLate(now)
 	for _, r := range s.queue {
@@ -200,13 +199,14 @@
 
 // trimmable reports whether the request is late and competes for slots.
 func (s *service) trimmable(now time.Time, r *SlotRequest) bool {
-	return r.late(now) && (!r.VersionBound || s.hasVersion(r.Version))
+	return r.late(now) && s.hasTargetFor(r)
 }
 
-// hasVersion reports whether a target of the version is listed and not leaving.
-func (s *service) hasVersion(version tables.SoftwareVersion) bool {
+// hasTargetFor reports whether a target that the request accepts is listed and not
+// leaving.
+func (s *service) hasTargetFor(r *SlotRequest) bool {
 	for _, t := range s.targets {
-		if t.Version == version && !t.removed && !t.Leaving {
+		if r.accepts(t) && !t.removed && !t.Leaving {
 			return true
 		}
 	}
