A stream that sends bytes without end but no token is cut off

What callers saw: no outcome. A target that sent lines without end that are no events was read for as long as its caller stayed, at the speed of the network.

Cause: a line has a bound (maxEventBytes), the lines between two events had none.

Change: a stream with more than maxTokenGapBytes (2 MiB) between two events that carry a token breaks with an error that wraps ErrUnknown, whatever the lines are: no events, comments, empty lines or events without a token. The bound counts the second event too; it is twice the bound of a line, so that a long event still fits.

--- a/internal/target/stream.go
+++ b/internal/target/stream.go
@@ -18,9 +18,16 @@
 	// maxEventBytes is the maximum length of a line in a stream of server-sent
 	// events.
 	maxEventBytes = 1 << 20
-	dataPrefix    = "data:"
+	// maxTokenGapBytes is the maximum number of bytes between two events of a stream
+	// that carry a token. It counts all lines, and the second event too.
+	maxTokenGapBytes = 2 * maxEventBytes
+	dataPrefix       = "data:"
 )
 
+// errTokenGap is the error of a stream with more than maxTokenGapBytes between two
+// events that carry a token.
+var errTokenGap = fmt.Errorf("more than %d bytes without a token", maxTokenGapBytes)
+
 // eventStream is a Stream that is received as server-sent events. A separate
 // goroutine reads the body, so that Next can return when its context is done.
 type eventStream struct {
@@ -93,8 +100,11 @@
 func (s *eventStream) forwardChunks(ctx context.Context, body io.Reader, offset int) error {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 0, 4096), maxEventBytes)
-	final := false
+	final, gap := false, 0
 	for lines.Scan() {
+		if gap += len(lines.Bytes()) + 1; gap > maxTokenGapBytes {
+			return s.endError(final, errTokenGap)
+		}
 		data, ok := strings.CutPrefix(lines.Text(), dataPrefix)
 		if !ok {
 			continue
@@ -108,6 +118,9 @@
 			return err
 		}
 		offset += c.Tokens
+		if c.Tokens > 0 {
+			gap = 0
+		}
 		final = final || c.Final
 		select {
 		case s.chunks <- c:
