A stream that opens and breaks without a token counts as a failed query

What callers saw: no outcome and no refusal, for as long as they stayed.

Cause: the resolver recorded progress when a stream opened, which sets the count of failures back to 0. A target that opens every stream and sends nothing of the answer never reached MaxFailures, and was asked again without a pause if the stream broke at once. settle.Next says that progress counts with the first chunk; the resolver of a gate counts it so already.

Change: progress is recorded, and the backoff reset, if tokens arrived. A resumed stream that breaks before that is a failed query. A stream that was only silent (streamStallTimeout) is neither, as before, because a target may read a long prompt.

--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"slices"
@@ -131,7 +132,7 @@
 	}
 	r := d.newResolver(j)
 	if err == nil {
-		r.readStream(stream)
+		_ = r.readStream(stream) // not a query, so it does not count as a failed one
 	} else {
 		r.lastErr = err
 	}
@@ -183,10 +184,18 @@
 	return j.outcome != nil
 }
 
+// errStalled is wrapped by the error of a stream without a chunk for
+// streamStallTimeout.
+var errStalled = errors.New("stream stalled")
+
 func (d *Dispatcher) nextChunk(stream *openStream) (target.Chunk, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, streamStallTimeout)
 	defer cancel()
-	return stream.Next(ctx)
+	c, err := stream.Next(ctx)
+	if err != nil && ctx.Err() != nil {
+		err = fmt.Errorf("%w: %w", errStalled, err)
+	}
+	return c, err
 }
 
 // resume continues the stream of a dispatch from a token offset on a new
--- a/internal/dispatcher/recover.go
+++ b/internal/dispatcher/recover.go
@@ -169,7 +169,9 @@
 	_, err = callInLoop(ctx, d, func() bool {
 		r := d.newResolver(d.adopt(conn, q, ep))
 		d.spawn(func() {
-			r.readStream(stream)
+			if err := r.readStream(stream); err != nil {
+				r.recordQueryFailure(err)
+			}
 			r.run()
 		})
 		return true
--- a/internal/dispatcher/resolver.go
+++ b/internal/dispatcher/resolver.go
@@ -87,19 +87,39 @@
 	}
 }
 
-// readStream reads the stream and records how it ended.
-func (r *resolver) readStream(stream *openStream) {
-	r.facts.RecordProgress(r.j.target, target.InProgress)
+// readStream reads the stream and records how it ended. Only a chunk with a token is
+// recorded as progress, because a target that opens a stream may send nothing that
+// belongs to the answer. It returns the error of a stream that broke before such a
+// chunk, and nil otherwise. A target that is only silent may still be reading the
+// prompt, so its stream does not count as broken.
+func (r *resolver) readStream(stream *openStream) error {
+	before := r.endOffset()
 	err := r.d.readChunks(r.j, stream)
 	if err == nil {
-		return
+		return nil
 	}
 	r.lastErr = err
+	progressed := r.endOffset() > before
+	if progressed {
+		r.facts.RecordProgress(r.j.target, target.InProgress)
+		r.queryBackoff.Reset()
+	}
 	if errors.Is(err, target.ErrFailed) {
 		r.facts.RecordProgress(r.j.target, target.Failed)
-		return
+		return nil
 	}
 	event.StreamSilent.Log(r.d.Logger, zap.String("request", string(r.j.msg.ID)), zap.Error(err))
+	if progressed || errors.Is(err, errStalled) {
+		return nil
+	}
+	return err
+}
+
+// endOffset returns the number of answer tokens received, or 0 if the dispatcher is
+// stopping.
+func (r *resolver) endOffset() int {
+	offset, _ := callInLoop(r.d.ctx, r.d, func() int { return r.j.received.EndOffset() })
+	return offset
 }
 
 func (r *resolver) resume(offset int) {
@@ -107,8 +127,9 @@
 	switch {
 	case err == nil:
 		event.StreamResumed.Log(r.d.Logger, zap.String("request", string(r.j.msg.ID)), zap.Int("offset", offset))
-		r.queryBackoff.Reset()
-		r.readStream(stream)
+		if err := r.readStream(stream); err != nil {
+			r.recordQueryFailure(err)
+		}
 	case errors.Is(err, target.ErrNotAdmitted):
 		r.lastErr = err
 		r.crashed = r.crashed || r.facts.Report(r.j.target).Progress == target.InProgress
--- a/internal/systems/settle/settle.go
+++ b/internal/systems/settle/settle.go
@@ -18,7 +18,8 @@
 	// Resume reads the stream from Step.Offset at Step.Targets on new
 	// connections. The caller records the progress InProgress with the first
 	// chunk, marks the answer as complete with the last one, and records a
-	// missing stream or a failed query.
+	// missing stream or a failed query. A stream that breaks before its first
+	// chunk is a failed query.
 	Resume
 	// Cancel sets a tombstone at Step.Targets on new connections, so that the
 	// targets do not start the request later. The caller records the progress that
