Keep the pass over a long queue cheap

Cause: the shortcut for requests that could not be placed had become a map with a string in its key, looked up for each queued request in each pass, and each late request looked for a target. Change: only requests that are bound to a version use the map; those that accept any target are not checked.

--- a/internal/systems/allocation/schedule.go
+++ b/internal/systems/allocation/schedule.go
@@ -44,10 +44,10 @@
 func (sched *Scheduler) scheduleService(now time.Time, s *service, out []Decision) []Decision {
 	slices.SortStableFunc(s.queue, func(a, b *SlotRequest) int { return compareRequests(now, a, b) })
 	free := s.freeTargets(now)
-	unplaced := make(unplaceable)
+	var unplaced unplaceable
 	waiting := s.queue[:0]
 	for _, r := range s.queue {
-		d, decided := sched.decide(now, s, r, free, unplaced)
+		d, decided := sched.decide(now, s, r, free, &unplaced)
 		if decided {
 			out = append(out, d)
 			free = s.filterFree(free)
@@ -107,39 +107,52 @@
 	}
 }
 
-// unplaceable holds the requests that got no target in this pass, the last one of each
-// class. Requests that are no easier to place (see covers) are skipped without
-// evaluating the targets. This keeps a pass over a long queue cheap.
-type unplaceable map[placementClass]*SlotRequest
+// unplaceable holds the requests that got no target in this pass: the last one that was
+// neither late, resumed nor bound to a version, the last one of each of these, and the
+// last one of each kind of bound ones. Requests that are no easier to place (see covers)
+// are skipped without evaluating the targets. This keeps a pass over a long queue cheap.
+type unplaceable struct {
+	onTime, late, resumed *SlotRequest
+	bound                 map[boundClass]*SlotRequest
+}
+
+// boundClass is what must be equal in bound requests that covers compares.
+type boundClass struct {
+	late, resumed bool
+	version       tables.SoftwareVersion
+}
 
-// placementClass is what must be equal in requests that covers compares.
-type placementClass struct {
-	late, resumed, bound bool
-	version              tables.SoftwareVersion
+func (r *SlotRequest) boundClass(now time.Time) boundClass {
+	return boundClass{late: r.late(now), resumed: r.Resumed, version: r.Version}
 }
 
-func (r *SlotRequest) placementClass(now time.Time) placementClass {
-	c := placementClass{late: r.late(now), resumed: r.Resumed, bound: r.VersionBound}
-	if r.VersionBound {
-		c.version = r.Version
+// stored returns the stored request of the kind of r; nil if there is none.
+func (p *unplaceable) stored(now time.Time, r *SlotRequest) *SlotRequest {
+	switch {
+	case r.VersionBound:
+		return p.bound[r.boundClass(now)]
+	case r.Resumed:
+		return p.resumed
+	case r.late(now):
+		return p.late
+	default:
+		return p.onTime
 	}
-	return c
 }
 
-// covers reports whether r is no easier to place than the stored request of its class.
+// covers reports whether r is no easier to place than the stored request of its kind.
 // That is so if the prompt of r is at least as long and, for an r that is neither late
 // nor resumed, its first byte is due no later. For a resumed or bound r, its event-gap
 // SLO must not be longer either.
-func (p unplaceable) covers(now time.Time, r *SlotRequest) bool {
-	class := r.placementClass(now)
-	stored := p[class]
+func (p *unplaceable) covers(now time.Time, r *SlotRequest) bool {
+	stored := p.stored(now, r)
 	switch {
 	case stored == nil || r.PromptTokens < stored.PromptTokens:
 		return false
-	case (class.resumed || class.bound) && hasLongerEventGap(r, stored):
+	case (r.Resumed || r.VersionBound) && hasLongerEventGap(r, stored):
 		return false
 	default:
-		return class.late || class.resumed || !r.FirstByteDue.After(stored.FirstByteDue)
+		return r.Resumed || r.late(now) || !r.FirstByteDue.After(stored.FirstByteDue)
 	}
 }
 
@@ -149,13 +162,24 @@
 }
 
 // add stores r. A request that avoids targets says nothing of others.
-func (p unplaceable) add(now time.Time, r *SlotRequest) {
-	if len(r.Avoid) == 0 {
-		p[r.placementClass(now)] = r
+func (p *unplaceable) add(now time.Time, r *SlotRequest) {
+	switch {
+	case len(r.Avoid) > 0:
+	case r.VersionBound:
+		if p.bound == nil {
+			p.bound = make(map[boundClass]*SlotRequest)
+		}
+		p.bound[r.boundClass(now)] = r
+	case r.Resumed:
+		p.resumed = r
+	case r.late(now):
+		p.late = r
+	default:
+		p.onTime = r
 	}
 }
 
-func (sched *Scheduler) decide(now time.Time, s *service, r *SlotRequest, free []*target, unplaced unplaceable) (Decision, bool) {
+func (sched *Scheduler) decide(now time.Time, s *service, r *SlotRequest, free []*target, unplaced *unplaceable) (Decision, bool) {
 	if len(s.targets) == 0 {
 		return Decision{Request: r, Reason: NoTargets, RetryAfter: noTargetsRetryAfter}, true
 	}
@@ -205,6 +229,9 @@
 // hasTargetFor reports whether a target that the request accepts is listed and not
 // leaving.
 func (s *service) hasTargetFor(r *SlotRequest) bool {
+	if !r.VersionBound && len(r.Avoid) == 0 {
+		return true
+	}
 	for _, t := range s.targets {
 		if r.accepts(t) && !t.removed && !t.Leaving {
 			return true
