A home accepts claims again after it has given up its last lost append

What callers saw: claims_unavailable, "the log accepts no claims", for every free key of one claim stream at one home, although the log was healthy and nothing was queued. The state ended only with a batch that was read back, and a home in it sent none for a claim.

Cause: unreadSince was cleared when a batch was read back or refused, but not when Tick gave up a batch that was lost. If the caller of its claim had left, its release could be read back first and set unreadSince anew; the lost batch was then dropped with nothing to requeue.

Change: Tick clears unreadSince if no call is pending and nothing is queued or unread. While entries are requeued it stays, as before, so that a log that loses every append still counts as stalled.

--- a/internal/systems/claim/flow.go
+++ b/internal/systems/claim/flow.go
@@ -237,7 +237,7 @@
 
 // Tick fails calls of Acquire whose deadline has passed, and requeues the entries
 // of batches that were not read back within AppendGrace after an append with the
-// result Unknown.
+// result Unknown. If nothing is left to be read back then, the shard is no longer stalled.
 func (s *Shard) Tick(now time.Time) {
 	for t, req := range s.pending {
 		if !now.Before(req.Deadline) {
@@ -252,6 +252,9 @@
 		delete(s.sent, number)
 		s.requeue(now, b)
 	}
+	if s.Idle() {
+		s.unreadSince = time.Time{}
+	}
 }
 
 // requeue queues the entries of a batch that may or may not reach the stream.
--- a/internal/systems/claim/shard.go
+++ b/internal/systems/claim/shard.go
@@ -141,7 +141,8 @@
 	// unreadSince is when this shard sent the first of its batches that are not
 	// read back, or last read one back while others were unread. Requeuing a batch
 	// does not change unreadSince. Once the last unread batch is read back or
-	// refused, unreadSince is zero until the next batch is sent.
+	// refused, or given up with no entry left, unreadSince is zero until the next
+	// batch is sent.
 	unreadSince         time.Time
 	backoffUntil        time.Time
 	consecutiveRefusals int
--- a/internal/systems/claim/shard_test.go
+++ b/internal/systems/claim/shard_test.go
@@ -205,6 +205,21 @@
 		a.Acquire(at(4*time.Second), acquireRequest(2, 2))
 		Expect(errkind.Of(a.TakeCompleted()[0].Result.Err)).To(Equal(errkind.ClaimsUnavailable))
 	})
+	It("accepts claims after the last batch that was not read back has been given up", func() {
+		a.Acquire(at(0), acquireRequest(1, 1))
+		lost := next(a, 0)
+		a.AppendDone(at(2*time.Second), lost.Number, claim.Unknown)
+		log.now = 2500 * time.Millisecond
+		a.Tick(at(log.now))
+		release := next(a, log.now)
+		a.AppendDone(at(log.now), release.Number, claim.Appended)
+		log.add(release)
+		a.Tick(at(3 * time.Second))
+		a.TakeCompleted()
+		Expect(a.Idle()).To(BeTrue())
+		a.Acquire(at(10*time.Second), acquireRequest(2, 2))
+		Expect(a.TakeCompleted()).To(BeEmpty())
+	})
 	It("puts all claims that queued during an append into the next batch", func() {
 		a.Acquire(at(0), acquireRequest(1, 1))
 		first := next(a, 0)
