Skip requests that avoid targets by those that avoid fewer, as before

Change: a request is skipped if a stored one of its kind is as easy to place and avoids no target that it doesn't; those that avoid targets are held apart, so that they hide nothing from others.

--- a/internal/systems/allocation/schedule.go
+++ b/internal/systems/allocation/schedule.go
@@ -109,11 +109,13 @@
 
 // unplaceable holds the requests that got no target in this pass: the last one that was
 // neither late, resumed nor bound to a version, the last one of each of these, and the
-// last one of each kind of bound ones. Requests that are no easier to place (see covers)
-// are skipped without evaluating the targets. This keeps a pass over a long queue cheap.
+// last one of each kind of bound ones. Those that avoid targets are held apart, unless
+// they are resumed or bound. Requests that are no easier to place (see covers) are skipped
+// without evaluating the targets. This keeps a pass over a long queue cheap.
 type unplaceable struct {
-	onTime, late, resumed *SlotRequest
-	bound                 map[boundClass]*SlotRequest
+	onTime, late, resumed        *SlotRequest
+	onTimeAvoiding, lateAvoiding *SlotRequest
+	bound                        map[boundClass]*SlotRequest
 }
 
 // boundClass is what must be equal in bound requests that covers compares.
@@ -140,19 +142,38 @@
 	}
 }
 
-// covers reports whether r is no easier to place than the stored request of its kind.
-// That is so if the prompt of r is at least as long and, for an r that is neither late
-// nor resumed, its first byte is due no later. For a resumed or bound r, its event-gap
-// SLO must not be longer either.
+// storedAvoiding returns the stored request of the kind of r that avoids targets; nil if
+// there is none.
+func (p *unplaceable) storedAvoiding(now time.Time, r *SlotRequest) *SlotRequest {
+	switch {
+	case r.VersionBound || r.Resumed:
+		return nil
+	case r.late(now):
+		return p.lateAvoiding
+	default:
+		return p.onTimeAvoiding
+	}
+}
+
+// covers reports whether r is no easier to place than a stored request of its kind.
 func (p *unplaceable) covers(now time.Time, r *SlotRequest) bool {
-	stored := p.stored(now, r)
+	return noEasier(now, r, p.stored(now, r)) || len(r.Avoid) > 0 && noEasier(now, r, p.storedAvoiding(now, r))
+}
+
+// noEasier reports whether r is no easier to place than stored, a request of its kind or
+// nil. That is so if the prompt of r is at least as long, r avoids all targets that stored
+// avoids and, for an r that is neither late nor resumed, its first byte is due no later.
+// For a resumed or bound r, its event-gap SLO must not be longer either.
+func noEasier(now time.Time, r, stored *SlotRequest) bool {
 	switch {
 	case stored == nil || r.PromptTokens < stored.PromptTokens:
 		return false
 	case (r.Resumed || r.VersionBound) && hasLongerEventGap(r, stored):
 		return false
+	case !(r.Resumed || r.late(now)) && r.FirstByteDue.After(stored.FirstByteDue):
+		return false
 	default:
-		return r.Resumed || r.late(now) || !r.FirstByteDue.After(stored.FirstByteDue)
+		return !slices.ContainsFunc(stored.Avoid, func(id tables.TargetID) bool { return !slices.Contains(r.Avoid, id) })
 	}
 }
 
@@ -161,10 +182,11 @@
 	return b.EventGapSLO > 0 && (a.EventGapSLO <= 0 || a.EventGapSLO > b.EventGapSLO)
 }
 
-// add stores r. A request that avoids targets says nothing of others.
+// add stores r. A resumed or bound request that avoids targets is not stored.
 func (p *unplaceable) add(now time.Time, r *SlotRequest) {
+	avoiding := len(r.Avoid) > 0
 	switch {
-	case len(r.Avoid) > 0:
+	case avoiding && (r.VersionBound || r.Resumed):
 	case r.VersionBound:
 		if p.bound == nil {
 			p.bound = make(map[boundClass]*SlotRequest)
@@ -172,6 +194,10 @@
 		p.bound[r.boundClass(now)] = r
 	case r.Resumed:
 		p.resumed = r
+	case avoiding && r.late(now):
+		p.lateAvoiding = r
+	case avoiding:
+		p.onTimeAvoiding = r
 	case r.late(now):
 		p.late = r
 	default:
@@ -229,7 +255,7 @@
 // hasTargetFor reports whether a target that the request accepts is listed and not
 // leaving.
 func (s *service) hasTargetFor(r *SlotRequest) bool {
-	if !r.VersionBound && len(r.Avoid) == 0 {
+	if !r.VersionBound && len(r.Avoid) < len(s.targets) {
 		return true
 	}
 	for _, t := range s.targets {
