--- a/internal/systems/allocation/schedule.go
+++ b/internal/systems/allocation/schedule.go
@@ -170,7 +170,7 @@
 		return false
 	case (r.Resumed || r.VersionBound) && hasLongerEventGap(r, stored):
 		return false
-	case !(r.Resumed || r.late(now)) && r.FirstByteDue.After(stored.FirstByteDue):
+	case !r.Resumed && !r.late(now) && r.FirstByteDue.After(stored.FirstByteDue):
 		return false
 	default:
 		return !slices.ContainsFunc(stored.Avoid, func(id tables.TargetID) bool { return !slices.Contains(r.Avoid, id) })
