The herd of hosts in virtual time passes under the race detector

Cause: the test read the processes, the count of store calls and the grants without the locks with which its timers write them; seven races, none in product code. Evidence: go test -race ./internal/edgenode failed with them and passes now (57 s). The bounds of the test are as they were.

--- a/internal/edgenode/herd_test.go
+++ b/internal/edgenode/herd_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,7 +50,8 @@
 
 type herdHost struct {
 	settings platform.Settings
-	process  *Process
+	// process is nil until the host has started.
+	process atomic.Pointer[Process]
 }
 
 func newHerd(count int) *herd {
@@ -85,7 +87,7 @@
 	p.stalls = stall.New(p.clock, func() time.Duration { return time.Since(h.startedAt) })
 	p.peers.Dial = h.network.Dialer(p.self.Address)
 	listener := h.network.Listen(p.self.Address)
-	host.process = p
+	host.process.Store(p)
 	go func() { _ = peer.Serve(ctx, listener, p.mux, "", p.clock) }()
 	go p.run(ctx)
 	go h.load(ctx, p)
@@ -95,8 +97,8 @@
 func (h *herd) stopAll() {
 	h.cancel()
 	for _, host := range h.hosts {
-		h.network.Cut(host.process.self.Address)
-		host.process.Close()
+		h.network.Cut(host.process.Load().self.Address)
+		host.process.Load().Close()
 	}
 	// Timers of the stopped processes run out.
 	time.Sleep(time.Minute)
@@ -132,16 +134,23 @@
 	grant.Release(allocation.Succeeded, 0)
 }
 
+func (h *herd) grants() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.granted
+}
+
 // withCoordinator returns the share of hosts whose first live host is the one that
 // most of them agree on.
 func (h *herd) withCoordinator() float64 {
 	votes := make(map[tables.HostID]int)
 	most := 0
 	for _, host := range h.hosts {
-		if host.process == nil {
+		process := host.process.Load()
+		if process == nil {
 			continue
 		}
-		if live, ok := host.process.links.FirstLive(); ok {
+		if live, ok := process.links.FirstLive(); ok {
 			votes[live.Host.ID]++
 			most = max(most, votes[live.Host.ID])
 		}
@@ -155,9 +164,9 @@
 	votes := make(map[tables.HostID]int)
 	known := make(map[int]int)
 	for _, host := range h.hosts {
-		live, _ := host.process.links.FirstLive()
+		live, _ := host.process.Load().links.FirstLive()
 		votes[live.Host.ID]++
-		known[host.process.links.HostCount()]++
+		known[host.process.Load().links.HostCount()]++
 	}
 	return fmt.Sprintf("coordinators %v, numbers of known hosts %v", votes, known)
 }
@@ -207,6 +216,12 @@
 	s.mu.Unlock()
 }
 
+func (s *memoryStore) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 // Newest implements watch.Store.
 func (s *memoryStore) Newest(_ context.Context, name watch.Stream) (watch.Page, error) {
 	s.call()
@@ -276,13 +291,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHerd(herdHosts)
 		for _, phase := range startPhases() {
-			bytes, calls := h.network.CrossBytes(), h.store.calls
+			bytes, calls := h.network.CrossBytes(), h.store.callCount()
 			h.startAll()
 			took := h.awaitCoordinator(startSpread + phase.coordinatorWithin)
 			agreed := h.withCoordinator()
 			time.Sleep(3 * time.Second)
-			bytes, calls = h.network.CrossBytes()-bytes, h.store.calls-calls
-			t.Logf("%s: %v until nine tenths have one coordinator, %.1f MB between domains, %d calls to the store, %d grants", phase.name, took, float64(bytes)/(1<<20), calls, h.granted)
+			bytes, calls = h.network.CrossBytes()-bytes, h.store.callCount()-calls
+			t.Logf("%s: %v until nine tenths have one coordinator, %.1f MB between domains, %d calls to the store, %d grants", phase.name, took, float64(bytes)/(1<<20), calls, h.grants())
 			if agreed < 0.9 {
 				t.Errorf("%s: no coordinator of nine tenths of the hosts within %v; %s", phase.name, phase.coordinatorWithin, h.disagreement())
 			}
