Fault soak: a connection that has lost data forwards no more of it

Trace: the proxy of edge-4's callers discarded data towards the caller from 5.12 s until the end of another fault healed it at 5.35 s; the call was sent in between. The discarded data were whole chunks. TCP delivers nothing after a gap, so the proxy was wrong, not the host. The check stays as it is; the proxy is stricter: what follows a gap is discarded too. Evidence: the new spec fails without the change. Measured: faultsoak's specs pass.

--- a/internal/faultsoak/proxy.go
+++ b/internal/faultsoak/proxy.go
@@ -30,6 +30,9 @@
 // caller and the one to the backend.
 type connection struct {
 	caller, backend net.Conn
+	// lostToBackend and lostToCaller are true once data in that direction was discarded.
+	// No more is forwarded then: TCP delivers nothing after a gap.
+	lostToBackend, lostToCaller bool
 }
 
 func newProxy(backend string) (*proxy, error) {
@@ -108,10 +111,15 @@
 func (p *proxy) shouldForward(c *connection, toBackend bool) bool {
 	p.mu.Lock()
 	delay := p.delay
-	cut := p.silenced[c] || (toBackend && p.dropToBackend) || (!toBackend && p.dropToCaller)
+	lost, drop := &c.lostToCaller, p.dropToCaller
+	if toBackend {
+		lost, drop = &c.lostToBackend, p.dropToBackend
+	}
+	*lost = *lost || drop || p.silenced[c]
+	forward := !*lost
 	p.mu.Unlock()
 	time.Sleep(delay)
-	return !cut
+	return forward
 }
 
 // update calls change while holding the lock.
--- a/internal/faultsoak/proxy_test.go
+++ b/internal/faultsoak/proxy_test.go
@@ -60,6 +60,18 @@
 		Expect(echo(dial())).To(Succeed())
 	})
 
+	It("never forwards data after a gap in it", func() {
+		for _, cut := range []func(p *proxy){func(p *proxy) { p.dropToCaller = true }, func(p *proxy) { p.dropToBackend = true }} {
+			conn := dial()
+			Expect(echo(conn)).To(Succeed())
+			p.update(cut)
+			Expect(echo(conn)).NotTo(Succeed())
+			p.heal()
+			Expect(echo(conn)).NotTo(Succeed())
+			Expect(echo(dial())).To(Succeed())
+		}
+	})
+
 	It("discards data in one direction until it is healed", func() {
 		p.update(func(p *proxy) { p.dropToCaller = true })
 		Expect(echo(dial())).NotTo(Succeed())
