--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -237,6 +237,7 @@
 		ex.relay.lastID = id
 	}
 	ex.relay.recordEvent(now)
+	ex.call.events++
 	return nil
 }
 
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -34,6 +34,9 @@
 	// set, that is, if the caller stated them.
 	PromptTokens, MaxOutputTokens int
 	HasTokenCounts                bool
+	// PromptParts lists the IDs of the parts of the prompt in order; empty if the caller
+	// named none. Requests share parts. The last one belongs to the request or its session.
+	PromptParts []string
 	// LastEventID is the ID of the last event received by the caller; empty if none.
 	LastEventID string
 	// FirstAttempt is the ID of the request that brought the first event of the stream
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -66,6 +66,7 @@
 func (ex *exchange) send(ctx context.Context, slot *heldSlot) (allocation.Outcome, error) {
 	grant, target := slot.grant, slot.target
 	ex.target = target
+	ex.call = callProgress{}
 	call := Call{
 		Request:       ex.request,
 		Timeout:       defaultTimeout,
@@ -92,7 +93,7 @@
 	err := ex.sendAndRelay(sending, target, call, func() { grant.ReportFirstByte(ex.server.Clock.Now().Sub(startedAt)) })
 	ex.nextSlot = ex.failover.stop()
 	if err != nil {
-		ex.recordSendFailure(target, err)
+		ex.recordSendFailure(target, startedAt, err)
 		ex.recordSilence(sending, target, err)
 		return outcomeOf(ctx, context.Cause(sending), err), err
 	}
@@ -146,12 +147,13 @@
 		return err
 	}
 	defer resp.Body.Close()
+	ex.call.answered, ex.call.framed = true, resp.Framed
 	ex.silence.reset()
 	ex.recordTried(target.ID)
 	return ex.relayResponse(ctx, resp, onFirstByte)
 }
 
-func (ex *exchange) recordSendFailure(target fleet.Target, err error) {
+func (ex *exchange) recordSendFailure(target fleet.Target, startedAt time.Time, err error) {
 	var sendErr *SendError
 	if errors.As(err, &sendErr) && sendErr.Delivery == MayHaveRun {
 		ex.relay.mayHaveRun = true
@@ -160,7 +162,9 @@
 		ex.recordTried(target.ID)
 	}
 	ex.server.Metrics.SendFailed(string(ex.service))
-	event.SendFailed.Log(ex.server.Logger, zap.String("request", ex.request.ID), zap.String("target", string(target.ID)), zap.Error(err))
+	event.SendFailed.Log(ex.server.Logger, zap.String("request", ex.request.ID), zap.String("target", string(target.ID)), zap.Error(err),
+		zap.Duration("after", ex.server.Clock.Now().Sub(startedAt)), zap.Bool("answered", ex.call.answered), zap.Bool("framed", ex.call.framed),
+		zap.Int("events", ex.call.events), zap.Strings("parts", ex.request.PromptParts))
 }
 
 // recordSilence keeps a target that was left because it was silent, with ctx as the
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -99,8 +99,9 @@
 	// tried lists the targets to which the request was sent, each once.
 	tried []tables.TargetID
 	relay relay
-	// target is the target of the latest call.
+	// target is the target of the latest call, and call how far that has come.
 	target fleet.Target
+	call   callProgress
 	// failover seeks a slot at another target while the current one is silent; nil if
 	// the request may not be sent to another target. nextSlot is a slot that it found.
 	failover *failover
@@ -117,6 +118,16 @@
 	bufferedBytes int64
 }
 
+// callProgress tells how far a call to a target has come.
+type callProgress struct {
+	// answered is true once the header of the answer has arrived.
+	answered bool
+	// framed is Response.Framed.
+	framed bool
+	// events is the number of events that the call has brought.
+	events int
+}
+
 // Serve processes one request and responds to caller exactly once.
 func (s *Server) Serve(ctx context.Context, r *Request, caller Caller) {
 	ex := &exchange{server: s, request: r, caller: caller}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -68,7 +68,7 @@
 	InvariantFailed       = Event{1310, zapcore.ErrorLevel, "invariant failed", "An internal check failed; report it with the surrounding log."}
 	SlotGranted           = Event{1311, zapcore.InfoLevel, "slot granted", "A request got a slot at a target; expected is the expected time to first byte. A stream goes on after the event of the ID after; first_attempt is the request that began it."}
 	SlotRefused           = Event{1312, zapcore.InfoLevel, "slot refused", "A request got no slot; reason, waiting and in_use describe the cause."}
-	SendFailed            = Event{1313, zapcore.WarnLevel, "send failed", "A target did not return a complete answer; the error states whether the request may have run."}
+	SendFailed            = Event{1313, zapcore.WarnLevel, "send failed", "A target did not return a complete answer; the error states whether the request may have run. The call had lasted for the time after and brought events; answered is true once its header had arrived, framed if its end can be told from that of the connection. parts are those of the prompt."}
 	LocalFallback         = Event{1314, zapcore.WarnLevel, "local fallback", "No coordinator responds; this host grants slots from its own share of the targets."}
 )
 
