Requests with what several crashes of targets have in common are refused by all hosts

Cause: crashes were counted by the fingerprint of a whole request, in the memory of one coordinator. No two of these requests are alike and each is sent to two targets at most, so no count reached three. Class: evidence kept under a key that identifies one case, not what the cases have in common, and at one place that may end.

Change: hosts report the requests that they lost at the beginning of their answer, with the parts of their prompts but the last and their content, to the hosts that may be or become the coordinator. internal/systems/poison decides by group testing: a trait is cleared by a request that gets past the beginning of its answer, and is a cause once chance does not explain that all requests with it were lost. Causes are sent to all hosts and kept in the store; losses go along with each new connection and, for hosts that share none, through the store. A host refuses before it asks for a slot and again before it sends. The fingerprint is one of the traits, so the detector of whole requests is gone (internal/systems/retry), with its two specs; the new ones are as strict: content on which three targets crashed, survival in between, refused and silent targets are no losses.

--- a/internal/edge/fakes_test.go
+++ b/internal/edge/fakes_test.go
@@ -56,8 +56,10 @@
 	inner *pool.Client
 	// asking gets a value for each request while it has room.
 	asking chan struct{}
-	mu     sync.Mutex
-	asked  []pool.SlotRequest
+	// onAsk is called before each request; nil for nothing.
+	onAsk func()
+	mu    sync.Mutex
+	asked []pool.SlotRequest
 }
 
 func (s *recordedSlots) Acquire(ctx context.Context, r pool.SlotRequest) (*pool.Grant, error) {
@@ -68,6 +70,9 @@
 	case s.asking <- struct{}{}:
 	default:
 	}
+	if s.onAsk != nil {
+		s.onAsk()
+	}
 	return s.inner.Acquire(ctx, r)
 }
 
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -237,7 +237,7 @@
 		ex.relay.lastID = id
 	}
 	ex.relay.recordEvent(now)
-	ex.call.events++
+	ex.recordCallEvent()
 	return nil
 }
 
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -131,6 +131,8 @@
 // SendError is the error of a failed call to a target.
 type SendError struct {
 	Delivery Delivery
+	// Answered is true if the target answered, and the answer is no use.
+	Answered bool
 	Cause    error
 }
 
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -27,6 +27,10 @@
 		if err != nil {
 			return ex.noSlotError(callerCtx, err, lastErr)
 		}
+		if err := ex.server.Poison.Check(ex.traits); err != nil {
+			slot.release()
+			return ex.noSlotError(callerCtx, err, lastErr)
+		}
 		outcome, err := ex.send(ctx, slot)
 		slot.grant.Release(outcome, ex.relay.meanGap())
 		if err == nil {
@@ -95,8 +99,13 @@
 	if err != nil {
 		ex.recordSendFailure(target, startedAt, err)
 		ex.recordSilence(sending, target, err)
-		return outcomeOf(ctx, context.Cause(sending), err), err
+		outcome := outcomeOf(ctx, context.Cause(sending), err)
+		if outcome == allocation.ConnectionLost {
+			ex.recordLoss(target, err)
+		}
+		return outcome, err
 	}
+	ex.recordWholeAnswer()
 	return allocation.Succeeded, nil
 }
 
@@ -147,7 +156,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	ex.call.answered, ex.call.framed = true, resp.Framed
+	ex.call = callProgress{answered: true, status: resp.Status, framed: resp.Framed}
 	ex.silence.reset()
 	ex.recordTried(target.ID)
 	return ex.relayResponse(ctx, resp, onFirstByte)
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -14,7 +14,9 @@
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
 	"github.com/bluebellseam/bluebellseam/internal/observe"
+	"github.com/bluebellseam/bluebellseam/internal/poison"
 	"github.com/bluebellseam/bluebellseam/internal/pool"
+	system "github.com/bluebellseam/bluebellseam/internal/systems/poison"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -47,6 +49,8 @@
 	Clock     clockwork.Clock
 	Logger    *zap.Logger
 	Metrics   *observe.EdgeMetrics
+	// Poison refuses requests that make targets crash. It may be nil.
+	Poison *poison.Guard
 
 	quiet quietTargets
 	// bufferedBytes is the size of all bodies that are buffered now.
@@ -86,9 +90,11 @@
 
 // exchange is the state of one request.
 type exchange struct {
-	server   *Server
-	request  *Request
-	caller   Caller
+	server  *Server
+	request *Request
+	caller  Caller
+	// traits is what the request may have in common with others.
+	traits   []system.Trait
 	config   *fleet.Config
 	route    *fleet.Route
 	customer *fleet.Customer
@@ -122,7 +128,8 @@
 type callProgress struct {
 	// answered is true once the header of the answer has arrived.
 	answered bool
-	// framed is Response.Framed.
+	// status is the status of the answer, and framed its Response.Framed.
+	status int
 	framed bool
 	// events is the number of events that the call has brought.
 	events int
@@ -130,7 +137,7 @@
 
 // Serve processes one request and responds to caller exactly once.
 func (s *Server) Serve(ctx context.Context, r *Request, caller Caller) {
-	ex := &exchange{server: s, request: r, caller: caller}
+	ex := &exchange{server: s, request: r, caller: caller, traits: system.TraitsOf(r.PromptParts, r.Fingerprint)}
 	s.Metrics.AddOpenRequests(1)
 	defer s.Metrics.AddOpenRequests(-1)
 	defer ex.releaseBodies()
@@ -163,7 +170,7 @@
 	}
 	ex.service = pickService(ex.route.Split, rand.Float64())
 	ex.deadline = ex.computeDeadline()
-	return nil
+	return ex.server.Poison.Check(ex.traits)
 }
 
 // authenticate finds the customer of the API key.
--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -24,6 +24,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/links"
 	"github.com/bluebellseam/bluebellseam/internal/observe"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
+	"github.com/bluebellseam/bluebellseam/internal/poison"
 	"github.com/bluebellseam/bluebellseam/internal/pool"
 	"github.com/bluebellseam/bluebellseam/internal/stall"
 	"github.com/bluebellseam/bluebellseam/internal/systems/owner"
@@ -94,6 +95,7 @@
 	fallback    *pool.Coordinator
 	client      *pool.Client
 	origins     *pool.Origins
+	poison      *poison.Guard
 	stalls      *stall.Detector
 	front       *http.Server
 	// limiter tracks the connections of callers, which frontListener accepts.
@@ -164,6 +166,9 @@
 	p.replicator.OnDetach = p.coordinator.ReleaseHost
 	p.links.OnConnect = p.onConnect
 	p.connectOrigins()
+	p.poison = poison.NewGuard(p.clock, p.logger)
+	p.poison.Peers = poisonPeers{p}
+	p.poison.Register(p.mux)
 	return p
 }
 
@@ -196,6 +201,7 @@
 		ranked := owner.SpreadDomains(owner.Ranked(coordinatorRankSeed, p.state.Hosts()), links.MaxLinks)
 		p.links.SetHosts(ranked)
 		p.origins.Import(p.state.Versions())
+		p.importPoison()
 		event.HostsChanged.Log(p.logger, zap.Int("hosts", len(ranked)))
 	default:
 		p.origins.Observe(p.state.Targets())
@@ -212,6 +218,7 @@
 		return err
 	}
 	p.shareOrigins(host.ID, conn)
+	p.poison.ShareWith(conn)
 	return nil
 }
 
@@ -233,7 +240,7 @@
 		Clock: p.clock,
 		Server: &edge.Server{
 			Started: p.started, UpToDate: p.upToDate, Directory: p.state, Slots: p.client, Transport: platform.NewTargetClient(),
-			Clock: p.clock, Logger: p.logger, Metrics: p.metrics,
+			Clock: p.clock, Logger: p.logger, Metrics: p.metrics, Poison: p.poison,
 		},
 	})
 	p.limiter = connlimit.New(p.clock, p.connTimeouts)
--- a/internal/edgenode/origins.go
+++ b/internal/edgenode/origins.go
@@ -28,7 +28,13 @@
 	p.coordinator.Origins, p.fallback.Origins, p.client.Origins = p.origins, p.origins, p.origins
 	p.origins.Fresh = p.viewFresh
 	p.origins.Send = p.sendOrigins
-	p.replicator.OnAttach = p.shareOrigins
+	p.replicator.OnAttach = p.onAttach
+}
+
+// onAttach is called when a host has attached to this one.
+func (p *Process) onAttach(id tables.HostID, conn *peer.Conn) {
+	p.shareOrigins(id, conn)
+	p.poison.ShareWith(conn)
 }
 
 // viewFresh reports whether the targets and the store's record of versions are known
--- /dev/null
+++ b/internal/edgenode/poison.go
@@ -0,0 +1,127 @@
+package edgenode
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/event"
+	"github.com/bluebellseam/bluebellseam/internal/poison"
+)
+
+const (
+	// causePrefix and evidencePrefix begin the names of the records in the store that hold
+	// a cause of crashes, and what one decider has seen.
+	causePrefix, evidencePrefix = "crash-cause/", "crash-evidence/"
+	// poisonInterval is the time between checks that the store holds what this host knows
+	// of crashes.
+	poisonInterval = 500 * time.Millisecond
+)
+
+// causeRecord is a cause of crashes in the store.
+type causeRecord struct {
+	Cause string `json:"cause"`
+	// FoundAtMS is when the cause was found, in Unix milliseconds.
+	FoundAtMS int64 `json:"found_ms"`
+}
+
+func causeKey(name string) string {
+	return fmt.Sprintf("%s%016x", causePrefix, xxhash.Sum64String(name))
+}
+
+// poisonPeers reaches the other hosts for a poison.Guard.
+type poisonPeers struct{ p *Process }
+
+// Decides implements poison.Peers. A host that reaches no other one decides alone.
+func (q poisonPeers) Decides() bool {
+	first, ok := q.p.links.FirstLive()
+	return !ok || first.Conn == nil
+}
+
+// NotifyDeciders implements poison.Peers.
+func (q poisonPeers) NotifyDeciders(method string, params any) {
+	for _, live := range q.p.links.LiveHosts() {
+		if live.Conn != nil {
+			live.Conn.NotifyAsync(method, params)
+		}
+	}
+}
+
+// NotifyAll implements poison.Peers.
+func (q poisonPeers) NotifyAll(method string, params any) {
+	q.p.replicator.Broadcast(method, params)
+	q.NotifyDeciders(method, params)
+}
+
+// importPoison takes up what the store holds of crashes.
+func (p *Process) importPoison() {
+	causes := make(map[string]int64)
+	for name, value := range p.state.Shared() {
+		var err error
+		switch {
+		case strings.HasPrefix(name, causePrefix):
+			var record causeRecord
+			err = json.Unmarshal(value, &record)
+			causes[record.Cause] = record.FoundAtMS
+		case strings.HasPrefix(name, evidencePrefix) && name != evidencePrefix+p.settings.Node:
+			var evidence poison.Evidence
+			err = json.Unmarshal(value, &evidence)
+			p.poison.ImportEvidence(evidence)
+		}
+		if err != nil {
+			event.EntryIgnored.Log(p.logger, zap.String("key", name), zap.Error(err))
+		}
+	}
+	p.poison.Import(causes)
+}
+
+// sharePoison keeps what this host knows of crashes in the store while it decides, until
+// ctx ends.
+func (p *Process) sharePoison(ctx context.Context) {
+	for ctx.Err() == nil {
+		if (poisonPeers{p}).Decides() {
+			// A failure has been logged; the next attempt follows.
+			_ = p.writePoison(ctx)
+		}
+		select {
+		case <-ctx.Done():
+		case <-p.clock.After(poisonInterval):
+		}
+	}
+}
+
+// writePoison writes what the store lacks. Errors wrap watch.ErrUnavailable.
+func (p *Process) writePoison(ctx context.Context) error {
+	for name, foundAtMS := range p.poison.Causes() {
+		value, err := json.Marshal(causeRecord{name, foundAtMS})
+		if err != nil {
+			return err
+		}
+		if _, known := p.state.Shared()[causeKey(name)]; known {
+			continue
+		}
+		if err := p.watcher.PutShared(ctx, causeKey(name), value); err != nil {
+			return err
+		}
+	}
+	return p.writeEvidence(ctx)
+}
+
+// writeEvidence shares the losses that this host has learned of with hosts that it does
+// not reach. While all are attached, nothing is written.
+func (p *Process) writeEvidence(ctx context.Context) error {
+	evidence := p.poison.Evidence()
+	if len(evidence.Losses) == 0 || len(p.replicator.Attached())+1 >= p.links.HostCount() {
+		return nil
+	}
+	value, err := json.Marshal(evidence)
+	if err != nil {
+		return err
+	}
+	return p.watcher.PutShared(ctx, evidencePrefix+p.settings.Node, value)
+}
--- a/internal/edgenode/run.go
+++ b/internal/edgenode/run.go
@@ -19,6 +19,8 @@
 	go p.replicator.Run(ctx)
 	go p.client.Run(ctx, p.replicator.Broadcast)
 	go p.recordVersions(ctx)
+	go p.poison.Run(ctx)
+	go p.sharePoison(ctx)
 	go p.awaitCoordinator()
 	p.watcher.Run(ctx)
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -70,6 +70,9 @@
 	SlotRefused           = Event{1312, zapcore.InfoLevel, "slot refused", "A request got no slot; reason, waiting and in_use describe the cause."}
 	SendFailed            = Event{1313, zapcore.WarnLevel, "send failed", "A target did not return a complete answer; the error states whether the request may have run. The call had lasted for the time after and brought events; answered is true once its header had arrived, framed if its end can be told from that of the connection. parts are those of the prompt."}
 	LocalFallback         = Event{1314, zapcore.WarnLevel, "local fallback", "No coordinator responds; this host grants slots from its own share of the targets."}
+	CrashCauseFound       = Event{1315, zapcore.WarnLevel, "crash cause found", "Targets crashed under requests that have the traits of cause in common; all hosts refuse such requests. lost are the latest of them, each with its target."}
+	CrashCauseLearned     = Event{1316, zapcore.InfoLevel, "crash cause learned", "This host refuses requests with a cause that another host has found."}
+	CrashCauseForgotten   = Event{1317, zapcore.InfoLevel, "crash cause forgotten", "Requests with the cause are sent again: it is a day old or an operator has released it."}
 )
 
 // Targets: 1400 to 1499.
--- /dev/null
+++ b/internal/poison/guard.go
@@ -0,0 +1,299 @@
+// Package poison refuses requests that make targets crash. Hosts report the requests that
+// they lost at crashes to the hosts that may become the coordinator; the coordinator
+// finds the cause, and all hosts refuse the requests that hold it.
+package poison
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/event"
+	system "github.com/bluebellseam/bluebellseam/internal/systems/poison"
+)
+
+const (
+	// maxSurvivors bounds the number of traits of which the last survival is kept.
+	maxSurvivors = 4096
+	// reportInterval is the minimum time between two reports of survivals.
+	reportInterval = 50 * time.Millisecond
+	// decideDelay is how long a decision waits for further reports.
+	decideDelay = 20 * time.Millisecond
+	// checkInterval is the time between decisions without a report.
+	checkInterval = 500 * time.Millisecond
+	// causeLifetime is how long requests with a cause are refused.
+	causeLifetime = 24 * time.Hour
+)
+
+// Peers reaches the other hosts.
+type Peers interface {
+	// Decides reports whether this host is the coordinator, as far as it knows.
+	Decides() bool
+	// NotifyDeciders sends a notification to the other hosts that may be or become the
+	// coordinator.
+	NotifyDeciders(method string, params any)
+	// NotifyAll sends a notification to all hosts that this host reaches.
+	NotifyAll(method string, params any)
+}
+
+// Guard refuses requests that hold a cause and takes part in finding causes. It is safe
+// for concurrent use. A nil Guard refuses nothing.
+type Guard struct {
+	clock  clockwork.Clock
+	logger *zap.Logger
+	// Peers must be set before the first call of another method.
+	Peers Peers
+
+	mu sync.Mutex
+	// seen are the latest losses that this host has seen or learned of.
+	seen     []seenLoss
+	causes   *system.Causes
+	detector *system.Detector
+	// survivors holds when requests with a trait last survived at this host.
+	survivors *simplelru.LRU[system.Trait, time.Time]
+	// suspects are the traits whose survivals are reported. survivedSuspects are those with
+	// which requests survived since the last report, at reportedAt, and survivedCount is
+	// the number of all requests that survived since.
+	suspects, survivedSuspects map[system.Trait]bool
+	reportedAt                 time.Time
+	survivedCount              int
+	// sentSuspects are those last sent to the other hosts.
+	sentSuspects []system.Trait
+	// deciding is true while a timer runs the next decision.
+	deciding bool
+}
+
+// NewGuard returns a guard that knows no causes.
+func NewGuard(clock clockwork.Clock, logger *zap.Logger) *Guard {
+	survivors, err := simplelru.NewLRU[system.Trait, time.Time](maxSurvivors, nil)
+	if err != nil {
+		panic("poison: LRU of positive size refused: " + err.Error())
+	}
+	causes := system.NewCauses()
+	return &Guard{
+		clock: clock, logger: logger, causes: causes, detector: system.NewDetector(causes),
+		survivors: survivors, suspects: make(map[system.Trait]bool), survivedSuspects: make(map[system.Trait]bool),
+	}
+}
+
+// Check returns an error of the kind Quarantined if a request with the given traits must
+// not be sent.
+func (g *Guard) Check(traits []system.Trait) error {
+	if g == nil {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	cause, found := g.causes.Match(traits)
+	if !found {
+		return nil
+	}
+	return errkind.New(errkind.Quarantined, fmt.Sprintf("targets crashed under requests with %s", cause))
+}
+
+// Lost records and reports a loss that this host has seen.
+func (g *Guard) Lost(l system.Loss) {
+	if g == nil || len(l.Traits) == 0 {
+		return
+	}
+	losses := []agedLoss{{Loss: l}}
+	g.Peers.NotifyDeciders(methodLost, lossMessage{losses})
+	g.recordLosses(losses)
+}
+
+// Survived records that a request with the given traits got past the beginning of its
+// answer.
+func (g *Guard) Survived(traits []system.Trait) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	now := g.clock.Now()
+	for _, t := range traits {
+		g.survivors.Add(t, now)
+	}
+	g.detector.CountSurvivals(now, 1)
+	if len(g.suspects) == 0 {
+		g.mu.Unlock()
+		return
+	}
+	g.survivedCount++
+	for _, t := range traits {
+		if g.suspects[t] {
+			g.survivedSuspects[t] = true
+		}
+	}
+	var report survivalMessage
+	if now.Sub(g.reportedAt) >= reportInterval {
+		report = g.takeReport(now)
+	}
+	g.mu.Unlock()
+	g.report(report)
+}
+
+// takeReport returns the report of the survivals since the last one. The lock must be
+// held.
+func (g *Guard) takeReport(now time.Time) survivalMessage {
+	m := survivalMessage{AgeMS: make(map[system.Trait]int64), Count: g.survivedCount}
+	for t := range g.survivedSuspects {
+		if at, survived := g.survivors.Get(t); survived {
+			m.AgeMS[t] = now.Sub(at).Milliseconds()
+		}
+	}
+	g.reportedAt, g.survivedCount = now, 0
+	clear(g.survivedSuspects)
+	return m
+}
+
+// report sends survivals to the hosts that may decide.
+func (g *Guard) report(m survivalMessage) {
+	if len(m.AgeMS) == 0 && m.Count == 0 {
+		return
+	}
+	g.Peers.NotifyDeciders(methodSurvived, m)
+	// This host has counted its own.
+	g.recordSurvivals(survivalMessage{AgeMS: m.AgeMS})
+}
+
+// watchFor makes this host report survivals with the traits from now on, and the last one
+// with each if there was any.
+func (g *Guard) watchFor(traits []system.Trait) {
+	g.mu.Lock()
+	clear(g.suspects)
+	for _, t := range traits {
+		g.suspects[t] = true
+		if _, survived := g.survivors.Get(t); survived {
+			g.survivedSuspects[t] = true
+		}
+	}
+	report := g.takeReport(g.clock.Now())
+	g.mu.Unlock()
+	g.report(report)
+}
+
+func (g *Guard) recordLosses(losses []agedLoss) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	for _, l := range losses {
+		g.recordLoss(now.Add(-time.Duration(l.AgeMS)*time.Millisecond), l.Loss)
+	}
+	g.decideSoon()
+}
+
+func (g *Guard) recordSurvivals(m survivalMessage) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	for t, age := range m.AgeMS {
+		g.detector.RecordSurvival(now.Add(-time.Duration(age)*time.Millisecond), t)
+	}
+	g.detector.CountSurvivals(now, m.Count)
+	g.decideSoon()
+}
+
+// decideSoon runs a decision after decideDelay. The lock must be held.
+func (g *Guard) decideSoon() {
+	if !g.deciding {
+		g.deciding = true
+		g.clock.AfterFunc(decideDelay, g.decide)
+	}
+}
+
+// decide finds causes if this host is the coordinator, and tells the other hosts what
+// has changed.
+func (g *Guard) decide() {
+	decides := g.Peers.Decides()
+	g.mu.Lock()
+	g.deciding = false
+	if !decides {
+		g.mu.Unlock()
+		return
+	}
+	now := g.clock.Now()
+	found := g.detector.Decide(now)
+	for _, c := range found {
+		event.CrashCauseFound.Log(g.logger, zap.Stringer("cause", c), zap.Int("crashes", g.detector.Crashes(c)), zap.Strings("lost", g.detector.LostUnder(c)))
+	}
+	suspects := g.detector.Suspects(now)
+	changed := !slices.Equal(suspects, g.sentSuspects)
+	g.sentSuspects = suspects
+	causes := g.export()
+	g.mu.Unlock()
+	if len(found) > 0 {
+		g.Peers.NotifyAll(methodCauses, causes)
+	}
+	if changed {
+		g.Peers.NotifyAll(methodSuspects, suspects)
+		g.watchFor(suspects)
+	}
+}
+
+// Import adds causes that another host or the store knows: their names, with the time at
+// which each was found in Unix milliseconds.
+func (g *Guard) Import(causes map[string]int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	for name, ms := range causes {
+		foundAt := time.UnixMilli(ms)
+		if now.Sub(foundAt) < causeLifetime && g.causes.Add(foundAt, system.ParseCause(name)) {
+			event.CrashCauseLearned.Log(g.logger, zap.String("cause", name), zap.Time("found", foundAt))
+		}
+	}
+}
+
+// Causes returns the names of the known causes, each with the time at which it was found
+// in Unix milliseconds.
+func (g *Guard) Causes() map[string]int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.export()
+}
+
+func (g *Guard) export() causesMessage {
+	out := make(causesMessage)
+	for name, foundAt := range g.causes.All() {
+		out[name] = foundAt.UnixMilli()
+	}
+	return out
+}
+
+// Run decides every checkInterval, since a cause may need no further report, and forgets
+// causes after causeLifetime, until ctx ends.
+func (g *Guard) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.clock.After(checkInterval):
+		}
+		g.forgetOld()
+		g.decide()
+	}
+}
+
+func (g *Guard) forgetOld() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	for name, foundAt := range g.causes.All() {
+		if now.Sub(foundAt) >= causeLifetime {
+			g.remove(name)
+		}
+	}
+}
+
+// remove removes a cause. The lock must be held.
+func (g *Guard) remove(name string) {
+	if g.causes.Remove(name) {
+		event.CrashCauseForgotten.Log(g.logger, zap.String("cause", name))
+	}
+}
--- /dev/null
+++ b/internal/poison/guard_test.go
@@ -0,0 +1,118 @@
+package poison_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/poison"
+	system "github.com/bluebellseam/bluebellseam/internal/systems/poison"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+// alone is the poison.Peers of a host that reaches no other.
+type alone struct{}
+
+func (alone) Decides() bool              { return true }
+func (alone) NotifyDeciders(string, any) {}
+func (alone) NotifyAll(string, any)      {}
+
+func newGuard(clock clockwork.Clock) *poison.Guard {
+	g := poison.NewGuard(clock, zap.NewNop())
+	g.Peers = alone{}
+	return g
+}
+
+var bad = []system.Trait{system.PartTrait("aa"), system.PartTrait("bad")}
+
+func lossOf(n int) system.Loss {
+	return system.Loss{Request: fmt.Sprint(n), Target: tables.TargetID(fmt.Sprintf("t%d", n)), Traits: bad, Begun: true}
+}
+
+// survive lets many requests with the first part survive at a host.
+func survive(clock *clockwork.FakeClock, g *poison.Guard) {
+	for range 300 {
+		clock.Advance(time.Millisecond)
+		g.Survived(bad[:1])
+	}
+}
+
+// settle lets the decisions of timers take place.
+func settle(t *testing.T, clock *clockwork.FakeClock, done func() bool) {
+	t.Helper()
+	for range 200 {
+		if done() {
+			return
+		}
+		clock.Advance(30 * time.Millisecond)
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestHostsThatShareNoConnectionFindACauseFromWhatTheStoreHolds(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	hosts := []*poison.Guard{newGuard(clock), newGuard(clock), newGuard(clock), newGuard(clock), newGuard(clock)}
+	for n, g := range hosts {
+		g.Lost(lossOf(n))
+		settle(t, clock, func() bool { return false })
+		survive(clock, g)
+	}
+	for _, from := range hosts {
+		stored, err := json.Marshal(from.Evidence())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, to := range hosts {
+			var e poison.Evidence
+			if err := json.Unmarshal(stored, &e); err != nil {
+				t.Fatal(err)
+			}
+			to.ImportEvidence(e)
+		}
+	}
+	for n, g := range hosts {
+		settle(t, clock, func() bool { return g.Check(bad) != nil })
+		if g.Check(bad) == nil {
+			t.Errorf("host %d does not refuse the part", n)
+		}
+		if err := g.Check(bad[:1]); err != nil {
+			t.Errorf("host %d refuses a sound request: %v", n, err)
+		}
+	}
+}
+
+func TestCauseThatAnotherHostFoundIsRefusedUntilItIsADayOld(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	g := newGuard(clock)
+	name := system.NewCause(bad...).String()
+	g.Import(map[string]int64{name: clock.Now().UnixMilli()})
+	if g.Check(bad) == nil || g.Check(bad[:1]) != nil {
+		t.Error("the cause is not refused, or more than it")
+	}
+	go g.Run(t.Context())
+	if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	clock.Advance(25 * time.Hour)
+	settle(t, clock, func() bool { return g.Check(bad) == nil })
+	if err := g.Check(bad); err != nil {
+		t.Errorf("refused after a day: %v", err)
+	}
+	g.Import(map[string]int64{name: clock.Now().Add(-25 * time.Hour).UnixMilli()})
+	if err := g.Check(bad); err != nil {
+		t.Errorf("an old cause was taken up: %v", err)
+	}
+}
+
+func TestNoGuardRefusesNothing(t *testing.T) {
+	var g *poison.Guard
+	g.Lost(lossOf(1))
+	g.Survived(bad)
+	if err := g.Check(bad); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/pool/coordinator.go
+++ b/internal/pool/coordinator.go
@@ -64,7 +64,6 @@
 	buckets   *quota.Buckets
 	retries   *retry.Counter
 	refusals  *retry.Refusals
-	crashes   *retry.CrashDetector
 	waiting   map[allocation.ID]*waiter
 	charges   map[allocation.ID]charge
 	// lastContact is when the last slot request or reconcile message arrived.
@@ -87,13 +86,11 @@
 	done    chan allocation.Decision
 }
 
-// charge is a slot request's charge to its customer's quota, with the request's
-// fingerprint.
+// charge is a slot request's charge to its customer's quota.
 type charge struct {
 	quota.Charge
-	fingerprint tables.Fingerprint
-	stream      origin.StreamID
-	service     tables.ServiceID
+	stream  origin.StreamID
+	service tables.ServiceID
 	// retriedAt is when the request was counted as a retry; zero if it was not.
 	retriedAt time.Time
 }
@@ -108,7 +105,6 @@
 		buckets:       quota.NewBuckets(policy.Quota),
 		retries:       retry.NewCounter(policy.Retry),
 		refusals:      retry.NewRefusals(),
-		crashes:       retry.NewCrashDetector(),
 		waiting:       make(map[allocation.ID]*waiter),
 		charges:       make(map[allocation.ID]charge),
 		usageReported: make(map[tables.HostID]bool),
@@ -147,8 +143,7 @@
 }
 
 // Acquire blocks until a slot is granted or refused. Errors have the kind
-// CustomerLimit, Overloaded, NoTarget, OriginUnknown, RetryBudget, Quarantined or
-// CancelledBeforeRun.
+// CustomerLimit, Overloaded, NoTarget, OriginUnknown, RetryBudget or CancelledBeforeRun.
 func (c *Coordinator) Acquire(ctx context.Context, m slotRequestMessage) (grantMessage, error) {
 	w, err := c.enqueue(m)
 	for err != nil && c.mayRecover(err) && m.MaxWaitMS > 0 {
@@ -175,9 +170,6 @@
 	now := c.clock.Now()
 	c.recordContact(now)
 	share := c.share()
-	if c.crashes.ShouldRefuse(now, m.Fingerprint) {
-		return nil, errkind.New(errkind.Quarantined, fmt.Sprintf("request %q has the content of requests under which several targets broke off", m.Request))
-	}
 	bound := c.Origins.constraint(m)
 	if bound.Kind == origin.Unknown {
 		return nil, errkind.New(errkind.OriginUnknown, fmt.Sprintf("request %q resumes a stream of request %q", m.Request, m.FirstAttempt))
@@ -196,7 +188,7 @@
 	if !m.Retry {
 		c.retries.RecordRequest(now, m.Service)
 	}
-	entry := charge{Charge: quotaCharge, fingerprint: m.Fingerprint, service: m.Service, stream: m.stream()}
+	entry := charge{Charge: quotaCharge, service: m.Service, stream: m.stream()}
 	if m.Retry {
 		entry.retriedAt = now
 	}
--- a/internal/pool/coordinator_test.go
+++ b/internal/pool/coordinator_test.go
@@ -164,35 +164,6 @@
 		Expect(errkind.Of(err)).To(Equal(errkind.RetryBudget))
 	})
 
-	It("refuses a fingerprint under which three connections to targets broke", func() {
-		same := func(m *slotRequestMessage) { m.Fingerprint = 77 }
-		for id := allocation.ID(1); id <= 3; id++ {
-			_, err := acquire(id, same)
-			Expect(err).NotTo(HaveOccurred())
-		}
-		for id := allocation.ID(1); id <= 3; id++ {
-			release(id, allocation.ConnectionLost)
-		}
-		_, err := acquire(4, same)
-		Expect(errkind.Of(err)).To(Equal(errkind.Quarantined))
-		_, err = acquire(5, nil)
-		Expect(err).NotTo(HaveOccurred())
-	})
-
-	It("does not count targets that were left because they were silent as crashed", func() {
-		same := func(m *slotRequestMessage) { m.Fingerprint = 77 }
-		for id := allocation.ID(1); id <= 3; id++ {
-			_, err := acquire(id, same)
-			Expect(err).NotTo(HaveOccurred())
-		}
-		for id := allocation.ID(1); id <= 3; id++ {
-			release(id, allocation.Silent)
-		}
-		Expect(coordinator.scheduler.InUse()).To(BeZero())
-		_, err := acquire(4, same)
-		Expect(err).NotTo(HaveOccurred())
-	})
-
 	It("drops a grant and its charge when the reconcile message of its host omits the grant", func() {
 		_, err := acquire(1, nil)
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/pool/release.go
+++ b/internal/pool/release.go
@@ -55,7 +55,7 @@
 		w.done <- allocation.Decision{Request: w.request.toSlotRequest(now), Reason: allocation.TooLate}
 		return
 	}
-	c.recordOutcome(now, e)
+	c.endStream(e)
 	c.scheduler.RecordEventGap(e.ID, fromMS(e.MeanEventGapMS))
 	c.scheduler.Release(now, e.ID, e.Outcome)
 	if e.Outcome == allocation.Unused {
@@ -68,15 +68,9 @@
 	delete(c.charges, e.ID)
 }
 
-// recordOutcome reports a completed request or a lost connection to the crash
-// detector, under the request's fingerprint. The lock must be held.
-func (c *Coordinator) recordOutcome(now time.Time, e releaseReport) {
-	entry := c.charges[e.ID]
-	switch e.Outcome {
-	case allocation.ConnectionLost:
-		c.crashes.RecordConnectionLoss(now, entry.fingerprint, c.scheduler.TargetOf(e.ID))
-	case allocation.Succeeded:
-		c.crashes.RecordCompletion(entry.fingerprint)
-		c.Origins.end(entry.stream)
+// endStream records the end of a stream that was completed. The lock must be held.
+func (c *Coordinator) endStream(e releaseReport) {
+	if e.Outcome == allocation.Succeeded {
+		c.Origins.end(c.charges[e.ID].stream)
 	}
 }
--- /dev/null
+++ b/internal/systems/poison/poison.go
@@ -0,0 +1,147 @@
+// Package poison finds out which requests make targets crash, from what the requests in
+// flight at several crashes have in common. It uses no clock and does no I/O: callers
+// pass in the time.
+package poison
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bluebellseam/bluebellseam/internal/tables"
+)
+
+// Trait is what requests may have in common: a part of their prompts or their whole
+// content.
+type Trait string
+
+// PartTrait returns the trait of requests whose prompts hold a part.
+func PartTrait(id string) Trait { return Trait("part:" + id) }
+
+// ContentTrait returns the trait of requests with the same content.
+func ContentTrait(f tables.Fingerprint) Trait { return Trait(fmt.Sprintf("content:%016x", uint64(f))) }
+
+// TraitsOf returns the traits of a request. The last part of a prompt belongs to the
+// request or its session and is left out. A fingerprint of zero is unknown.
+func TraitsOf(parts []string, content tables.Fingerprint) []Trait {
+	var traits []Trait
+	for _, id := range parts[:max(len(parts)-1, 0)] {
+		traits = append(traits, PartTrait(id))
+	}
+	if content != 0 {
+		traits = append(traits, ContentTrait(content))
+	}
+	return traits
+}
+
+// Cause is a set of traits, sorted. Requests that hold all of them crash targets.
+type Cause []Trait
+
+// NewCause returns the cause with the given traits.
+func NewCause(traits ...Trait) Cause {
+	c := slices.Clone(traits)
+	slices.Sort(c)
+	return slices.Compact(c)
+}
+
+// Matches reports whether a request with the given traits holds all traits of the cause.
+func (c Cause) Matches(traits []Trait) bool {
+	for _, t := range c {
+		if !slices.Contains(traits, t) {
+			return false
+		}
+	}
+	return len(c) > 0
+}
+
+// String returns the traits, separated by "+".
+func (c Cause) String() string {
+	names := make([]string, len(c))
+	for i, t := range c {
+		names[i] = string(t)
+	}
+	return strings.Join(names, "+")
+}
+
+// without returns the traits of the cause that are not removed.
+func (c Cause) without(removed func(Trait) bool) Cause {
+	return slices.DeleteFunc(slices.Clone(c), removed)
+}
+
+// Loss is a request whose connection to a target broke while its answer may just have
+// begun. Requests that were past the beginning of their answer are no losses: they did
+// not crash the target.
+type Loss struct {
+	Request string          `json:"request"`
+	Target  tables.TargetID `json:"target"`
+	// TargetStart tells the starts of the target apart, in Unix milliseconds.
+	TargetStart int64   `json:"start"`
+	Traits      []Trait `json:"traits"`
+	// Begun is true if the header of the answer had arrived.
+	Begun bool `json:"begun,omitempty"`
+}
+
+// Causes holds the causes that are known. It is not safe for concurrent use.
+type Causes struct{ known map[string]knownCause }
+
+type knownCause struct {
+	cause   Cause
+	foundAt time.Time
+}
+
+// NewCauses returns Causes without entries.
+func NewCauses() *Causes { return &Causes{make(map[string]knownCause)} }
+
+// Add adds a cause that was found at a time. It returns false if it or a part of it is
+// known.
+func (cs *Causes) Add(foundAt time.Time, c Cause) bool {
+	if len(c) == 0 || cs.implies(c) {
+		return false
+	}
+	cs.known[c.String()] = knownCause{c, foundAt}
+	return true
+}
+
+// Remove removes a cause and reports whether it was known.
+func (cs *Causes) Remove(name string) bool {
+	_, known := cs.known[name]
+	delete(cs.known, name)
+	return known
+}
+
+// implies reports whether every request that holds the cause holds a known one.
+func (cs *Causes) implies(c Cause) bool {
+	_, found := cs.Match(c)
+	return found
+}
+
+// Match returns a cause that a request with the given traits holds.
+func (cs *Causes) Match(traits []Trait) (Cause, bool) {
+	for _, k := range cs.known {
+		if k.cause.Matches(traits) {
+			return k.cause, true
+		}
+	}
+	return nil, false
+}
+
+// All returns the known causes with the times at which they were found.
+func (cs *Causes) All() map[string]time.Time {
+	out := make(map[string]time.Time, len(cs.known))
+	for name, k := range cs.known {
+		out[name] = k.foundAt
+	}
+	return out
+}
+
+// ParseCause returns the cause with a name, as String returns it.
+func ParseCause(name string) Cause {
+	var traits []Trait
+	for t := range strings.SplitSeq(name, "+") {
+		if t != "" {
+			traits = append(traits, Trait(t))
+		}
+	}
+	return NewCause(traits...)
+}
--- a/internal/systems/retry/retry.go
+++ b/internal/systems/retry/retry.go
@@ -1,7 +1,6 @@
 // Package retry decides whether a request may be retried: it keeps a retry
-// budget, records refusals with the advised time of a retry, and detects
-// requests that crash their targets. It uses no clock and does no I/O: callers
-// pass in the time.
+// budget and records refusals with the advised time of a retry. It uses no clock and
+// does no I/O: callers pass in the time.
 package retry
 
 import (
--- a/internal/systems/retry/retry_test.go
+++ b/internal/systems/retry/retry_test.go
@@ -125,26 +125,3 @@
 		Expect(retried).To(BeFalse())
 	})
 })
-
-var _ = Describe("CrashDetector", func() {
-	It("refuses a request for a limited time after it broke the connections of three targets", func() {
-		c := retry.NewCrashDetector()
-		c.RecordConnectionLoss(start, 7, "a")
-		c.RecordConnectionLoss(start, 7, "a")
-		c.RecordConnectionLoss(start, 7, "b")
-		Expect(c.ShouldRefuse(start, 7)).To(BeFalse())
-		c.RecordConnectionLoss(start, 7, "c")
-		Expect(c.ShouldRefuse(start, 7)).To(BeTrue())
-		Expect(c.ShouldRefuse(start, 8)).To(BeFalse())
-		Expect(c.ShouldRefuse(start.Add(2*time.Minute), 7)).To(BeFalse())
-	})
-
-	It("clears a request that ran to completion", func() {
-		c := retry.NewCrashDetector()
-		c.RecordConnectionLoss(start, 7, "a")
-		c.RecordConnectionLoss(start, 7, "b")
-		c.RecordCompletion(7)
-		c.RecordConnectionLoss(start, 7, "c")
-		Expect(c.ShouldRefuse(start, 7)).To(BeFalse())
-	})
-})
--- a/internal/watch/state.go
+++ b/internal/watch/state.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 	departures map[tables.TargetID]appliedDeparture
 	// versions are the software versions that the store's record of them lists.
 	versions ServiceVersions
+	// shared holds the values of the records that the hosts share, by name.
+	shared map[string][]byte
 }
 
 // NewState returns an empty state.
@@ -43,6 +46,7 @@
 		targets:    make(map[tables.TargetID]fleet.Target),
 		hosts:      make(map[tables.HostID]fleet.Host),
 		departures: make(map[tables.TargetID]appliedDeparture),
+		shared:     make(map[string][]byte),
 	}
 	for _, name := range Streams() {
 		s.streams[name] = newStream()
@@ -135,6 +139,9 @@
 		if r.Key == versionsKey {
 			return s.updateVersions(r)
 		}
+		if strings.HasPrefix(r.Key, sharedPrefix) {
+			return s.updateShared(r)
+		}
 		return s.updateHost(now, r)
 	default:
 		return false
