--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -75,8 +75,8 @@
 	LastEventID string
 	// NewConnection is true if the call must use a new connection.
 	NewConnection bool
-	// OnNotice is called once the header of an answer that bears a notice has been
-	// read, whatever the answer is.
+	// OnNotice is called once the header of an answer has been read, whatever the answer
+	// is.
 	OnNotice func(TargetNotice)
 }
 
@@ -87,6 +87,12 @@
 	// QuietFor is how long the target wants no further request from this host; zero
 	// if it does not say so.
 	QuietFor time.Duration
+	// Limit is the number of requests a second that the target takes from all hosts
+	// together, if Limited is true. Otherwise it names no limit, unless LimitUnclear is
+	// true.
+	Limit        float64
+	Limited      bool
+	LimitUnclear bool
 }
 
 // Response holds the status, header and body that a target returned.
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -52,7 +52,8 @@
 	// Poison refuses requests that make targets crash. It may be nil.
 	Poison *poison.Guard
 
-	quiet quietTargets
+	quiet  quietTargets
+	limits namedLimits
 	// bufferedBytes is the size of all bodies that are buffered now.
 	bufferedBytes atomic.Int64
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -82,6 +82,7 @@
 	TargetRecovered   = Event{1403, zapcore.InfoLevel, "target recovered", "A target reached the speed of its hardware generation again."}
 	TargetQuiet       = Event{1404, zapcore.InfoLevel, "target quiet", "A target wants no requests from this host for a time."}
 	TargetSilent      = Event{1405, zapcore.WarnLevel, "target silent", "A target has sent nothing for too long; the request moves to the target next, or stays where it is if there is none."}
+	TargetLimit       = Event{1406, zapcore.InfoLevel, "target limit", "A target named another limit of requests a second from all hosts together, or none any more (limited is false)."}
 )
 
 // Catalogue returns all events in ascending order of their numbers.
