A kill of all targets at once makes no customer a cause of crashes

Cause: at each target lost, the chance that one of several requests with the customer's part was lost while its answer had begun was taken for that of a single request, and crashes at one instant counted for a part that is known to be sound.

--- a/internal/systems/poison/chance.go
+++ b/internal/systems/poison/chance.go
@@ -14,12 +14,14 @@
 	for _, group := range instants(crashes) {
 		n := mostOfOneRequest(group, t)
 		b := d.background(group, t)
-		chance *= math.Pow(share(b.lostAlike, b.lost+b.survived), float64(n))
+		chance *= math.Pow(anyOf(lostAt(group[0], t), share(b.lostAlike, b.lost+b.survived)), float64(n))
 		// If the targets of a group crashed for one other reason, how far the answers of the
 		// requests lost there had come is still independent.
-		if further := begunTargets(group, t) - n; further > 0 {
-			chance *= math.Pow(share(b.lostAlike, b.lost), float64(further))
-			n += further
+		for _, c := range group[min(n, len(group)):] {
+			if c.holdsBegun(t) {
+				chance *= anyOf(lostAt(c, t), share(b.lostAlike, b.lost))
+				n++
+			}
 		}
 		independent += n
 		others += b.lost + b.survived
@@ -33,6 +35,20 @@
 	return chance <= maxChance
 }
 
+// anyOf returns the chance that an event of chance p happens in any of n cases.
+func anyOf(n int, p float64) float64 { return 1 - math.Pow(1-p, float64(n)) }
+
+// lostAt returns how many requests with a trait were lost in a crash.
+func lostAt(c *crash, t Trait) int {
+	n := 0
+	for _, l := range c.losses {
+		if slices.Contains(l.Traits, t) {
+			n++
+		}
+	}
+	return n
+}
+
 // share estimates a share from a count of events, of all.
 func share(count, all float64) float64 { return (count + 0.5) / (all + 0.5) }
 
--- a/internal/systems/poison/detector.go
+++ b/internal/systems/poison/detector.go
@@ -291,7 +291,8 @@
 		return false
 	}
 	if !d.survivedAt[e.trait].IsZero() {
-		settled := len(unexplained) >= manyCrashes && now.Sub(unexplained[manyCrashes-1].at) >= settleTime
+		separate := instants(unexplained)
+		settled := len(separate) >= manyCrashes && now.Sub(separate[manyCrashes-1][0].at) >= settleTime
 		return settled && d.isUnlikely(unexplained, e.trait, manyCrashes, maxChance)
 	}
 	return d.isUnlikely(e.crashes, e.trait, minCrashes, maxChance) || d.isUnlikely(e.crashes, e.trait, manyCrashes, maxChanceOfMany)
