Targets that name a limit are granted no more than it by all hosts together

Cause: nobody read what a target says it takes; the coordinator places by slots alone, and a target that takes little looks fast. Class: a statement of a target about itself that does not reach the place that decides.

Change: each host reports what a target names to all hosts that may become the coordinator, at once when it changes, every 0.2 s otherwise, and in its reconcile message. The scheduler holds a token bucket for a limited target, of 0.7 of the limit, since for a short time two coordinators may grant it; a local fallback uses its share; a new coordinator starts with an empty bucket. A limit ends with a later start, with an answer to a later request that names none, or after a minute without any word. A limit of zero lets a request through every 5 s. All sends pass through a grant: first ones, repeats, resumptions and what the target rejects.

--- a/internal/edge/fakes_test.go
+++ b/internal/edge/fakes_test.go
@@ -76,6 +76,10 @@
 	return s.inner.Acquire(ctx, r)
 }
 
+func (s *recordedSlots) ReportLimit(t fleet.Target, limited bool, perSecond float64, sentAt time.Time) {
+	s.inner.ReportLimit(t, limited, perSecond, sentAt)
+}
+
 func (s *recordedSlots) requests() []pool.SlotRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/edge/notice.go
+++ b/internal/edge/notice.go
@@ -39,8 +39,9 @@
 	return q.times.Len() == 0
 }
 
-// recordNotice records what a target has said about itself.
-func (s *Server) recordNotice(t fleet.Target, n TargetNotice) {
+// recordNotice records what a target has said about itself in its answer to a request
+// that was sent at sentAt.
+func (s *Server) recordNotice(t fleet.Target, n TargetNotice, sentAt time.Time) {
 	if n.Leaving {
 		s.Directory.MarkLeaving(t)
 	}
@@ -48,55 +49,11 @@
 		s.quiet.set(s.Clock.Now(), t, n.QuietFor)
 		event.TargetQuiet.Log(s.Logger, zap.String("target", string(t.ID)), zap.Duration("for", n.QuietFor))
 	}
-	s.recordLimit(t, n)
-}
-
-// recordLimit logs a change of the limit that a target names.
-func (s *Server) recordLimit(t fleet.Target, n TargetNotice) {
-	if n.LimitUnclear {
-		return
+	if !n.LimitUnclear {
+		s.Slots.ReportLimit(t, n.Limited, n.Limit, sentAt)
 	}
-	if s.limits.changed(t, n) {
-		event.TargetLimit.Log(s.Logger, zap.String("target", string(t.ID)), zap.Bool("limited", n.Limited), zap.Float64("per_second", n.Limit))
-	}
-}
-
-// namedLimits holds the limits that targets named last. It is safe for concurrent use.
-type namedLimits struct {
-	mu     sync.Mutex
-	limits map[limitedStart]float64
-}
-
-// limitedStart is one start of a target.
-type limitedStart struct {
-	target    tables.TargetID
-	startedAt time.Time
 }
 
-// changed records what an answer of a target says of its limit and reports whether that
-// is new.
-func (l *namedLimits) changed(t fleet.Target, n TargetNotice) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	key := limitedStart{t.ID, t.StartedAt}
-	before, known := l.limits[key]
-	if known == n.Limited && before == n.Limit {
-		return false
-	}
-	if !n.Limited {
-		delete(l.limits, key)
-		return true
-	}
-	if l.limits == nil || len(l.limits) >= maxNamedLimits {
-		l.limits = make(map[limitedStart]float64)
-	}
-	l.limits[key] = n.Limit
-	return true
-}
-
-// maxNamedLimits bounds the number of limits that are kept.
-const maxNamedLimits = 1024
-
 // quietOf returns the targets of a service that want no request from this host now.
 // If that is every target that is not leaving, it also returns the time until the
 // first of them accepts requests again; otherwise zero.
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -69,6 +69,7 @@
 // *SendError ends the request.
 func (ex *exchange) send(ctx context.Context, slot *heldSlot) (allocation.Outcome, error) {
 	grant, target := slot.grant, slot.target
+	startedAt := ex.server.Clock.Now()
 	ex.target = target
 	ex.call = callProgress{}
 	call := Call{
@@ -76,7 +77,7 @@
 		Timeout:       defaultTimeout,
 		LastEventID:   ex.relay.resumeAfter(ex.request.LastEventID),
 		NewConnection: !ex.route.Retryable(),
-		OnNotice:      func(n TargetNotice) { ex.server.recordNotice(target, n) },
+		OnNotice:      func(n TargetNotice) { ex.server.recordNotice(target, n, startedAt) },
 	}
 	if !ex.deadline.IsZero() {
 		call.Timeout = ex.deadline.Sub(ex.server.Clock.Now())
@@ -84,7 +85,6 @@
 	if ex.customer != nil {
 		call.Customer = ex.customer.Name
 	}
-	startedAt := ex.server.Clock.Now()
 	event.SlotGranted.Log(ex.server.Logger, zap.String("request", ex.request.ID), zap.String("target", string(target.ID)),
 		zap.String("version", string(target.Version)), zap.String("first_attempt", ex.request.FirstAttempt), zap.String("after", call.LastEventID),
 		zap.Duration("expected", grant.ExpectedFirstByte), zap.Duration("waited", startedAt.Sub(ex.request.Arrived)), zap.Uint64("config", ex.config.Version))
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -32,6 +32,8 @@
 // SlotAllocator allocates slots at targets.
 type SlotAllocator interface {
 	Acquire(ctx context.Context, r pool.SlotRequest) (*pool.Grant, error)
+	// ReportLimit reports what a target said of its own limit; see pool.Client.
+	ReportLimit(t fleet.Target, limited bool, perSecond float64, sentAt time.Time)
 }
 
 // Server serves callers' requests. It is safe for concurrent use.
@@ -52,8 +54,7 @@
 	// Poison refuses requests that make targets crash. It may be nil.
 	Poison *poison.Guard
 
-	quiet  quietTargets
-	limits namedLimits
+	quiet quietTargets
 	// bufferedBytes is the size of all bodies that are buffered now.
 	bufferedBytes atomic.Int64
 }
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -54,6 +54,7 @@
 	open          map[allocation.ID]openGrant
 	usage         *usage
 	estimates     allocation.Estimates
+	limits        namedLimits
 	quotaRefusals map[tables.CustomerID]quotaRefusal
 	// coordinatorID is the ID of the coordinator that this host last requested a
 	// slot from.
@@ -188,6 +189,7 @@
 	for _, g := range c.open {
 		m.Open = append(m.Open, g)
 	}
+	m.Limits = c.limits.reports(now)
 	return m
 }
 
--- a/internal/pool/messages.go
+++ b/internal/pool/messages.go
@@ -88,6 +88,7 @@
 type reportMessage struct {
 	FirstBytes []firstByteReport `json:"f,omitempty"`
 	Releases   []releaseReport   `json:"e,omitempty"`
+	Limits     []limitReport     `json:"l,omitempty"`
 }
 
 type firstByteReport struct {
@@ -114,6 +115,8 @@
 	UsageWindowMS int64 `json:"over"`
 	// HostCount is the number of hosts known to the sender.
 	HostCount int `json:"hosts"`
+	// Limits are those that targets have named to the sender.
+	Limits []limitReport `json:"limits,omitempty"`
 }
 
 type openGrant struct {
--- a/internal/pool/release.go
+++ b/internal/pool/release.go
@@ -39,6 +39,7 @@
 	for _, f := range r.FirstBytes {
 		c.scheduler.RecordFirstByte(now, f.ID, fromMS(f.TookMS))
 	}
+	c.stateLimits(now, r.Limits)
 	for _, e := range r.Releases {
 		c.release(now, e)
 	}
--- a/internal/pool/takeover.go
+++ b/internal/pool/takeover.go
@@ -25,6 +25,7 @@
 	c.scheduler.Reconcile(now, m.Host, held)
 	c.pruneCharges(now)
 	c.recordContact(now)
+	c.stateLimits(now, m.Limits)
 	if config := c.view.Config(); config != nil && !c.usageReported[m.Host] {
 		c.usageReported[m.Host] = true
 		usage := quota.UsageReport{Tokens: m.UsedTokens, Period: fromMS(float64(m.UsageWindowMS)), HostShare: 1 / float64(max(m.HostCount, 1))}
@@ -65,11 +66,12 @@
 	c.lastContact = now
 }
 
-// takeOver forgets what is known of the use of quotas, which another host may have
-// granted meanwhile, until the hosts report it. The lock must be held.
+// takeOver forgets what is known of the use of quotas and of the limits of targets, which
+// another host may have granted meanwhile, until the hosts report it. The lock must be held.
 func (c *Coordinator) takeOver(now time.Time) {
 	c.takeoverAt = now
 	c.buckets.Reset(now)
+	c.scheduler.ResetLimits(now)
 	clear(c.usageReported)
 }
 
--- a/internal/systems/allocation/schedule.go
+++ b/internal/systems/allocation/schedule.go
@@ -50,7 +50,7 @@
 		d, decided := sched.decide(now, s, r, free, &unplaced)
 		if decided {
 			out = append(out, d)
-			free = s.filterFree(free)
+			free = s.filterFree(now, free)
 			continue
 		}
 		waiting = append(waiting, r)
@@ -64,15 +64,20 @@
 func (s *service) freeTargets(now time.Time) []*target {
 	out := make([]*target, 0, len(s.targets))
 	for _, t := range s.targets {
-		if t.usable(now) && t.inUse < t.capacity(s.retries.grantDuration()) {
+		if t.usable(now) && s.hasRoom(now, t) {
 			out = append(out, t)
 		}
 	}
 	return out
 }
 
-func (s *service) filterFree(targets []*target) []*target {
-	return slices.DeleteFunc(targets, func(t *target) bool { return t.inUse >= t.capacity(s.retries.grantDuration()) })
+func (s *service) filterFree(now time.Time, targets []*target) []*target {
+	return slices.DeleteFunc(targets, func(t *target) bool { return !s.hasRoom(now, t) })
+}
+
+// hasRoom reports whether a target has a slot and its own limit allows another request.
+func (s *service) hasRoom(now time.Time, t *target) bool {
+	return t.inUse < t.capacity(s.retries.grantDuration()) && t.limit.allows(now)
 }
 
 // compareRequests orders the queue. Late requests come last. Among the late
@@ -271,7 +276,7 @@
 	slots := 0
 	for _, t := range s.targets {
 		if t.usable(now) {
-			slots += t.Slots
+			slots += t.limit.slots(now, t.Slots, s.retries.grantDuration())
 		}
 	}
 	return max(int(maxLatePerSlot*float64(slots)), 1)
--- a/internal/systems/allocation/scheduler.go
+++ b/internal/systems/allocation/scheduler.go
@@ -70,6 +70,7 @@
 		// count. The slowdown is kept.
 		known.connectionLosses, known.failureShare, known.responses = 0, 0, 0
 		known.ejectedUntil = time.Time{}
+		known.limit = rateLimit{}
 	}
 	known.Target = updated
 	known.removed = false
--- a/internal/systems/allocation/target.go
+++ b/internal/systems/allocation/target.go
@@ -54,6 +54,8 @@
 	failureShare float64
 	// responses counts the responses since the last ejection for failures.
 	responses int
+	// limit is what the target says that it takes.
+	limit rateLimit
 	// removed targets are kept until their slots are released.
 	removed bool
 }
@@ -105,6 +107,7 @@
 
 func (t *target) admit(now time.Time, g *grant, prefill time.Duration) {
 	t.inUse++
+	t.limit.take(now)
 	g.alone = len(t.prefilling) == 0
 	t.prefilling[g.request.ID] = g
 	t.prefillUntil = now.Add(t.backlog(now) + prefill)
@@ -138,7 +141,9 @@
 		t.recordResponse(now, 0)
 	case Failed, NotRun:
 		t.recordResponse(now, 1)
-	case Abandoned, Unused:
+	case Unused:
+		t.limit.giveBack()
+	case Abandoned:
 	}
 }
 
