Survivals are no longer reported ten seconds after the last crash

By reading: the content of a request that was lost once stays suspect for ten minutes, and all hosts reported the number of their survivals every 50 ms as long as anything was suspect: up to 20 messages a second from each host for ten minutes after a mere kill of a target. Now only crashes of the last ten seconds make suspects; hosts remember the last survival with a trait and tell it at the next crash.

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -124,7 +124,9 @@
 		g.mu.Unlock()
 		return
 	}
-	g.survivedCount++
+	if g.suspects[system.CountTrait] {
+		g.survivedCount++
+	}
 	for _, t := range traits {
 		if g.suspects[t] {
 			g.survivedSuspects[t] = true
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -116,3 +116,43 @@
 		t.Error(err)
 	}
 }
+
+// countedPeers counts the notifications of a host that decides nothing.
+type countedPeers struct{ reports int }
+
+func (p *countedPeers) Decides() bool { return true }
+
+func (p *countedPeers) NotifyDeciders(method string, _ any) {
+	if method == "poison.survived" {
+		p.reports++
+	}
+}
+
+func (p *countedPeers) NotifyAll(string, any) {}
+
+func TestSurvivalsAreNoLongerReportedSomeTimeAfterTheLastCrash(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	g := poison.NewGuard(clock, zap.NewNop())
+	peers := &countedPeers{}
+	g.Peers = peers
+	survive(clock, g)
+	if peers.reports != 0 {
+		t.Fatalf("%d reports before any crash", peers.reports)
+	}
+	g.Lost(system.Loss{Request: "1", Target: "t1", Traits: []system.Trait{"content:1"}})
+	settle(t, clock, func() bool { survive(clock, g); return peers.reports > 1 })
+	if peers.reports == 0 {
+		t.Fatal("no reports after a crash")
+	}
+	go g.Run(t.Context())
+	clock.Advance(15 * time.Second)
+	for range 20 {
+		clock.Advance(time.Second)
+		time.Sleep(2 * time.Millisecond)
+	}
+	before := peers.reports
+	survive(clock, g)
+	if peers.reports != before {
+		t.Errorf("%d reports half a minute after the crash", peers.reports-before)
+	}
+}
--- a/internal/systems/poison/detector.go
+++ b/internal/systems/poison/detector.go
@@ -42,6 +42,8 @@
 	survivalStep = 20 * time.Millisecond
 	// survivalLifetime is how long they are kept.
 	survivalLifetime = 2 * time.Minute
+	// suspectTime is how long after a crash its traits are among the suspects.
+	suspectTime = 10 * time.Second
 	// crashLifetime is how long a crash counts.
 	crashLifetime = 10 * time.Minute
 	// maxCrashes bounds the number of crashes that are kept, maxLosses that of the losses
@@ -321,8 +323,12 @@
 	return out
 }
 
-// Suspects returns the traits whose survivals matter now: those with crashes against them
-// that no cause explains, and those of causes of several traits.
+// CountTrait among the suspects tells that the number of survivals matters.
+const CountTrait Trait = "count"
+
+// Suspects returns the traits whose survivals matter now: those of recent crashes that no
+// cause explains, and those of causes of several traits. Hosts remember the last survival
+// with each trait, so one that survived meanwhile is cleared at its next crash.
 func (d *Detector) Suspects(now time.Time) []Trait {
 	d.expire(now)
 	set := make(map[Trait]bool)
@@ -335,9 +341,10 @@
 	}
 	// The latest crashes come first if there are too many.
 	for _, c := range slices.Backward(d.crashes) {
-		if len(set) >= maxSuspects || d.isExplained(c) {
+		if now.Sub(c.at) > suspectTime || len(set) >= maxSuspects || d.isExplained(c) {
 			continue
 		}
+		set[CountTrait] = true
 		for _, l := range c.losses {
 			for _, t := range l.Traits {
 				if d.counts(c, t) && !d.causes.implies(Cause{t}) {
