--- a/cmd/bluebell-faultsoak/main.go
+++ b/cmd/bluebell-faultsoak/main.go
@@ -27,6 +27,7 @@
 	hosts, perSecond, seeds, versions := 5, 60, 1, 1
 	var firstSeed uint64 = 1
 	duration := 10 * time.Second
+	crashPart := false
 	logDir := ""
 	flaggy.SetName("bluebell-faultsoak")
 	flaggy.SetDescription("Injects random faults into edge processes on the loopback interface and checks guarantees.")
@@ -36,6 +37,7 @@
 	flaggy.Int(&seeds, "", "seeds", "number of consecutive seeds to run")
 	flaggy.Duration(&duration, "", "duration", "how long new faults are started")
 	flaggy.Int(&versions, "", "versions", "number of software versions of the model targets; with more than one, no stream may hold events of two")
+	flaggy.Bool(&crashPart, "", "crash-part", "model targets crash on a part of some prompts, which must reach them no more after a while")
 	flaggy.String(&logDir, "", "logs", "directory for the logs; by default a temporary directory that is deleted at exit")
 	flaggy.Parse()
 
@@ -57,7 +59,7 @@
 	for seed := firstSeed; seed < firstSeed+uint64(seeds) && ctx.Err() == nil; seed++ {
 		o := faultsoak.Options{
 			Binary: binary, Dir: filepath.Join(logDir, fmt.Sprintf("seed-%d", seed)), Hosts: hosts, Seed: seed,
-			FaultDuration: duration, RequestsPerSecond: float64(perSecond), Versions: versions, Out: os.Stdout,
+			FaultDuration: duration, RequestsPerSecond: float64(perSecond), Versions: versions, CrashPart: crashPart, Out: os.Stdout,
 		}
 		report, err := faultsoak.Run(ctx, o)
 		if err != nil {
--- /dev/null
+++ b/internal/faultsoak/crash.go
@@ -0,0 +1,62 @@
+package faultsoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/bluebellseam/bluebellseam/platform/standin"
+)
+
+const (
+	// crashPart is the part of prompts on which model targets crash. soundPart comes
+	// before it and is shared with sound requests.
+	crashPart, soundPart = "bad", "aa"
+	// crashRequestsPerSecond is the mean rate of requests with crashPart.
+	crashRequestsPerSecond = 4
+	// crashesUntilCounted is the number of crashes after which further runs count, and
+	// maxLateCrashes how many there may be.
+	crashesUntilCounted, maxLateCrashes = 5, 3
+)
+
+// crashOnPart makes a target crash on crashPart. It registers itself when it starts again.
+func (c *cluster) crashOnPart(t *target) {
+	t.CrashOn(func() {
+		if c.hasPlace(t) {
+			t.register(c.store)
+		}
+	}, crashPart)
+}
+
+// sendCrashing sends requests with crashPart to random hosts until ctx is done.
+func (c *cluster) sendCrashing(ctx context.Context, rng *rand.Rand) {
+	for n := 0; ctx.Err() == nil; n++ {
+		time.Sleep(time.Duration(rng.ExpFloat64() / crashRequestsPerSecond * float64(time.Second)))
+		parts := fmt.Sprintf("%s:60,%s:100,%07x:10", soundPart, crashPart, n)
+		request := standin.Call{Method: http.MethodPost, Path: standin.StreamPath + "x", Key: standin.Key, Tokens: "100,50", Body: fmt.Sprint(n), Header: http.Header{"Prompt-Prefix": {parts}}}
+		go request.Do(ctx, c.hosts[rng.IntN(len(c.hosts))].frontProxy.address())
+	}
+}
+
+// lateCrashes returns a violation if targets ran too many requests with crashPart later
+// than a time although they had crashed on it often enough before.
+func lateCrashes(runs []standin.Run, calmFrom time.Time) []string {
+	before, late := 0, 0
+	for _, r := range runs {
+		if !slices.Contains(standin.PromptParts(r.Headers), crashPart) {
+			continue
+		}
+		if r.StartedAt.Before(calmFrom) {
+			before++
+		} else {
+			late++
+		}
+	}
+	if before < crashesUntilCounted || late <= maxLateCrashes {
+		return nil
+	}
+	return []string{fmt.Sprintf("requests with a part on which targets had crashed %d times ran %d times more", before, late)}
+}
--- a/internal/faultsoak/release.go
+++ b/internal/faultsoak/release.go
@@ -39,6 +39,9 @@
 			i.log("starting a target failed: " + err.Error())
 			return
 		}
+		if c.crashPart {
+			c.crashOnPart(t)
+		}
 		t.register(c.store)
 		c.store.DeleteTarget(old.ID)
 		if previous := c.replace(place, t); previous != old {
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -27,6 +27,8 @@
 	// Versions is the number of software versions of the model targets. With more than
 	// one, releases are drawn, and no stream may hold events of two versions.
 	Versions int
+	// CrashPart makes model targets crash on a part of some prompts.
+	CrashPart bool
 	// Out receives a log line for each fault.
 	Out io.Writer
 }
@@ -56,6 +58,7 @@
 	// targets has one target for each place. replaced are the targets that had a place
 	// before; they finish their requests.
 	targets, replaced []*target
+	crashPart         bool
 }
 
 // target is a stand-in target behind a proxy.
@@ -93,7 +96,7 @@
 }
 
 func newCluster(o Options) (*cluster, error) {
-	c := &cluster{store: standin.NewStore()}
+	c := &cluster{store: standin.NewStore(), crashPart: o.CrashPart}
 	c.store.PutConfig(standin.Config(1, nil))
 	for i := range modelTargets + plainTargets {
 		t := standin.NewTarget(fmt.Sprintf("m-%d", i), standin.ModelService, "zone-1", streamEvents, streamEventGap)
@@ -105,6 +108,9 @@
 			return c, err
 		}
 		c.targets = append(c.targets, proxied)
+		if o.CrashPart {
+			c.crashOnPart(proxied)
+		}
 		proxied.register(c.store)
 	}
 	var seeds []string
@@ -172,6 +178,9 @@
 		l.run(loadCtx, o.RequestsPerSecond, rand.New(rand.NewPCG(o.Seed, 2)))
 		close(loadFinished)
 	}()
+	if o.CrashPart {
+		go c.sendCrashing(loadCtx, rand.New(rand.NewPCG(o.Seed, 6)))
+	}
 	faultCtx, cancel := context.WithTimeout(ctx, o.FaultDuration)
 	i.run(faultCtx)
 	cancel()
@@ -189,6 +198,9 @@
 	time.Sleep(lateRunDelay)
 	r := c.evaluate(l.calls, startedAt, faultsEndedAt, i.routeExpectedFrom)
 	r.Resumed, r.WentOn = countResumed(l.streams)
+	if o.CrashPart {
+		r.Violations = append(r.Violations, lateCrashes(c.runs(), faultsEndedAt.Add(recoveryTime))...)
+	}
 	if o.Versions > 1 {
 		r.Violations = append(r.Violations, standin.MixedVersions(l.streams, c.runs())...)
 	}
