A part that is known to be sound is no part of a cause

By reading: a part that always came with the culprit's, and that survived before the first crash but not yet after it, stayed in the cause. Requests with the culprit's part and another first part then reached targets until two more had crashed. The new test fails without the change.

--- a/internal/systems/poison/detector.go
+++ b/internal/systems/poison/detector.go
@@ -217,7 +217,8 @@
 	return out
 }
 
-// setCause sets the cause of the evidence.
+// setCause sets the cause of the evidence. Traits with which requests have survived before
+// the crashes are left out unless there are no others.
 func (d *Detector) setCause(e *evidence) {
 	e.cause = nil
 	for _, c := range e.crashes {
@@ -231,8 +232,14 @@
 			e.cause = e.cause.without(func(other Trait) bool { return !slices.Contains(l.Traits, other) || !d.counts(c, other) })
 		}
 	}
+	if unknown := e.cause.without(d.hasSurvived); len(unknown) > 0 {
+		e.cause = unknown
+	}
 }
 
+// hasSurvived reports whether a request with a trait is known to have survived.
+func (d *Detector) hasSurvived(t Trait) bool { return !d.survivedAt[t].IsZero() }
+
 // Decide returns the causes that have been found by now and adds them to those known.
 func (d *Detector) Decide(now time.Time) []Cause {
 	d.expire(now)
@@ -292,7 +299,7 @@
 	if len(unexplained) < wideningLimit {
 		return false
 	}
-	if !d.survivedAt[e.trait].IsZero() {
+	if d.hasSurvived(e.trait) {
 		separate := instants(unexplained)
 		settled := len(separate) >= manyCrashes && now.Sub(separate[manyCrashes-1][0].at) >= settleTime
 		return settled && d.isUnlikely(unexplained, e.trait, manyCrashes, maxChance)
--- a/internal/systems/poison/detector_test.go
+++ b/internal/systems/poison/detector_test.go
@@ -177,3 +177,16 @@
 		t.Errorf("found %v", found)
 	}
 }
+
+func TestPartThatSurvivedBeforeIsNoPartOfACause(t *testing.T) {
+	w := newWorld()
+	for n := range 3 {
+		w.lose(100*n, fmt.Sprint(n), []string{"aa", "bad"}, fmt.Sprintf("m%d", n))
+		w.RecordSurvival(at(-500), poison.PartTrait("aa"))
+	}
+	w.survive(300, "zz")
+	w.Decide(at(400))
+	if !w.refuses("zz", "bad") || w.refuses("aa", "55") {
+		t.Errorf("known: %v, want the second part alone", w.causes.All())
+	}
+}
