--- a/internal/faultsoak/crash.go
+++ b/internal/faultsoak/crash.go
@@ -36,7 +36,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		time.Sleep(time.Duration(rng.ExpFloat64() / crashRequestsPerSecond * float64(time.Second)))
 		parts := fmt.Sprintf("%s:60,%s:100,%07x:10", soundPart, crashPart, n)
-		request := standin.Call{Method: http.MethodPost, Path: standin.StreamPath + "x", Key: standin.Key, Tokens: "100,50", Body: fmt.Sprint(n), Header: http.Header{"Prompt-Prefix": {parts}}}
+		request := standin.Call{Method: http.MethodPost, Path: standin.StreamPath + "x", Key: standin.Key, Tokens: "100,50", Body: fmt.Sprint(n), Parts: parts}
 		go request.Do(ctx, c.hosts[rng.IntN(len(c.hosts))].frontProxy.address())
 	}
 }
--- a/internal/faultsoak/crash_test.go
+++ b/internal/faultsoak/crash_test.go
@@ -1,7 +1,6 @@
 package faultsoak
 
 import (
-	"net/http"
 	"testing"
 	"time"
 
@@ -17,7 +16,7 @@
 			if n >= before {
 				at = calmFrom.Add(time.Second)
 			}
-			out = append(out, standin.Run{StartedAt: at, Headers: http.Header{"Prompt-Prefix": {parts}}})
+			out = append(out, standin.Run{StartedAt: at, Headers: standin.HeaderWithParts(parts)})
 		}
 		return out
 	}
