A stopping host refuses requests that may outlast it, once it gets no new connections

Cause: an answer that began before SIGTERM cannot announce that its connection is closed. If it lasts longer than the listener, its caller may send the next request as soon as it ends, before the connection counts as idle to be closed; the host took it whatever was left of the grace.

Change: from the moment at which a stopping host accepts no new connections, a request that may last longer than the host is refused as not run, at once.

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -53,6 +53,9 @@
 	Metrics   *observe.EdgeMetrics
 	// Poison refuses requests that make targets crash. It may be nil.
 	Poison *poison.Guard
+	// EndsAt returns when the process ends requests that are still in progress, once it is
+	// stopping and gets no new connections; zero before. It may be nil.
+	EndsAt func() time.Time
 
 	quiet quietTargets
 	// bufferedBytes is the size of all bodies that are buffered now.
@@ -172,9 +175,25 @@
 	}
 	ex.service = pickService(ex.route.Split, rand.Float64())
 	ex.deadline = ex.computeDeadline()
+	if err := ex.checkStopping(); err != nil {
+		return err
+	}
 	return ex.server.Poison.Check(ex.traits)
 }
 
+// checkStopping returns an error if the process may end before the request does. Its caller
+// reached it on a connection that was kept open by an answer begun before the stop.
+func (ex *exchange) checkStopping() error {
+	if ex.server.EndsAt == nil {
+		return nil
+	}
+	endsAt := ex.server.EndsAt()
+	if endsAt.IsZero() || !ex.deadline.IsZero() && !ex.deadline.After(endsAt) {
+		return nil
+	}
+	return errkind.New(errkind.ShuttingDown, "the host is stopping and may end before the request")
+}
+
 // authenticate finds the customer of the API key.
 func (ex *exchange) authenticate() error {
 	if !ex.config.KeyRequired || ex.route.Public {
--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -102,6 +103,9 @@
 	limiter       *connlimit.Limiter
 	frontListener net.Listener
 	stopping      chan struct{}
+	// endsAt is when a stop ends the requests in progress; nil before it accepts no new
+	// connections.
+	endsAt atomic.Pointer[time.Time]
 	// started is closed after the state was loaded, once the first-ranked
 	// coordinator is reachable or maxCoordinatorWait has passed.
 	started chan struct{}
@@ -240,7 +244,7 @@
 		Clock: p.clock,
 		Server: &edge.Server{
 			Started: p.started, UpToDate: p.upToDate, Directory: p.state, Slots: p.client, Transport: platform.NewTargetClient(),
-			Clock: p.clock, Logger: p.logger, Metrics: p.metrics, Poison: p.poison,
+			Clock: p.clock, Logger: p.logger, Metrics: p.metrics, Poison: p.poison, EndsAt: p.requestsEndAt,
 		},
 	})
 	p.limiter = connlimit.New(p.clock, p.connTimeouts)
--- a/internal/edgenode/stop.go
+++ b/internal/edgenode/stop.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"github.com/bluebellseam/bluebellseam/internal/event"
@@ -15,11 +17,13 @@
 	close(p.stopping)
 	p.limiter.Drain()
 	settings := p.currentSettings()
-	ctx, cancel := context.WithTimeout(context.Background(), settings.GracePeriod()-exitMargin)
+	endsAt := p.clock.Now().Add(settings.GracePeriod() - exitMargin)
+	ctx, cancel := clockwork.WithDeadline(context.Background(), p.clock, endsAt)
 	defer cancel()
 	go p.deregister(ctx)
 	p.clock.Sleep(readinessDelay)
 	_ = p.frontListener.Close()
+	p.endsAt.Store(&endsAt)
 	if open := p.awaitRequests(ctx); open > 0 {
 		event.StopTimeoutExpired.Log(p.logger, zap.Int("connections", open))
 	}
@@ -28,6 +32,15 @@
 	p.log.AwaitWritten(logFlushTimeout)
 }
 
+// requestsEndAt returns when requests in progress are ended; zero until the process is
+// stopping and accepts no new connections.
+func (p *Process) requestsEndAt() time.Time {
+	if at := p.endsAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // deregister removes this host from the list of hosts.
 func (p *Process) deregister(ctx context.Context) {
 	if err := p.watcher.Deregister(ctx); err != nil {
