--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -5,7 +5,7 @@
 	"net/http"
 
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
-	"github.com/bluebellseam/bluebellseam/internal/systems/poison"
+	system "github.com/bluebellseam/bluebellseam/internal/systems/poison"
 )
 
 // survivalEvents is the number of events of a call after which its request is past the
@@ -16,7 +16,7 @@
 // the target crash.
 func (ex *exchange) recordLoss(target fleet.Target, err error) {
 	if ex.call.events < survivalEvents && ex.brokeOff(err) {
-		ex.server.Poison.Lost(poison.Loss{Request: ex.request.ID, Target: target.ID, TargetStart: target.StartedAt.UnixMilli(), Traits: ex.traits, Begun: ex.call.answered})
+		ex.server.Poison.Lost(system.Loss{Request: ex.request.ID, Target: target.ID, TargetStart: target.StartedAt.UnixMilli(), Traits: ex.traits, Begun: ex.call.answered})
 	}
 }
 
--- a/internal/systems/poison/chance.go
+++ b/internal/systems/poison/chance.go
@@ -6,6 +6,18 @@
 	"time"
 )
 
+const (
+	// blindTime is the shortest time between the first and the last crash of a cause if
+	// nothing tells whether other requests would have survived.
+	blindTime = time.Second
+	// sameInstant is the time within which several targets that crash may have done so for
+	// another reason: a failure domain or a network may have failed.
+	sameInstant = 50 * time.Millisecond
+	// lossWindow is the time before and after a crash in which other losses count for the
+	// chance of a loss, and survivalWindow the time after it in which survivals do.
+	lossWindow, survivalWindow = time.Second, 2 * time.Second
+)
+
 // isUnlikely reports whether there are at least a number of independent crashes, and the
 // chance that all requests with a trait were lost in them, although the trait is not a
 // cause, is at most maxChance.
