--- a/internal/systems/allocation/limit_test.go
+++ b/internal/systems/allocation/limit_test.go
@@ -14,10 +14,9 @@
 // limitWorld is a scheduler with targets and more slot requests than they can take.
 type limitWorld struct {
 	*allocation.Scheduler
-	now     time.Time
-	nextID  allocation.ID
-	grants  map[tables.TargetID][]time.Time
-	granted []allocation.ID
+	now    time.Time
+	nextID allocation.ID
+	grants map[tables.TargetID][]time.Time
 }
 
 var limitStart = time.Unix(1_700_000_000, 0)
