Old evidence of crashes leaves the store, and is kept under the ID of the host

By reading: a record of evidence stayed in the store for ever once a coordinator had written it, and its key was read from the settings without their lock, while a reload replaces them. Specs of the wiring: a host takes up causes and evidence from the store, and removes its evidence once that is old (fails without the change).

--- a/internal/edgenode/poison.go
+++ b/internal/edgenode/poison.go
@@ -68,7 +68,7 @@
 			var record causeRecord
 			err = json.Unmarshal(value, &record)
 			causes[record.Cause] = record.FoundAtMS
-		case strings.HasPrefix(name, evidencePrefix) && name != evidencePrefix+p.settings.Node:
+		case strings.HasPrefix(name, evidencePrefix) && name != p.evidenceKey():
 			var evidence poison.Evidence
 			err = json.Unmarshal(value, &evidence)
 			p.poison.ImportEvidence(evidence)
@@ -113,15 +113,20 @@
 }
 
 // writeEvidence shares the losses that this host has learned of with hosts that it does
-// not reach. While all are attached, nothing is written.
+// not reach. While all are attached, nothing is written. What has become old is removed.
 func (p *Process) writeEvidence(ctx context.Context) error {
 	evidence := p.poison.Evidence()
-	if len(evidence.Losses) == 0 || len(p.replicator.Attached())+1 >= p.links.HostCount() {
+	if len(evidence.Losses) == 0 {
+		return p.watcher.PutShared(ctx, p.evidenceKey(), nil)
+	}
+	if len(p.replicator.Attached())+1 >= p.links.HostCount() {
 		return nil
 	}
 	value, err := json.Marshal(evidence)
 	if err != nil {
 		return err
 	}
-	return p.watcher.PutShared(ctx, evidencePrefix+p.settings.Node, value)
+	return p.watcher.PutShared(ctx, p.evidenceKey(), value)
 }
+
+func (p *Process) evidenceKey() string { return evidencePrefix + string(p.self.ID) }
--- /dev/null
+++ b/internal/edgenode/poison_test.go
@@ -0,0 +1,86 @@
+package edgenode
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/bluebellseam/bluebellseam/internal/poison"
+	system "github.com/bluebellseam/bluebellseam/internal/systems/poison"
+	"github.com/bluebellseam/bluebellseam/internal/watch"
+	"github.com/bluebellseam/bluebellseam/platform"
+)
+
+// sharedStore is a store that holds only what hosts write.
+type sharedStore struct{ records map[string][]byte }
+
+func (s *sharedStore) Newest(context.Context, watch.Stream) (watch.Page, error) {
+	page := watch.Page{End: 1}
+	for key, value := range s.records {
+		page.Records = append(page.Records, watch.Record{Key: key, Value: value})
+	}
+	return page, nil
+}
+
+func (s *sharedStore) Read(context.Context, watch.Stream, int64, time.Duration) (watch.Page, error) {
+	return watch.Page{}, watch.ErrUnavailable
+}
+
+func (s *sharedStore) Put(_ context.Context, _ watch.Stream, key string, value []byte) (watch.Position, error) {
+	s.records[key] = value
+	return watch.Position{Offset: int64(len(s.records))}, nil
+}
+
+func newStoredProcess(t *testing.T, node string, store watch.Store) *Process {
+	t.Helper()
+	var s platform.Settings
+	s.Node, s.IP, s.Zone, s.InternalPorts = node, "127.0.0.1", "z", []int{1, 2}
+	p := build(s, store, io.Discard)
+	t.Cleanup(func() { p.log.Close() })
+	return p
+}
+
+func TestHostTakesUpCausesOfCrashesFromTheStore(t *testing.T) {
+	store := &sharedStore{make(map[string][]byte)}
+	traits := []system.Trait{system.PartTrait("bad")}
+	name := system.NewCause(traits...).String()
+	finder := newStoredProcess(t, "h-1", store)
+	finder.poison.Import(map[string]int64{name: time.Now().UnixMilli()})
+	if err := finder.writePoison(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	late := newStoredProcess(t, "h-2", store)
+	if err := late.watcher.Load(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if late.poison.Check(traits) == nil {
+		t.Error("the cause is not refused")
+	}
+}
+
+func TestHostTakesUpEvidenceOfHostsThatItDoesNotReach(t *testing.T) {
+	store := &sharedStore{make(map[string][]byte)}
+	from, to := newStoredProcess(t, "h-1", store), newStoredProcess(t, "h-2", store)
+	loss := system.Loss{Request: "r", Target: "t", Traits: []system.Trait{"part:bad"}, Begun: true}
+	value, err := json.Marshal(poison.Evidence{Losses: []poison.StoredLoss{{Loss: loss, AtMS: time.Now().UnixMilli()}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := from.watcher.PutShared(t.Context(), from.evidenceKey(), value); err != nil {
+		t.Fatal(err)
+	}
+	if err := to.watcher.Load(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if known := to.poison.Evidence().Losses; len(known) != 1 || known[0].Request != "r" {
+		t.Errorf("knows %v", known)
+	}
+	if err := from.writeEvidence(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if value := store.records["/shared/"+from.evidenceKey()]; value != nil {
+		t.Errorf("old evidence stays in the store: %s", value)
+	}
+}
