--- a/internal/systems/poison/poison.go
+++ b/internal/systems/poison/poison.go
@@ -108,10 +108,30 @@
 	if len(c) == 0 || cs.implies(c) {
 		return false
 	}
+	if len(cs.known) >= maxCauses {
+		cs.removeOldest()
+	}
 	cs.known[c.String()] = knownCause{c, foundAt}
 	return true
 }
 
+// maxCauses bounds the number of causes that are known.
+const maxCauses = 256
+
+// removeOldest removes the cause that was found first, one that holds a content if there
+// is any: it refuses the fewest requests.
+func (cs *Causes) removeOldest() {
+	var oldest knownCause
+	for _, k := range cs.known {
+		narrower := k.cause.hasContent() && !oldest.cause.hasContent()
+		older := k.cause.hasContent() == oldest.cause.hasContent() && k.foundAt.Before(oldest.foundAt)
+		if oldest.cause == nil || narrower || older {
+			oldest = k
+		}
+	}
+	delete(cs.known, oldest.cause.String())
+}
+
 // Remove removes a cause and reports whether it was known.
 func (cs *Causes) Remove(name string) bool {
 	_, known := cs.known[name]
