The content of requests needs the same evidence as a part; only survivals of the same service count

By reading, the chance of a loss counted survivals of all services: plain requests that are served tell nothing of engines that all crash. A loss has its service now, and survivals are counted for each; the new test fails without that.

--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -16,7 +16,7 @@
 // the target crash.
 func (ex *exchange) recordLoss(target fleet.Target, err error) {
 	if ex.call.events < survivalEvents && ex.brokeOff(err) {
-		ex.server.Poison.Lost(system.Loss{Request: ex.request.ID, Target: target.ID, TargetStart: target.StartedAt.UnixMilli(), Traits: ex.traits, Begun: ex.call.answered})
+		ex.server.Poison.Lost(system.Loss{Request: ex.request.ID, Service: ex.service, Target: target.ID, TargetStart: target.StartedAt.UnixMilli(), Traits: ex.traits, Begun: ex.call.answered})
 	}
 }
 
@@ -33,7 +33,7 @@
 func (ex *exchange) recordCallEvent() {
 	ex.call.events++
 	if ex.call.events == survivalEvents {
-		ex.server.Poison.Survived(ex.traits)
+		ex.server.Poison.Survived(ex.service, ex.traits)
 	}
 }
 
@@ -41,6 +41,6 @@
 // end can't be told from that of the connection may have been cut by a crash.
 func (ex *exchange) recordWholeAnswer() {
 	if ex.call.framed && ex.call.status < http.StatusMultipleChoices && ex.call.events < survivalEvents {
-		ex.server.Poison.Survived(ex.traits)
+		ex.server.Poison.Survived(ex.service, ex.traits)
 	}
 }
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -17,6 +17,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	system "github.com/bluebellseam/bluebellseam/internal/systems/poison"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
 const (
@@ -55,11 +56,11 @@
 	// survivors holds when requests with a trait last survived at this host.
 	survivors *simplelru.LRU[system.Trait, time.Time]
 	// suspects are the traits whose survivals are reported. survivedSuspects are those with
-	// which requests survived since the last report, at reportedAt, and survivedCount is
-	// the number of all requests that survived since.
+	// which requests survived since the last report, at reportedAt, and survivedCounts the
+	// numbers of all requests of each service that survived since.
 	suspects, survivedSuspects map[system.Trait]bool
 	reportedAt                 time.Time
-	survivedCount              int
+	survivedCounts             map[tables.ServiceID]int
 	// sentSuspects are those last sent to the other hosts.
 	sentSuspects []system.Trait
 	// deciding is true while a timer runs the next decision.
@@ -76,6 +77,7 @@
 	return &Guard{
 		clock: clock, logger: logger, causes: causes, detector: system.NewDetector(causes),
 		survivors: survivors, suspects: make(map[system.Trait]bool), survivedSuspects: make(map[system.Trait]bool),
+		survivedCounts: make(map[tables.ServiceID]int),
 	}
 }
 
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -30,14 +30,14 @@
 var bad = []system.Trait{system.PartTrait("aa"), system.PartTrait("bad")}
 
 func lossOf(n int) system.Loss {
-	return system.Loss{Request: fmt.Sprint(n), Target: tables.TargetID(fmt.Sprintf("t%d", n)), Traits: bad, Begun: true}
+	return system.Loss{Request: fmt.Sprint(n), Service: "s", Target: tables.TargetID(fmt.Sprintf("t%d", n)), Traits: bad, Begun: true}
 }
 
 // survive lets many requests with the first part survive at a host.
 func survive(clock *clockwork.FakeClock, g *poison.Guard) {
 	for range 300 {
 		clock.Advance(time.Millisecond)
-		g.Survived(bad[:1])
+		g.Survived("s", bad[:1])
 	}
 }
 
@@ -111,7 +111,7 @@
 func TestNoGuardRefusesNothing(t *testing.T) {
 	var g *poison.Guard
 	g.Lost(lossOf(1))
-	g.Survived(bad)
+	g.Survived("s", bad)
 	if err := g.Check(bad); err != nil {
 		t.Error(err)
 	}
@@ -139,7 +139,7 @@
 	if peers.reports != 0 {
 		t.Fatalf("%d reports before any crash", peers.reports)
 	}
-	g.Lost(system.Loss{Request: "1", Target: "t1", Traits: []system.Trait{"content:1"}})
+	g.Lost(system.Loss{Request: "1", Service: "s", Target: "t1", Traits: []system.Trait{"content:1"}})
 	settle(t, clock, func() bool { survive(clock, g); return peers.reports > 1 })
 	if peers.reports == 0 {
 		t.Fatal("no reports after a crash")
--- a/internal/poison/messages.go
+++ b/internal/poison/messages.go
@@ -5,6 +5,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	system "github.com/bluebellseam/bluebellseam/internal/systems/poison"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
 // Methods of the messages between hosts.
@@ -35,8 +36,8 @@
 type survivalMessage struct {
 	// AgeMS tells how long ago a request with each trait last survived, in milliseconds.
 	AgeMS map[system.Trait]int64 `json:"age,omitempty"`
-	// Count is the number of requests that survived since the last report.
-	Count int `json:"n,omitempty"`
+	// Counts is the number of requests of each service that survived since the last report.
+	Counts map[tables.ServiceID]int `json:"n,omitempty"`
 }
 
 // causesMessage holds the names of causes and when they were found.
--- a/internal/poison/survivals.go
+++ b/internal/poison/survivals.go
@@ -1,9 +1,11 @@
 package poison
 
 import (
+	"maps"
 	"time"
 
 	system "github.com/bluebellseam/bluebellseam/internal/systems/poison"
+	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
 const (
@@ -13,9 +15,9 @@
 	reportInterval = 50 * time.Millisecond
 )
 
-// Survived records that a request with the given traits got past the beginning of its
-// answer.
-func (g *Guard) Survived(traits []system.Trait) {
+// Survived records that a request of a service with the given traits got past the beginning
+// of its answer.
+func (g *Guard) Survived(service tables.ServiceID, traits []system.Trait) {
 	if g == nil {
 		return
 	}
@@ -24,13 +26,13 @@
 	for _, t := range traits {
 		g.survivors.Add(t, now)
 	}
-	g.detector.CountSurvivals(now, 1)
+	g.detector.CountSurvivals(now, service, 1)
 	if len(g.suspects) == 0 {
 		g.mu.Unlock()
 		return
 	}
 	if g.suspects[system.CountTrait] {
-		g.survivedCount++
+		g.survivedCounts[service]++
 	}
 	for _, t := range traits {
 		if g.suspects[t] {
@@ -48,20 +50,21 @@
 // takeReport returns the report of the survivals since the last one. The lock must be
 // held.
 func (g *Guard) takeReport(now time.Time) survivalMessage {
-	m := survivalMessage{AgeMS: make(map[system.Trait]int64), Count: g.survivedCount}
+	m := survivalMessage{AgeMS: make(map[system.Trait]int64), Counts: maps.Clone(g.survivedCounts)}
 	for t := range g.survivedSuspects {
 		if at, survived := g.survivors.Get(t); survived {
 			m.AgeMS[t] = now.Sub(at).Milliseconds()
 		}
 	}
-	g.reportedAt, g.survivedCount = now, 0
+	g.reportedAt = now
+	clear(g.survivedCounts)
 	clear(g.survivedSuspects)
 	return m
 }
 
 // report sends survivals to the hosts that may decide.
 func (g *Guard) report(m survivalMessage) {
-	if len(m.AgeMS) == 0 && m.Count == 0 {
+	if len(m.AgeMS) == 0 && len(m.Counts) == 0 {
 		return
 	}
 	g.Peers.NotifyDeciders(methodSurvived, m)
@@ -92,6 +95,8 @@
 	for t, age := range m.AgeMS {
 		g.detector.RecordSurvival(now.Add(-time.Duration(age)*time.Millisecond), t)
 	}
-	g.detector.CountSurvivals(now, m.Count)
+	for service, n := range m.Counts {
+		g.detector.CountSurvivals(now, service, n)
+	}
 	g.decideSoon()
 }
--- a/internal/systems/poison/chance.go
+++ b/internal/systems/poison/chance.go
@@ -89,15 +89,6 @@
 	return out
 }
 
-// independentCrashes returns how many of the crashes are independent.
-func independentCrashes(crashes []*crash, t Trait) int {
-	n := 0
-	for _, group := range instants(crashes) {
-		n += mostOfOneRequest(group, t)
-	}
-	return n
-}
-
 // mostOfOneRequest returns how many crashes of a group a single request with the trait was
 // lost in. It was at one target after the other, so these crashes are independent.
 func mostOfOneRequest(group []*crash, t Trait) int {
@@ -114,8 +105,8 @@
 	return most
 }
 
-// background is what happened around the time of a group of crashes to requests without
-// a trait.
+// background is what happened around the time of a group of crashes to requests of the same
+// service without a trait.
 type background struct {
 	// lost were lost then, and survived got past the beginning of their answer after it.
 	lost, survived float64
@@ -127,9 +118,9 @@
 func (d *Detector) background(group []*crash, t Trait) background {
 	var b background
 	begun := begunTargets(group, t) > 0
-	at := group[0].at
+	at, service := group[0].at, group[0].service
 	for _, c := range d.crashes {
-		if c.at.Sub(at).Abs() > lossWindow {
+		if c.service != service || c.at.Sub(at).Abs() > lossWindow {
 			continue
 		}
 		for _, l := range c.losses {
@@ -142,8 +133,9 @@
 			}
 		}
 	}
-	first, _ := slices.BinarySearchFunc(d.survivals, at, func(s survivalCount, at time.Time) int { return s.at.Compare(at) })
-	for _, s := range d.survivals[first:] {
+	survivals := d.survivals[service]
+	first, _ := slices.BinarySearchFunc(survivals, at, func(s survivalCount, at time.Time) int { return s.at.Compare(at) })
+	for _, s := range survivals[first:] {
 		if s.at.Sub(at) > survivalWindow {
 			break
 		}
--- a/internal/systems/poison/decide.go
+++ b/internal/systems/poison/decide.go
@@ -144,10 +144,6 @@
 		settled := len(separate) >= manyCrashes && now.Sub(separate[manyCrashes-1][0].at) >= settleTime
 		return settled && d.isUnlikely(unexplained, e.trait, manyCrashes, maxChance)
 	}
-	if e.cause.hasContent() {
-		// Refusing requests with one content harms no others.
-		return independentCrashes(e.crashes, e.trait) >= minCrashes
-	}
 	return d.isUnlikely(e.crashes, e.trait, minCrashes, maxChance) || d.isUnlikely(e.crashes, e.trait, manyCrashes, maxChanceOfMany)
 }
 
--- a/internal/systems/poison/detector.go
+++ b/internal/systems/poison/detector.go
@@ -37,8 +37,8 @@
 	crashes []*crash
 	// survivedAt is when a request with a trait last survived.
 	survivedAt map[Trait]time.Time
-	// survivals counts the requests that survived of late, in order of time.
-	survivals []survivalCount
+	// survivals counts the requests of each service that survived of late, in order of time.
+	survivals map[tables.ServiceID][]survivalCount
 	// relevant are the traits of the crashes; nil if they must be collected again.
 	relevant map[Trait]bool
 }
@@ -53,13 +53,14 @@
 type crash struct {
 	target      tables.TargetID
 	targetStart int64
+	service     tables.ServiceID
 	at          time.Time
 	losses      []Loss
 }
 
 // NewDetector returns a detector that adds what it finds to causes.
 func NewDetector(causes *Causes) *Detector {
-	return &Detector{causes: causes, survivedAt: make(map[Trait]time.Time)}
+	return &Detector{causes: causes, survivedAt: make(map[Trait]time.Time), survivals: make(map[tables.ServiceID][]survivalCount)}
 }
 
 // RecordLoss records a loss. It returns false if it is not needed.
@@ -93,7 +94,7 @@
 }
 
 func (d *Detector) insert(at time.Time, l Loss) {
-	d.crashes = append(d.crashes, &crash{target: l.Target, targetStart: l.TargetStart, at: at, losses: []Loss{l}})
+	d.crashes = append(d.crashes, &crash{target: l.Target, targetStart: l.TargetStart, service: l.Service, at: at, losses: []Loss{l}})
 	slices.SortStableFunc(d.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
 	d.crashes = d.crashes[max(len(d.crashes)-maxCrashes, 0):]
 }
@@ -116,19 +117,22 @@
 	}
 }
 
-// CountSurvivals records that n requests survived shortly before a time.
-func (d *Detector) CountSurvivals(at time.Time, n int) {
-	last := len(d.survivals) - 1
+// CountSurvivals records that n requests of a service survived shortly before a time.
+func (d *Detector) CountSurvivals(at time.Time, service tables.ServiceID, n int) {
+	counts := d.survivals[service]
+	last := len(counts) - 1
 	switch {
 	case n <= 0:
-	case last >= 0 && at.Sub(d.survivals[last].at) < survivalStep:
-		d.survivals[last].n += n
+		return
+	case last >= 0 && at.Sub(counts[last].at) < survivalStep:
+		counts[last].n += n
 	default:
-		d.survivals = append(d.survivals, survivalCount{at, n})
+		counts = append(counts, survivalCount{at, n})
 	}
-	for len(d.survivals) > 0 && at.Sub(d.survivals[0].at) > survivalLifetime {
-		d.survivals = d.survivals[1:]
+	for at.Sub(counts[0].at) > survivalLifetime {
+		counts = counts[1:]
 	}
+	d.survivals[service] = counts
 }
 
 // isRelevant reports whether a trait is one of a crash or of a cause.
--- a/internal/systems/poison/detector_test.go
+++ b/internal/systems/poison/detector_test.go
@@ -38,7 +38,7 @@
 	id, traits := request(name, parts...)
 	for _, target := range targets {
 		begun := slices.ContainsFunc(parts, func(p string) bool { return p == "bad" }) || len(parts) == 0
-		w.RecordLoss(at(ms), poison.Loss{Request: id, Target: tables.TargetID(target), Traits: traits, Begun: begun})
+		w.RecordLoss(at(ms), poison.Loss{Request: id, Service: "s", Target: tables.TargetID(target), Traits: traits, Begun: begun})
 	}
 }
 
@@ -47,7 +47,7 @@
 	for _, p := range parts {
 		w.RecordSurvival(at(ms), poison.PartTrait(p))
 	}
-	w.CountSurvivals(at(ms), manySurvivals)
+	w.CountSurvivals(at(ms), "s", manySurvivals)
 }
 
 // manySurvivals is the number of requests that survive in a second at a busy site.
@@ -97,22 +97,19 @@
 	}
 }
 
-func TestContentIsRefusedAfterThreeCrashesWhateverElseIsLost(t *testing.T) {
+func TestSurvivalsOfAnotherServiceTellNothing(t *testing.T) {
 	w := newWorld()
-	for n := range 3 {
-		target := fmt.Sprintf("m%d", n)
-		w.lose(100*n, "same", []string{"aa"}, target)
-		for other := range 5 {
-			w.lose(100*n, fmt.Sprintf("%d-%d", n, other), []string{"aa"}, target)
-		}
-	}
-	w.Decide(at(300))
-	_, same := request("same", "aa")
-	if _, refused := w.causes.Match(same); !refused {
-		t.Error("the content is not refused")
+	for n := range 4 {
+		w.lose(100*n, "same", nil, fmt.Sprintf("m%d", n))
+		w.lose(100*n, fmt.Sprintf("other-%d", n), []string{"aa"}, fmt.Sprintf("m%d", n))
 	}
-	if w.refuses("aa") {
-		t.Error("another request is refused")
+	w.CountSurvivals(at(350), "another", manySurvivals)
+	if found := w.Decide(at(5000)); len(found) > 0 {
+		t.Errorf("found %v", found)
+	}
+	w.survive(400, "aa")
+	if found := w.Decide(at(5000)); len(found) != 1 {
+		t.Errorf("found %v", found)
 	}
 }
 
--- a/internal/systems/poison/load_test.go
+++ b/internal/systems/poison/load_test.go
@@ -89,7 +89,7 @@
 				continue
 			}
 			_, traits := request(r.id, r.parts...)
-			w.RecordLoss(at(now), poison.Loss{Request: r.id, Target: tables.TargetID(fmt.Sprint(target)), TargetStart: int64(starts[target]), Traits: traits, Begun: !c.headerless && (isBad(r.parts) && r.beginsAt <= now || rng.Float64() < begunShare)})
+			w.RecordLoss(at(now), poison.Loss{Request: r.id, Service: "s", Target: tables.TargetID(fmt.Sprint(target)), TargetStart: int64(starts[target]), Traits: traits, Begun: !c.headerless && (isBad(r.parts) && r.beginsAt <= now || rng.Float64() < begunShare)})
 			if r.attempts++; r.attempts < maxSends {
 				again = append(again, r)
 			}
@@ -140,7 +140,7 @@
 			for _, trait := range traits {
 				survivedAt[trait] = now
 			}
-			w.CountSurvivals(at(now), 1)
+			w.CountSurvivals(at(now), "s", 1)
 		}
 		if now%40 == 0 {
 			for _, suspect := range w.Suspects(at(now)) {
--- a/internal/systems/poison/poison.go
+++ b/internal/systems/poison/poison.go
@@ -82,8 +82,9 @@
 // begun. Requests that were past the beginning of their answer are no losses: they did
 // not crash the target.
 type Loss struct {
-	Request string          `json:"request"`
-	Target  tables.TargetID `json:"target"`
+	Request string           `json:"request"`
+	Service tables.ServiceID `json:"service"`
+	Target  tables.TargetID  `json:"target"`
 	// TargetStart tells the starts of the target apart, in Unix milliseconds.
 	TargetStart int64   `json:"start"`
 	Traits      []Trait `json:"traits"`
