--- a/internal/edgenode/herd_test.go
+++ b/internal/edgenode/herd_test.go
@@ -223,6 +223,12 @@
 }
 
 // Newest implements watch.Store.
+// AppendOrigins implements originlog.Store.
+func (s *memoryStore) AppendOrigins(context.Context, []byte) error { return nil }
+
+// RecentOrigins implements originlog.Store.
+func (s *memoryStore) RecentOrigins(context.Context, int) ([][]byte, error) { return nil, nil }
+
 func (s *memoryStore) Newest(_ context.Context, name watch.Stream) (watch.Page, error) {
 	s.call()
 	s.mu.Lock()
--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -24,6 +24,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
 	"github.com/bluebellseam/bluebellseam/internal/links"
 	"github.com/bluebellseam/bluebellseam/internal/observe"
+	"github.com/bluebellseam/bluebellseam/internal/originlog"
 	"github.com/bluebellseam/bluebellseam/internal/peer"
 	"github.com/bluebellseam/bluebellseam/internal/poison"
 	"github.com/bluebellseam/bluebellseam/internal/pool"
@@ -97,6 +98,7 @@
 	fallback    *pool.Coordinator
 	client      *pool.Client
 	origins     *pool.Origins
+	originLog   *originlog.Log
 	poison      *poison.Guard
 	stalls      *stall.Detector
 	front       *http.Server
@@ -143,8 +145,14 @@
 	return p, nil
 }
 
+// store is what a process uses of the platform's store.
+type store interface {
+	watch.Store
+	originlog.Store
+}
+
 // build assembles a process without listeners that runs no background work yet.
-func build(s platform.Settings, store watch.Store, logs io.Writer) *Process {
+func build(s platform.Settings, store store, logs io.Writer) *Process {
 	p := &Process{
 		settings: s,
 		self: fleet.Host{
@@ -180,6 +188,7 @@
 	p.replicator.OnDetach = p.coordinator.ReleaseHost
 	p.links.OnConnect = p.onConnect
 	p.connectOrigins()
+	p.originLog = &originlog.Log{Store: store, Origins: p.origins, Coordinator: p.isCoordinator, Clock: p.clock, Logger: p.logger}
 	p.poison = poison.NewGuard(p.clock, p.logger)
 	p.poison.Peers = poisonPeers{p}
 	p.poison.Register(p.mux)
--- a/internal/edgenode/origins.go
+++ b/internal/edgenode/origins.go
@@ -68,6 +68,12 @@
 	}
 }
 
+// isCoordinator reports whether this host allocates the slots, as far as it knows.
+func (p *Process) isCoordinator() bool {
+	first, ok := p.links.FirstLive()
+	return ok && first.Conn == nil
+}
+
 // recordVersions keeps the store's record of versions up to date while this host is the
 // coordinator, until ctx ends.
 func (p *Process) recordVersions(ctx context.Context) {
@@ -76,7 +82,7 @@
 	case <-p.started:
 	}
 	for ctx.Err() == nil {
-		if first, ok := p.links.FirstLive(); ok && first.Conn == nil && p.viewFresh() {
+		if p.isCoordinator() && p.viewFresh() {
 			// A failure has been logged; the next attempt follows.
 			_ = p.watcher.RecordVersions(ctx, p.origins.Versions())
 		}
--- a/internal/edgenode/poison_test.go
+++ b/internal/edgenode/poison_test.go
@@ -33,7 +33,15 @@
 	return watch.Position{Offset: int64(len(s.records))}, nil
 }
 
-func newStoredProcess(t *testing.T, node string, store watch.Store) *Process {
+// AppendOrigins implements originlog.Store.
+func (s *sharedStore) AppendOrigins(context.Context, []byte) error { return watch.ErrUnavailable }
+
+// RecentOrigins implements originlog.Store.
+func (s *sharedStore) RecentOrigins(context.Context, int) ([][]byte, error) {
+	return nil, watch.ErrUnavailable
+}
+
+func newStoredProcess(t *testing.T, node string, store *sharedStore) *Process {
 	t.Helper()
 	var s platform.Settings
 	s.Node, s.IP, s.Zone, s.InternalPorts = node, "127.0.0.1", "z", []int{1, 2}
--- a/internal/edgenode/run.go
+++ b/internal/edgenode/run.go
@@ -19,6 +19,7 @@
 	go p.replicator.Run(ctx)
 	go p.client.Run(ctx, p.replicator.Broadcast)
 	go p.recordVersions(ctx)
+	go p.originLog.Run(ctx)
 	go p.poison.Run(ctx)
 	go p.router.Run(ctx)
 	go p.sharePoison(ctx)
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -73,6 +73,8 @@
 	LocalFallback         = Event{1314, zapcore.WarnLevel, "local fallback", "No coordinator responds; this host grants slots from its own share of the targets."}
 	RequestForwarded      = Event{1318, zapcore.InfoLevel, "request forwarded", "This host has lost its path to the target, and asks the host named to send the request for it. asked counts the hosts that were asked for one send."}
 	RequestRelayed        = Event{1319, zapcore.InfoLevel, "request relayed", "This host has sent a request for the host from; the error is empty once the header of an answer has arrived."}
+	OriginsLoaded         = Event{1320, zapcore.InfoLevel, "origins loaded", "The coordinator has read from the store which software versions began the streams."}
+	OriginsNotStored      = Event{1321, zapcore.WarnLevel, "origins not stored", "The coordinator could not write to the store which software versions began streams; it tries again. If all hosts die meanwhile, these streams cannot be resumed."}
 	CrashCauseFound       = Event{1315, zapcore.WarnLevel, "crash cause found", "Targets crashed under requests that have the traits of cause in common; all hosts refuse such requests. lost are the latest of them, each with its target."}
 	CrashCauseLearned     = Event{1316, zapcore.InfoLevel, "crash cause learned", "This host refuses requests with a cause that another host has found."}
 	CrashCauseForgotten   = Event{1317, zapcore.InfoLevel, "crash cause forgotten", "Requests with the cause are sent again: it is a day old or an operator has released it."}
@@ -100,7 +102,7 @@
 		PeerConnectionFailed, StoreUnreachable, StoreReachable, TargetListed, TargetRemoved, EntryIgnored, HostsChanged, CoordinatorChanged, HostOverloadChanged, HostRemoved, PeerReachChanged,
 		RequestRefused, RequestFinished, RequestOutcomeUnknown, StreamResumed, StreamSilent, DispatcherLost, ClaimLost,
 		QuarantineAdded, QuarantineLifted, InvariantFailed,
-		SlotGranted, SlotRefused, SendFailed, LocalFallback, CrashCauseFound, CrashCauseLearned, CrashCauseForgotten, RequestForwarded, RequestRelayed,
+		SlotGranted, SlotRefused, SendFailed, LocalFallback, CrashCauseFound, CrashCauseLearned, CrashCauseForgotten, RequestForwarded, RequestRelayed, OriginsLoaded, OriginsNotStored,
 		TargetCrashed, StragglerDetected, TargetRecovered, TargetQuiet, TargetSilent, TargetLimit, TargetEjected, PathLost, PathRegained,
 	}
 }
--- a/internal/pool/origins.go
+++ b/internal/pool/origins.go
@@ -46,6 +46,8 @@
 	// is true, a timer sends further ones.
 	sentSequence int
 	sending      bool
+	// granted lists what this host itself has granted.
+	granted grantLog
 	// ended lists the streams that have ended, the earliest first.
 	ended []endedStream
 	// mixed is true if a service had several versions at the last Observe or Import.
@@ -116,6 +118,29 @@
 	return out
 }
 
+// Mixed reports whether a service has several versions.
+func (o *Origins) Mixed() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.updateMixed(o.clock.Now())
+	return o.mixed
+}
+
+// GrantedSince returns what this host itself has granted to streams that have not ended,
+// from a sequence number on, and the number to pass in next time.
+func (o *Origins) GrantedSince(sequence int) (origin.Batch, int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	granted, next := o.granted.since(sequence)
+	batch := make(origin.Batch)
+	for _, g := range granted {
+		if version, known := o.registry.Lookup(o.clock.Now(), g.id); known && version == g.version {
+			batch.Add(g.id, g.version)
+		}
+	}
+	return batch, next
+}
+
 // lookup returns the version that began a stream, if that is known.
 func (o *Origins) lookup(id origin.StreamID) (tables.SoftwareVersion, bool) {
 	if o == nil || id == 0 {
@@ -165,6 +190,7 @@
 	o.note(id, version)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.granted.add(o.clock.Now(), id, version)
 	if o.mixed {
 		o.sendLater()
 	}
--- a/internal/systems/origin/batch.go
+++ b/internal/systems/origin/batch.go
@@ -14,7 +14,8 @@
 // each, big-endian. It is encoded as JSON in messages between hosts.
 type Batch map[tables.SoftwareVersion][]byte
 
-func (b Batch) add(id StreamID, version tables.SoftwareVersion) {
+// Add adds an entry.
+func (b Batch) Add(id StreamID, version tables.SoftwareVersion) {
 	b[version] = binary.BigEndian.AppendUint64(b[version], uint64(id))
 }
 
--- a/internal/systems/origin/registry.go
+++ b/internal/systems/origin/registry.go
@@ -90,7 +90,7 @@
 		if e.sequence <= sequence {
 			break
 		}
-		b.add(e.id, e.version)
+		b.Add(e.id, e.version)
 	}
 	return b, r.sequence
 }
@@ -101,7 +101,7 @@
 	b := make(Batch)
 	for _, e := range r.entries.Values() {
 		if !e.conflicting {
-			b.add(e.id, e.version)
+			b.Add(e.id, e.version)
 		}
 	}
 	return b
