--- a/internal/watch/host.go
+++ b/internal/watch/host.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/netip"
 
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
 )
@@ -17,5 +18,14 @@
 	if h.ID == "" || h.Address == "" {
 		return fleet.Host{}, fmt.Errorf("host record %q has no ID or no address", h.ID)
 	}
+	if h.Cores < 0 || h.Cores > maxCores {
+		return fleet.Host{}, fmt.Errorf("host record %q: %g cores are out of range", h.ID, h.Cores)
+	}
+	if _, err := netip.ParseAddrPort(h.Address); err != nil {
+		return fleet.Host{}, fmt.Errorf("host record %q: %w", h.ID, err)
+	}
 	return h, nil
 }
+
+// maxCores bounds the cores of a host, which rank it among the others.
+const maxCores = 4096
