Fault soak: two builds side by side

--other-build names a second build of the edge program: hosts begin on one after the other, and change with each start.

--- a/cmd/bluebell-faultsoak/main.go
+++ b/cmd/bluebell-faultsoak/main.go
@@ -28,7 +28,7 @@
 	var firstSeed uint64 = 1
 	duration := 10 * time.Second
 	crashPart := false
-	logDir := ""
+	logDir, otherBuild := "", ""
 	flaggy.SetName("bluebell-faultsoak")
 	flaggy.SetDescription("Injects random faults into edge processes on the loopback interface and checks guarantees.")
 	flaggy.Int(&hosts, "", "hosts", "number of edge processes")
@@ -38,6 +38,7 @@
 	flaggy.Duration(&duration, "", "duration", "how long new faults are started")
 	flaggy.Int(&versions, "", "versions", "number of software versions of the model targets; with more than one, no stream may hold events of two")
 	flaggy.Bool(&crashPart, "", "crash-part", "model targets crash on a part of some prompts, which must reach them no more after a while")
+	flaggy.String(&otherBuild, "", "other-build", "path of another build of bluebell-edge that runs side by side with this one")
 	flaggy.String(&logDir, "", "logs", "directory for the logs; by default a temporary directory that is deleted at exit")
 	flaggy.Parse()
 
@@ -55,10 +56,14 @@
 	if logDir == "" {
 		logDir = dir
 	}
+	binaries := []string{binary}
+	if otherBuild != "" {
+		binaries = append(binaries, otherBuild)
+	}
 	violations := 0
 	for seed := firstSeed; seed < firstSeed+uint64(seeds) && ctx.Err() == nil; seed++ {
 		o := faultsoak.Options{
-			Binary: binary, Dir: filepath.Join(logDir, fmt.Sprintf("seed-%d", seed)), Hosts: hosts, Seed: seed,
+			Binaries: binaries, Dir: filepath.Join(logDir, fmt.Sprintf("seed-%d", seed)), Hosts: hosts, Seed: seed,
 			FaultDuration: duration, RequestsPerSecond: float64(perSecond), Versions: versions, CrashPart: crashPart, Out: os.Stdout,
 		}
 		report, err := faultsoak.Run(ctx, o)
--- a/internal/faultsoak/host.go
+++ b/internal/faultsoak/host.go
@@ -16,8 +16,9 @@
 
 // host is an edge host: its process, its files and the proxies of its connections.
 type host struct {
-	name     string
-	binary   string
+	name string
+	// binaries are the builds of the edge program. Each start takes the next one.
+	binaries []string
 	dir      string
 	settings platform.Settings
 	// frontProxy carries connections from callers to the host, storeProxy those from
@@ -51,8 +52,8 @@
 	signalSetupTime = 50 * time.Millisecond
 )
 
-func newHost(name, binary, dir, storeAddress string, seeds []string) (*host, error) {
-	h := &host{name: name, binary: binary, dir: filepath.Join(dir, name), keepAliveTransport: standin.NewKeepAliveTransport()}
+func newHost(name string, binaries []string, dir, storeAddress string, seeds []string) (*host, error) {
+	h := &host{name: name, binaries: binaries, dir: filepath.Join(dir, name), keepAliveTransport: standin.NewKeepAliveTransport()}
 	var err error
 	if h.storeProxy, err = newProxy(storeAddress); err != nil {
 		return nil, err
@@ -85,7 +86,7 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	cmd := exec.Command(h.binary)
+	cmd := exec.Command(h.binaries[h.incarnation%len(h.binaries)])
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+h.settingsPath())
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,11 +16,13 @@
 
 // Options configures a run.
 type Options struct {
-	// Binary is the path of the edge program. Dir is the directory for the logs and
-	// settings of the hosts.
-	Binary, Dir string
-	Hosts       int
-	Seed        uint64
+	// Binaries are the paths of the builds of the edge program that run side by side: hosts
+	// begin on one after the other, and change to the next one with each start.
+	Binaries []string
+	// Dir is the directory for the logs and settings of the hosts.
+	Dir   string
+	Hosts int
+	Seed  uint64
 	// FaultDuration is how long new faults are started. RequestsPerSecond is the mean
 	// rate of requests.
 	FaultDuration     time.Duration
@@ -115,7 +118,9 @@
 	}
 	var seeds []string
 	for i := range o.Hosts {
-		h, err := newHost(fmt.Sprintf("edge-%d", i+1), o.Binary, o.Dir, c.store.Address(), seeds)
+		first := i % len(o.Binaries)
+		binaries := slices.Concat(o.Binaries[first:], o.Binaries[:first])
+		h, err := newHost(fmt.Sprintf("edge-%d", i+1), binaries, o.Dir, c.store.Address(), seeds)
 		if err != nil {
 			return c, err
 		}
