--- a/internal/systems/allocation/cut_load_test.go
+++ b/internal/systems/allocation/cut_load_test.go
@@ -4,7 +4,9 @@
 	"container/heap"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -49,8 +51,9 @@
 	// hangs is true if a lost path shows by a dial that times out, otherwise by one that is
 	// refused.
 	hangs bool
-	// fresh is true if the scheduler begins at the moment of the cut.
-	fresh bool
+	// coordinatorDies is when another scheduler takes over, after the begin of the play; zero
+	// if none does.
+	coordinatorDies time.Duration
 }
 
 // cutFleet plays a cutCase in virtual time: hosts with their own view of their paths, and
@@ -144,6 +147,20 @@
 	f.sched.ImportEstimates(estimates)
 }
 
+// takeOver plays the death of the coordinator: another scheduler begins, hosts tell it of
+// their paths and request the slots again for which they wait.
+func (f *cutFleet) takeOver() {
+	f.startScheduler()
+	for _, h := range f.hosts {
+		f.tell(h)
+	}
+	waiting := f.calls
+	f.calls = make(map[ID]*cutCall)
+	for _, id := range slices.Sorted(maps.Keys(waiting)) {
+		f.enqueue(waiting[id])
+	}
+}
+
 func (f *cutFleet) after(d time.Duration, run func()) {
 	heap.Push(&f.events, cutEvent{f.now.Add(d), run})
 }
@@ -170,8 +187,8 @@
 	for _, h := range f.hosts {
 		f.after(time.Duration(f.random.Int64N(int64(cutProbeInterval))), func() { f.probe(h) })
 	}
-	if f.fresh {
-		f.after(cutBegin, f.startScheduler)
+	if f.coordinatorDies > 0 {
+		f.after(f.coordinatorDies, f.takeOver)
 	}
 	for len(f.events) > 0 && f.elapsed() < cutPlayed {
 		next := heap.Pop(&f.events).(cutEvent)
@@ -481,6 +498,11 @@
 			}
 		}
 	}
+	for _, cut := range []func(host, target int) bool{lastHosts(20), pairs(0.9, 195)} {
+		for _, dies := range []time.Duration{cutBegin, cutCountedFrom} {
+			out = append(out, cutCase{name: fmt.Sprintf("195 hosts, the coordinator dies after %v, %d", dies, len(out)), hostCount: 195, targetCount: 78, cut: cut, hangs: true, coordinatorDies: dies})
+		}
+	}
 	return out
 }
 
