A stream is not joined by what its host has heard before the last grant; requests that cannot be sent end

The host that the caller went to had heard of the first grants only, 50 ms being the time between batches, and sent that as the version. The coordinator took the word of the asking host before its own record, which said v2.

Change: a host says apart what it has relayed (certain) and what it has heard; the latter counts only if the coordinator does not know the stream. The build before sends both in one field: if it differs from the coordinator's record the stream is refused. The spec that bound by the unmarked field is split: relayed is bound as before, unmarked and different is refused.

Also: a request whose calls could not be sent twenty times ends as not run; coordinators of the build before the outcome unsent grant the same target at once again. A host in local fallback tells its own scheduler which paths it has lost. Sound paths of targets that are gone are forgotten.

--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -16,6 +16,11 @@
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
+// maxUnsent is the number of slots after which a request ends whose calls could never be
+// sent. Coordinators of the build before allocation.Unsent grant the same target at once
+// again.
+const maxUnsent = 20
+
 // serve sends the request to one target after another until one has responded
 // or no further attempt is allowed. ctx ends at the deadline, callerCtx when
 // the caller disconnects.
@@ -242,6 +247,12 @@
 	if sendErr.Delivery == MayHaveRun && !ex.route.Retryable() {
 		return false
 	}
+	if sendErr.Delivery == Unsent {
+		ex.unsent++
+		if ex.unsent >= maxUnsent {
+			return false
+		}
+	}
 	return !ex.relay.started || ex.relay.resumable()
 }
 
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -109,7 +109,9 @@
 	deadline time.Time
 	// tried lists the targets to which the request was sent, each once.
 	tried []tables.TargetID
-	relay relay
+	// unsent is the number of calls that could not be sent.
+	unsent int
+	relay  relay
 	// target is the target of the latest call, and call how far that has come.
 	target fleet.Target
 	call   callProgress
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -234,7 +234,7 @@
 	}
 	m := c.newMessage(r)
 	if version, known := c.Origins.lookup(r.stream()); known && r.Resumed && r.Version == nil {
-		m.Version = &version
+		m.Heard = &version
 	}
 	for _, live := range c.links.LiveHosts() {
 		g, err := c.acquireFrom(ctx, live, m)
@@ -247,6 +247,9 @@
 		m.ID = c.newID()
 	}
 	event.LocalFallback.Log(c.logger, zap.String("request", r.Request), zap.String("service", string(r.Service)))
+	if c.Paths != nil {
+		c.fallback.RecordHost(c.hostMessage())
+	}
 	g, err := c.fallback.Acquire(ctx, m)
 	return c.newGrant(r, m, links.LiveHost{}, g, err)
 }
@@ -265,7 +268,7 @@
 		PromptTokens: r.PromptTokens, QuotaTokens: r.QuotaTokens,
 		FirstByteBudgetMS: r.FirstByteBudget.Milliseconds(), EventGapSLOMS: r.EventGapSLO.Milliseconds(),
 		MaxWaitMS: r.MaxWait.Milliseconds(), Avoid: r.Avoid, Fingerprint: r.Fingerprint, Retry: r.Retry,
-		Resumable: r.Resumable, Resumed: r.Resumed, FirstAttempt: r.FirstAttempt, Version: r.Version,
+		Resumable: r.Resumable, Resumed: r.Resumed, FirstAttempt: r.FirstAttempt, Version: r.Version, Relayed: r.Version != nil,
 	}
 }
 
--- a/internal/pool/messages.go
+++ b/internal/pool/messages.go
@@ -59,6 +59,12 @@
 	Resumed      bool                    `json:"rs,omitempty"`
 	FirstAttempt string                  `json:"fa,omitempty"`
 	Version      *tables.SoftwareVersion `json:"v,omitempty"`
+	// Relayed is true if Version is that of events that the host has relayed. The build
+	// before it also sends in Version what it has heard from other hosts.
+	Relayed bool `json:"vr,omitempty"`
+	// Heard is the version that began the stream as far as the host has heard from others. A
+	// later grant may not have reached it yet.
+	Heard *tables.SoftwareVersion `json:"vh,omitempty"`
 }
 
 // stream returns the stream that the request is part of; zero if it is not part of a
--- a/internal/pool/origins.go
+++ b/internal/pool/origins.go
@@ -156,13 +156,21 @@
 	if o == nil || !m.Resumable {
 		return origin.Constraint{Kind: origin.AnyVersion}
 	}
-	q := origin.Question{Resumed: m.Resumed}
-	if m.Version != nil {
-		q.Known, q.Version = true, *m.Version
-	} else {
-		q.Version, q.Known = o.lookup(m.stream())
+	q := origin.Question{Resumed: m.Resumed, ViewFresh: o.Fresh()}
+	own, known := o.lookup(m.stream())
+	switch {
+	case m.Relayed && m.Version != nil:
+		q.Version, q.Known = *m.Version, true
+	case m.Version != nil && known && own != *m.Version:
+		// The host is of the build before Relayed, and either may know an earlier grant.
+		q.ViewFresh = false
+	case m.Version != nil:
+		q.Version, q.Known = *m.Version, true
+	case known || m.Heard == nil:
+		q.Version, q.Known = own, known
+	default:
+		q.Version, q.Known = *m.Heard, true
 	}
-	q.ViewFresh = o.Fresh()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	q.Seen = o.seen.Versions(o.clock.Now(), m.Service)
--- a/internal/pool/origins_test.go
+++ b/internal/pool/origins_test.go
@@ -99,12 +99,36 @@
 		Expect(o.constraint(resumed("a")).Kind).To(Equal(origin.Unknown))
 	})
 
-	It("bind a request by what its host knows, and bind no new stream", func() {
+	It("do not join a stream by what a host has heard before its last grant", func() {
 		o.Observe(targets("v1", "v2"))
+		o.recordGrant(origin.StreamIDOf("a"), "v1")
 		o.recordGrant(origin.StreamIDOf("a"), "v2")
 		v1 := tables.SoftwareVersion("v1")
 		m := resumed("a")
+		m.Heard = &v1
+		Expect(o.constraint(m)).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v2"}))
+		m = resumed("b")
+		m.Heard = &v1
+		Expect(o.constraint(m)).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v1"}))
+	})
+
+	It("refuse what a host of the build before and the coordinator know differently", func() {
+		o.Observe(targets("v1", "v2"))
+		o.recordGrant(origin.StreamIDOf("a"), "v2")
+		v1, v2 := tables.SoftwareVersion("v1"), tables.SoftwareVersion("v2")
+		m := resumed("a")
 		m.Version = &v1
+		Expect(o.constraint(m).Kind).To(Equal(origin.Unknown))
+		m.Version = &v2
+		Expect(o.constraint(m)).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v2"}))
+	})
+
+	It("bind a request by what its host has relayed, and bind no new stream", func() {
+		o.Observe(targets("v1", "v2"))
+		o.recordGrant(origin.StreamIDOf("a"), "v2")
+		v1 := tables.SoftwareVersion("v1")
+		m := resumed("a")
+		m.Version, m.Relayed = &v1, true
 		Expect(o.constraint(m)).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v1"}))
 		m.Resumed = false
 		Expect(o.constraint(m).Kind).To(Equal(origin.AnyVersion))
--- a/internal/systems/reach/doubt.go
+++ b/internal/systems/reach/doubt.go
@@ -64,6 +64,7 @@
 	if d.active || d.due > 0 {
 		return
 	}
+	clear(d.soundAt)
 	d.since, d.due, d.soundInRow = now, firstChecks, 0
 }
 
