--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -19,9 +19,10 @@
 	// hopDialTimeout limits the time to connect to another host.
 	hopDialTimeout = 300 * time.Millisecond
 	// hopIdleTimeout is how long an unused connection to another host stays open, and
-	// maxIdleHops the number of those to one host.
-	hopIdleTimeout = 30 * time.Second
-	maxIdleHops    = 16
+	// maxIdleHops the number of those to one host. A host with paths may have them from all
+	// others at once, within its limit of descriptors.
+	hopIdleTimeout = 10 * time.Second
+	maxIdleHops    = 4
 	// maxHopHeaderBytes limits the header of an answer of another host.
 	maxHopHeaderBytes = 64 << 10
 )
