Fault soak: a configuration goes back by the time at which a target ran a call, not at which it was sent

The trace: the host was paused from 38.9 to 41.35 s; it answered the later call with 404 at 41.361, took up version 4 at 41.364 and then served the earlier call, which had waited.

--- a/internal/faultsoak/check.go
+++ b/internal/faultsoak/check.go
@@ -77,9 +77,14 @@
 
 // configRegressions looks for hosts that went back to a configuration without the
 // route for standin.AddedPath, which is added during the run. It returns a line for
-// each call on that route that got status 404 although the same incarnation of the
-// host served a call on it that was sent more than maxDeliveryDelay earlier.
-func configRegressions(calls []*call) []string {
+// each call on that route that got status 404 and was sent more than maxDeliveryDelay
+// after a target had run another one that the same incarnation of the host served. A call
+// may wait at a paused host for longer than a later one.
+func configRegressions(calls []*call, allRuns []standin.Run) []string {
+	runAt := make(map[string]time.Time)
+	for _, r := range allRuns {
+		runAt[r.ID] = r.StartedAt
+	}
 	type hostIncarnation struct {
 		host   *host
 		number int
@@ -87,8 +92,9 @@
 	served := make(map[hostIncarnation]time.Time)
 	for _, c := range calls {
 		key := hostIncarnation{c.host, c.incarnation}
-		if firstServed, ok := served[key]; c.path == standin.AddedPath && c.response.Status == http.StatusOK && (!ok || c.sentAt.Before(firstServed)) {
-			served[key] = c.sentAt
+		ranAt, ran := runAt[c.response.ID]
+		if firstServed, ok := served[key]; c.path == standin.AddedPath && c.response.Status == http.StatusOK && ran && (!ok || ranAt.Before(firstServed)) {
+			served[key] = ranAt
 		}
 	}
 	var out []string
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -214,7 +214,7 @@
 
 func (c *cluster) evaluate(calls []*call, startedAt, faultsEndedAt, routeExpectedFrom time.Time) Result {
 	r := Result{Calls: len(calls)}
-	r.Violations = append(checkCalls(calls, c.runs()), configRegressions(calls)...)
+	r.Violations = append(checkCalls(calls, c.runs()), configRegressions(calls, c.runs())...)
 	for _, h := range c.hosts {
 		h.mu.Lock()
 		for _, exit := range h.unexpectedExits {
--- a/internal/systems/reach/recent.go
+++ b/internal/systems/reach/recent.go
@@ -83,8 +83,8 @@
 }
 
 // Relays returns up to maxRelays hosts other than self that are likely to reach a target,
-// the best first: of those that have reached it last, or else another target of its
-// service, the least loaded ones. It returns none while no host has lost a path.
+// the best first: of those that have reached it last, or else any target, the least
+// loaded ones. It returns none while no host has lost a path.
 func (s *Senders) Relays(now time.Time, t fleet.Target, self tables.HostID, domain tables.DomainID) []tables.HostID {
 	if !s.anyLost() {
 		return nil
