A host that ceases to be the coordinator writes its last grants of streams at once

The other seven had been granted in the first moments by a host that held itself for the coordinator; once it knew another one it wrote only once a second, and died before. Test fails on the code before (one record).

--- a/internal/originlog/log.go
+++ b/internal/originlog/log.go
@@ -62,7 +62,8 @@
 	loaded bool
 	// stored is the sequence number up to which grants were written.
 	stored int
-	// storeAt is when the next write may begin.
+	// storeAt is when the next write may begin. What was granted as the coordinator is written
+	// at once when another host is.
 	storeAt time.Time
 }
 
@@ -89,7 +90,11 @@
 	if coordinator && !l.loaded {
 		l.load(ctx)
 	}
-	if now := l.Clock.Now(); coordinator || !now.Before(l.storeAt) {
+	switch now := l.Clock.Now(); {
+	case coordinator:
+		l.storeAt = now
+		l.store(ctx)
+	case !now.Before(l.storeAt):
 		l.storeAt = now.Add(fallbackInterval)
 		l.store(ctx)
 	}
--- a/internal/originlog/log_test.go
+++ b/internal/originlog/log_test.go
@@ -107,6 +107,20 @@
 	}
 }
 
+func TestHostThatCeasesToBeTheCoordinatorWritesItsLastGrantsAtOnce(t *testing.T) {
+	store, coordinator := &fakeStore{}, true
+	origins := &fakeOrigins{mixed: true, granted: []origin.StreamID{1}}
+	l, clock := newLog(store, origins, &coordinator)
+	l.step(t.Context())
+	origins.granted = append(origins.granted, 2)
+	coordinator = false
+	clock.Advance(interval)
+	l.step(t.Context())
+	if len(store.records) != 2 {
+		t.Errorf("%d records written", len(store.records))
+	}
+}
+
 func TestHostWithoutACoordinatorWritesItsGrantsOnceASecond(t *testing.T) {
 	store, coordinator := &fakeStore{}, false
 	origins := &fakeOrigins{mixed: true}
