The first grants of a host without a coordinator are written at once

Its log had looked before, found nothing to write, and yet waited a second until it looked again; the host died within that second. It waits only after a write now. Test fails on the code before.

--- a/internal/originlog/log.go
+++ b/internal/originlog/log.go
@@ -95,8 +95,9 @@
 		l.storeAt = now
 		l.store(ctx)
 	case !now.Before(l.storeAt):
-		l.storeAt = now.Add(fallbackInterval)
-		l.store(ctx)
+		if l.store(ctx) {
+			l.storeAt = now.Add(fallbackInterval)
+		}
 	}
 }
 
@@ -118,12 +119,12 @@
 }
 
 // store writes what was granted since the last write. If that fails, the next step writes
-// it.
-func (l *Log) store(ctx context.Context) {
+// it. It reports whether there was anything to write.
+func (l *Log) store(ctx context.Context) bool {
 	batch, sequence := l.Origins.GrantedSince(l.stored)
 	if batch.Len() == 0 {
 		l.stored = sequence
-		return
+		return false
 	}
 	record, err := json.Marshal(batch)
 	if err == nil {
@@ -131,7 +132,8 @@
 	}
 	if err != nil {
 		event.OriginsNotStored.Log(l.Logger, zap.Int("streams", batch.Len()), zap.Error(err))
-		return
+		return true
 	}
 	l.stored = sequence
+	return true
 }
--- a/internal/originlog/log_test.go
+++ b/internal/originlog/log_test.go
@@ -121,6 +121,19 @@
 	}
 }
 
+func TestFirstGrantsOfAHostWithoutACoordinatorAreWrittenAtOnce(t *testing.T) {
+	store, coordinator := &fakeStore{}, false
+	origins := &fakeOrigins{mixed: true}
+	l, clock := newLog(store, origins, &coordinator)
+	l.step(t.Context())
+	origins.granted = append(origins.granted, 1)
+	clock.Advance(interval)
+	l.step(t.Context())
+	if len(store.records) != 1 {
+		t.Errorf("%d records written", len(store.records))
+	}
+}
+
 func TestHostWithoutACoordinatorWritesItsGrantsOnceASecond(t *testing.T) {
 	store, coordinator := &fakeStore{}, false
 	origins := &fakeOrigins{mixed: true}
