--- a/review/rig/cluster.go
+++ b/review/rig/cluster.go
@@ -205,6 +205,9 @@
 		}
 	}
 	time.Sleep(settleTime)
+	if ended := c.endedHosts(); len(ended) > 0 {
+		return fmt.Errorf("%v ended at once; another run may have their ports", ended)
+	}
 	return nil
 }
 
