Hosts tell the end of each stream and the number of its keys

Change: two gauges for each stream, and the source of a removal in the event 1217. No decision changes.

--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -181,6 +181,7 @@
 	p.peers = peer.NewPool(context.Background(), peer.Hello{Host: p.self.ID, Role: "edge"}, p.mux, p.clock)
 	p.links = links.New(p.self, p.peers, p.clock, p.logger)
 	p.state = watch.NewState(platform.Decoder{Rollouts: s.Rollouts()}, p.logger)
+	p.registerStreams()
 	p.watcher = watch.NewWatcher(p.self, p.state, store, p.links, p.clock, p.logger)
 	p.replicator = watch.NewReplicator(p.self, p.watcher, p.links, p.mux, p.clock, p.logger)
 	p.coordinator = pool.NewCoordinator(p.state, policyOf(s), rand.Float64, p.coordinatorShare, func() int { return 1 }, p.clock, p.logger)
@@ -230,6 +231,15 @@
 	}
 }
 
+// registerStreams adds the metrics of what this host knows of the store.
+func (p *Process) registerStreams() {
+	for _, name := range watch.Streams() {
+		p.metrics.RegisterStream(string(name), func() observe.StreamExtent {
+			return observe.StreamExtent{End: p.state.Mark(name).End, Keys: p.state.KeyCount(name)}
+		})
+	}
+}
+
 // coordinatorShare returns the fraction of quotas and retry budgets that this
 // host may grant as the coordinator: this host and the hosts attached to it, as a
 // fraction of all hosts. The others may be using their local fallback.
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -47,7 +47,7 @@
 	StoreUnreachable     = Event{1214, zapcore.WarnLevel, "store unreachable", "Calls to the platform's store fail; the last known state stays in force."}
 	StoreReachable       = Event{1215, zapcore.InfoLevel, "store reachable", "Calls to the platform's store succeed again."}
 	TargetListed         = Event{1216, zapcore.InfoLevel, "target listed", "A target was added to the list or its entry changed."}
-	TargetRemoved        = Event{1217, zapcore.InfoLevel, "target removed", "A target was removed from the list."}
+	TargetRemoved        = Event{1217, zapcore.InfoLevel, "target removed", "A target was removed from the list. source tells how the host has learned of it: from the store, a listing of it, another host (peer), or once the grace after an outage was over."}
 	EntryIgnored         = Event{1218, zapcore.WarnLevel, "entry ignored", "An entry of the store is malformed and is not used."}
 	HostsChanged         = Event{1219, zapcore.InfoLevel, "hosts changed", "The list of hosts of the system changed."}
 	CoordinatorChanged   = Event{1220, zapcore.InfoLevel, "coordinator changed", "Another host became the coordinator, which grants the slots at targets."}
--- a/internal/observe/definitions.go
+++ b/internal/observe/definitions.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 )
 
@@ -56,9 +57,18 @@
 	return []Definition{rolloutPhase, rolloutRequests, rolloutExposed, rolloutBad}
 }
 
+// Metrics of what a host knows of the store, in EdgeMetrics.
+var (
+	streamEnd  = Definition{"bluebell_edge_stream_end", "gauge", []string{"stream"}, "Offset before which the host knows all records of a stream of the store; -1 before the first read. A lower one than at other hosts is late.", nil}
+	streamKeys = Definition{"bluebell_edge_stream_keys", "gauge", []string{"stream"}, "Keys of a stream that have a value. Hosts with the same end and different numbers have lost records.", nil}
+)
+
+// StreamDefinitions returns the definitions of the metrics of streams.
+func StreamDefinitions() []Definition { return []Definition{streamEnd, streamKeys} }
+
 // Definitions returns the definitions of the metrics in Metrics, in the order of
 // docs/metrics.md. Of the metrics in EdgeMetrics, only those of
-// RolloutDefinitions are listed there, too.
+// RolloutDefinitions and StreamDefinitions are listed there, too.
 func Definitions() []Definition {
 	return []Definition{
 		requestsTotal, inFlightRequests, queueSeconds, firstTokenSeconds, tokenGapSeconds, tokensTotal,
@@ -71,7 +81,7 @@
 	if _, err := fmt.Fprint(w, markdownHeader); err != nil {
 		return err
 	}
-	for _, d := range append(Definitions(), RolloutDefinitions()...) {
+	for _, d := range slices.Concat(Definitions(), RolloutDefinitions(), StreamDefinitions()) {
 		if _, err := fmt.Fprintf(w, "| `%s` | %s | %s | %s |\n", d.Name, d.Type, strings.Join(d.Labels, ", "), d.Help); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/observe/streams.go
@@ -0,0 +1,23 @@
+package observe
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// StreamExtent is what a host knows of a stream of the store.
+type StreamExtent struct {
+	// End is the offset before which all records are known; -1 before the first read.
+	End int64
+	// Keys is the number of keys that have a value.
+	Keys int
+}
+
+// RegisterStream adds the metrics of a stream. extent is called when the metrics are read.
+func (e *EdgeMetrics) RegisterStream(name string, extent func() StreamExtent) {
+	gauge := func(d Definition, value func() float64) prometheus.Collector {
+		opts := prometheus.GaugeOpts{Name: d.Name, Help: d.Help, ConstLabels: prometheus.Labels{"stream": name}}
+		return prometheus.NewGaugeFunc(opts, value)
+	}
+	e.registry.MustRegister(
+		gauge(streamEnd, func() float64 { return float64(extent().End) }),
+		gauge(streamKeys, func() float64 { return float64(extent().Keys) }),
+	)
+}
--- a/internal/watch/apply.go
+++ b/internal/watch/apply.go
@@ -15,11 +15,29 @@
 	span *Span
 	// listed holds every key of a listing; nil if the batch is not a listing.
 	listed map[string]bool
-	// fromStore is true if this host has read the records from the store or has
-	// written them there.
-	fromStore bool
+	source source
 }
 
+// source tells how a host has learned of a record.
+type source string
+
+const (
+	// sourceStore means that this host has read the record from the store.
+	sourceStore source = "store"
+	// sourceListing means that it has read a listing of the stream.
+	sourceListing source = "listing"
+	// sourceOwn means that it has written the record to the store.
+	sourceOwn source = "own"
+	// sourcePeer means that another host has sent it.
+	sourcePeer source = "peer"
+	// sourceGrace means that the effect of a removal was held until now.
+	sourceGrace source = "grace"
+)
+
+// ownAccess reports whether this host itself has read the record from the store or has
+// written it there.
+func (s source) ownAccess() bool { return s != sourcePeer }
+
 // Apply applies records that this host has read from the store, starting at
 // offset from. It returns false, without effect, if the store has been restored
 // since and the stream must be listed, or if the page is of an older incarnation.
@@ -28,13 +46,13 @@
 		return false
 	}
 	span := Span{Mark: Mark{page.Incarnation, page.End}, From: from}
-	b := batch{records: page.stamped(), span: &span, fromStore: true}
+	b := batch{records: page.stamped(), span: &span, source: sourceStore}
 	return s.applyBatch(now, name, b) == covered
 }
 
 // ApplyOwn applies a record that this host has written to the store.
 func (s *State) ApplyOwn(now time.Time, name Stream, r Record) {
-	s.applyBatch(now, name, batch{records: []Record{r}, fromStore: true})
+	s.applyBatch(now, name, batch{records: []Record{r}, source: sourceOwn})
 }
 
 // ApplyListing applies the newest records of all keys. Keys that are not in the
@@ -49,7 +67,7 @@
 		listed[r.Key] = true
 	}
 	span := Span{Mark: Mark{page.Incarnation, page.End}}
-	b := batch{records: page.stamped(), span: &span, listed: listed, fromStore: true}
+	b := batch{records: page.stamped(), span: &span, listed: listed, source: sourceListing}
 	return s.applyBatch(now, name, b) == covered
 }
 
@@ -85,7 +103,7 @@
 	}
 	out := make(map[Stream]Coverage, len(s.streams))
 	for _, name := range Streams() {
-		b := batch{records: byStream[name]}
+		b := batch{records: byStream[name], source: sourcePeer}
 		if span, reported := spans[name]; reported && span.End != unread {
 			b.span = &span
 		}
@@ -102,10 +120,10 @@
 	s.mu.Lock()
 	st := s.streams[name]
 	before := st.mark
-	coverage := st.advance(now, b.span, b.fromStore)
+	coverage := st.advance(now, b.span, b.source.ownAccess())
 	changed := false
 	for _, r := range b.records {
-		changed = s.applyRecord(now, name, before, r, b.fromStore) || changed
+		changed = s.applyRecord(now, name, before, r, b.source) || changed
 	}
 	if b.listed != nil {
 		changed = s.removeUnlisted(now, name, b) || changed
@@ -131,7 +149,7 @@
 			continue
 		}
 		removal := Record{Key: key, Offset: b.span.End - 1, Incarnation: b.span.Incarnation}
-		changed = s.applyRecord(now, name, st.mark, removal, b.fromStore) || changed
+		changed = s.applyRecord(now, name, st.mark, removal, b.source) || changed
 	}
 	return changed
 }
@@ -139,7 +157,7 @@
 // applyRecord applies a record unless it is outdated, and reports whether the
 // configuration, the targets or the hosts may have changed. before is the mark of
 // the stream before the batch of the record.
-func (s *State) applyRecord(now time.Time, name Stream, before Mark, r Record, fromStore bool) bool {
+func (s *State) applyRecord(now time.Time, name Stream, before Mark, r Record, from source) bool {
 	if r.Key == "" {
 		return false
 	}
@@ -149,7 +167,7 @@
 		// The record was known before the stream had been applied up to it. From now
 		// on, the spans sent to peers cover it.
 		s.seq++
-		old.seq, old.fromStore = s.seq, old.fromStore || fromStore
+		old.seq, old.fromStore = s.seq, old.fromStore || from.ownAccess()
 		st.records[r.Key] = old
 		return false
 	}
@@ -162,21 +180,21 @@
 		return false
 	}
 	if s.isConfig(name, r) {
-		return s.applyConfig(plain, fromStore)
+		return s.applyConfig(plain, from)
 	}
-	s.storeRecord(name, plain, fromStore)
-	return s.updateDecoded(now, name, plain)
+	s.storeRecord(name, plain, from)
+	return s.updateDecoded(now, name, plain, from)
 }
 
 // storeRecord stores an uncompressed record as the newest one of its key.
-func (s *State) storeRecord(name Stream, plain Record, fromStore bool) {
+func (s *State) storeRecord(name Stream, plain Record, from source) {
 	compressed, err := compress(plain)
 	if err != nil {
 		// The uncompressed record is stored instead.
 		event.EntryIgnored.Log(s.logger, zap.String("key", plain.Key), zap.Int64("offset", plain.Offset), zap.Error(err))
 	}
 	s.seq++
-	s.streams[name].records[plain.Key] = appliedRecord{compressed, s.seq, fromStore}
+	s.streams[name].records[plain.Key] = appliedRecord{compressed, s.seq, from.ownAccess()}
 }
 
 func (s *State) isConfig(name Stream, r Record) bool {
@@ -187,7 +205,7 @@
 // changed. The version decides, not the position: a restored store shows old
 // versions at new positions, which must not reach other hosts either. The
 // configuration is never removed.
-func (s *State) applyConfig(plain Record, fromStore bool) bool {
+func (s *State) applyConfig(plain Record, from source) bool {
 	old, known := s.streams[Configs].records[plain.Key]
 	if plain.Value == nil || known && old.Position() == plain.Position() {
 		return false
@@ -203,7 +221,7 @@
 	if s.config != nil && c.Version == s.config.Version && !old.Position().Before(plain.Position()) {
 		return false
 	}
-	s.storeRecord(Configs, plain, fromStore)
+	s.storeRecord(Configs, plain, from)
 	changed := s.config == nil || c.Version > s.config.Version
 	if changed {
 		s.config = c
--- a/internal/watch/state.go
+++ b/internal/watch/state.go
@@ -125,6 +125,19 @@
 	return s.streams[name].mark
 }
 
+// KeyCount returns the number of keys of a stream that have a value.
+func (s *State) KeyCount(name Stream) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, r := range s.streams[name].records {
+		if r.Value != nil {
+			count++
+		}
+	}
+	return count
+}
+
 // Marks returns up to where each stream has been applied.
 func (s *State) Marks() map[Stream]Mark {
 	s.mu.Lock()
@@ -138,12 +151,12 @@
 
 // updateDecoded updates the targets or the hosts from a record, and reports whether
 // they may have changed.
-func (s *State) updateDecoded(now time.Time, name Stream, r Record) bool {
+func (s *State) updateDecoded(now time.Time, name Stream, r Record, from source) bool {
 	switch name {
 	case Configs:
 		return s.updateOrder(r)
 	case Targets:
-		return s.updateTarget(now, r)
+		return s.updateTarget(now, r, from)
 	case Hosts:
 		if r.Key == versionsKey {
 			return s.updateVersions(r)
@@ -157,7 +170,7 @@
 	}
 }
 
-func (s *State) updateTarget(now time.Time, r Record) bool {
+func (s *State) updateTarget(now time.Time, r Record, from source) bool {
 	id := tables.TargetID(r.Key)
 	st := s.streams[Targets]
 	delete(st.heldRemovals, r.Key)
@@ -165,12 +178,12 @@
 		if _, known := s.targets[id]; known && st.holdsRemoval(now, r) {
 			return true
 		}
-		return s.removeTarget(id, r)
+		return s.removeTarget(id, r, from)
 	}
 	t, err := s.decoder.Target(r.Key, r.Value)
 	if err != nil {
 		event.EntryIgnored.Log(s.logger, zap.String("key", r.Key), zap.Int64("offset", r.Offset), zap.Error(err))
-		return s.removeTarget(id, r)
+		return s.removeTarget(id, r, from)
 	}
 	old, known := s.targets[id]
 	// Neither the sequence number nor ColdUntil, which is computed anew from each
@@ -198,14 +211,14 @@
 	return t
 }
 
-func (s *State) removeTarget(id tables.TargetID, r Record) bool {
+func (s *State) removeTarget(id tables.TargetID, r Record, from source) bool {
 	t, known := s.targets[id]
 	if !known {
 		return false
 	}
 	delete(s.targets, id)
 	s.mergeDeparture(Departure{Target: id, StartedAt: t.StartedAt, Sequence: t.Sequence, Incarnation: r.Incarnation}, false)
-	event.TargetRemoved.Log(s.logger, zap.String("target", string(id)), zap.Int64("offset", r.Offset))
+	event.TargetRemoved.Log(s.logger, zap.String("target", string(id)), zap.Int64("offset", r.Offset), zap.String("source", string(from)))
 	return true
 }
 
@@ -254,7 +267,7 @@
 	defer s.mu.Unlock()
 	held := s.streams[name].takeHeldRemovals(now)
 	for _, r := range held {
-		s.updateDecoded(now, name, r)
+		s.updateDecoded(now, name, r, sourceGrace)
 	}
 	return len(held) > 0
 }
