--- a/internal/watch/apply.go
+++ b/internal/watch/apply.go
@@ -86,6 +86,9 @@
 	outdated
 )
 
+// Missing reports whether records before the span are missing.
+func (c Coverage) Missing() bool { return c == gap }
+
 // stamped returns the records with the incarnation of the page.
 func (p Page) stamped() []Record {
 	for i := range p.Records {
--- a/internal/watch/update.go
+++ b/internal/watch/update.go
@@ -52,7 +52,7 @@
 		w.recordConfirmed(confirmedAt)
 	}
 	for _, c := range coverage {
-		missing = missing || c == gap
+		missing = missing || c.Missing()
 	}
 	return current, missing
 }
