Hosts obey a target's word also for requests of other hosts

Cause: a host that sends for others looked at its paths only, neither at the list nor at quiet times, and took up nothing that the target says in such an answer, though the target and the rule count that host. Change: such a host refuses, as not sent, what it would not send for its own callers, and tells why; it takes up the word of the target. The host that asked takes up "leaving". The start that is meant goes along, so that a later start is not refused.

--- a/internal/edge/notice.go
+++ b/internal/edge/notice.go
@@ -39,9 +39,14 @@
 	return q.times.Len() == 0
 }
 
-// recordNotice records what a target has said about itself in its answer to a request
-// that was sent at sentAt.
-func (s *Server) recordNotice(t fleet.Target, n TargetNotice, sentAt time.Time) {
+// QuietFor returns how long a target wants no requests from this host.
+func (s *Server) QuietFor(t fleet.Target) time.Duration {
+	return s.quiet.remaining(s.Clock.Now(), t)
+}
+
+// RecordNotice records what a target has said about itself in its answer to a request
+// that was sent at sentAt, by this host for its own callers or for another host.
+func (s *Server) RecordNotice(t fleet.Target, n TargetNotice, sentAt time.Time) {
 	if n.Leaving {
 		s.Directory.MarkLeaving(t)
 	}
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -84,7 +84,7 @@
 		LastEventID:   ex.relay.resumeAfter(ex.request.LastEventID),
 		NewConnection: !ex.route.Retryable(),
 		Through:       grant.Through,
-		OnNotice:      func(n TargetNotice) { ex.server.recordNotice(target, n, startedAt) },
+		OnNotice:      func(n TargetNotice) { ex.server.RecordNotice(target, n, startedAt) },
 	}
 	if !ex.deadline.IsZero() {
 		call.Timeout = ex.deadline.Sub(ex.server.Clock.Now())
--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -304,14 +304,13 @@
 // listen opens a listener on every address and serves it.
 func (p *Process) listen(ctx context.Context) error {
 	s := p.settings
-	p.front = observe.NewServer(&platform.FrontHandler{
-		Clock: p.clock, OnUnread: p.callers.refusedRequest,
-		Server: &edge.Server{
-			Started: p.started, UpToDate: p.upToDate, Directory: p.state, Slots: p.client, Transport: p.router,
-			Clock: p.clock, Logger: p.logger, Metrics: p.metrics, Poison: p.poison, EndsAt: p.requestsEndAt,
-			Budget: p.callers.budget,
-		},
-	})
+	server := &edge.Server{
+		Started: p.started, UpToDate: p.upToDate, Directory: p.state, Slots: p.client, Transport: p.router,
+		Clock: p.clock, Logger: p.logger, Metrics: p.metrics, Poison: p.poison, EndsAt: p.requestsEndAt,
+		Budget: p.callers.budget,
+	}
+	p.router.OnNotice, p.router.QuietFor, p.router.Departed = server.RecordNotice, server.QuietFor, p.state.Departed
+	p.front = observe.NewServer(&platform.FrontHandler{Clock: p.clock, OnUnread: p.callers.refusedRequest, Server: server})
 	p.limiter = p.callers.limit(p.front, portFront, p.callers.bounds.conns, p.connTimeouts)
 	metrics := observe.NewServer(p.metrics.Handler())
 	ready := observe.NewServer(platform.Readiness(p.ready))
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -53,7 +53,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(headerLoad, strconv.FormatInt(h.inFlight.Add(1), 10))
 	defer h.inFlight.Add(-1)
-	target := fleet.Target{ID: tables.TargetID(r.Header.Get(headerTarget)), Address: r.Header.Get(headerTargetAddress)}
+	target := targetOf(r)
 	if why := h.refusal(target); why != "" {
 		refuse(w, why)
 		return
@@ -67,6 +67,15 @@
 	h.send(w, r, target, body)
 }
 
+// targetOf returns the target that a request of another host is for.
+func targetOf(r *http.Request) fleet.Target {
+	t := fleet.Target{ID: tables.TargetID(r.Header.Get(headerTarget)), Address: r.Header.Get(headerTargetAddress)}
+	if ms, err := strconv.ParseInt(r.Header.Get(headerTargetStart), 10, 64); err == nil {
+		t.StartedAt = time.UnixMilli(ms)
+	}
+	return t
+}
+
 // refusal returns why a request to a target is refused; empty if it is not.
 func (h *Handler) refusal(t fleet.Target) reach.Refusal {
 	if h.Stopping() || h.inFlight.Load() > maxRelayed {
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -89,6 +89,7 @@
 	out.Header.Set(headerRequest, h.call.Request.ID)
 	out.Header.Set(headerTarget, string(h.target.ID))
 	out.Header.Set(headerTargetAddress, h.target.Address)
+	out.Header.Set(headerTargetStart, strconv.FormatInt(h.target.StartedAt.UnixMilli(), 10))
 	if h.call.NewConnection {
 		out.Header.Set(headerNewConnection, "1")
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -24,8 +24,10 @@
 // fakeTargets answers with the forwarded body, or fails.
 type fakeTargets struct {
 	fail error
-	// direct counts the calls over connections of the host.
-	direct int
+	// direct counts the calls over connections of the host, forwarded those for others.
+	direct, forwarded int
+	// notice is what the target says of itself in its answers to others.
+	notice edge.TargetNotice
 }
 
 func (f *fakeTargets) Send(context.Context, fleet.Target, edge.Call) (*edge.Response, error) {
@@ -53,6 +55,10 @@
 	if f.fail != nil {
 		return nil, f.fail
 	}
+	f.forwarded++
+	if r.OnNotice != nil {
+		r.OnNotice(f.notice)
+	}
 	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{"X-Own": {"1"}, headerResult: {"forged"}}, ContentLength: int64(len(r.Body)), Body: io.NopCloser(strings.NewReader(string(r.Body)))}, nil
 }
 
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -36,6 +36,8 @@
 	Header            http.Header
 	Body              []byte
 	NewConnection     bool
+	// OnNotice is called with what the target says of itself in its answer. It may be nil.
+	OnNotice func(edge.TargetNotice)
 }
 
 // Targets sends requests to targets over connections of this host. Errors of Send,
@@ -61,8 +63,16 @@
 	Target func(tables.TargetID) (fleet.Target, bool)
 	// Listed returns the listed targets.
 	Listed func() []fleet.Target
-	Clock  clockwork.Clock
-	Logger *zap.Logger
+	// Departed reports whether this start of a target, which is not listed, is known to have
+	// left. It may be nil.
+	Departed func(fleet.Target) bool
+	// QuietFor returns how long a target wants no requests from this host. It may be nil.
+	QuietFor func(fleet.Target) time.Duration
+	// OnNotice is called with what a target says of itself in its answer to a request of
+	// another host, which was sent at a time. It may be nil.
+	OnNotice func(t fleet.Target, n edge.TargetNotice, sentAt time.Time)
+	Clock    clockwork.Clock
+	Logger   *zap.Logger
 
 	hops hopTransports
 
@@ -123,11 +133,22 @@
 }
 
 // refusal returns why this host does not send to a target for another one; empty if it
-// does.
+// does. What this host knows of the target from the store, other hosts or its answers binds
+// it like a request of its own callers.
 func (r *Router) refusal(t fleet.Target) reach.Refusal {
-	if listed, known := r.Target(t.ID); known {
+	listed, known := r.Target(t.ID)
+	switch {
+	case known && listed.Leaving && !t.StartedAt.After(listed.StartedAt):
+		return reach.Leaving
+	case !known && r.Departed != nil && r.Departed(t):
+		return reach.Leaving
+	}
+	if known {
 		t = listed
 	}
+	if r.QuietFor != nil && r.QuietFor(t) > 0 {
+		return reach.Quiet
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -207,6 +228,12 @@
 		if hopErr == nil || !isUnsent(hopErr) {
 			return resp, true, hopErr
 		}
+		if saysLeaving(hopErr) {
+			if c.OnNotice != nil {
+				c.OnNotice(edge.TargetNotice{Leaving: true, NeedsUnclear: true})
+			}
+			return nil, true, hopErr
+		}
 		if saysUnreachable(hopErr) {
 			known, err = true, hopErr
 		}
@@ -223,6 +250,12 @@
 	return errors.As(err, &sendErr) && sendErr.Via != ""
 }
 
+// saysLeaving reports whether err is the word of a host that the target is leaving or gone.
+func saysLeaving(err error) bool {
+	var refused *refusedError
+	return errors.As(err, &refused) && refused.why == reach.Leaving
+}
+
 // choose returns the host that is asked next: first those that the coordinator has named.
 func (r *Router) choose(t fleet.Target, named, tried []tables.HostID) (fleet.Host, bool) {
 	hosts := r.Hosts()
@@ -304,10 +337,18 @@
 
 // forward sends a request of another host.
 func (r *Router) forward(ctx context.Context, t fleet.Target, f ForwardedRequest) (*http.Response, error) {
+	asked := t
 	if listed, known := r.Target(t.ID); known && listed.Address == t.Address {
 		t = listed
+		asked.Service = listed.Service
+		if listed.StartedAt.After(asked.StartedAt) {
+			asked = listed
+		}
 	}
 	begunAt := r.Clock.Now()
+	if r.OnNotice != nil {
+		f.OnNotice = func(n edge.TargetNotice) { r.OnNotice(asked, n, begunAt) }
+	}
 	resp, err := r.Targets.Forward(ctx, t, f)
 	if err != nil {
 		r.recordFailure(ctx, t, begunAt, err)
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -37,6 +37,9 @@
 	headerRequest       = headerPrefix + "Request"
 	headerTarget        = headerPrefix + "Target"
 	headerTargetAddress = headerPrefix + "Target-Address"
+	// headerTargetStart is the start of the target that is meant, in Unix milliseconds. The
+	// build before does not send it.
+	headerTargetStart = headerPrefix + "Target-Start"
 	// headerNewConnection is set if the call must use a new connection.
 	headerNewConnection = headerPrefix + "New-Connection"
 )
--- a/internal/systems/reach/relays.go
+++ b/internal/systems/reach/relays.go
@@ -36,6 +36,10 @@
 	// InDoubt means that the host has lost other paths and has not checked this one. It says
 	// nothing about the target.
 	InDoubt Refusal = "in_doubt"
+	// Leaving means that the target is leaving or gone, and Quiet that it has asked the host to
+	// send no requests for a time.
+	Leaving Refusal = "leaving"
+	Quiet   Refusal = "quiet"
 	// Busy means that the host takes no further requests of others now.
 	Busy Refusal = "busy"
 )
@@ -146,7 +150,7 @@
 func (r *Relays) Refused(now time.Time, id tables.HostID, target tables.TargetID, why Refusal) {
 	known := r.of(id)
 	switch why {
-	case Unreachable:
+	case Unreachable, Leaving, Quiet:
 		known.avoidFor(now, target, unreachableTime)
 	case InDoubt:
 		known.avoidFor(now, target, inDoubtTime)
--- a/internal/watch/departure.go
+++ b/internal/watch/departure.go
@@ -74,6 +74,15 @@
 	}
 }
 
+// Departed reports whether a start of a target, which is not listed, is known to have left.
+func (s *State) Departed(t fleet.Target) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, listed := s.targets[t.ID]
+	d, known := s.departures[t.ID]
+	return known && !listed && !t.StartedAt.After(d.StartedAt)
+}
+
 // ApplyDepartures applies the departures that a peer has sent.
 func (s *State) ApplyDepartures(departures []Departure) {
 	changed := false
