--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
+	"github.com/bluebellseam/bluebellseam/internal/systems/allocation"
 	system "github.com/bluebellseam/bluebellseam/internal/systems/poison"
 )
 
@@ -14,12 +15,50 @@
 
 // recordLoss reports a failed call if its connection broke and the request may have made
 // the target crash.
-func (ex *exchange) recordLoss(target fleet.Target, err error) {
-	if ex.call.events < survivalEvents && ex.brokeOff(err) {
+func (ex *exchange) recordLoss(target fleet.Target, outcome allocation.Outcome, err error) {
+	evidence := ex.crashEvidence(outcome, err)
+	ex.server.Metrics.CallFailed(evidence)
+	if evidence == evidenceRecorded {
 		ex.server.Poison.Lost(system.Loss{Request: ex.request.ID, Service: ex.service, Target: target.ID, TargetStart: target.StartedAt.UnixMilli(), Traits: ex.traits, Begun: ex.call.answered})
 	}
 }
 
+// The values of the label result of the counter of crash evidence.
+const (
+	// evidenceRecorded is a loss that is reported to the hosts that find causes.
+	evidenceRecorded = "recorded"
+	// evidenceAnswered is a connection that broke late in the answer.
+	evidenceAnswered = "answered"
+	// evidenceHostLost is a call through another host that was lost itself.
+	evidenceHostLost = "host_lost"
+	// evidenceSilent is a target that was left because it sent nothing.
+	evidenceSilent = "silent"
+	// evidenceAbandoned is a call that ended with its caller or its deadline.
+	evidenceAbandoned = "abandoned"
+	// evidenceNone is a failed call that says nothing of a crash.
+	evidenceNone = "none"
+)
+
+// crashEvidence returns how a failed call counts as evidence of a crash.
+func (ex *exchange) crashEvidence(outcome allocation.Outcome, err error) string {
+	switch {
+	case errors.Is(err, ErrHostLost):
+		return evidenceHostLost
+	case outcome == allocation.Silent:
+		return evidenceSilent
+	case outcome == allocation.Abandoned:
+		return evidenceAbandoned
+	case outcome != allocation.ConnectionLost:
+		return evidenceNone
+	case ex.call.events >= survivalEvents:
+		return evidenceAnswered
+	case ex.brokeOff(err):
+		return evidenceRecorded
+	default:
+		return evidenceNone
+	}
+}
+
 // brokeOff reports whether a call failed because its connection broke.
 func (ex *exchange) brokeOff(err error) bool {
 	var sendErr *SendError
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -112,9 +112,7 @@
 		ex.recordSilence(sending, target, err)
 		grant.SentBy(viaOf(err, ex.call.via))
 		outcome := outcomeOf(ctx, context.Cause(sending), err)
-		if outcome == allocation.ConnectionLost {
-			ex.recordLoss(target, err)
-		}
+		ex.recordLoss(target, outcome, err)
 		return outcome, err
 	}
 	ex.recordWholeAnswer()
--- a/internal/observe/edge.go
+++ b/internal/observe/edge.go
@@ -20,6 +20,7 @@
 	firstEventSeconds *prometheus.HistogramVec
 	sends             *prometheus.CounterVec
 	failedSends       *prometheus.CounterVec
+	crashEvidence     *prometheus.CounterVec
 	storeCalls        *prometheus.CounterVec
 	slotRefusals      *slotRefusals
 	rollouts          rolloutGauges
@@ -44,12 +45,14 @@
 			Name: "bluebell_edge_sends_total", Help: "Sends to targets."}, []string{"service"}),
 		failedSends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bluebell_edge_failed_sends_total", Help: "Sends that brought no whole answer."}, []string{"service"}),
+		crashEvidence: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bluebell_edge_crash_evidence_total", Help: "Failed calls to targets by what they say of a crash: recorded as a loss, or why not (answered, silent, abandoned, host_lost, none)."}, []string{"result"}),
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bluebell_edge_store_calls_total", Help: "Calls to the platform's store."}, []string{"call", "result"}),
 		slotRefusals: newSlotRefusals(),
 	}
 	e.registry.MustRegister(e.slotRefusals.refused, e.slotRefusals.surplus)
-	e.registry.MustRegister(e.openRequests, e.requests, e.requestSeconds, e.firstEventSeconds, e.sends, e.failedSends, e.storeCalls)
+	e.registry.MustRegister(e.openRequests, e.requests, e.requestSeconds, e.firstEventSeconds, e.sends, e.failedSends, e.crashEvidence, e.storeCalls)
 	e.rollouts = newRolloutGauges(e.registry)
 	return e
 }
@@ -74,6 +77,9 @@
 // SendFailed counts a request sent to a target without a complete response.
 func (e *EdgeMetrics) SendFailed(service string) { e.failedSends.WithLabelValues(service).Inc() }
 
+// CallFailed counts a failed call to a target by what it says of a crash.
+func (e *EdgeMetrics) CallFailed(result string) { e.crashEvidence.WithLabelValues(result).Inc() }
+
 // StoreCalled counts a call to the platform's store.
 func (e *EdgeMetrics) StoreCalled(call string, err error) {
 	result := KindOK
