--- a/internal/systems/poison/detector.go
+++ b/internal/systems/poison/detector.go
@@ -208,6 +208,15 @@
 	return n
 }
 
+// TimedLoss is a loss and when it happened.
+type TimedLoss struct {
+	Loss
+	At time.Time
+}
+
+// Repeated returns the losses that must outlive all hosts.
+func (d *Detector) Repeated(time.Time) []TimedLoss { return nil }
+
 // maxLostListed bounds the number of requests that LostUnder returns.
 const maxLostListed = 16
 
