A request that comes again is refused by a count of its losses

Cause: evidence against a request lived in the memory of the hosts until a cause was found, so a death of all hosts began the count anew; and a crash counted once for each start of a target, so that three targets whose starts the list does not tell apart gave three crashes at most, whatever came later. Class: a count that must be exact was kept as an estimate, in a place that the fault takes along. Change: the losses of one content are counted for themselves, whatever the start of the target, until a request with it survives. Two or more are kept in the store, so that they outlive all hosts; a host that starts again takes up what it has written before. The test of the store fails without the write ("knows []").

--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -103,6 +103,9 @@
 	origins     *pool.Origins
 	originLog   *originlog.Log
 	poison      *poison.Guard
+	// evidenceWritten is true once this process has written its record of losses. A record
+	// from before is that of an earlier process of the host.
+	evidenceWritten atomic.Bool
 	// rollouts is nil unless the settings enable rollouts.
 	rollouts *rolloutKeeper
 	stalls   *stall.Detector
--- a/internal/edgenode/poison.go
+++ b/internal/edgenode/poison.go
@@ -68,7 +68,7 @@
 			var record causeRecord
 			err = json.Unmarshal(value, &record)
 			causes[record.Cause] = record.FoundAtMS
-		case strings.HasPrefix(name, evidencePrefix) && name != p.evidenceKey():
+		case strings.HasPrefix(name, evidencePrefix) && (name != p.evidenceKey() || !p.evidenceWritten.Load()):
 			var evidence poison.Evidence
 			err = json.Unmarshal(value, &evidence)
 			p.poison.ImportEvidence(evidence)
@@ -113,15 +113,17 @@
 }
 
 // writeEvidence shares the losses that this host has learned of with hosts that it does
-// not reach. While all are attached, nothing is written. What has become old is removed.
+// not reach. While all are attached, only those are written that must outlive all hosts.
+// What has become old is removed.
 func (p *Process) writeEvidence(ctx context.Context) error {
 	evidence := p.poison.Evidence()
+	if len(p.replicator.Attached())+1 >= p.links.HostCount() {
+		evidence = p.poison.Repeated()
+	}
 	if len(evidence.Losses) == 0 {
 		return p.watcher.PutShared(ctx, p.evidenceKey(), nil)
 	}
-	if len(p.replicator.Attached())+1 >= p.links.HostCount() {
-		return nil
-	}
+	p.evidenceWritten.Store(true)
 	value, err := json.Marshal(evidence)
 	if err != nil {
 		return err
--- a/internal/edgenode/poison_test.go
+++ b/internal/edgenode/poison_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -103,3 +105,25 @@
 		t.Errorf("old evidence stays in the store: %s", value)
 	}
 }
+
+func TestLossesOfARequestThatComesAgainOutliveAllHosts(t *testing.T) {
+	store := &sharedStore{make(map[string][]byte)}
+	before := newStoredProcess(t, "h-1", store)
+	content := system.ContentTrait(7)
+	var losses poison.Evidence
+	for n := range 3 {
+		loss := system.Loss{Request: fmt.Sprint(n), Service: "s", Target: "t", Traits: []system.Trait{system.PartTrait("a"), content}}
+		losses.Losses = append(losses.Losses, poison.StoredLoss{Loss: loss, AtMS: time.Now().Add(time.Duration(2*n-8) * time.Second).UnixMilli()})
+	}
+	before.poison.ImportEvidence(losses)
+	if err := before.writePoison(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	after := newStoredProcess(t, "h-1", store)
+	if err := after.watcher.Load(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if known := after.poison.Repeated().Losses; len(known) != 3 || !slices.Equal(known[0].Traits, []system.Trait{content}) {
+		t.Errorf("the host started again knows %+v", known)
+	}
+}
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -67,6 +67,17 @@
 	return out
 }
 
+// Repeated returns the losses that must outlive all hosts, as far as this host counts them.
+func (g *Guard) Repeated() Evidence {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out Evidence
+	for _, l := range g.detector.Repeated(g.clock.Now()) {
+		out.Losses = append(out.Losses, StoredLoss{l.Loss, l.At.UnixMilli()})
+	}
+	return out
+}
+
 // ImportEvidence adds the losses that another host has left in the store. Those that seem
 // far from now, by the clock of this host, are left out.
 func (g *Guard) ImportEvidence(e Evidence) {
--- a/internal/systems/poison/decide.go
+++ b/internal/systems/poison/decide.go
@@ -84,7 +84,7 @@
 func (d *Detector) Decide(now time.Time) []Cause {
 	d.expire(now)
 	var found []Cause
-	for _, c := range d.narrowed() {
+	for _, c := range slices.Concat(d.narrowed(), d.repeatedCauses(now)) {
 		if d.causes.Add(now, c) {
 			found = append(found, c)
 		}
--- a/internal/systems/poison/detector.go
+++ b/internal/systems/poison/detector.go
@@ -35,6 +35,8 @@
 	causes *Causes
 	// crashes are in order of time.
 	crashes []*crash
+	// repeats are the losses of each content.
+	repeats repeats
 	// survivedAt is when a request with a trait last survived.
 	survivedAt map[Trait]time.Time
 	// survivals counts the requests of each service that survived of late, in order of time.
@@ -60,7 +62,7 @@
 
 // NewDetector returns a detector that adds what it finds to causes.
 func NewDetector(causes *Causes) *Detector {
-	return &Detector{causes: causes, survivedAt: make(map[Trait]time.Time), survivals: make(map[tables.ServiceID][]survivalCount)}
+	return &Detector{causes: causes, repeats: make(repeats), survivedAt: make(map[Trait]time.Time), survivals: make(map[tables.ServiceID][]survivalCount)}
 }
 
 // RecordLoss records a loss. It returns false if it is not needed.
@@ -69,14 +71,15 @@
 		return false
 	}
 	d.relevant = nil
+	repeated := d.repeats.record(at, l)
 	c := d.crashOf(l)
 	switch {
 	case c == nil:
 		d.insert(at, l)
 	case at.Sub(c.at) < sameCrash:
-		return c.add(l)
+		return c.add(l) || repeated
 	case at.Sub(c.at) < afterCrash:
-		return false
+		return repeated
 	default:
 		d.crashes = slices.DeleteFunc(d.crashes, func(other *crash) bool { return other == c })
 		d.insert(at, l)
@@ -144,6 +147,9 @@
 	}
 	if d.relevant == nil {
 		d.relevant = make(map[Trait]bool)
+		for content := range d.repeats {
+			d.relevant[content] = true
+		}
 		for _, c := range d.crashes {
 			for _, l := range c.losses {
 				for _, held := range l.Traits {
@@ -194,6 +200,10 @@
 			}
 		}
 	}
+	d.suspectContents(now, set)
+	if len(set) > 0 {
+		set[CountTrait] = true
+	}
 	return slices.Sorted(maps.Keys(set))
 }
 
@@ -208,15 +218,6 @@
 	return n
 }
 
-// TimedLoss is a loss and when it happened.
-type TimedLoss struct {
-	Loss
-	At time.Time
-}
-
-// Repeated returns the losses that must outlive all hosts.
-func (d *Detector) Repeated(time.Time) []TimedLoss { return nil }
-
 // maxLostListed bounds the number of requests that LostUnder returns.
 const maxLostListed = 16
 
@@ -236,6 +237,7 @@
 // expire forgets crashes after crashLifetime, and what matters no more.
 func (d *Detector) expire(now time.Time) {
 	before := len(d.crashes)
+	d.repeats.expire(now.Add(-crashLifetime))
 	d.crashes = slices.DeleteFunc(d.crashes, func(c *crash) bool { return now.Sub(c.at) > crashLifetime })
 	if len(d.crashes) == before {
 		return
