A late write of the store does not bring a leaving target back

Cause: within one incarnation of the store the order of the records decided alone, so that an entry which the store had accepted late replaced what the target said after it; a host that started then saw only the late one. Change: an entry of an earlier start, or of the same start and a lower sequence number, changes nothing, and what is known of a departure binds an older entry also within one incarnation. Entries without a start or a sequence number are taken as before.

--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -38,3 +38,15 @@
 	// Cores is the number of processor cores that the system may use on the host.
 	Cores float64 `json:"cores"`
 }
+
+// IsOlder reports whether the target wrote its entry before one of the given start and
+// sequence number. It returns false if either entry does not tell.
+func (t Target) IsOlder(startedAt time.Time, sequence int64) bool {
+	if t.StartedAt.IsZero() || startedAt.IsZero() {
+		return false
+	}
+	if !t.StartedAt.Equal(startedAt) {
+		return t.StartedAt.Before(startedAt)
+	}
+	return t.Sequence > 0 && t.Sequence < sequence
+}
--- a/internal/watch/departure.go
+++ b/internal/watch/departure.go
@@ -43,8 +43,8 @@
 }
 
 // covers reports whether the record of a target, as read from an incarnation of the
-// store, is of the start that departed. Within one incarnation the order of the
-// records decides, so only what the target itself announced counts there.
+// store, is of the start that departed. Within one incarnation the order in which the target
+// wrote its records decides, since the store may accept a write late.
 func (d Departure) covers(t fleet.Target, incarnation int64) bool {
 	switch {
 	case t.StartedAt.After(d.StartedAt):
@@ -52,7 +52,7 @@
 	case d.Announced:
 		return true
 	case incarnation <= d.Incarnation:
-		return false
+		return t.IsOlder(d.StartedAt, d.Sequence)
 	default:
 		return t.StartedAt.Before(d.StartedAt) || t.Sequence <= d.Sequence
 	}
@@ -115,7 +115,8 @@
 	}
 	s.seq++
 	s.departures[d.Target] = appliedDeparture{Departure: d, seq: s.seq, observed: observed}
-	if t, listed := s.targets[d.Target]; listed && d.Announced && !t.StartedAt.After(d.StartedAt) {
+	incarnation := s.streams[Targets].records[string(d.Target)].Incarnation
+	if t, listed := s.targets[d.Target]; listed && d.covers(t, incarnation) {
 		t.Leaving = true
 		s.targets[d.Target] = t
 	}
--- a/internal/watch/state.go
+++ b/internal/watch/state.go
@@ -186,6 +186,9 @@
 		return s.removeTarget(id, r, from)
 	}
 	old, known := s.targets[id]
+	if known && t.IsOlder(old.StartedAt, old.Sequence) {
+		return false
+	}
 	// Neither the sequence number nor ColdUntil, which is computed anew from each
 	// record, is a change that others must be told of.
 	old.Sequence, old.ColdUntil = t.Sequence, t.ColdUntil
