A relay's refusal is not taken for the target's own word

Cause: the host that asks another one to send took its refusal "leaving" as what the target itself had said, which bars that start of the target for good and at all hosts. The refusal may come from a list in which the entry of a live target has expired. Change: the request counts as not sent, nothing is learned.

--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -229,9 +229,7 @@
 			return resp, true, hopErr
 		}
 		if saysLeaving(hopErr) {
-			if c.OnNotice != nil {
-				c.OnNotice(edge.TargetNotice{Leaving: true, NeedsUnclear: true})
-			}
+			// It is not the target's own word: the entry of a live target may have expired.
 			return nil, true, hopErr
 		}
 		if saysUnreachable(hopErr) {
