Log how an answer ended: framing, first and last event, protocol of the caller

Change: event 1302 has framed, first_event, last_event and caller_protocol; the counter bluebell_edge_answers_total{framing} says how many answers end with their connection.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -49,6 +49,9 @@
 	// lastID is the ID of the last event that the caller has; zero if it has none, or one
 	// that is no number.
 	lastID int64
+	// firstSentID is the ID of the first event that this host sent to the caller. It is valid
+	// only if events is not zero.
+	firstSentID int64
 	// version is the software version of the target that sent the first event.
 	version tables.SoftwareVersion
 	// mayHaveRun is true if the target of a failed call may have run the
@@ -264,6 +267,9 @@
 	if err := ex.writeToCaller(e); err != nil {
 		return err
 	}
+	if ex.relay.events == 0 {
+		ex.relay.firstSentID = id
+	}
 	ex.relay.lastID = id
 	ex.relay.recordEvent(now)
 	ex.recordCallEvent()
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -24,6 +24,8 @@
 	// Header holds the headers to forward.
 	Header http.Header
 	Body   []byte
+	// Protocol is the HTTP version that the caller speaks, such as "HTTP/1.1".
+	Protocol string
 	// Key is the caller's API key.
 	Key string
 	// Arrived is when the header was read.
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -167,6 +167,7 @@
 	}
 	defer resp.Body.Close()
 	ex.call = callProgress{answered: true, status: resp.Status, framed: resp.Framed, via: resp.Via}
+	ex.server.Metrics.Answered(resp.Framed)
 	ex.silence.reset()
 	ex.recordTried(target.ID)
 	return ex.relayResponse(ctx, resp, onFirstByte)
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -266,7 +266,11 @@
 		fields = append(fields, zap.Duration("first", ex.relay.firstAt.Sub(ex.request.Arrived)))
 	}
 	if ex.relay.events > 0 {
-		fields = append(fields, zap.Int("events", ex.relay.events), zap.Duration("longest_pause", ex.relay.longestGap))
+		fields = append(fields, zap.Int("events", ex.relay.events), zap.Duration("longest_pause", ex.relay.longestGap),
+			zap.Int64("first_event", ex.relay.firstSentID), zap.Int64("last_event", ex.relay.lastID))
+	}
+	if ex.call.answered {
+		fields = append(fields, zap.Bool("framed", ex.call.framed), zap.String("caller_protocol", ex.request.Protocol))
 	}
 	if err != nil {
 		fields = append(fields, zap.String("detail", errkind.DetailOf(err)))
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -68,7 +68,7 @@
 // Requests: 1300 to 1399.
 var (
 	RequestRefused        = Event{1301, zapcore.InfoLevel, "request refused", "A request was refused before it ran; kind gives the reason."}
-	RequestFinished       = Event{1302, zapcore.InfoLevel, "request finished", "A request ended; the kind is empty on success."}
+	RequestFinished       = Event{1302, zapcore.InfoLevel, "request finished", "A request ended; the kind is empty on success. first_event and last_event are the IDs of the first and last event that the caller was sent; framed is true if the end of the last answer can be told from that of the connection, and caller_protocol is the HTTP version of the caller."}
 	RequestOutcomeUnknown = Event{1303, zapcore.WarnLevel, "request outcome unknown", "It could not be determined whether the request ran."}
 	StreamResumed         = Event{1304, zapcore.InfoLevel, "stream resumed", "An answer stream continues on a new connection."}
 	StreamSilent          = Event{1305, zapcore.WarnLevel, "stream silent", "An answer stream made no progress; its connection was closed."}
--- a/internal/observe/edge.go
+++ b/internal/observe/edge.go
@@ -20,6 +20,7 @@
 	firstEventSeconds *prometheus.HistogramVec
 	sends             *prometheus.CounterVec
 	failedSends       *prometheus.CounterVec
+	answers           *prometheus.CounterVec
 	crashEvidence     *prometheus.CounterVec
 	storeCalls        *prometheus.CounterVec
 	slotRefusals      *slotRefusals
@@ -46,6 +47,8 @@
 			Name: "bluebell_edge_sends_total", Help: "Sends to targets."}, []string{"service"}),
 		failedSends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bluebell_edge_failed_sends_total", Help: "Sends that brought no whole answer."}, []string{"service"}),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bluebell_edge_answers_total", Help: "Answers of targets by framing: stated by a length or chunks, or by the end of the connection."}, []string{"framing"}),
 		crashEvidence: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bluebell_edge_crash_evidence_total", Help: "Failed calls to targets by what they say of a crash: recorded as a loss, or why not (answered, silent, abandoned, host_lost, none)."}, []string{"result"}),
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -54,7 +57,7 @@
 		hostCount:    prometheus.NewGauge(prometheus.GaugeOpts{Name: hostCount.Name, Help: hostCount.Help}),
 	}
 	e.registry.MustRegister(e.slotRefusals.refused, e.slotRefusals.surplus)
-	e.registry.MustRegister(e.openRequests, e.requests, e.requestSeconds, e.firstEventSeconds, e.sends, e.failedSends, e.crashEvidence, e.storeCalls, e.hostCount)
+	e.registry.MustRegister(e.openRequests, e.requests, e.requestSeconds, e.firstEventSeconds, e.sends, e.failedSends, e.answers, e.crashEvidence, e.storeCalls, e.hostCount)
 	e.rollouts = newRolloutGauges(e.registry)
 	return e
 }
@@ -79,6 +82,15 @@
 // SendFailed counts a request sent to a target without a complete response.
 func (e *EdgeMetrics) SendFailed(service string) { e.failedSends.WithLabelValues(service).Inc() }
 
+// Answered counts an answer of a target by whether its framing states where it ends.
+func (e *EdgeMetrics) Answered(framed bool) {
+	framing := "connection"
+	if framed {
+		framing = "stated"
+	}
+	e.answers.WithLabelValues(framing).Inc()
+}
+
 // CallFailed counts a failed call to a target by what it says of a crash.
 func (e *EdgeMetrics) CallFailed(result string) { e.crashEvidence.WithLabelValues(result).Inc() }
 
