--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -36,9 +36,7 @@
 			slot.release()
 			return ex.noSlotError(callerCtx, err, lastErr)
 		}
-		outcome, err := ex.send(ctx, slot)
-		slot.grant.ReportEvents(ex.call.events)
-		slot.grant.Release(outcome, ex.relay.meanGap())
+		err = ex.sendAndRelease(ctx, slot)
 		if err == nil {
 			return nil
 		}
@@ -49,6 +47,17 @@
 	}
 }
 
+// sendAndRelease makes one call and releases its slot, also if the call panics.
+func (ex *exchange) sendAndRelease(ctx context.Context, slot *heldSlot) (err error) {
+	outcome := allocation.Abandoned
+	defer func() {
+		slot.grant.ReportEvents(ex.call.events)
+		slot.grant.Release(outcome, ex.relay.meanGap())
+	}()
+	outcome, err = ex.send(ctx, slot)
+	return err
+}
+
 // takeSlot returns the slot that was found while the target before was silent, or
 // acquires one.
 func (ex *exchange) takeSlot(ctx context.Context) (*heldSlot, error) {
@@ -99,6 +108,8 @@
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	ex.failover = ex.newFailover(ctx, slot, cancel)
+	// Without effect unless the call panics: failover.stop returns a slot only once.
+	defer func() { ex.failover.stop().release() }()
 	ex.silence = ex.newSilenceLimit(cancel)
 	defer ex.silence.stop()
 	onFirstByte := func() {
