A target that starts again for another service gets no requests of the old one

The target cannot refuse: the ID is its own. Cause: the scheduler removed targets by their ID alone, so that the target stayed among those of its old service; the sending host compared neither. Change: SetTargets removes a target from a service that it is no longer listed for, and a host does not use a slot at a target that it knows for another service. A host that sends for another one compares addresses and starts, not services: not changed.

--- a/internal/edge/slot.go
+++ b/internal/edge/slot.go
@@ -31,6 +31,8 @@
 
 // slotNeed is what a request needs from its next slot.
 type slotNeed struct {
+	// service is the service that the target must belong to.
+	service tables.ServiceID
 	// retry is true if the request has already been sent to a target.
 	retry bool
 	// avoid lists targets that must not be granted.
@@ -47,7 +49,7 @@
 
 // need returns what the request needs from its next slot while no call is in progress.
 func (ex *exchange) need() slotNeed {
-	n := slotNeed{retry: len(ex.tried) > 0, avoid: ex.avoided(), waitingSince: ex.request.Arrived, resumed: ex.request.takesUp()}
+	n := slotNeed{service: ex.service, retry: len(ex.tried) > 0, avoid: ex.avoided(), waitingSince: ex.request.Arrived, resumed: ex.request.takesUp()}
 	if ex.relay.started {
 		n.continueStream(ex.relay.latestAt, ex.relay.version)
 	}
@@ -61,11 +63,12 @@
 }
 
 // mayUse reports whether a slot at a target is of use. The coordinator may know another
-// start of the target than this host, or be of a build that knows no versions.
+// start of the target than this host, for another service, or be of a build that knows no
+// versions.
 func (n *slotNeed) mayUse(g *pool.Grant, t fleet.Target) bool {
 	granted := g.Version == nil || *g.Version == t.Version
 	needed := n.version == nil || *n.version == t.Version
-	return granted && needed
+	return t.Service == n.service && granted && needed
 }
 
 // acquireSlot acquires a slot at a target that this host knows, that is not leaving
--- a/internal/edge/slot_test.go
+++ b/internal/edge/slot_test.go
@@ -32,7 +32,7 @@
 
 func TestSlotAtAnotherStartOfATargetIsNotUsed(t *testing.T) {
 	v1, v2 := tables.SoftwareVersion("v1"), tables.SoftwareVersion("v2")
-	target := fleet.Target{ID: "t", Version: v1}
+	target := fleet.Target{ID: "t", Service: "s", Version: v1}
 	for _, c := range []struct {
 		name            string
 		granted, needed *tables.SoftwareVersion
@@ -45,9 +45,17 @@
 		{"a stream that began at another version, by a coordinator of the build before", nil, &v2, false},
 		{"a stream that began at another version", &v2, &v2, false},
 	} {
-		need := slotNeed{version: c.needed}
+		need := slotNeed{service: "s", version: c.needed}
 		if got := need.mayUse(&pool.Grant{Target: "t", Version: c.granted}, target); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
 }
+
+// Guards against a request that is sent to a target which has started again for another service.
+func TestSlotAtATargetOfAnotherServiceIsNotUsed(t *testing.T) {
+	need := slotNeed{service: "s"}
+	if need.mayUse(&pool.Grant{Target: "t"}, fleet.Target{ID: "t", Service: "other"}) {
+		t.Error("a slot at a target of another service is used")
+	}
+}
--- a/internal/systems/allocation/scheduler.go
+++ b/internal/systems/allocation/scheduler.go
@@ -89,12 +89,14 @@
 // their slots are released.
 func (sched *Scheduler) SetTargets(targets []fleet.Target) {
 	listed := make(map[tables.TargetID]bool, len(targets))
+	serviceOf := make(map[tables.TargetID]tables.ServiceID, len(targets))
 	for _, target := range targets {
 		listed[target.ID] = true
+		serviceOf[target.ID] = target.Service
 		sched.service(target.Service).setTarget(target, sched.senders)
 	}
-	for _, s := range sched.services {
-		s.removeUnlisted(listed)
+	for name, s := range sched.services {
+		s.removeUnlisted(name, serviceOf)
 	}
 	sched.senders.KeepTargets(listed)
 }
@@ -117,9 +119,11 @@
 	known.removed = false
 }
 
-func (s *service) removeUnlisted(listed map[tables.TargetID]bool) {
+// removeUnlisted removes the targets that the list does not have or has for another service: a
+// target may start again under its ID for another one.
+func (s *service) removeUnlisted(name tables.ServiceID, serviceOf map[tables.TargetID]tables.ServiceID) {
 	for id, target := range s.targets {
-		if listed[id] {
+		if service, listed := serviceOf[id]; listed && service == name {
 			continue
 		}
 		target.removed = true
--- a/internal/systems/allocation/scheduler_test.go
+++ b/internal/systems/allocation/scheduler_test.go
@@ -154,6 +154,25 @@
 		Expect(granted(scheduler.Schedule(at(0)))).To(BeEmpty())
 	})
 
+	It("grants no slot at a target that has started again for another service", func() {
+		scheduler := warmScheduler(4, "t1", "t2")
+		scheduler.Enqueue(slotRequest(1, 0))
+		held := granted(scheduler.Schedule(at(0)))[1]
+		changed := targets(4, "t1", "t2")
+		for i := range changed {
+			if changed[i].ID == held {
+				changed[i].Service, changed[i].StartedAt = "other", at(100)
+			}
+		}
+		scheduler.SetTargets(changed)
+		for id := range 20 {
+			scheduler.Enqueue(slotRequest(allocation.ID(10+id), 100))
+		}
+		for _, target := range granted(scheduler.Schedule(at(100))) {
+			Expect(target).NotTo(Equal(held))
+		}
+	})
+
 	It("refuses at once if the service has no target", func() {
 		scheduler := allocation.NewScheduler(noRandom)
 		scheduler.Enqueue(slotRequest(1, 0))
