The first event of a stream follows what its caller has

What callers saw: a stream that begins at event 3, or with event 0 and then 3, ended as complete without its first pieces, on routes that may be resumed and on others. Cause: the last event of the caller was an int64 in which zero stood for "none" and for "no number", and nothing was checked against it. Class: a value that can't be told is taken for the good case. Change: lastEvent is none, a number or unreadable; without one the first event is 1. Any other first event is a failed call, of which the caller gets nothing, so that another target takes over where the route allows it. Last-Event-Id: 0 means none. Targets are told of the event that counts here, so the header of the caller is not copied any more. Only streams are taken up; a plain request with the header no longer goes first as one.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -46,9 +46,9 @@
 	// longestGap is the longest event gap so far.
 	longestGap time.Duration
 	events     int
-	// lastID is the ID of the last event that the caller has; zero if it has none, or one
-	// that is no number.
-	lastID int64
+	// lastID is the last event of the stream that the caller has, from this request or from
+	// an earlier one. It is none if the route has no streams.
+	lastID lastEvent
 	// firstSentID is the ID of the first event that this host sent to the caller. It is valid
 	// only if events is not zero.
 	firstSentID int64
@@ -69,15 +69,6 @@
 	body   []byte
 }
 
-// resumeAfter returns the ID of the event after which the next call resumes;
-// requested is the ID sent by the caller.
-func (r *relay) resumeAfter(requested string) string {
-	if r.events == 0 {
-		return requested
-	}
-	return strconv.FormatInt(r.lastID, 10)
-}
-
 // resumable reports whether another target can continue a started response.
 func (r *relay) resumable() bool { return r.stream && r.events > 0 }
 
@@ -92,14 +83,18 @@
 
 func (r *relay) meanGap() time.Duration { return meanEventGap(r.firstAt, r.latestAt, r.events) }
 
-// lastEventID returns the ID of the last event that the caller of a resumable stream has; zero if
-// it states none, or one that is no number.
-func lastEventID(route *fleet.Route, requested string) int64 {
-	id, err := strconv.ParseInt(requested, 10, 64)
-	if err != nil || !route.Resumable {
-		return 0
+// lastEventID returns the ID of the last event that the next target is told of; empty if there
+// is none. On a route without streams it is what the caller states.
+func (ex *exchange) lastEventID() string {
+	if ex.route.Kind != fleet.Stream {
+		return ex.request.LastEventID
 	}
-	return max(id, 0)
+	return ex.relay.lastID.id()
+}
+
+// takesUp reports whether the caller already has events of the stream.
+func (ex *exchange) takesUp() bool {
+	return !ex.relay.lastID.none() || ex.request.FirstAttempt != ""
 }
 
 // relayResponse relays a response. Errors are of type *SendError if another
@@ -169,9 +164,6 @@
 // target that adds nothing to a stream that this request began may as well have failed.
 func (ex *exchange) relayStream(ctx context.Context, resp *Response, onFirstByte func()) error {
 	ex.relay.stream = true
-	if ex.relay.events == 0 {
-		ex.relay.lastID = lastEventID(ex.route, ex.request.LastEventID)
-	}
 	var pending []byte
 	buffer := make([]byte, readBufferSize)
 	reported := false
@@ -209,13 +201,13 @@
 		case errors.Is(err, io.EOF) && reported && isPadding(pending):
 			return ex.writeToCaller(pending)
 		case errors.Is(err, io.EOF) && !reported && isPadding(pending) && ex.relay.started:
-			return ex.mayHaveRunError(fmt.Errorf("%w after event %d", errNotResumed, ex.relay.lastID))
-		case errors.Is(err, io.EOF) && isPadding(pending) && ex.request.LastEventID != "":
+			return ex.mayHaveRunError(fmt.Errorf("%w after %v", errNotResumed, ex.relay.lastID))
+		case errors.Is(err, io.EOF) && isPadding(pending) && !ex.relay.lastID.none():
 			// The caller already has the last event.
 			ex.beginStream(resp)
 			return ex.writeToCaller(pending)
 		case err != nil:
-			return ex.mayHaveRunError(fmt.Errorf("%w after event %d: %w", errTruncated, ex.relay.lastID, err))
+			return ex.mayHaveRunError(fmt.Errorf("%w after %v: %w", errTruncated, ex.relay.lastID, err))
 		case ctx.Err() != nil:
 			return ex.mayHaveRunError(context.Cause(ctx))
 		}
@@ -254,11 +246,11 @@
 
 func (ex *exchange) relayEvent(resp *Response, e []byte) error {
 	if !isEvent(e) {
-		return ex.mayHaveRunError(fmt.Errorf("%w after event %d", errNotEvents, ex.relay.lastID))
+		return ex.mayHaveRunError(fmt.Errorf("%w after %v", errNotEvents, ex.relay.lastID))
 	}
 	id, _ := eventID(e)
-	if ex.relay.lastID > 0 && id != ex.relay.lastID+1 {
-		return ex.mayHaveRunError(fmt.Errorf("%w: %d after %d", errEventOrder, id, ex.relay.lastID))
+	if !ex.relay.lastID.precedes(id) {
+		return ex.mayHaveRunError(fmt.Errorf("%w: %d after %v", errEventOrder, id, ex.relay.lastID))
 	}
 	now := ex.server.Clock.Now()
 	if !ex.relay.started {
@@ -270,7 +262,7 @@
 	if ex.relay.events == 0 {
 		ex.relay.firstSentID = id
 	}
-	ex.relay.lastID = id
+	ex.relay.lastID = numbered(id)
 	ex.relay.recordEvent(now)
 	ex.recordCallEvent()
 	return nil
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -43,7 +43,8 @@
 	// PromptParts lists the IDs of the parts of the prompt in order; empty if the caller
 	// named none. Requests share parts. The last one belongs to the request or its session.
 	PromptParts []string
-	// LastEventID is the ID of the last event received by the caller; empty if none.
+	// LastEventID is the ID of the last event received by the caller, as it states it; empty
+	// if it states none.
 	LastEventID string
 	// FirstAttempt is the ID of the request that brought the first event of the stream
 	// that the caller takes up; empty if it names none.
@@ -53,9 +54,6 @@
 	Fingerprint tables.Fingerprint
 }
 
-// takesUp reports whether the caller already has events of the stream.
-func (r *Request) takesUp() bool { return r.LastEventID != "" || r.FirstAttempt != "" }
-
 // Caller writes the response to one request. It is not safe for concurrent use.
 type Caller interface {
 	// Begin sends the status and header of a target's response. A negative
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -81,7 +81,7 @@
 	call := Call{
 		Request:       ex.request,
 		Timeout:       defaultTimeout,
-		LastEventID:   ex.relay.resumeAfter(ex.request.LastEventID),
+		LastEventID:   ex.lastEventID(),
 		NewConnection: !ex.route.Retryable(),
 		Through:       grant.Through,
 		OnNotice:      func(n TargetNotice) { ex.server.RecordNotice(target, n, startedAt) },
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -180,6 +180,9 @@
 	if err != nil {
 		return err
 	}
+	if ex.route.Kind == fleet.Stream {
+		ex.relay.lastID = parseLastEvent(ex.request.LastEventID)
+	}
 	ex.service = pickService(ex.route.Split, rand.Float64())
 	ex.deadline = ex.computeDeadline()
 	if err := ex.checkStopping(); err != nil {
@@ -267,7 +270,7 @@
 	}
 	if ex.relay.events > 0 {
 		fields = append(fields, zap.Int("events", ex.relay.events), zap.Duration("longest_pause", ex.relay.longestGap),
-			zap.Int64("first_event", ex.relay.firstSentID), zap.Int64("last_event", ex.relay.lastID))
+			zap.Int64("first_event", ex.relay.firstSentID), zap.Int64("last_event", ex.relay.lastID.number))
 	}
 	if ex.call.answered {
 		fields = append(fields, zap.Bool("framed", ex.call.framed), zap.String("caller_protocol", ex.request.Protocol))
--- a/internal/edge/slot.go
+++ b/internal/edge/slot.go
@@ -47,7 +47,7 @@
 
 // need returns what the request needs from its next slot while no call is in progress.
 func (ex *exchange) need() slotNeed {
-	n := slotNeed{retry: len(ex.tried) > 0, avoid: ex.avoided(), waitingSince: ex.request.Arrived, resumed: ex.request.takesUp()}
+	n := slotNeed{retry: len(ex.tried) > 0, avoid: ex.avoided(), waitingSince: ex.request.Arrived, resumed: ex.takesUp()}
 	if ex.relay.started {
 		n.continueStream(ex.relay.latestAt, ex.relay.version)
 	}
