A caller whose last event can't be read is told that nothing has run

Cause: an ID that can't be read has no next event, so that no run can be checked, but it was sent on. Change: on a stream route such a request is refused as malformed (400, not run) before it gets a slot. Requests of other routes pass the header on as before.

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -180,8 +181,8 @@
 	if err != nil {
 		return err
 	}
-	if ex.route.Kind == fleet.Stream {
-		ex.relay.lastID = parseLastEvent(ex.request.LastEventID)
+	if err := ex.readLastEvent(); err != nil {
+		return err
 	}
 	ex.service = pickService(ex.route.Split, rand.Float64())
 	ex.deadline = ex.computeDeadline()
@@ -191,6 +192,19 @@
 	return ex.server.Poison.Check(ex.traits)
 }
 
+// readLastEvent reads which event of a stream the caller has last. What follows an event that
+// can't be told from others can't be checked.
+func (ex *exchange) readLastEvent() error {
+	if ex.route.Kind != fleet.Stream {
+		return nil
+	}
+	ex.relay.lastID = parseLastEvent(ex.request.LastEventID)
+	if ex.relay.lastID.state == lastUnreadable {
+		return errkind.New(errkind.MalformedRequest, fmt.Sprintf("%q is not the ID of an event", ex.request.LastEventID))
+	}
+	return nil
+}
+
 // checkStopping returns an error if the process may end before the request does. Its caller
 // reached it on a connection that was kept open by an answer begun before the stop.
 func (ex *exchange) checkStopping() error {
