A caller can't take up a stream that may not be resumed

What callers saw: a caller that took up such a stream after event 5 got the events of a second run: from 6 on, pieces of two runs, or, on, from 1 on, pieces twice. Cause: the header was sent on whatever the route allows.

Change: such a request is refused as malformed (400, not run). Weighed: to run it as a first request would give a caller that asked for the rest all pieces once more, at the price of a run; a 503 would ask it to come back with the same request. One that wants the stream anew sends no Last-Event-Id, or 0.

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -192,17 +192,22 @@
 	return ex.server.Poison.Check(ex.traits)
 }
 
-// readLastEvent reads which event of a stream the caller has last. What follows an event that
-// can't be told from others can't be checked.
+// readLastEvent reads which event of a stream the caller has last. It refuses a caller that
+// could get nothing that goes on with it: what follows an ID that can't be read can't be
+// checked, and another run of a stream that may not be resumed may have other events.
 func (ex *exchange) readLastEvent() error {
 	if ex.route.Kind != fleet.Stream {
 		return nil
 	}
 	ex.relay.lastID = parseLastEvent(ex.request.LastEventID)
-	if ex.relay.lastID.state == lastUnreadable {
+	switch {
+	case ex.relay.lastID.state == lastUnreadable:
 		return errkind.New(errkind.MalformedRequest, fmt.Sprintf("%q is not the ID of an event", ex.request.LastEventID))
+	case !ex.route.Resumable && !ex.relay.lastID.none():
+		return errkind.New(errkind.MalformedRequest, fmt.Sprintf("streams of route %s can't be resumed", ex.route.Name))
+	default:
+		return nil
 	}
-	return nil
 }
 
 // checkStopping returns an error if the process may end before the request does. Its caller
