An event has one number for all readers of the stream

What callers saw: an event with the lines "id: 2" and "id: 9" was passed on as event 2. A reader of text/event-stream takes the last line, so it lacked 3 to 8 and would go on after 9. In the same way "id: 2" and an empty "id:", and "+2", "02" and "2 ", which a reader keeps as they are and states when it takes the stream up. Cause: eventID took the first line that begins with "id:", and whatever parses after its spaces are cut. Change: the only id field of an event is its number, in its one spelling, after one space at most.

--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -91,3 +91,22 @@
 	}
 	return found && len(name) > 0
 }
+
+// eventID returns the number of an event, which is the value of its only id field. With several
+// fields, or one without a value, readers that take the first one and those that take the last
+// one would number the event differently.
+func eventID(e []byte) (int64, bool) {
+	var id []byte
+	found := false
+	for line := range bytes.Lines(e) {
+		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		if string(name) != "id" {
+			continue
+		}
+		if found {
+			return 0, false
+		}
+		id, found = bytes.TrimPrefix(value, []byte(" ")), true
+	}
+	return parseEventNumber(string(id))
+}
--- a/internal/edge/events_test.go
+++ b/internal/edge/events_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math"
 	"net/http"
 	"testing"
 )
@@ -60,6 +61,32 @@
 	}
 }
 
+// Guards against an event that has one number here and another one at a reader of the stream.
+func TestEventHasOneNumberForAllReaders(t *testing.T) {
+	for e, want := range map[string]int64{
+		"id: 4\ndata: x\n\n":                     4,
+		"id:4\ndata: x\n\n":                      4,
+		"id: 4\r\ndata: x\n\n":                   4,
+		"weight-versions: 3\nid: 4\ndata: x\n\n": 4,
+		": id: 3\nid: 4\ndata: id: 5\n\n":        4,
+		"id: 0\ndata: x\n\n":                     0,
+		"id: 9223372036854775807\ndata: x\n\n":   math.MaxInt64,
+	} {
+		if got, numbered := eventID([]byte(e)); !numbered || got != want {
+			t.Errorf("%q: %d, %v, want %d", e, got, numbered, want)
+		}
+	}
+	for _, e := range []string{
+		"id: 3\nid: 9\n\n", "id: 3\nid: 3\n\n", "id: 3\nid:\n\n", "id: 3\nid\n\n", "id\nid: 3\n\n", "id: 3\nid: 9\x00\n\n",
+		"id\n\n", "id:\n\n", "id: \n\n", "id: 3\x00\n\n", "id:  3\n\n", "id: 3 \n\n", "id:\t3\n\n", "id: +3\n\n", "id: -3\n\n", "id: 03\n\n",
+		"id: 3a\n\n", "id: 0x3\n\n", "id: 9223372036854775808\n\n", "ID: 3\n\n", " id: 3\n\n", "id : 3\n\n", "data: x\n\n", "",
+	} {
+		if got, numbered := eventID([]byte(e)); numbered {
+			t.Errorf("%q has number %d", e, got)
+		}
+	}
+}
+
 // Guards against the body of an error that is taken for a stream because of its status.
 func TestOnlyEventStreamsMayHoldEvents(t *testing.T) {
 	for value, want := range map[string]bool{
--- a/internal/edge/lastevent.go
+++ b/internal/edge/lastevent.go
@@ -49,11 +49,11 @@
 // parseEventNumber returns the number in the ID of an event. It has one spelling only: two
 // readers of "+5" or "05" may disagree on what it is.
 func parseEventNumber(id string) (int64, bool) {
-	number, err := strconv.ParseInt(id, 10, 64)
-	if err != nil || number < 0 || strconv.FormatInt(number, 10) != id {
+	if id != "0" && (id == "" || id[0] < '1' || id[0] > '9') {
 		return 0, false
 	}
-	return number, true
+	number, err := strconv.ParseInt(id, 10, 64)
+	return number, err == nil
 }
 
 func (l lastEvent) none() bool { return l.state == lastNone }
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -1,13 +1,11 @@
 package edge
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
@@ -278,16 +276,3 @@
 	}
 	return nil
 }
-
-// eventID returns the number in the id field of an event.
-func eventID(e []byte) (int64, bool) {
-	for line := range bytes.Lines(e) {
-		value, found := bytes.CutPrefix(line, []byte("id:"))
-		if !found {
-			continue
-		}
-		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-		return id, err == nil
-	}
-	return 0, false
-}
