--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -180,6 +181,9 @@
 	if err != nil {
 		return err
 	}
+	if err := ex.readLastEvent(); err != nil {
+		return err
+	}
 	ex.service = pickService(ex.route.Split, rand.Float64())
 	ex.deadline = ex.computeDeadline()
 	if err := ex.checkStopping(); err != nil {
@@ -188,6 +192,24 @@
 	return ex.server.Poison.Check(ex.traits)
 }
 
+// readLastEvent reads which event of a stream the caller has last. It refuses a caller that
+// could get nothing that goes on with it: what follows an ID that can't be read can't be
+// checked, and another run of a stream that may not be resumed may have other events.
+func (ex *exchange) readLastEvent() error {
+	if ex.route.Kind != fleet.Stream {
+		return nil
+	}
+	ex.relay.lastID = parseLastEvent(ex.request.LastEventID)
+	switch {
+	case ex.relay.lastID.state == lastUnreadable:
+		return errkind.New(errkind.MalformedRequest, fmt.Sprintf("%q is not the ID of an event", ex.request.LastEventID))
+	case !ex.route.Resumable && !ex.relay.lastID.none():
+		return errkind.New(errkind.MalformedRequest, fmt.Sprintf("streams of route %s can't be resumed", ex.route.Name))
+	default:
+		return nil
+	}
+}
+
 // checkStopping returns an error if the process may end before the request does. Its caller
 // reached it on a connection that was kept open by an answer begun before the stop.
 func (ex *exchange) checkStopping() error {
@@ -267,7 +289,7 @@
 	}
 	if ex.relay.events > 0 {
 		fields = append(fields, zap.Int("events", ex.relay.events), zap.Duration("longest_pause", ex.relay.longestGap),
-			zap.Int64("first_event", ex.relay.firstSentID), zap.Int64("last_event", ex.relay.lastID))
+			zap.Int64("first_event", ex.relay.firstSentID), zap.Int64("last_event", ex.relay.lastID.number))
 	}
 	if ex.call.answered {
 		fields = append(fields, zap.Bool("framed", ex.call.framed), zap.String("caller_protocol", ex.request.Protocol))
