Soak proxy: an end after lost data is not forwarded

A proxy of the fault soak that had discarded data of a connection still forwarded its end. TCP delivers no FIN after a gap. To the receiver of an answer without a length or chunks, the loss looked like a target that had ended: a fault of the soak, which no host can tell from an end.

The end is dropped now like the data. The spec fails without the change (EOF instead of silence, on a cut and on a silenced connection).

--- a/internal/faultsoak/proxy.go
+++ b/internal/faultsoak/proxy.go
@@ -31,7 +31,7 @@
 type connection struct {
 	caller, backend net.Conn
 	// lostToBackend and lostToCaller are true once data in that direction was discarded.
-	// No more is forwarded then: TCP delivers nothing after a gap.
+	// No more is forwarded then, nor the end of the data: TCP delivers nothing after a gap.
 	lostToBackend, lostToCaller bool
 }
 
@@ -81,8 +81,8 @@
 }
 
 // copy forwards data in one direction. When the source closes its sending side,
-// copy closes the sending side of the destination. After any other error it resets
-// both connections.
+// copy closes the sending side of the destination, unless data was lost. After any
+// other error it resets both connections.
 func (p *proxy) copy(c *connection, to, from net.Conn, toBackend bool) {
 	buffer := make([]byte, 16<<10)
 	for {
@@ -93,7 +93,7 @@
 			}
 		}
 		if err == io.EOF {
-			if tcp, ok := to.(*net.TCPConn); ok {
+			if tcp, ok := to.(*net.TCPConn); ok && !p.hasGap(c, toBackend) {
 				_ = tcp.CloseWrite()
 			}
 			return
@@ -122,6 +122,16 @@
 	return forward
 }
 
+// hasGap reports whether data in one direction was discarded or would be from now on.
+func (p *proxy) hasGap(c *connection, toBackend bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if toBackend {
+		return c.lostToBackend || p.silenced[c]
+	}
+	return c.lostToCaller || p.silenced[c]
+}
+
 // update calls change while holding the lock.
 func (p *proxy) update(change func(p *proxy)) {
 	p.mu.Lock()
--- a/internal/faultsoak/proxy_test.go
+++ b/internal/faultsoak/proxy_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -20,7 +21,15 @@
 
 var _ = Describe("Proxy", func() {
 	var p *proxy
+	// endBackends closes the connections of the backend.
+	var endBackends func()
 	BeforeEach(func() {
+		accepted := make(chan net.Conn, 10)
+		endBackends = func() {
+			for len(accepted) > 0 {
+				_ = (<-accepted).Close()
+			}
+		}
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(listener.Close)
@@ -30,6 +39,7 @@
 				if err != nil {
 					return
 				}
+				accepted <- conn
 				go func() { _, _ = io.Copy(conn, conn) }()
 			}
 		}()
@@ -72,6 +82,20 @@
 		}
 	})
 
+	It("never forwards the end of a connection after a gap", func() {
+		for _, discard := range []func(){func() { p.update(func(p *proxy) { p.dropToCaller = true }) }, p.silence} {
+			conn := dial()
+			Expect(echo(conn)).To(Succeed())
+			discard()
+			Expect(echo(conn)).NotTo(Succeed())
+			p.heal()
+			endBackends()
+			Expect(conn.SetReadDeadline(time.Now().Add(200 * time.Millisecond))).To(Succeed())
+			_, err := conn.Read(make([]byte, 1))
+			Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+		}
+	})
+
 	It("discards data in one direction until it is healed", func() {
 		p.update(func(p *proxy) { p.dropToCaller = true })
 		Expect(echo(dial())).NotTo(Succeed())
