--- a/cmd/bluebell-faultsoak/main.go
+++ b/cmd/bluebell-faultsoak/main.go
@@ -24,10 +24,13 @@
 }
 
 func run() error {
+	if len(os.Args) == 4 && os.Args[1] == faultsoak.TargetProcessCommand {
+		return faultsoak.ServeTargetProcess(os.Args[2], os.Args[3])
+	}
 	hosts, perSecond, seeds, versions := 5, 60, 1, 1
 	var firstSeed uint64 = 1
 	duration := 10 * time.Second
-	crashPart, rollout := false, false
+	crashPart, rollout, streamEnds := false, false, false
 	logDir, otherBuild := "", ""
 	flaggy.SetName("bluebell-faultsoak")
 	flaggy.SetDescription("Injects random faults into edge processes on the loopback interface and checks guarantees.")
@@ -39,6 +42,7 @@
 	flaggy.Int(&versions, "", "versions", "number of software versions of the model targets; with more than one, no stream may hold events of two")
 	flaggy.Bool(&crashPart, "", "crash-part", "model targets crash on a part of some prompts, which must reach them no more after a while")
 	flaggy.Bool(&rollout, "", "rollout", "a rollout of the plain service to a bad version is ordered, whose bounds must hold")
+	flaggy.Bool(&streamEnds, "", "stream-ends", "targets without framing, ended by signals or ignoring Last-Event-Id, and callers of HTTP/1.0; a stream that lacks events must not look complete")
 	flaggy.String(&otherBuild, "", "other-build", "path of another build of bluebell-edge that runs side by side with this one")
 	flaggy.String(&logDir, "", "logs", "directory for the logs; by default a temporary directory that is deleted at exit")
 	flaggy.Parse()
@@ -65,7 +69,7 @@
 	for seed := firstSeed; seed < firstSeed+uint64(seeds) && ctx.Err() == nil; seed++ {
 		o := faultsoak.Options{
 			Binaries: binaries, Dir: filepath.Join(logDir, fmt.Sprintf("seed-%d", seed)), Hosts: hosts, Seed: seed,
-			FaultDuration: duration, RequestsPerSecond: float64(perSecond), Versions: versions, CrashPart: crashPart, Rollout: rollout, Out: os.Stdout,
+			FaultDuration: duration, RequestsPerSecond: float64(perSecond), Versions: versions, CrashPart: crashPart, Rollout: rollout, StreamEnds: streamEnds, Out: os.Stdout,
 		}
 		report, err := faultsoak.Run(ctx, o)
 		if err != nil {
--- a/internal/faultsoak/check.go
+++ b/internal/faultsoak/check.go
@@ -20,20 +20,37 @@
 // checkCalls compares the responses that callers received with the runs that
 // targets recorded. It returns a line for each call that violated a guarantee.
 func checkCalls(calls []*call, allRuns []standin.Run) []string {
-	runs := make(map[string]int)
+	runs := make(map[string][]string)
 	for _, r := range allRuns {
-		runs[r.ID]++
+		runs[r.ID] = append(runs[r.ID], describeRun(r))
 	}
 	var violations []string
 	for _, c := range calls {
-		if kind := c.violation(runs[c.response.ID]); kind != "" {
-			violations = append(violations, fmt.Sprintf("%s: %s %s at %s, incarnation %d, sent %s: status %d, complete %t, %d runs, body %q", kind,
-				c.response.ID, c.path, c.host.name, c.incarnation, c.sentAt.Format(time.StampMilli), c.response.Status, c.response.Complete, runs[c.response.ID], truncate(c.response.Body)))
+		if kind := c.violation(len(runs[c.response.ID])); kind != "" {
+			violations = append(violations, fmt.Sprintf("%s: %s %s at %s, incarnation %d, sent %s by %s: status %d, complete %t, runs %q, events %v, body %q", kind,
+				c.response.ID, c.path, c.host.name, c.incarnation, c.sentAt.Format(time.StampMilli), c.protocol(), c.response.Status, c.response.Complete, runs[c.response.ID], c.response.EventIDs(), truncate(c.response.Body)))
 		}
 	}
 	return violations
 }
 
+// describeRun returns the target of a run, the events that it has sent and whether its
+// answer was framed.
+func describeRun(r standin.Run) string {
+	text := fmt.Sprintf("%s after %q to %d", r.Target, r.LastEventID, r.LastSent)
+	if r.Unframed {
+		text += " unframed"
+	}
+	return text
+}
+
+func (c *call) protocol() string {
+	if c.http10 {
+		return "HTTP/1.0"
+	}
+	return "HTTP/1.1"
+}
+
 // violation describes the guarantee that the call violated, given the number of its
 // runs at targets. It returns an empty string if there is no violation.
 func (c *call) violation(runs int) string {
@@ -49,6 +66,8 @@
 		return "refused although permitted"
 	case c.response.Status == http.StatusOK && c.response.Complete && c.response.Body != c.expectedBody():
 		return "unexpected response body"
+	case c.response.Status == http.StatusOK && !strings.HasPrefix(c.expectedBody(), c.response.Body):
+		return "incomplete response that is not the beginning of the body"
 	case c.response.Status == http.StatusOK && c.response.Complete && runs == 0:
 		return "complete response without a run"
 	default:
@@ -69,12 +88,33 @@
 
 // expectedBody returns the body of a complete, successful response to the call.
 func (c *call) expectedBody() string {
-	if c.path == standin.StreamPath || c.path == standin.NonResumablePath {
+	if c.isStream() {
 		return strings.TrimPrefix(standin.StreamBody(streamEvents), standin.StreamBody(c.received))
 	}
 	return "answer to " + c.response.ID
 }
 
+func (c *call) isStream() bool {
+	return c.path == standin.StreamPath || c.path == standin.NonResumablePath
+}
+
+// checkStreams returns a line for each stream whose events have a gap or a repeat over all
+// attempts of its caller.
+func checkStreams(streams []*standin.Stream) []string {
+	var out []string
+	for _, s := range streams {
+		if strings.HasPrefix(standin.StreamBody(streamEvents), s.Body()) {
+			continue
+		}
+		var ids [][]int
+		for _, a := range s.Attempts {
+			ids = append(ids, a.EventIDs())
+		}
+		out = append(out, fmt.Sprintf("events out of order over the attempts of a stream: %s %v", s.FirstID(), ids))
+	}
+	return out
+}
+
 // configRegressions looks for hosts that went back to a configuration without the
 // route for standin.AddedPath, which is added during the run. It returns a line for
 // each call on that route that got status 404 and was sent more than maxDeliveryDelay
--- a/internal/faultsoak/drills.go
+++ b/internal/faultsoak/drills.go
@@ -62,5 +62,8 @@
 func (t *target) entry(state string) map[string]any {
 	entry := t.Entry(state)
 	entry["address"] = t.proxy.address()
+	if t.process != nil {
+		entry["address"] = t.process.listenAddress()
+	}
 	return entry
 }
--- a/internal/faultsoak/faults.go
+++ b/internal/faultsoak/faults.go
@@ -41,9 +41,11 @@
 	// releaseRNG draws the releases, which there are if versions is above one.
 	releaseRNG *rand.Rand
 	releases   atomic.Int64
-	versions   int
-	log        func(string)
-	active     sync.WaitGroup
+	// streamEndRNG draws the faults of Options.StreamEnds; nil without them.
+	streamEndRNG *rand.Rand
+	versions     int
+	log          func(string)
+	active       sync.WaitGroup
 	// configVersion is the version of the latest configuration that was published.
 	configVersion atomic.Int64
 	// routeExpectedFrom is the time by which all hosts should have applied the
@@ -118,6 +120,7 @@
 		if i.versions > 1 && i.releaseRNG.Float64() < releaseShare {
 			i.begin(fault{"release", releaseTarget}, time.Duration(i.releaseRNG.Int64N(int64(maxFaultDuration))))
 		}
+		i.drawStreamEnds()
 	}
 	i.active.Wait()
 }
--- a/internal/faultsoak/load.go
+++ b/internal/faultsoak/load.go
@@ -26,7 +26,9 @@
 	path string
 	host *host
 	// keepAlive is set if a POST request should reuse an open connection.
-	keepAlive   bool
+	keepAlive bool
+	// http10 is set if the request is sent with HTTP/1.0.
+	http10      bool
 	incarnation int
 	sentAt      time.Time
 	abandoned   bool
@@ -43,6 +45,8 @@
 	// resumeRNG draws the hosts at which callers take up streams. It was added later
 	// and leaves the calls of a seed as they were.
 	resumeRNG *rand.Rand
+	// http10RNG draws the calls with HTTP/1.0; nil if there are none.
+	http10RNG *rand.Rand
 
 	mu       sync.Mutex
 	calls    []*call
@@ -68,6 +72,7 @@
 		if c.path == standin.StreamPath {
 			c.resumeAt = l.drawOtherHosts(c.host)
 		}
+		c.http10 = c.isStream() && l.http10RNG != nil && l.http10RNG.Float64() < http10Share
 		l.inFlight.Add(1)
 		go l.send(c, timeout)
 	}
@@ -90,6 +95,8 @@
 		// Each GET request uses a new connection, because net/http itself retries a
 		// GET request if a reused connection was closed.
 		request = standin.Call{Method: http.MethodGet, Path: c.path + "x", Key: standin.Key}
+	case c.http10:
+		request.Transport = standin.HTTP10Transport{}
 	case c.keepAlive:
 		request.Transport = c.host.keepAliveTransport
 	}
--- a/internal/faultsoak/proxy.go
+++ b/internal/faultsoak/proxy.go
@@ -40,9 +40,13 @@
 	if err != nil {
 		return nil, err
 	}
+	return startProxy(listener, backend), nil
+}
+
+func startProxy(listener net.Listener, backend string) *proxy {
 	p := &proxy{listener: listener, backend: backend, silenced: make(map[*connection]bool), connections: make(map[*connection]bool)}
 	go p.serve()
-	return p, nil
+	return p
 }
 
 func (p *proxy) address() string { return p.listener.Addr().String() }
--- a/internal/faultsoak/proxy_test.go
+++ b/internal/faultsoak/proxy_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +15,17 @@
 	"github.com/bluebellseam/bluebellseam/platform/standin"
 )
 
+// TestMain lets the test program run as the process of a target.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 4 && os.Args[1] == TargetProcessCommand {
+		if err := ServeTargetProcess(os.Args[2], os.Args[3]); err != nil {
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
 func TestFaultSoak(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "faultsoak")
@@ -126,6 +138,34 @@
 		c := call{path: path, response: standin.Response{ID: "7", Status: status, Body: body, Complete: true}}
 		return c.violation(runs)
 	}
+	DescribeTable("accept an incomplete response only if it is the beginning of the body", func(path string, received int, body string, accepted bool) {
+		c := call{path: path, received: received, response: standin.Response{ID: "7", Status: http.StatusOK, Body: body}}
+		Expect(c.violation(1) == "").To(Equal(accepted), c.violation(1))
+	},
+		Entry(nil, standin.StreamPath, 0, "", true),
+		Entry(nil, standin.NonResumablePath, 0, standin.StreamBody(3)+"id: 4\nda", true),
+		Entry("a gap", standin.StreamPath, 0, event(1)+event(3), false),
+		Entry("a repeat", standin.NonResumablePath, 0, event(1)+event(1), false),
+		Entry("an event cut in its middle", standin.StreamPath, 0, event(1)+"id: 2\nda"+event(2), false),
+		Entry("taken up after event 3", standin.StreamPath, 3, event(4)+event(5), true),
+		Entry("taken up after event 3, begun anew", standin.StreamPath, 3, event(1), false),
+		Entry("taken up after event 3, with a gap", standin.StreamPath, 3, event(5), false),
+		Entry(nil, standin.SubmitPath, 0, "answ", true),
+		Entry("another answer", standin.SubmitPath, 0, "answer to 8", false),
+	)
+	DescribeTable("follow the events of a stream over its attempts", func(accepted bool, bodies ...string) {
+		s := &standin.Stream{}
+		for _, body := range bodies {
+			s.Attempts = append(s.Attempts, standin.Response{Status: http.StatusOK, Body: body})
+		}
+		Expect(checkStreams([]*standin.Stream{s})).To(HaveLen(map[bool]int{true: 0, false: 1}[accepted]))
+	},
+		Entry(nil, true, event(1)+event(2)+"id: 3", event(3)),
+		Entry(nil, true, "", event(1), "", event(2)),
+		Entry("a gap", false, event(1), event(3)),
+		Entry("a repeat", false, event(1)+event(2), event(2)),
+		Entry("a number that goes back", false, event(1)+event(2), event(1)),
+	)
 	DescribeTable("report violations of guarantees", func(path string, status, runs int, body, violation string) {
 		Expect(violationOf(path, status, runs, body)).To(Equal(violation))
 	},
@@ -144,3 +184,7 @@
 		Entry(nil, standin.LookupPath, http.StatusOK, 0, "answer to 7", "complete response without a run"),
 	)
 })
+
+func event(n int) string {
+	return strings.TrimPrefix(standin.StreamBody(n), standin.StreamBody(n-1))
+}
--- a/internal/faultsoak/release.go
+++ b/internal/faultsoak/release.go
@@ -22,7 +22,7 @@
 	t.SetVersion(versionName(version, versions))
 	address, _ := t.Entry("ready")["address"].(string)
 	p, err := newProxy(address)
-	return &target{t, p, version}, err
+	return &target{Target: t, proxy: p, version: version}, err
 }
 
 // releaseTarget makes a model target leave. At the end of the fault a new target of the
@@ -39,6 +39,12 @@
 			i.log("starting a target failed: " + err.Error())
 			return
 		}
+		if c.streamEnds {
+			if err := t.addStreamEnds(old.unframed); err != nil {
+				i.log("starting the process of a target failed: " + err.Error())
+				return
+			}
+		}
 		if c.crashPart {
 			c.crashOnPart(t)
 		}
--- a/internal/faultsoak/resume.go
+++ b/internal/faultsoak/resume.go
@@ -31,12 +31,14 @@
 	s := &standin.Stream{Call: request}
 	c.response = s.Send(ctx, c.host.frontProxy.address())
 	l.record(c)
-	s.Call.Transport = nil
+	if !c.http10 {
+		s.Call.Transport = nil
+	}
 	for _, h := range c.resumeAt {
 		if !brokenOff(s) {
 			break
 		}
-		next := &call{path: c.path, host: h, sentAt: time.Now(), received: lastEvent(s)}
+		next := &call{path: c.path, host: h, sentAt: time.Now(), received: lastEvent(s), http10: c.http10}
 		next.incarnation, _ = h.status()
 		next.response = s.Send(context.Background(), h.frontProxy.address())
 		l.record(next)
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/platform/standin"
@@ -34,6 +35,10 @@
 	CrashPart bool
 	// Rollout orders a rollout of the plain service to a bad version.
 	Rollout bool
+	// StreamEnds adds what makes an end hard to tell from a break: targets that leave
+	// their answers unframed or whose processes are ended, and callers of HTTP/1.0. It
+	// also adds targets that ignore Last-Event-Id.
+	StreamEnds bool
 	// Out receives a log line for each fault.
 	Out io.Writer
 }
@@ -62,8 +67,8 @@
 	mu sync.Mutex
 	// targets has one target for each place. replaced are the targets that had a place
 	// before; they finish their requests.
-	targets, replaced []*target
-	crashPart         bool
+	targets, replaced     []*target
+	crashPart, streamEnds bool
 	// rollout is nil unless one is ordered.
 	rollout *standin.Rollout
 }
@@ -73,6 +78,9 @@
 	*standin.Target
 	proxy   *proxy
 	version int
+	// process carries the connections to the proxy; nil if they are made directly.
+	process  *targetProcess
+	unframed bool
 }
 
 // Result holds the results of a soak.
@@ -103,7 +111,7 @@
 }
 
 func newCluster(o Options) (*cluster, error) {
-	c := &cluster{store: standin.NewStore(), crashPart: o.CrashPart}
+	c := &cluster{store: standin.NewStore(), crashPart: o.CrashPart, streamEnds: o.StreamEnds}
 	c.store.PutConfig(standin.Config(1, nil))
 	for i := range modelTargets + plainTargets {
 		t := standin.NewTarget(fmt.Sprintf("m-%d", i), standin.ModelService, "zone-1", streamEvents, streamEventGap)
@@ -120,6 +128,11 @@
 		}
 		proxied.register(c.store)
 	}
+	if o.StreamEnds {
+		if err := c.addStreamEnds(rand.New(rand.NewPCG(o.Seed, 9))); err != nil {
+			return c, err
+		}
+	}
 	if o.Rollout {
 		c.startRolloutTargets(rand.New(rand.NewPCG(o.Seed, 7)))
 	}
@@ -147,6 +160,9 @@
 		h.close()
 	}
 	for _, t := range c.allTargets() {
+		if t.process != nil {
+			t.process.end(syscall.SIGKILL)
+		}
 		t.proxy.close()
 		t.Close()
 	}
@@ -190,6 +206,9 @@
 	i := &injector{cluster: c, rng: rand.New(rand.NewPCG(o.Seed, 1)), drillRNG: rand.New(rand.NewPCG(o.Seed, 3)), releaseRNG: rand.New(rand.NewPCG(o.Seed, 5)), versions: o.Versions, log: logLine}
 	i.configVersion.Store(1)
 	l := &loadGenerator{hosts: c.hosts, resumeRNG: rand.New(rand.NewPCG(o.Seed, 4))}
+	if o.StreamEnds {
+		i.streamEndRNG, l.http10RNG = rand.New(rand.NewPCG(o.Seed, 10)), rand.New(rand.NewPCG(o.Seed, 11))
+	}
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	loadFinished := make(chan struct{})
 	go func() {
@@ -219,13 +238,14 @@
 	time.Sleep(lateRunDelay)
 	r := c.evaluate(l.calls, startedAt, faultsEndedAt, i.routeExpectedFrom)
 	r.Resumed, r.WentOn = countResumed(l.streams)
+	r.Violations = append(r.Violations, checkStreams(l.streams)...)
 	if o.CrashPart {
 		r.Violations = append(r.Violations, lateCrashes(c.runs(), faultsEndedAt.Add(recoveryTime))...)
 	}
 	if o.Rollout {
 		r.Violations = append(r.Violations, checkRollout(c.rollout, c.hosts[0].settings, logLine)...)
 	}
-	if o.Versions > 1 {
+	if o.Versions > 1 || o.StreamEnds {
 		r.Violations = append(r.Violations, standin.MixedVersions(l.streams, c.runs())...)
 	}
 	return r
