Events end here where they end for a reader of the stream

What callers saw: bytes like "id: 1, data, CR CR, id: 9, data" or "data LF CRLF id: 9" were one event with number 1 here and events 1 and 9 at a reader, so that pieces were missing in a stream that ended as complete. A stream with CRLF alone was never passed on at all. Cause: only LF LF ended an event and only LF a line; text/event-stream has LF, CR and CRLF. Change: lines() splits at all three, and each function of events.go uses it. A CR at the end of what has arrived may end a blank line; the LF that may follow is a blank line of its own, which means nothing to a reader.

--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -2,24 +2,22 @@
 
 import (
 	"bytes"
+	"iter"
 	"mime"
 	"net/http"
 )
 
-// eventEnd ends an event of text/event-stream.
-var eventEnd = []byte("\n\n")
-
 // numberedLength returns the length of pending up to the end of the last complete event
 // that has an ID. What follows may be no event at all and is kept until an event with
 // an ID or the end of the stream follows.
 func numberedLength(pending []byte) int {
 	length := 0
 	for at := 0; ; {
-		end := bytes.Index(pending[at:], eventEnd)
-		if end < 0 {
+		block := blockLength(pending[at:])
+		if block == 0 {
 			return length
 		}
-		next := at + end + len(eventEnd)
+		next := at + block
 		if _, numbered := eventID(pending[at:next]); numbered {
 			length = next
 		}
@@ -27,13 +25,13 @@
 	}
 }
 
-// firstEventLength returns the length of the first event of events, which end with eventEnd,
+// firstEventLength returns the length of the first event of events, which end with a blank line,
 // with the comments and blank lines before it.
 func firstEventLength(events []byte) int {
 	at := 0
 	for at < len(events) {
-		next := at + bytes.Index(events[at:], eventEnd) + len(eventEnd)
-		if !isPadding(events[at:next]) {
+		next := at + blockLength(events[at:])
+		if next == at || !isPadding(events[at:next]) {
 			return next
 		}
 		at = next
@@ -41,6 +39,42 @@
 	return at
 }
 
+// blockLength returns the length of text up to the end of its first blank line, which ends an
+// event; zero if it has none.
+func blockLength(text []byte) int {
+	length := 0
+	for line, size := range lines(text) {
+		length += size
+		if len(line) == 0 {
+			return length
+		}
+	}
+	return 0
+}
+
+// lines returns the lines of text without their ends, and their sizes with them. As in
+// text/event-stream, a line ends with LF, CR or CRLF, and the last one may have no end.
+func lines(text []byte) iter.Seq2[[]byte, int] {
+	return func(yield func([]byte, int) bool) {
+		for len(text) > 0 {
+			size := bytes.IndexAny(text, "\r\n")
+			line := text
+			switch {
+			case size < 0:
+				size = len(text)
+			case bytes.HasPrefix(text[size:], []byte("\r\n")):
+				line, size = text[:size], size+2
+			default:
+				line, size = text[:size], size+1
+			}
+			if !yield(line, size) {
+				return
+			}
+			text = text[size:]
+		}
+	}
+}
+
 // maySendEvents reports whether a body with the given header may be a stream of events. Without
 // a type, its bytes decide.
 func maySendEvents(h http.Header) bool {
@@ -52,9 +86,9 @@
 	return err == nil && mediaType == "text/event-stream"
 }
 
-// isEvent reports whether bytes that end with eventEnd are an event: an ID and lines of fields
-// and comments. A target may send the text of an error, or the header of another answer, where
-// an event is due.
+// isEvent reports whether bytes that end with a blank line are an event: an ID and lines of
+// fields and comments. A target may send the text of an error, or the header of another answer,
+// where an event is due.
 func isEvent(block []byte) bool {
 	_, numbered := eventID(block)
 	return numbered && hasOnly(block, isField, isComment)
@@ -65,8 +99,7 @@
 
 // hasOnly reports whether each line is blank or of one of the kinds.
 func hasOnly(block []byte, kinds ...func(line []byte) bool) bool {
-	for line := range bytes.Lines(block) {
-		line = bytes.TrimRight(line, "\r\n")
+	for line := range lines(block) {
 		known := len(line) == 0
 		for _, kind := range kinds {
 			known = known || kind(line)
@@ -98,8 +131,8 @@
 func eventID(e []byte) (int64, bool) {
 	var id []byte
 	found := false
-	for line := range bytes.Lines(e) {
-		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+	for line := range lines(e) {
+		name, value, _ := bytes.Cut(line, []byte(":"))
 		if string(name) != "id" {
 			continue
 		}
--- a/internal/edge/events_test.go
+++ b/internal/edge/events_test.go
@@ -20,6 +20,11 @@
 		{event + "data: y\n\n", len(event)},
 		{"\n\n" + event, len("\n\n" + event)},
 		{"weight-versions: 3\n" + event + ": x\n\n", len("weight-versions: 3\n" + event)},
+		{"id: 4\r\ndata: x\r\n", 0},
+		{"id: 4\r\ndata: x\r\n\r", len("id: 4\r\ndata: x\r\n\r")},
+		{"id: 4\r\ndata: x\r\n\r\n", len("id: 4\r\ndata: x\r\n\r\n")},
+		{"id: 4\rdata: x\r\rid: 5\r", len("id: 4\rdata: x\r\r")},
+		{"id: 4\ndata: x\n\r\nid: 5\n", len("id: 4\ndata: x\n\r\n")},
 	} {
 		if got := numberedLength([]byte(c.pending)); got != c.want {
 			t.Errorf("%q: %d, want %d", c.pending, got, c.want)
