Fault soak: callers take up streams that may not be resumed

No target may run that request, and no event may come; its refusal is not counted in the success rate. Random sources of their own draw the hosts, so that all other draws stay as they were.

The specs fail with the check removed.

--- a/internal/faultsoak/check.go
+++ b/internal/faultsoak/check.go
@@ -56,6 +56,8 @@
 func (c *call) violation(runs int) string {
 	retryable := c.path == standin.StreamPath || c.path == standin.LookupPath || c.path == standin.AddedPath
 	switch {
+	case c.mustNotRun() && (runs > 0 || len(c.response.EventIDs()) > 0):
+		return "went on with a stream that may not be resumed"
 	case !retryable && runs > 1:
 		return "ran more than once"
 	case runs > maxRunsPerRequest:
@@ -98,6 +100,11 @@
 	return c.path == standin.StreamPath || c.path == standin.NonResumablePath
 }
 
+// mustNotRun reports whether the call takes up a stream that may not be resumed.
+func (c *call) mustNotRun() bool {
+	return c.path == standin.NonResumablePath && c.received > 0
+}
+
 // checkStreams returns a line for each stream whose events have a gap or a repeat over all
 // attempts of its caller.
 func checkStreams(streams []*standin.Stream) []string {
@@ -153,12 +160,12 @@
 
 // successRate returns the fraction of calls sent since a given time that received a
 // complete response with status 200, and the number of calls counted. It excludes
-// calls that may have been abandoned by their callers and calls on the added route
-// sent before routeExpectedFrom. With no calls the rate is 0.
+// calls that may have been abandoned by their callers, calls that must not run and calls
+// on the added route sent before routeExpectedFrom. With no calls the rate is 0.
 func successRate(calls []*call, since, routeExpectedFrom time.Time) (rate float64, n int) {
 	successes := 0
 	for _, c := range calls {
-		if c.abandoned || c.sentAt.Before(since) || c.sentAt.Before(routeExpectedFrom) && c.path == standin.AddedPath {
+		if c.abandoned || c.mustNotRun() || c.sentAt.Before(since) || c.sentAt.Before(routeExpectedFrom) && c.path == standin.AddedPath {
 			continue
 		}
 		n++
--- a/internal/faultsoak/load.go
+++ b/internal/faultsoak/load.go
@@ -45,8 +45,9 @@
 	// resumeRNG draws the hosts at which callers take up streams. It was added later
 	// and leaves the calls of a seed as they were.
 	resumeRNG *rand.Rand
-	// http10RNG draws the calls with HTTP/1.0; nil if there are none.
-	http10RNG *rand.Rand
+	// http10RNG draws the calls with HTTP/1.0, and takeUpRNG the hosts at which callers
+	// take up streams that may not be resumed. They are nil without Options.StreamEnds.
+	http10RNG, takeUpRNG *rand.Rand
 
 	mu       sync.Mutex
 	calls    []*call
@@ -70,7 +71,10 @@
 			timeout = time.Duration(rng.IntN(200)) * time.Millisecond
 		}
 		if c.path == standin.StreamPath {
-			c.resumeAt = l.drawOtherHosts(c.host)
+			c.resumeAt = l.drawOtherHosts(c.host, l.resumeRNG)
+		}
+		if c.path == standin.NonResumablePath && l.takeUpRNG != nil {
+			c.resumeAt = l.drawOtherHosts(c.host, l.takeUpRNG)
 		}
 		c.http10 = c.isStream() && l.http10RNG != nil && l.http10RNG.Float64() < http10Share
 		l.inFlight.Add(1)
@@ -100,7 +104,7 @@
 	case c.keepAlive:
 		request.Transport = c.host.keepAliveTransport
 	}
-	if c.path == standin.StreamPath {
+	if len(c.resumeAt) > 0 {
 		l.stream(ctx, c, request)
 		return
 	}
--- a/internal/faultsoak/proxy_test.go
+++ b/internal/faultsoak/proxy_test.go
@@ -153,6 +153,16 @@
 		Entry(nil, standin.SubmitPath, 0, "answ", true),
 		Entry("another answer", standin.SubmitPath, 0, "answer to 8", false),
 	)
+	DescribeTable("report a stream that goes on although it may not be resumed", func(path string, received, runs int, body string, accepted bool) {
+		c := call{path: path, received: received, response: standin.Response{ID: "7", Status: http.StatusOK, Body: body}}
+		Expect(c.violation(runs) == "").To(Equal(accepted), c.violation(runs))
+	},
+		Entry(nil, standin.NonResumablePath, 0, 1, event(1), true),
+		Entry(nil, standin.NonResumablePath, 3, 0, "", true),
+		Entry("the pieces of a second run", standin.NonResumablePath, 3, 1, event(4), false),
+		Entry("a run without pieces", standin.NonResumablePath, 3, 1, "", false),
+		Entry(nil, standin.StreamPath, 3, 1, event(4), true),
+	)
 	DescribeTable("follow the events of a stream over its attempts", func(accepted bool, bodies ...string) {
 		s := &standin.Stream{}
 		for _, body := range bodies {
--- a/internal/faultsoak/resume.go
+++ b/internal/faultsoak/resume.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/platform/standin"
@@ -13,12 +15,12 @@
 
 // drawOtherHosts draws the hosts at which a caller takes up a stream, each time another
 // one than before if there is another.
-func (l *loadGenerator) drawOtherHosts(h *host) []*host {
+func (l *loadGenerator) drawOtherHosts(h *host, rng *rand.Rand) []*host {
 	out := make([]*host, 0, maxResumptions)
 	for range maxResumptions {
-		next := l.hosts[l.resumeRNG.IntN(len(l.hosts))]
+		next := l.hosts[rng.IntN(len(l.hosts))]
 		for next == h && len(l.hosts) > 1 {
-			next = l.hosts[l.resumeRNG.IntN(len(l.hosts))]
+			next = l.hosts[rng.IntN(len(l.hosts))]
 		}
 		out = append(out, next)
 		h = next
@@ -63,11 +65,11 @@
 	return n
 }
 
-// countResumed returns how many streams were taken up and how many of these have all
-// events.
+// countResumed returns how many streams that may be resumed were taken up and how many
+// of these have all events.
 func countResumed(streams []*standin.Stream) (resumed, wentOn int) {
 	for _, s := range streams {
-		if len(s.Attempts) < 2 {
+		if len(s.Attempts) < 2 || !strings.HasPrefix(s.Call.Path, standin.StreamPath) {
 			continue
 		}
 		resumed++
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -37,7 +37,8 @@
 	Rollout bool
 	// StreamEnds adds what makes an end hard to tell from a break: targets that leave
 	// their answers unframed or whose processes are ended, and callers of HTTP/1.0. It
-	// also adds targets that ignore Last-Event-Id.
+	// also adds targets that ignore Last-Event-Id, and callers that take up a stream that
+	// may not be resumed.
 	StreamEnds bool
 	// Out receives a log line for each fault.
 	Out io.Writer
@@ -207,7 +208,8 @@
 	i.configVersion.Store(1)
 	l := &loadGenerator{hosts: c.hosts, resumeRNG: rand.New(rand.NewPCG(o.Seed, 4))}
 	if o.StreamEnds {
-		i.streamEndRNG, l.http10RNG = rand.New(rand.NewPCG(o.Seed, 10)), rand.New(rand.NewPCG(o.Seed, 11))
+		i.streamEndRNG = rand.New(rand.NewPCG(o.Seed, 10))
+		l.http10RNG, l.takeUpRNG = rand.New(rand.NewPCG(o.Seed, 11)), rand.New(rand.NewPCG(o.Seed, 12))
 	}
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	loadFinished := make(chan struct{})
