A target alone does not end a stream that its caller takes up

What callers saw: a caller that took up a stream after event 5 of 10 was told that it was whole, by a target that answered 200 with no event. Cause: the answer is right if the caller has all events, and looks the same if a target has lost them; nothing else was asked. Change: the stream ends if the caller has as many events as there may be tokens, or if two targets have nothing more. If no other one can be had within 200 ms, or it fails before its answer is a stream, the first one's word counts: it is signed and framed. If another one begins to send events and breaks, the end is disproved, and the answer is a failure. Such an answer is no failure of its target in what the coordinator learns. What can't be told: two targets that have both lost the rest; one target alone. Passed with internal/edge, there also under the race detector, and the specs of broken streams.

--- /dev/null
+++ b/internal/edge/emptyend.go
@@ -0,0 +1,64 @@
+package edge
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// emptyEndWait is how long a request waits for a slot at a target that may have what another one
+// says that it has not. Mostly there is no more, and the caller waits for the end only.
+const emptyEndWait = 200 * time.Millisecond
+
+var errNothingFollows = errors.New("the target says that nothing follows")
+
+// emptyEnd is what targets say of a stream that its caller takes up and of which they send no
+// event. That is right if the caller has all events, and looks the same if a target has lost
+// them.
+type emptyEnd struct {
+	// answer is the first one without an event; nil if there is none. Its body is closed.
+	answer *Response
+	// disproved is true once another target has begun to send events.
+	disproved bool
+}
+
+// holds reports whether a target says that nothing follows, and none says otherwise.
+func (e *emptyEnd) holds() bool { return e.answer != nil && !e.disproved }
+
+// endWithoutEvent ends the answer to a caller that takes up a stream if its last event is that of
+// the stream: it has an event for each token, or two targets say so. Otherwise another target is
+// to be asked.
+func (ex *exchange) endWithoutEvent(resp *Response) error {
+	end := &ex.relay.emptyEnd
+	if ex.hasAllTokens() || end.holds() {
+		ex.beginStream(resp)
+		return nil
+	}
+	if end.answer == nil {
+		end.answer = resp
+	}
+	return ex.mayHaveRunError(fmt.Errorf("%w %v", errNothingFollows, ex.relay.lastID))
+}
+
+// hasAllTokens reports whether the caller has as many events as the answer may have tokens.
+func (ex *exchange) hasAllTokens() bool {
+	return ex.request.HasTokenCounts && ex.relay.lastID.number >= int64(ex.request.MaxOutputTokens)
+}
+
+// checkEmptyEnd records whether a failed call disproves that the stream has ended.
+func (ex *exchange) checkEmptyEnd(err error) {
+	broken := errors.Is(err, errTruncated) || errors.Is(err, errEventOrder)
+	if broken && ex.call.answered && isStream(ex.call.status) {
+		ex.relay.emptyEnd.disproved = true
+	}
+}
+
+// deliverEmptyEnd ends the answer as the only target says that could be asked. It reports whether
+// there is one.
+func (ex *exchange) deliverEmptyEnd() bool {
+	if ex.relay.started || !ex.relay.emptyEnd.holds() {
+		return false
+	}
+	ex.beginStream(ex.relay.emptyEnd.answer)
+	return true
+}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -58,6 +58,7 @@
 	// serverError is a target's server error, relayed if no other target
 	// responds.
 	serverError *bufferedResponse
+	emptyEnd    emptyEnd
 	stream      bool
 }
 
@@ -201,9 +202,7 @@
 		case errors.Is(err, io.EOF) && !reported && isPadding(pending) && ex.relay.started:
 			return ex.mayHaveRunError(fmt.Errorf("%w after %v", errNotResumed, ex.relay.lastID))
 		case errors.Is(err, io.EOF) && isPadding(pending) && !ex.relay.lastID.none():
-			// The caller already has the last event.
-			ex.beginStream(resp)
-			return ex.writeToCaller(pending)
+			return ex.endWithoutEvent(resp)
 		case err != nil:
 			return ex.mayHaveRunError(fmt.Errorf("%w after %v: %w", errTruncated, ex.relay.lastID, err))
 		case ctx.Err() != nil:
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -109,6 +109,7 @@
 	ex.nextSlot = ex.failover.stop()
 	if err != nil {
 		ex.recordSendFailure(target, startedAt, err)
+		ex.checkEmptyEnd(err)
 		ex.recordSilence(sending, target, err)
 		grant.SentBy(viaOf(err, ex.call.via))
 		outcome := outcomeOf(ctx, context.Cause(sending), err)
@@ -237,6 +238,8 @@
 		return allocation.TargetReplaced
 	case errors.Is(cause, errIdleTimeout), errors.Is(cause, errSilentTooLong):
 		return allocation.Silent
+	case errors.Is(err, errNothingFollows):
+		return allocation.Succeeded
 	case errors.Is(err, errServerError), errors.Is(err, errNotResumed):
 		return allocation.Failed
 	default:
@@ -262,14 +265,17 @@
 	return !ex.relay.started || ex.relay.resumable()
 }
 
-// concludeFailed ends the request after its last call has failed. It relays a
-// buffered server error if there is one, and otherwise returns the error for
-// the caller.
+// concludeFailed ends the request after its last call has failed. It relays the
+// empty end of a stream or a buffered server error if there is one, and otherwise
+// returns the error for the caller.
 func (ex *exchange) concludeFailed(ctx context.Context, err error) error {
 	var sendErr *SendError
 	if !errors.As(err, &sendErr) {
 		return err
 	}
+	if ex.deliverEmptyEnd() {
+		return nil
+	}
 	if ex.relay.serverError != nil && !ex.relay.started {
 		ex.deliver(ex.relay.serverError)
 		return nil
--- a/internal/edge/slot.go
+++ b/internal/edge/slot.go
@@ -40,6 +40,9 @@
 	waitingSince time.Time
 	// resumed is true if the caller already has events of the stream.
 	resumed bool
+	// maxWait is the longest wait for the slot, if it is shorter than that of the request;
+	// zero if it is not.
+	maxWait time.Duration
 	// version is the software version that began the stream; nil if this host did not
 	// relay its first event.
 	version *tables.SoftwareVersion
@@ -50,6 +53,8 @@
 	n := slotNeed{retry: len(ex.tried) > 0, avoid: ex.avoided(), waitingSince: ex.request.Arrived, resumed: ex.takesUp()}
 	if ex.relay.started {
 		n.continueStream(ex.relay.latestAt, ex.relay.version)
+	} else if ex.relay.emptyEnd.holds() {
+		n.maxWait = emptyEndWait
 	}
 	return n
 }
@@ -57,7 +62,7 @@
 // continueStream makes n the need of a stream of which a target of the version has sent
 // the latest event at a time.
 func (n *slotNeed) continueStream(latestAt time.Time, version tables.SoftwareVersion) {
-	n.waitingSince, n.resumed, n.version = latestAt, true, &version
+	n.waitingSince, n.maxWait, n.resumed, n.version = latestAt, 0, true, &version
 }
 
 // mayUse reports whether a slot at a target is of use. The coordinator may know another
@@ -119,6 +124,9 @@
 		remaining = ex.deadline.Sub(now)
 	}
 	r.MaxWait = maxWait(remaining, now.Sub(need.waitingSince), ex.route.CallerTimeout)
+	if need.maxWait > 0 {
+		r.MaxWait = min(r.MaxWait, need.maxWait)
+	}
 	if ex.customer != nil {
 		r.Customer = ex.customer.Name
 		r.QuotaTokens = ex.quotaTokens()
