An answer to a call without a length or chunks is an error, not a whole one

Seen: a server that ends in the middle of an answer that has neither a length nor chunks closes its connection with a FIN, and httpcall.Do returned the part as the whole body. Listing and append answers are JSON objects: cut ones failed to parse.

Cause: net/http reports the end of such a body as io.EOF.

Change: Do fails with ErrUnframed unless the end of the body is stated: by a length, chunks, HTTP/2 or the compression that net/http has undone. That is the one place through which the store, the log, the host list, the weight store, plain services and the control calls of engines go; to all of them an answer without an end was already "no whole answer" (ErrUnavailable or ErrUnknown).

--- a/internal/httpcall/cut_test.go
+++ b/internal/httpcall/cut_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"bufio"
+	"compress/gzip"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/bluebellseam/bluebellseam/internal/httpcall"
@@ -69,3 +74,81 @@
 		}
 	}
 }
+
+// Guards against a cut answer that is taken for whole since the end of its connection is the only
+// end that it has.
+func TestAnswerWithoutALengthOrChunksIsAnError(t *testing.T) {
+	for name, body := range map[string]string{
+		"a number cut in its middle": "12",
+		"no byte of the body":        "",
+		"a whole body":               `{"ok":true}`,
+	} {
+		for _, head := range []string{
+			"HTTP/1.1 200 OK\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+			"HTTP/1.0 200 OK\r\n\r\n",
+			"HTTP/1.1 503 Service Unavailable\r\n\r\n",
+		} {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = l.Close() })
+			go func() {
+				if conn, err := l.Accept(); err == nil {
+					answerBoth(conn, head+body)
+				}
+			}()
+			got, err := httpcall.Do(t.Context(), httpcall.NewClient(), httpcall.Request{Method: http.MethodGet, URL: "http://" + l.Addr().String()}, 1<<20)
+			var failed *httpcall.Error
+			if !errors.Is(err, httpcall.ErrUnframed) || !errors.As(err, &failed) || !failed.Sent {
+				t.Errorf("%s after %q: %d %q, %v", name, head, got.Status, got.Body, err)
+			}
+		}
+	}
+}
+
+// Guards against whole answers that are refused since their end is stated in another way than by a
+// length or chunks.
+func TestAnswerWhoseEndIsStatedIsWhole(t *testing.T) {
+	const text = `{"ok":true}`
+	compressed := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Encoding", "gzip")
+		zip := gzip.NewWriter(w)
+		_, _ = io.WriteString(zip, text)
+		_ = zip.Close()
+	}
+	flushed := func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, text)
+		_ = http.NewResponseController(w).Flush()
+	}
+	for name, c := range map[string]struct {
+		handle http.HandlerFunc
+		http2  bool
+		want   string
+	}{
+		"with a length": {handle: func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) }, want: text},
+		"in chunks":     {handle: flushed, want: text},
+		"over HTTP/2":   {handle: flushed, http2: true, want: text},
+		"compressed":    {handle: compressed, want: text},
+		"204":           {handle: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }},
+		"304":           {handle: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotModified) }},
+	} {
+		server := httptest.NewUnstartedServer(c.handle)
+		server.EnableHTTP2 = c.http2
+		server.StartTLS()
+		t.Cleanup(server.Close)
+		client := httpcall.NewClient()
+		transport, ok := client.Transport.(*http.Transport)
+		if !ok {
+			t.Fatalf("transport %T", client.Transport)
+		}
+		roots := x509.NewCertPool()
+		roots.AddCert(server.Certificate())
+		transport.TLSClientConfig = &tls.Config{RootCAs: roots}
+		got, err := httpcall.Do(t.Context(), client, httpcall.Request{Method: http.MethodGet, URL: server.URL}, 1<<20)
+		if err != nil || string(got.Body) != c.want {
+			t.Errorf("%s: %q, %v", name, got.Body, err)
+		}
+	}
+}
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -101,14 +102,27 @@
 	return httptrace.WithClientTrace(ctx, hooks), &sent, nil
 }
 
+// ErrUnframed is the cause of the error of a call whose response states neither its length nor
+// chunks. A server that ends while it responds closes the connection like one that has finished,
+// so such a body may be cut anywhere.
+var ErrUnframed = errors.New("the response has neither a length nor chunks")
+
+// isFramed reports whether the end of a body can be told from the end of its connection.
+func isFramed(r *http.Response) bool {
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || r.ProtoMajor >= 2 || r.Uncompressed
+}
+
 // Do sends r and reads the complete response. It fails if the body is longer than
-// maxBody bytes. Errors are of type *Error.
+// maxBody bytes, and with ErrUnframed if its end is not stated. Errors are of type *Error.
 func Do(ctx context.Context, c *http.Client, r Request, maxBody int64) (Response, error) {
 	resp, err := Start(ctx, c, r)
 	if err != nil {
 		return Response{}, err
 	}
 	defer resp.Body.Close()
+	if !isFramed(resp) {
+		return Response{}, &Error{Sent: true, cause: fmt.Errorf("status %d: %w", resp.StatusCode, ErrUnframed)}
+	}
 	body, err := ReadBody(resp.Body, maxBody)
 	if err != nil {
 		return Response{}, &Error{Sent: true, cause: err}
