Do not take the end of a target's process for the end of an answer without a length

Callers saw: status 200 and a complete answer that lacked its rest: streams that ended after event 5 of 10, on routes that may be resumed and on others, and half a body on plain routes; several at once, on several hosts, when one target died.

Cause: an answer without a length or chunks ends with its connection, and the kernel ends the connections of a killed process with a FIN, as the process itself does after a whole answer. relayStream, relayBuffered and the hosts that send for others took each FIN for the end.

Change: the router, which has the connections, holds the end of such an answer back until it knows more; events and bytes are not held back. 40 ms after the end it opens a connection to the target and holds it for 20 ms. Refused, or closed at once (a proxy without its server), or a later start listed: cut. Accepted: whole. Reset: up to three probes, since a target with too many connections resets as well; what stays unclear counts as whole, unless the target is no longer listed. Answers of one target that end within 15 ms share a probe. The decision is in internal/systems/answerend. A cut answer is a broken connection for the coordinator and the evidence of crashes. A host that sends for another one ends it as "broken", which the build before understands, and adds a trailer for the doubt. A stream that may be resumed asks the next target; if that one answers 200, framed, without an event, the stream was whole. This holds only after an unframed end between events. Event 1322 and the counter bluebell_edge_unframed_ends_total{verdict,evidence} tell how ends were judged.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -61,6 +61,9 @@
 	// responds.
 	serverError *bufferedResponse
 	stream      bool
+	// endInDoubt is true if the answer with the last event ended with its connection after
+	// that event, and its target may have ended as well. The next target tells.
+	endInDoubt bool
 }
 
 type bufferedResponse struct {
@@ -185,6 +188,7 @@
 				onFirstByte()
 				reported = true
 			}
+			ex.relay.endInDoubt = false
 			body.beginWrite()
 			err := ex.relayEvents(resp, pending[:complete])
 			body.endWrite()
@@ -208,6 +212,12 @@
 			return ex.mayHaveRunError(errTruncated)
 		case errors.Is(err, io.EOF) && reported && isPadding(pending):
 			return ex.writeToCaller(pending)
+		case errors.Is(err, ErrEndInDoubt) && reported && isPadding(pending):
+			ex.relay.endInDoubt = true
+			return ex.mayHaveRunError(fmt.Errorf("%w after event %d: %w", errTruncated, ex.relay.lastID, err))
+		case errors.Is(err, io.EOF) && !reported && isPadding(pending) && resp.Framed && ex.relay.endInDoubt:
+			// The stream was whole: nothing follows its last event.
+			return ex.writeToCaller(pending)
 		case errors.Is(err, io.EOF) && !reported && isPadding(pending) && ex.relay.started:
 			return ex.mayHaveRunError(fmt.Errorf("%w after event %d", errNotResumed, ex.relay.lastID))
 		case errors.Is(err, io.EOF) && isPadding(pending) && ex.request.LastEventID != "":
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -154,6 +154,10 @@
 	Cause error
 }
 
+// ErrEndInDoubt is wrapped by errors of reading the body of an answer that is not framed: its
+// connection ended, and so may have the target in the middle of the answer.
+var ErrEndInDoubt = errors.New("the target has ended at the end of an answer without a length")
+
 // ErrHostLost is wrapped by errors of calls that failed because the host that sent the
 // request for this one was lost. They say nothing about the target.
 var ErrHostLost = errors.New("the host that sent the request was lost")
--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -31,6 +31,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/pool"
 	"github.com/bluebellseam/bluebellseam/internal/relay"
 	"github.com/bluebellseam/bluebellseam/internal/stall"
+	"github.com/bluebellseam/bluebellseam/internal/systems/answerend"
 	"github.com/bluebellseam/bluebellseam/internal/systems/owner"
 	"github.com/bluebellseam/bluebellseam/internal/systems/quota"
 	"github.com/bluebellseam/bluebellseam/internal/systems/retry"
@@ -319,6 +320,7 @@
 		Clock: p.clock, Logger: p.logger, Metrics: p.metrics, Poison: p.poison, EndsAt: p.requestsEndAt,
 		Budget: p.callers.budget,
 	}
+	p.router.OnEndJudged = func(v answerend.Verdict, decisive string) { p.metrics.UnframedEnded(v.String(), decisive) }
 	p.router.OnNotice, p.router.QuietFor, p.router.Departed = server.RecordNotice, server.QuietFor, p.state.Departed
 	p.front = observe.NewServer(&platform.FrontHandler{Clock: p.clock, OnUnread: p.callers.refusedRequest, Server: server})
 	p.limiter = p.callers.limit(p.front, portFront, p.callers.bounds.conns, p.connTimeouts)
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -85,6 +85,7 @@
 	RequestRelayed        = Event{1319, zapcore.InfoLevel, "request relayed", "This host has sent a request for the host from; the error is empty once the header of an answer has arrived."}
 	OriginsLoaded         = Event{1320, zapcore.InfoLevel, "origins loaded", "The coordinator has read from the store which software versions began the streams."}
 	OriginsNotStored      = Event{1321, zapcore.WarnLevel, "origins not stored", "The coordinator could not write to the store which software versions began streams; it tries again. If all hosts die meanwhile, these streams cannot be resumed."}
+	AnswerEndInDoubt      = Event{1322, zapcore.WarnLevel, "answer end in doubt", "An answer without a length or chunks ended with its connection, and its target may have ended in the middle of it. verdict cut counts as a broken connection, unclear as a whole answer; evidence is what became of a connection opened after that (refused, closed, reset, unanswered) or how the target is listed (replaced, unlisted). after is how long the end was held back."}
 	CrashCauseFound       = Event{1315, zapcore.WarnLevel, "crash cause found", "Targets crashed under requests that have the traits of cause in common; all hosts refuse such requests. lost are the latest of them, each with its target."}
 	CrashCauseLearned     = Event{1316, zapcore.InfoLevel, "crash cause learned", "This host refuses requests with a cause that another host has found."}
 	CrashCauseForgotten   = Event{1317, zapcore.InfoLevel, "crash cause forgotten", "Requests with the cause are sent again: it is a day old or an operator has released it."}
@@ -127,7 +128,7 @@
 		RolloutStatusWritten, RolloutNotStored,
 		RequestRefused, RequestFinished, RequestOutcomeUnknown, StreamResumed, StreamSilent, DispatcherLost, ClaimLost,
 		QuarantineAdded, QuarantineLifted, InvariantFailed,
-		SlotGranted, SlotRefused, SendFailed, LocalFallback, CrashCauseFound, CrashCauseLearned, CrashCauseForgotten, RequestForwarded, RequestRelayed, OriginsLoaded, OriginsNotStored,
+		SlotGranted, SlotRefused, SendFailed, LocalFallback, CrashCauseFound, CrashCauseLearned, CrashCauseForgotten, RequestForwarded, RequestRelayed, OriginsLoaded, OriginsNotStored, AnswerEndInDoubt,
 		TargetCrashed, StragglerDetected, TargetRecovered, TargetQuiet, TargetSilent, TargetLimit, TargetEjected, PathLost, PathRegained,
 		RolloutBegun, RolloutShifted, RolloutCompleted, RolloutRolledBack, RolloutAdopted, RolloutReplaced, CallerBounds, CallersHeldOff, MemoryLossExcused, ShortageChanged,
 	}
--- a/internal/observe/edge.go
+++ b/internal/observe/edge.go
@@ -21,6 +21,7 @@
 	sends             *prometheus.CounterVec
 	failedSends       *prometheus.CounterVec
 	answers           *prometheus.CounterVec
+	unframedEnds      *prometheus.CounterVec
 	crashEvidence     *prometheus.CounterVec
 	storeCalls        *prometheus.CounterVec
 	slotRefusals      *slotRefusals
@@ -49,6 +50,8 @@
 			Name: "bluebell_edge_failed_sends_total", Help: "Sends that brought no whole answer."}, []string{"service"}),
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bluebell_edge_answers_total", Help: "Answers of targets by framing: stated by a length or chunks, or by the end of the connection."}, []string{"framing"}),
+		unframedEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bluebell_edge_unframed_ends_total", Help: "Ends of answers without a length or chunks, over connections of this host, by how they were judged and the evidence that decided it."}, []string{"verdict", "evidence"}),
 		crashEvidence: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bluebell_edge_crash_evidence_total", Help: "Failed calls to targets by what they say of a crash: recorded as a loss, or why not (answered, silent, abandoned, host_lost, none)."}, []string{"result"}),
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -57,7 +60,7 @@
 		hostCount:    prometheus.NewGauge(prometheus.GaugeOpts{Name: hostCount.Name, Help: hostCount.Help}),
 	}
 	e.registry.MustRegister(e.slotRefusals.refused, e.slotRefusals.surplus)
-	e.registry.MustRegister(e.openRequests, e.requests, e.requestSeconds, e.firstEventSeconds, e.sends, e.failedSends, e.answers, e.crashEvidence, e.storeCalls, e.hostCount)
+	e.registry.MustRegister(e.openRequests, e.requests, e.requestSeconds, e.firstEventSeconds, e.sends, e.failedSends, e.answers, e.unframedEnds, e.crashEvidence, e.storeCalls, e.hostCount)
 	e.rollouts = newRolloutGauges(e.registry)
 	return e
 }
@@ -91,6 +94,12 @@
 	e.answers.WithLabelValues(framing).Inc()
 }
 
+// UnframedEnded counts the end of an answer without a length by its verdict and the evidence
+// that decided it.
+func (e *EdgeMetrics) UnframedEnded(verdict, evidence string) {
+	e.unframedEnds.WithLabelValues(verdict, evidence).Inc()
+}
+
 // CallFailed counts a failed call to a target by what it says of a crash.
 func (e *EdgeMetrics) CallFailed(result string) { e.crashEvidence.WithLabelValues(result).Inc() }
 
--- /dev/null
+++ b/internal/relay/end.go
@@ -0,0 +1,156 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/bluebellseam/bluebellseam/internal/edge"
+	"github.com/bluebellseam/bluebellseam/internal/event"
+	"github.com/bluebellseam/bluebellseam/internal/fleet"
+	"github.com/bluebellseam/bluebellseam/internal/systems/answerend"
+)
+
+const (
+	// endSettle is the time from the end of an answer without a length to the probe of its
+	// target: a process that ends may close its listener some milliseconds after its
+	// connections.
+	endSettle = 40 * time.Millisecond
+	// minEndSettle is the shortest such time with which an answer may share the probe of one
+	// that ended before.
+	minEndSettle = 25 * time.Millisecond
+	// probeHold is how long a probe stays open: a proxy without its server closes it within
+	// that time.
+	probeHold = 20 * time.Millisecond
+	// maxResetProbes bounds the probes of one end. A target may reset a connection because it
+	// has too many.
+	maxResetProbes = 3
+)
+
+// endProbes probes targets after the end of answers without a length. Answers of one target
+// that end at the same time share a probe. It is safe for concurrent use.
+type endProbes struct {
+	mu sync.Mutex
+	// latest holds the latest probe of an address until it ends.
+	latest map[string]*endProbe
+}
+
+// endProbe is a probe of one target. result may be read once done is closed.
+type endProbe struct {
+	at     time.Time
+	done   chan struct{}
+	result answerend.Probe
+}
+
+// probe returns the probe of a target for an answer that ends now, and whether the caller must
+// run it.
+func (p *endProbes) probe(now time.Time, address string) (probe *endProbe, run bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if shared := p.latest[address]; shared != nil && shared.at.Sub(now) >= minEndSettle {
+		return shared, false
+	}
+	probe = &endProbe{at: now.Add(endSettle), done: make(chan struct{})}
+	if p.latest == nil {
+		p.latest = make(map[string]*endProbe)
+	}
+	p.latest[address] = probe
+	return probe, true
+}
+
+// finish ends a probe.
+func (p *endProbes) finish(address string, probe *endProbe, result answerend.Probe) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.latest[address] == probe {
+		delete(p.latest, address)
+	}
+	probe.result = result
+	close(probe.done)
+}
+
+// run probes a target until the result is other than a reset.
+func (p *endProbes) run(clock clockwork.Clock, targets Targets, t fleet.Target, probe *endProbe) {
+	result := answerend.Unanswered
+	for range maxResetProbes {
+		clock.Sleep(endSettle)
+		// The result counts for several requests, which may end before it is known.
+		result = targets.ProbeEnd(context.Background(), t, probeHold)
+		if result != answerend.Reset {
+			break
+		}
+	}
+	p.finish(t.Address, probe, result)
+}
+
+// judgeEnd waits for the evidence of how an answer without a length has ended. It returns io.EOF
+// if it is whole, and an error that wraps edge.ErrEndInDoubt if the target may have ended
+// in the middle of it.
+func (r *Router) judgeEnd(ctx context.Context, t fleet.Target, request string) error {
+	endedAt := r.Clock.Now()
+	probe, run := r.ends.probe(endedAt, t.Address)
+	if run {
+		go r.ends.run(r.Clock, r.Targets, t, probe)
+	}
+	select {
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-probe.done:
+	}
+	listed, known := r.Target(t.ID)
+	verdict, decisive := answerend.Judge(answerend.Evidence{Probe: probe.result, Listed: known, Replaced: known && isReplaced(t, listed)})
+	if r.OnEndJudged != nil {
+		r.OnEndJudged(verdict, decisive)
+	}
+	if verdict == answerend.Whole {
+		return io.EOF
+	}
+	event.AnswerEndInDoubt.Log(r.Logger, zap.String("request", request), zap.String("target", string(t.ID)), zap.Stringer("verdict", verdict),
+		zap.String("evidence", decisive), zap.Duration("after", r.Clock.Now().Sub(endedAt)))
+	if verdict == answerend.Unclear {
+		// A dead process would refuse the connection. Such a target is mostly full.
+		return io.EOF
+	}
+	return fmt.Errorf("%w: %s", edge.ErrEndInDoubt, decisive)
+}
+
+// isReplaced reports whether a target is listed as a later start than the one that answered, whose
+// start may be unknown.
+func isReplaced(answered, listed fleet.Target) bool {
+	return listed.Address != answered.Address || !answered.StartedAt.IsZero() && listed.StartedAt.After(answered.StartedAt)
+}
+
+// unframedBody is the body of an answer without a length. It tells the end of the answer from
+// that of the target's process.
+type unframedBody struct {
+	io.ReadCloser
+	judge func() error
+	// ended is true once the connection has ended, and end is how the answer has.
+	ended bool
+	end   error
+}
+
+// Read implements io.Reader.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	if !b.ended {
+		n, err := b.ReadCloser.Read(p)
+		if !errors.Is(err, io.EOF) {
+			return n, err
+		}
+		b.ended = true
+		if n > 0 {
+			// The last bytes do not wait for the end.
+			return n, nil
+		}
+	}
+	if b.end == nil {
+		b.end = b.judge()
+	}
+	return 0, b.end
+}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -116,7 +116,7 @@
 func (h *Handler) send(w http.ResponseWriter, r *http.Request, target fleet.Target, body []byte) {
 	from, request := r.Header.Get(headerFrom), r.Header.Get(headerRequest)
 	forwarded := ForwardedRequest{
-		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header.Clone(), Body: body,
+		Request: request, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header.Clone(), Body: body,
 		NewConnection: r.Header.Get(headerNewConnection) != "",
 	}
 	removeHeaders(forwarded.Header)
@@ -129,11 +129,16 @@
 	}
 	defer resp.Body.Close()
 	writeHeader(w, resp)
-	if passOn(r.Context(), w, resp.Body) {
+	err = passOn(r.Context(), w, resp.Body)
+	switch {
+	case err == nil:
 		w.Header().Set(trailerEnd, endWhole)
-		return
+	case errors.Is(err, edge.ErrEndInDoubt):
+		w.Header().Set(trailerEnd, endBroken)
+		w.Header().Set(trailerEndInDoubt, "1")
+	default:
+		w.Header().Set(trailerEnd, endBroken)
 	}
-	w.Header().Set(trailerEnd, endBroken)
 }
 
 func resultOf(err error) string {
@@ -167,28 +172,30 @@
 	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 {
 		header.Set(headerFramed, "1")
 	}
-	header.Set("Trailer", trailerEnd)
+	header["Trailer"] = []string{trailerEnd, trailerEndInDoubt}
 	w.WriteHeader(resp.StatusCode)
 }
 
-// passOn passes a body on as it arrives. It reports whether it is whole.
-func passOn(ctx context.Context, w http.ResponseWriter, body io.Reader) bool {
+// passOn passes a body on as it arrives. Its error is nil if the body is whole.
+func passOn(ctx context.Context, w http.ResponseWriter, body io.Reader) error {
 	controller := http.NewResponseController(w)
 	buffer := make([]byte, copyBufferSize)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
 			if _, err := w.Write(buffer[:n]); err != nil {
-				return false
+				return err
 			}
 			// An error shows with the next write.
 			_ = controller.Flush()
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return true
-		case err != nil, ctx.Err() != nil:
-			return false
+			return nil
+		case err != nil:
+			return err
+		case ctx.Err() != nil:
+			return context.Cause(ctx)
 		}
 	}
 }
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -164,8 +164,8 @@
 	ended      bool
 }
 
-// Read implements io.Reader. Its error is io.ErrUnexpectedEOF if the target broke off, and
-// wraps edge.ErrHostLost if the connection between the hosts failed.
+// Read implements io.Reader. Its error is io.ErrUnexpectedEOF if the target broke off,
+// edge.ErrEndInDoubt if it may have ended in the middle of a body without a length, and wraps edge.ErrHostLost if the connection between the hosts failed.
 func (b *hopBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
@@ -180,6 +180,8 @@
 		return n, &edge.SendError{Delivery: edge.MayHaveRun, Via: b.hop.host.ID, Cause: fmt.Errorf("%w: %w", edge.ErrHostLost, err)}
 	case end == endWhole:
 		return n, io.EOF
+	case end == endBroken && b.response.Trailer.Get(trailerEndInDoubt) != "":
+		return n, edge.ErrEndInDoubt
 	case end == endBroken:
 		return n, io.ErrUnexpectedEOF
 	default:
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/edge"
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
+	"github.com/bluebellseam/bluebellseam/internal/systems/answerend"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
@@ -64,6 +65,10 @@
 
 func (f *fakeTargets) Probe(context.Context, fleet.Target) error { return errors.New("cut") }
 
+func (f *fakeTargets) ProbeEnd(context.Context, fleet.Target, time.Duration) answerend.Probe {
+	return answerend.Unanswered
+}
+
 func newTestRouter(id tables.HostID, targets Targets, hosts ...fleet.Host) *Router {
 	r := NewRouter()
 	r.Self, r.Targets, r.Clock, r.Logger = fleet.Host{ID: id, Domain: "d"}, targets, clockwork.NewRealClock(), zap.NewNop()
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -15,6 +15,7 @@
 	"github.com/bluebellseam/bluebellseam/internal/edge"
 	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
+	"github.com/bluebellseam/bluebellseam/internal/systems/answerend"
 	"github.com/bluebellseam/bluebellseam/internal/systems/reach"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
@@ -32,6 +33,8 @@
 
 // ForwardedRequest is a request that one host sends for another one.
 type ForwardedRequest struct {
+	// Request is the ID of the request.
+	Request           string
 	Method, URI, Host string
 	Header            http.Header
 	Body              []byte
@@ -50,6 +53,9 @@
 	Forward(ctx context.Context, t fleet.Target, r ForwardedRequest) (*http.Response, error)
 	// Probe opens a connection to a target and closes it.
 	Probe(ctx context.Context, t fleet.Target) error
+	// ProbeEnd opens a connection to a target, holds it for a time and returns what became
+	// of it.
+	ProbeEnd(ctx context.Context, t fleet.Target, hold time.Duration) answerend.Probe
 }
 
 // Router is the edge.Transport of a host. It knows to which targets the host has lost its
@@ -71,10 +77,14 @@
 	// OnNotice is called with what a target says of itself in its answer to a request of
 	// another host, which was sent at a time. It may be nil.
 	OnNotice func(t fleet.Target, n edge.TargetNotice, sentAt time.Time)
-	Clock    clockwork.Clock
-	Logger   *zap.Logger
+	// OnEndJudged is called with the verdict on the end of an answer without a length, and
+	// the evidence that decided it. It may be nil.
+	OnEndJudged func(v answerend.Verdict, decisive string)
+	Clock       clockwork.Clock
+	Logger      *zap.Logger
 
 	hops hopTransports
+	ends endProbes
 
 	mu     sync.Mutex
 	paths  reach.Paths
@@ -172,7 +182,7 @@
 		return nil, err
 	}
 	r.answered(t)
-	resp.Body = &heardBody{resp.Body, r}
+	resp.Body = r.watch(ctx, t, c.Request.ID, resp.Body, resp.Framed)
 	return resp, nil
 }
 
@@ -353,10 +363,19 @@
 		return nil, err
 	}
 	r.answered(t)
-	resp.Body = &heardBody{resp.Body, r}
+	resp.Body = r.watch(ctx, t, f.Request, resp.Body, resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
 	return resp, nil
 }
 
+// watch returns the body of an answer that came over a connection of this host.
+func (r *Router) watch(ctx context.Context, t fleet.Target, request string, body io.ReadCloser, framed bool) io.ReadCloser {
+	heard := &heardBody{body, r}
+	if framed || body == http.NoBody {
+		return heard
+	}
+	return &unframedBody{ReadCloser: heard, judge: func() error { return r.judgeEnd(ctx, t, request) }}
+}
+
 // Run probes lost paths until ctx ends.
 func (r *Router) Run(ctx context.Context) {
 	for {
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -60,6 +60,10 @@
 	// trailerEnd is endWhole once the target's body is complete, and endBroken if it broke
 	// off. Without it the connection between the hosts has failed.
 	trailerEnd = headerPrefix + "End"
+	// trailerEndInDoubt is set beside endBroken if the target's body ended with its
+	// connection, and so may have the target in the middle of it. The build before neither
+	// sends nor reads it.
+	trailerEndInDoubt = headerPrefix + "End-In-Doubt"
 )
 
 // Values of headerResult and trailerEnd.
--- /dev/null
+++ b/internal/systems/answerend/answerend.go
@@ -0,0 +1,72 @@
+// Package answerend judges whether an answer that states no length is whole. Such an answer
+// ends with its connection, and the kernel ends the connections of a killed process in the same
+// way as the process itself ends them after a whole answer.
+package answerend
+
+// Probe is what became of a connection that was opened to the address of a target shortly after
+// an answer of the target had ended.
+type Probe uint8
+
+// The values of Probe.
+const (
+	// Unanswered means that the connection was neither accepted nor refused in time: the
+	// path is cut, or the target accepts none for now.
+	Unanswered Probe = iota
+	// Accepted means that the connection was accepted and stayed open.
+	Accepted
+	// Refused means that nothing listens at the address.
+	Refused
+	// Closed means that the connection was accepted and closed at once, as by a proxy without
+	// its server.
+	Closed
+	// Reset means that the connection was accepted and reset at once, as by a target with too
+	// many connections.
+	Reset
+)
+
+// String returns the name that logs and metrics use.
+func (p Probe) String() string {
+	return [...]string{"unanswered", "accepted", "refused", "closed", "reset"}[p]
+}
+
+// Evidence is what a host knows of the process of a target after an answer has ended.
+type Evidence struct {
+	Probe Probe
+	// Listed is true if the target is listed, and Replaced if it is with a later start or
+	// another address.
+	Listed, Replaced bool
+}
+
+// Verdict is how an answer ended.
+type Verdict uint8
+
+// The values of Verdict.
+const (
+	// Whole means that the target lives and has ended the answer.
+	Whole Verdict = iota
+	// Unclear means that the evidence does not tell.
+	Unclear
+	// Cut means that the process of the target has ended, so that the answer may lack its
+	// rest.
+	Cut
+)
+
+// String returns the name that logs and metrics use.
+func (v Verdict) String() string { return [...]string{"whole", "unclear", "cut"}[v] }
+
+// Judge returns how an answer ended and the evidence that decides it, as logs and metrics name
+// it.
+func Judge(e Evidence) (v Verdict, decisive string) {
+	switch {
+	case e.Replaced:
+		return Cut, "replaced"
+	case e.Probe == Refused, e.Probe == Closed:
+		return Cut, e.Probe.String()
+	case e.Probe == Accepted:
+		return Whole, e.Probe.String()
+	case !e.Listed:
+		return Cut, "unlisted"
+	default:
+		return Unclear, e.Probe.String()
+	}
+}
