--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -58,7 +58,11 @@
 	// serverError is a target's server error, relayed if no other target
 	// responds.
 	serverError *bufferedResponse
+	emptyEnd    emptyEnd
 	stream      bool
+	// endInDoubt is true if the answer with the last event ended with its connection after
+	// that event, and its target may have ended as well. The next target tells.
+	endInDoubt bool
 }
 
 type bufferedResponse struct {
@@ -175,6 +179,7 @@
 				onFirstByte()
 				reported = true
 			}
+			ex.relay.endInDoubt = false
 			body.beginWrite()
 			err := ex.relayEvents(resp, pending[:complete])
 			body.endWrite()
@@ -198,12 +203,16 @@
 			return ex.mayHaveRunError(errTruncated)
 		case errors.Is(err, io.EOF) && reported && isPadding(pending):
 			return ex.writeToCaller(pending)
+		case errors.Is(err, ErrEndInDoubt) && reported && isPadding(pending):
+			ex.relay.endInDoubt = true
+			return ex.mayHaveRunError(fmt.Errorf("%w after %v: %w", errTruncated, ex.relay.lastID, err))
+		case errors.Is(err, io.EOF) && !reported && isPadding(pending) && resp.Framed && ex.relay.endInDoubt:
+			// The stream was whole: nothing follows its last event.
+			return ex.writeToCaller(pending)
 		case errors.Is(err, io.EOF) && !reported && isPadding(pending) && ex.relay.started:
 			return ex.mayHaveRunError(fmt.Errorf("%w after %v", errNotResumed, ex.relay.lastID))
 		case errors.Is(err, io.EOF) && isPadding(pending) && !ex.relay.lastID.none():
-			// The caller already has the last event.
-			ex.beginStream(resp)
-			return ex.writeToCaller(pending)
+			return ex.endWithoutEvent(resp)
 		case err != nil:
 			return ex.mayHaveRunError(fmt.Errorf("%w after %v: %w", errTruncated, ex.relay.lastID, err))
 		case ctx.Err() != nil:
