A part of a further event tells that a stream has not ended

What callers saw: a stream of 10 events ended as complete after 5, on routes that may be resumed: the first target ended after event 5 of an answer without a length, the second one broke off within event 6, the third one answered 200 without an event. A caller that took up a stream was told that it was whole although the second target had sent event 6 with a line of text in it. Cause: only a whole event undid the doubt of relay.endInDoubt, which is kept between the calls of a request, and only a broken answer counted as disproof in emptyEnd. Change: any bytes but comments and blank lines mean that something follows. They end the doubt and disprove an end without an event.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -61,7 +61,8 @@
 	emptyEnd    emptyEnd
 	stream      bool
 	// endInDoubt is true if the answer with the last event ended with its connection after
-	// that event, and its target may have ended as well. The next target tells.
+	// that event, its target may have ended as well, and no other one has begun to go on. The
+	// next target tells.
 	endInDoubt bool
 }
 
@@ -174,12 +175,15 @@
 	for {
 		n, err := body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
+		if !isPadding(pending) {
+			// Something follows the last event.
+			ex.relay.endInDoubt, ex.relay.emptyEnd.disproved = false, true
+		}
 		if complete := numberedLength(pending); complete > 0 {
 			if !reported {
 				onFirstByte()
 				reported = true
 			}
-			ex.relay.endInDoubt = false
 			body.beginWrite()
 			err := ex.relayEvents(resp, pending[:complete])
 			body.endWrite()
