An answer without a length that ends within a line is not whole

What callers saw: status 200 and a complete stream that lacked its rest. A stream of 10 events without a length or chunks ended after event 5 within a comment; its target's address still accepted connections, as where one of several processes at it has ended. Cause: a comment without its line end counts as padding, and the end of the connection after padding as the end of the stream, if the probe of the target succeeds. Change: what ends within a line is cut, whatever the probe says, as it was within an event. An answer with a length or chunks states its end and may end so.

--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -75,6 +75,11 @@
 	}
 }
 
+// endsWithLine reports whether text is empty or ends with the end of a line.
+func endsWithLine(text []byte) bool {
+	return len(text) == 0 || bytes.ContainsAny(text[len(text)-1:], "\r\n")
+}
+
 // maySendEvents reports whether a body with the given header may be a stream of events. Without
 // a type, its bytes decide.
 func maySendEvents(h http.Header) bool {
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -205,6 +205,8 @@
 		case errors.Is(err, io.EOF) && len(pending) == 0 && !reported && !resp.Framed:
 			// Without an event, the end of the connection may be a failure.
 			return ex.mayHaveRunError(errTruncated)
+		case err != nil && !resp.Framed && !endsWithLine(pending):
+			return ex.mayHaveRunError(fmt.Errorf("%w within a line after %v: %w", errTruncated, ex.relay.lastID, err))
 		case errors.Is(err, io.EOF) && reported && isPadding(pending):
 			return ex.writeToCaller(pending)
 		case errors.Is(err, ErrEndInDoubt) && reported && isPadding(pending):
