A comment before the end of a connection does not say that nothing follows

What callers saw: a caller that took up a stream after event 5 of 10 was told that it was whole by targets whose connections ended after a comment, without a length or chunks. Cause: only an answer with no byte at all was told from one whose target has failed. Change: an answer without a length and without an event is a failed call, also with comments. Measured: the new spec failed before (status 200, complete; 502 is due) and passes now.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -202,7 +202,7 @@
 		switch {
 		case errors.Is(err, errSlowCaller):
 			return err
-		case errors.Is(err, io.EOF) && len(pending) == 0 && !reported && !resp.Framed:
+		case errors.Is(err, io.EOF) && isPadding(pending) && !reported && !resp.Framed:
 			// Without an event, the end of the connection may be a failure.
 			return ex.mayHaveRunError(errTruncated)
 		case err != nil && !resp.Framed && !endsWithLine(pending):
