A reused address does not prove that the end of an answer is whole

What callers would see: status 200 and a complete answer without a length that lacks its rest, if another target has taken the address of a dead one before the end is judged: a host that was paused or slow, or a restart under another ID. Cause: the probe says that something accepts connections at the address, not which target. Only the entry of the same ID was compared, which may be gone or not yet removed. Change: an entry with the address and a later start, of whichever target, tells that the one that answered has ended. Measured: 2 of the 5 cases of the new test failed before; all pass now, with internal/relay.

--- a/internal/relay/end.go
+++ b/internal/relay/end.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -103,8 +104,8 @@
 		return context.Cause(ctx)
 	case <-probe.done:
 	}
-	listed, known := r.Target(t.ID)
-	verdict, decisive := answerend.Judge(answerend.Evidence{Probe: probe.result, Listed: known, Replaced: known && isReplaced(t, listed)})
+	_, known := r.Target(t.ID)
+	verdict, decisive := answerend.Judge(answerend.Evidence{Probe: probe.result, Listed: known, Replaced: r.isReplaced(t)})
 	if r.OnEndJudged != nil {
 		r.OnEndJudged(verdict, decisive)
 	}
@@ -120,10 +121,18 @@
 	return fmt.Errorf("%w: %s", edge.ErrEndInDoubt, decisive)
 }
 
-// isReplaced reports whether a target is listed as a later start than the one that answered, whose
-// start may be unknown.
-func isReplaced(answered, listed fleet.Target) bool {
-	return listed.Address != answered.Address || !answered.StartedAt.IsZero() && listed.StartedAt.After(answered.StartedAt)
+// isReplaced reports whether the target that answered, whose start may be unknown, is listed with
+// another address or a later start, or another target that started later has its address.
+func (r *Router) isReplaced(answered fleet.Target) bool {
+	isLater := func(listed fleet.Target) bool {
+		return !answered.StartedAt.IsZero() && listed.StartedAt.After(answered.StartedAt)
+	}
+	if listed, known := r.Target(answered.ID); known && (listed.Address != answered.Address || isLater(listed)) {
+		return true
+	}
+	return slices.ContainsFunc(r.Listed(), func(listed fleet.Target) bool {
+		return listed.Address == answered.Address && isLater(listed)
+	})
 }
 
 // unframedBody is the body of an answer without a length. It tells the end of the answer from
