Judge ends of answers that a host of the build before passes on

What callers would see while two builds run side by side: status 200 and a complete answer without a length that lacks its rest, if the host that sends for another one is of the build before, and the target ends in the middle of the answer. Shown by a unit test. Cause: such a host says that each answer is whole whose connection has ended, and the asking host took its word. Change: a host that judges ends announces the trailer of the doubt, as it did. Without it the asking host judges the end of an answer without a length itself. It mostly has no path to the target; then the end counts as it does with the probe unanswered. Measured: the new test failed before (no probe; an ended target's answer counted as whole); it passes now, with internal/relay and the 22 specs of platform over another host.

--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -78,6 +78,9 @@
 	// onSilent is called when an answer is given up whose last part came long ago.
 	onSilent func()
 	now      func() time.Time
+	// unjudged is true if the answer has no length, and the host, of the build before, takes the
+	// end of its connection for its end. It is set once the answer is returned.
+	unjudged bool
 }
 
 // RoundTrip implements http.RoundTripper. Errors that the host states are of type
@@ -140,6 +143,8 @@
 		resp.TransferEncoding = []string{"chunked"}
 	}
 	if resp.Body != http.NoBody {
+		_, judges := resp.Trailer[trailerEndInDoubt]
+		h.unjudged = !framed && !judges
 		resp.Body = &hopBody{ReadCloser: resp.Body, response: resp, hop: h, receivedAt: h.now()}
 	}
 }
@@ -165,7 +170,8 @@
 }
 
 // Read implements io.Reader. Its error is io.ErrUnexpectedEOF if the target broke off,
-// edge.ErrEndInDoubt if it may have ended in the middle of a body without a length, and wraps edge.ErrHostLost if the connection between the hosts failed.
+// edge.ErrEndInDoubt if it may have ended in the middle of a body without a length, and wraps
+// edge.ErrHostLost if the connection between the hosts failed.
 func (b *hopBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -304,6 +304,9 @@
 		return nil, r.hopError(ctx, host.ID, t.ID, err)
 	}
 	resp.Via = host.ID
+	if through.unjudged {
+		resp.Body = r.judged(ctx, t, c.Request.ID, resp.Body)
+	}
 	resp.Body = &endedBody{resp.Body, endHop}
 	return resp, nil
 }
@@ -373,7 +376,12 @@
 	if framed || body == http.NoBody {
 		return heard
 	}
-	return &unframedBody{ReadCloser: heard, judge: func() error { return r.judgeEnd(ctx, t, request) }}
+	return r.judged(ctx, t, request, heard)
+}
+
+// judged returns the body of an answer without a length, whose end this host judges.
+func (r *Router) judged(ctx context.Context, t fleet.Target, request string, body io.ReadCloser) io.ReadCloser {
+	return &unframedBody{ReadCloser: body, judge: func() error { return r.judgeEnd(ctx, t, request) }}
 }
 
 // Run probes lost paths until ctx ends.
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -61,8 +61,8 @@
 	// off. Without it the connection between the hosts has failed.
 	trailerEnd = headerPrefix + "End"
 	// trailerEndInDoubt is set beside endBroken if the target's body ended with its
-	// connection, and so may have the target in the middle of it. The build before neither
-	// sends nor reads it.
+	// connection, and so may have the target in the middle of it. Each host that judges such ends
+	// announces it. The build before neither sends nor reads it.
 	trailerEndInDoubt = headerPrefix + "End-In-Doubt"
 )
 
