A target that can't be reached after its answer does not prove that it is whole

What callers saw: status 200 and a complete answer that lacked its rest, on all three kinds of routes, if the address of the target could not be reached any more after the end of an answer without a length: a container whose network went with it, a machine switched off after its processes had ended. Dials time out, or there is no route. Cause: a probe without an answer was unclear, and what is unclear counts as whole. The end of the connection had arrived some 40 ms before, so that the path was sound then: that the target is gone is the likelier cause, and a lost path tells no more. Change: such an end is in doubt, after up to three probes, since the first packet of one may be lost. Only a target that resets each connection is unclear now; see below. Tests: the two cases that held the opposite (answerend, relay) now hold this; one is new, in which the second probe is answered. What remains: three resets count as whole, for targets that have too many connections. A load balancer that resets connections while it has no server looks the same. Not measured: how often a well target takes no connection for three times 200 ms.

--- a/internal/relay/end.go
+++ b/internal/relay/end.go
@@ -29,9 +29,9 @@
 	// probeHold is how long a probe stays open: a proxy without its server closes it within
 	// that time.
 	probeHold = 20 * time.Millisecond
-	// maxResetProbes bounds the probes of one end. A target may reset a connection because it
-	// has too many.
-	maxResetProbes = 3
+	// maxEndProbes bounds the probes of one end. A target may reset a connection because it has
+	// too many, and the first packet of one may be lost.
+	maxEndProbes = 3
 )
 
 // endProbes probes targets after the end of answers without a length. Answers of one target
@@ -76,14 +76,14 @@
 	close(probe.done)
 }
 
-// run probes a target until the result is other than a reset.
+// run probes a target until it tells whether the target lives.
 func (p *endProbes) run(clock clockwork.Clock, targets Targets, t fleet.Target, probe *endProbe) {
 	result := answerend.Unanswered
-	for range maxResetProbes {
+	for range maxEndProbes {
 		clock.Sleep(endSettle)
 		// The result counts for several requests, which may end before it is known.
 		result = targets.ProbeEnd(context.Background(), t, probeHold)
-		if result != answerend.Reset {
+		if result != answerend.Reset && result != answerend.Unanswered {
 			break
 		}
 	}
--- a/internal/relay/end_test.go
+++ b/internal/relay/end_test.go
@@ -76,10 +76,11 @@
 		"lives":                       {answering, []answerend.Probe{answerend.Accepted}, false, 1},
 		"refuses":                     {answering, []answerend.Probe{answerend.Refused}, true, 1},
 		"has a proxy that closes":     {answering, []answerend.Probe{answerend.Closed}, true, 1},
-		"has too many connections":    {answering, []answerend.Probe{answerend.Reset}, false, maxResetProbes},
+		"has too many connections":    {answering, []answerend.Probe{answerend.Reset}, false, maxEndProbes},
 		"had too many connections":    {answering, []answerend.Probe{answerend.Reset, answerend.Accepted}, false, 2},
 		"resets while its queue ends": {answering, []answerend.Probe{answerend.Reset, answerend.Refused}, true, 2},
-		"takes no connection for now": {answering, []answerend.Probe{answerend.Unanswered}, false, 1},
+		"cannot be reached any more":  {answering, []answerend.Probe{answerend.Unanswered}, true, maxEndProbes},
+		"took no connection at first": {answering, []answerend.Probe{answerend.Unanswered, answerend.Accepted}, false, 2},
 		"has started again":           {later, []answerend.Probe{answerend.Accepted}, true, 1},
 		"has started elsewhere":       {moved, []answerend.Probe{answerend.Accepted}, true, 1},
 	} {
--- a/internal/systems/answerend/answerend.go
+++ b/internal/systems/answerend/answerend.go
@@ -10,7 +10,7 @@
 // The values of Probe.
 const (
 	// Unanswered means that the connection was neither accepted nor refused in time: the
-	// path is cut, or the target accepts none for now.
+	// machine or the network of the target is gone, or the path is cut.
 	Unanswered Probe = iota
 	// Accepted means that the connection was accepted and stayed open.
 	Accepted
@@ -60,7 +60,7 @@
 	switch {
 	case e.Replaced:
 		return Cut, "replaced"
-	case e.Probe == Refused, e.Probe == Closed:
+	case e.Probe == Refused, e.Probe == Closed, e.Probe == Unanswered:
 		return Cut, e.Probe.String()
 	case e.Probe == Accepted:
 		return Whole, e.Probe.String()
--- a/internal/systems/answerend/answerend_test.go
+++ b/internal/systems/answerend/answerend_test.go
@@ -20,8 +20,8 @@
 		"closes at once":                   {listed(answerend.Closed), answerend.Cut, "closed"},
 		"resets, with too many":            {listed(answerend.Reset), answerend.Unclear, "reset"},
 		"resets, entry gone":               {answerend.Evidence{Probe: answerend.Reset}, answerend.Cut, "unlisted"},
-		"cannot be reached":                {listed(answerend.Unanswered), answerend.Unclear, "unanswered"},
-		"cannot be reached, entry gone":    {answerend.Evidence{}, answerend.Cut, "unlisted"},
+		"cannot be reached":                {listed(answerend.Unanswered), answerend.Cut, "unanswered"},
+		"cannot be reached, entry gone":    {answerend.Evidence{}, answerend.Cut, "unanswered"},
 		"cannot be reached, another start": {answerend.Evidence{Listed: true, Replaced: true}, answerend.Cut, "replaced"},
 	} {
 		if got, decisive := answerend.Judge(c.evidence); got != c.want || decisive != c.decisive {
