A target that says that nothing follows does not yet end the stream

What callers would see: while a service has two versions, the stream that another target goes on with can't be taken up any more some 5 s later (refused, not run): its version is forgotten. Cause: the call that brought no event was released as succeeded, which records the end of the stream in Origins of the host and of the coordinator, though the next target may have its rest. The coordinator gets that report after the second grant, so that a new grant can't undo it. Change: it is released as abandoned, which says nothing of the target, as was meant. If the end is right, the second target's call ends the stream, or its entry expires after a minute. Measured: the new case failed before (succeeded) and passes now, with internal/edge.

--- a/internal/edge/failover_outcome_test.go
+++ b/internal/edge/failover_outcome_test.go
@@ -29,6 +29,7 @@
 		{"silent, but then it refused", t.Context(), errIdleTimeout, sent(NotRun, io.EOF), allocation.NotRun},
 		{"server error", t.Context(), nil, sent(MayHaveRun, errServerError), allocation.Failed},
 		{"the caller left", ended, context.Canceled, sent(MayHaveRun, context.Canceled), allocation.Abandoned},
+		{"nothing follows, which another target is to confirm", t.Context(), nil, sent(MayHaveRun, errNothingFollows), allocation.Abandoned},
 		{"no failure of the target", t.Context(), nil, errors.New("the caller left"), allocation.Abandoned},
 	} {
 		if got := outcomeOf(c.ctx, c.cause, c.err); got != c.want {
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -239,7 +239,8 @@
 	case errors.Is(cause, errIdleTimeout), errors.Is(cause, errSilentTooLong):
 		return allocation.Silent
 	case errors.Is(err, errNothingFollows):
-		return allocation.Succeeded
+		// A stream that succeeds has ended, and its version is soon forgotten.
+		return allocation.Abandoned
 	case errors.Is(err, errServerError), errors.Is(err, errNotResumed):
 		return allocation.Failed
 	default:
