A stream whose end is in doubt needs two targets to end it, as one that is taken up

What callers saw: a stream of 10 events ended as complete after 5: its target ended after event 5 of an answer without a length, the next one had lost the rest and answered 200 without an event. Cause: the answer of one target was enough here, while a caller that takes the same stream up by itself gets an end only from two. The end of a dead target's connection says nothing. The call that left the doubt does not disprove the end. Price: one run more for an end in doubt that was right, within max_attempts and the budget, none if there is an event for each token.

--- a/internal/edge/emptyend.go
+++ b/internal/edge/emptyend.go
@@ -12,8 +12,8 @@
 
 var errNothingFollows = errors.New("the target says that nothing follows")
 
-// emptyEnd is what targets say of a stream that its caller takes up and of which they send no
-// event. That is right if the caller has all events, and looks the same if a target has lost
+// emptyEnd is what targets say of a stream that its caller takes up, or whose end is in doubt,
+// and of which they send no event. That is right if the caller has all events, and looks the same if a target has lost
 // them.
 type emptyEnd struct {
 	// answer is the first one without an event; nil if there is none. Its body, which is closed,
@@ -27,14 +27,13 @@
 // holds reports whether a target says that nothing follows, and none says otherwise.
 func (e *emptyEnd) holds() bool { return e.answer != nil && !e.disproved }
 
-// endWithoutEvent ends the answer to a caller that takes up a stream if its last event is that of
-// the stream: it has an event for each token, or two targets say so. Otherwise another target is
+// endWithoutEvent ends the answer to a caller that takes up a stream, or an answer whose end is in
+// doubt, if the last event of the caller is that of the stream: it has an event for each token, or two targets say so. Otherwise another target is
 // to be asked.
 func (ex *exchange) endWithoutEvent(resp *Response, padding []byte) error {
 	end := &ex.relay.emptyEnd
 	if ex.hasAllTokens() || end.holds() {
-		ex.beginStream(resp)
-		return ex.writeToCaller(padding)
+		return ex.writeEnd(resp, padding)
 	}
 	if end.answer == nil {
 		end.answer, end.padding = resp, padding
@@ -42,6 +41,14 @@
 	return ex.mayHaveRunError(fmt.Errorf("%w %v", errNothingFollows, ex.relay.lastID))
 }
 
+// writeEnd sends the bytes of an answer without an event, which end the stream.
+func (ex *exchange) writeEnd(resp *Response, padding []byte) error {
+	if !ex.relay.started {
+		ex.beginStream(resp)
+	}
+	return ex.writeToCaller(padding)
+}
+
 // hasAllTokens reports whether the caller has as many events as the answer may have tokens.
 func (ex *exchange) hasAllTokens() bool {
 	return ex.request.HasTokenCounts && ex.relay.lastID.number >= int64(ex.request.MaxOutputTokens)
@@ -50,7 +57,8 @@
 // checkEmptyEnd records whether a failed call disproves that the stream has ended.
 func (ex *exchange) checkEmptyEnd(err error) {
 	broken := errors.Is(err, errTruncated) || errors.Is(err, errEventOrder)
-	if broken && ex.call.answered && isStream(ex.call.status) {
+	doubted := ex.relay.endInDoubt && errors.Is(err, ErrEndInDoubt)
+	if broken && !doubted && ex.call.answered && isStream(ex.call.status) {
 		ex.relay.emptyEnd.disproved = true
 	}
 }
@@ -58,11 +66,11 @@
 // deliverEmptyEnd ends the answer as the only target says that could be asked. It reports whether
 // there is one.
 func (ex *exchange) deliverEmptyEnd() bool {
-	if ex.relay.started || !ex.relay.emptyEnd.holds() {
+	end := &ex.relay.emptyEnd
+	if !end.holds() || ex.relay.started && !ex.relay.endInDoubt {
 		return false
 	}
-	ex.beginStream(ex.relay.emptyEnd.answer)
 	// An error means that the caller disconnected, which also ends its context.
-	_ = ex.writeToCaller(ex.relay.emptyEnd.padding)
+	_ = ex.writeEnd(end.answer, end.padding)
 	return true
 }
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -62,7 +62,7 @@
 	stream      bool
 	// endInDoubt is true if the answer with the last event ended with its connection after
 	// that event, its target may have ended as well, and no other one has begun to go on. The
-	// next target tells.
+	// next targets tell.
 	endInDoubt bool
 }
 
@@ -210,11 +210,10 @@
 		case errors.Is(err, io.EOF) && reported && isPadding(pending):
 			return ex.writeToCaller(pending)
 		case errors.Is(err, ErrEndInDoubt) && reported && isPadding(pending):
-			ex.relay.endInDoubt = true
+			ex.relay.endInDoubt, ex.relay.emptyEnd = true, emptyEnd{}
 			return ex.mayHaveRunError(fmt.Errorf("%w after %v: %w", errTruncated, ex.relay.lastID, err))
 		case errors.Is(err, io.EOF) && !reported && isPadding(pending) && resp.Framed && ex.relay.endInDoubt:
-			// The stream was whole: nothing follows its last event.
-			return ex.writeToCaller(pending)
+			return ex.endWithoutEvent(resp, pending)
 		case errors.Is(err, io.EOF) && !reported && isPadding(pending) && ex.relay.started:
 			return ex.mayHaveRunError(fmt.Errorf("%w after %v", errNotResumed, ex.relay.lastID))
 		case errors.Is(err, io.EOF) && isPadding(pending) && !ex.relay.lastID.none():
--- a/internal/edge/slot.go
+++ b/internal/edge/slot.go
@@ -53,7 +53,8 @@
 	n := slotNeed{retry: len(ex.tried) > 0, avoid: ex.avoided(), waitingSince: ex.request.Arrived, resumed: ex.takesUp()}
 	if ex.relay.started {
 		n.continueStream(ex.relay.latestAt, ex.relay.version)
-	} else if ex.relay.emptyEnd.holds() {
+	}
+	if ex.relay.emptyEnd.holds() {
 		n.maxWait = emptyEndWait
 	}
 	return n
