--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -61,7 +61,8 @@
 	emptyEnd    emptyEnd
 	stream      bool
 	// endInDoubt is true if the answer with the last event ended with its connection after
-	// that event, and its target may have ended as well. The next target tells.
+	// that event, its target may have ended as well, and no other one has begun to go on. The
+	// next targets tell.
 	endInDoubt bool
 }
 
@@ -174,12 +175,15 @@
 	for {
 		n, err := body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
+		if !isPadding(pending) {
+			// Something follows the last event.
+			ex.relay.endInDoubt, ex.relay.emptyEnd.disproved = false, true
+		}
 		if complete := numberedLength(pending); complete > 0 {
 			if !reported {
 				onFirstByte()
 				reported = true
 			}
-			ex.relay.endInDoubt = false
 			body.beginWrite()
 			err := ex.relayEvents(resp, pending[:complete])
 			body.endWrite()
@@ -198,21 +202,22 @@
 		switch {
 		case errors.Is(err, errSlowCaller):
 			return err
-		case errors.Is(err, io.EOF) && len(pending) == 0 && !reported && !resp.Framed:
+		case errors.Is(err, io.EOF) && isPadding(pending) && !reported && !resp.Framed:
 			// Without an event, the end of the connection may be a failure.
 			return ex.mayHaveRunError(errTruncated)
+		case err != nil && !resp.Framed && !endsWithLine(pending):
+			return ex.mayHaveRunError(fmt.Errorf("%w within a line after %v: %w", errTruncated, ex.relay.lastID, err))
 		case errors.Is(err, io.EOF) && reported && isPadding(pending):
 			return ex.writeToCaller(pending)
 		case errors.Is(err, ErrEndInDoubt) && reported && isPadding(pending):
-			ex.relay.endInDoubt = true
+			ex.relay.endInDoubt, ex.relay.emptyEnd = true, emptyEnd{}
 			return ex.mayHaveRunError(fmt.Errorf("%w after %v: %w", errTruncated, ex.relay.lastID, err))
 		case errors.Is(err, io.EOF) && !reported && isPadding(pending) && resp.Framed && ex.relay.endInDoubt:
-			// The stream was whole: nothing follows its last event.
-			return ex.writeToCaller(pending)
+			return ex.endWithoutEvent(resp, pending)
 		case errors.Is(err, io.EOF) && !reported && isPadding(pending) && ex.relay.started:
 			return ex.mayHaveRunError(fmt.Errorf("%w after %v", errNotResumed, ex.relay.lastID))
 		case errors.Is(err, io.EOF) && isPadding(pending) && !ex.relay.lastID.none():
-			return ex.endWithoutEvent(resp)
+			return ex.endWithoutEvent(resp, pending)
 		case err != nil:
 			return ex.mayHaveRunError(fmt.Errorf("%w after %v: %w", errTruncated, ex.relay.lastID, err))
 		case ctx.Err() != nil:
--- a/internal/relay/end.go
+++ b/internal/relay/end.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,9 +29,9 @@
 	// probeHold is how long a probe stays open: a proxy without its server closes it within
 	// that time.
 	probeHold = 20 * time.Millisecond
-	// maxResetProbes bounds the probes of one end. A target may reset a connection because it
-	// has too many.
-	maxResetProbes = 3
+	// maxEndProbes bounds the probes of one end. A target may reset a connection because it has
+	// too many, and the first packet of one may be lost.
+	maxEndProbes = 3
 )
 
 // endProbes probes targets after the end of answers without a length. Answers of one target
@@ -75,14 +76,14 @@
 	close(probe.done)
 }
 
-// run probes a target until the result is other than a reset.
+// run probes a target until it tells whether the target lives.
 func (p *endProbes) run(clock clockwork.Clock, targets Targets, t fleet.Target, probe *endProbe) {
 	result := answerend.Unanswered
-	for range maxResetProbes {
+	for range maxEndProbes {
 		clock.Sleep(endSettle)
 		// The result counts for several requests, which may end before it is known.
 		result = targets.ProbeEnd(context.Background(), t, probeHold)
-		if result != answerend.Reset {
+		if result != answerend.Reset && result != answerend.Unanswered {
 			break
 		}
 	}
@@ -103,8 +104,8 @@
 		return context.Cause(ctx)
 	case <-probe.done:
 	}
-	listed, known := r.Target(t.ID)
-	verdict, decisive := answerend.Judge(answerend.Evidence{Probe: probe.result, Listed: known, Replaced: known && isReplaced(t, listed)})
+	_, known := r.Target(t.ID)
+	verdict, decisive := answerend.Judge(answerend.Evidence{Probe: probe.result, Listed: known, Replaced: r.isReplaced(t)})
 	if r.OnEndJudged != nil {
 		r.OnEndJudged(verdict, decisive)
 	}
@@ -120,10 +121,18 @@
 	return fmt.Errorf("%w: %s", edge.ErrEndInDoubt, decisive)
 }
 
-// isReplaced reports whether a target is listed as a later start than the one that answered, whose
-// start may be unknown.
-func isReplaced(answered, listed fleet.Target) bool {
-	return listed.Address != answered.Address || !answered.StartedAt.IsZero() && listed.StartedAt.After(answered.StartedAt)
+// isReplaced reports whether the target that answered, whose start may be unknown, is listed with
+// another address or a later start, or another target that started later has its address.
+func (r *Router) isReplaced(answered fleet.Target) bool {
+	isLater := func(listed fleet.Target) bool {
+		return !answered.StartedAt.IsZero() && listed.StartedAt.After(answered.StartedAt)
+	}
+	if listed, known := r.Target(answered.ID); known && (listed.Address != answered.Address || isLater(listed)) {
+		return true
+	}
+	return slices.ContainsFunc(r.Listed(), func(listed fleet.Target) bool {
+		return listed.Address == answered.Address && isLater(listed)
+	})
 }
 
 // unframedBody is the body of an answer without a length. It tells the end of the answer from
