Surplus refusals are checked all together, not by which one is reported first

Cause: the check asked for an order that nothing promises. All 91 waiting requests reach their deadline in one pass, which hands each decision to the goroutine of its request; respond calls OnRefusal there, so refusals come in any order. The check passed as long as another goroutine was faster.

Change: the check is replaced by a stricter one, on all refusals: exactly 90 of "big", each of them surplus, exactly one of "small", not surplus, and no other. Before, one of the 91 was looked at. The check of the log stays.

--- a/internal/pool/slottime_test.go
+++ b/internal/pool/slottime_test.go
@@ -123,9 +123,18 @@
 		surge()
 		request("small", 9)
 		advance(1200 * time.Millisecond)
-		var r Refusal
-		Eventually(refused).Should(Receive(&r))
-		Expect(r).To(Equal(Refusal{Service: "s", Customer: "big", Reason: allocation.TooLate, Surplus: true}))
+		// Each request reports its refusal in a goroutine of its own, in no order.
+		refusals := make(map[Refusal]int)
+		for range 9*slots + 1 {
+			var r Refusal
+			Eventually(refused).Should(Receive(&r))
+			refusals[r]++
+		}
+		Expect(refusals).To(Equal(map[Refusal]int{
+			{Service: "s", Customer: "big", Reason: allocation.TooLate, Surplus: true}: 9 * slots,
+			{Service: "s", Customer: "small", Reason: allocation.TooLate}:              1,
+		}))
+		Consistently(refused, 20*time.Millisecond).ShouldNot(Receive())
 		Eventually(func() int {
 			return logs.FilterMessage(event.SlotRefused.Message).FilterField(zap.Bool("surplus", true)).FilterField(zap.String("customer", "big")).Len()
 		}).Should(BeNumerically(">", 0))
