A host that was paused does not take a later start of a target for the one that answered

What callers saw: status 200 and a complete answer without a length that lacked its rest, on all three kinds of routes: the host was paused, the target ended in the middle of the answer and started again at its address, and the store could not be read after the pause. Cause: the probe reached the later start, and the entry that the host knew was that of the earlier one. With the store up the later entry is learned within some ms, before the probe. Change: if the process has stalled since the request was sent, the verdict waits up to 500 ms until the host knows again how targets are listed, as new requests do. If it does not learn it, the end is in doubt (evidence: stale). What remains: a pause below the second from which a stall counts.

--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -321,6 +321,7 @@
 		Budget: p.callers.budget,
 	}
 	p.router.OnEndJudged = func(v answerend.Verdict, decisive string) { p.metrics.UnframedEnded(v.String(), decisive) }
+	p.router.Stale = func(since time.Time) bool { return p.stalls.ResumedSince(since) && !p.upToDate() }
 	p.router.OnNotice, p.router.QuietFor, p.router.Departed = server.RecordNotice, server.QuietFor, p.state.Departed
 	p.front = observe.NewServer(&platform.FrontHandler{Clock: p.clock, OnUnread: p.callers.refusedRequest, Server: server})
 	p.limiter = p.callers.limit(p.front, portFront, p.callers.bounds.conns, p.connTimeouts)
--- a/internal/relay/end.go
+++ b/internal/relay/end.go
@@ -32,6 +32,10 @@
 	// maxEndProbes bounds the probes of one end. A target may reset a connection because it has
 	// too many, and the first packet of one may be lost.
 	maxEndProbes = 3
+	// maxStaleWait bounds the wait for the entries of targets after a stall of the process, and
+	// staleInterval is the time between two looks.
+	maxStaleWait  = 500 * time.Millisecond
+	staleInterval = 10 * time.Millisecond
 )
 
 // endProbes probes targets after the end of answers without a length. Answers of one target
@@ -90,10 +94,10 @@
 	p.finish(t.Address, probe, result)
 }
 
-// judgeEnd waits for the evidence of how an answer without a length has ended. It returns io.EOF
-// if it is whole, and an error that wraps edge.ErrEndInDoubt if the target may have ended
+// judgeEnd waits for the evidence of how an answer without a length has ended, to a request that
+// was sent at a time. It returns io.EOF if it is whole, and an error that wraps edge.ErrEndInDoubt if the target may have ended
 // in the middle of it.
-func (r *Router) judgeEnd(ctx context.Context, t fleet.Target, request string) error {
+func (r *Router) judgeEnd(ctx context.Context, t fleet.Target, request string, begunAt time.Time) error {
 	endedAt := r.Clock.Now()
 	probe, run := r.ends.probe(endedAt, t.Address)
 	if run {
@@ -104,8 +108,9 @@
 		return context.Cause(ctx)
 	case <-probe.done:
 	}
+	stale := r.awaitEntries(ctx, begunAt)
 	_, known := r.Target(t.ID)
-	verdict, decisive := answerend.Judge(answerend.Evidence{Probe: probe.result, Listed: known, Replaced: r.isReplaced(t)})
+	verdict, decisive := answerend.Judge(answerend.Evidence{Probe: probe.result, Listed: known, Replaced: r.isReplaced(t), Stale: stale})
 	if r.OnEndJudged != nil {
 		r.OnEndJudged(verdict, decisive)
 	}
@@ -121,6 +126,22 @@
 	return fmt.Errorf("%w: %s", edge.ErrEndInDoubt, decisive)
 }
 
+// awaitEntries waits until this host knows how targets are listed, if its process has stalled since
+// a time, maxStaleWait has passed or ctx ends. It reports whether the host still does not know.
+func (r *Router) awaitEntries(ctx context.Context, since time.Time) (stale bool) {
+	if r.Stale == nil {
+		return false
+	}
+	deadline := r.Clock.Now().Add(maxStaleWait)
+	for r.Stale(since) {
+		if ctx.Err() != nil || !r.Clock.Now().Before(deadline) {
+			return true
+		}
+		r.Clock.Sleep(staleInterval)
+	}
+	return false
+}
+
 // isReplaced reports whether the target that answered, whose start may be unknown, is listed with
 // another address or a later start, or another target that started later has its address.
 func (r *Router) isReplaced(answered fleet.Target) bool {
--- a/internal/relay/end_test.go
+++ b/internal/relay/end_test.go
@@ -166,7 +166,7 @@
 	r, _ := newUnframedRouter(answering, answerend.Accepted)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	if err := r.judgeEnd(ctx, answering, "r"); !errors.Is(err, context.Canceled) {
+	if err := r.judgeEnd(ctx, answering, "r", time.Time{}); !errors.Is(err, context.Canceled) {
 		t.Error(err)
 	}
 }
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -77,6 +77,9 @@
 	// OnNotice is called with what a target says of itself in its answer to a request of
 	// another host, which was sent at a time. It may be nil.
 	OnNotice func(t fleet.Target, n edge.TargetNotice, sentAt time.Time)
+	// Stale reports whether the process has stalled since a time, and has not learned after that
+	// how targets are listed. It may be nil.
+	Stale func(since time.Time) bool
 	// OnEndJudged is called with the verdict on the end of an answer without a length, and
 	// the evidence that decided it. It may be nil.
 	OnEndJudged func(v answerend.Verdict, decisive string)
@@ -182,7 +185,7 @@
 		return nil, err
 	}
 	r.answered(t)
-	resp.Body = r.watch(ctx, t, c.Request.ID, resp.Body, resp.Framed)
+	resp.Body = r.watch(ctx, t, c.Request.ID, begunAt, resp.Body, resp.Framed)
 	return resp, nil
 }
 
@@ -277,6 +280,7 @@
 
 // sendHop sends a call through one host, the asked-th one.
 func (r *Router) sendHop(ctx context.Context, host fleet.Host, t fleet.Target, c edge.Call, asked int) (*edge.Response, error) {
+	begunAt := r.Clock.Now()
 	r.mu.Lock()
 	end := r.relays.Begin(host.ID)
 	r.mu.Unlock()
@@ -305,7 +309,7 @@
 	}
 	resp.Via = host.ID
 	if through.unjudged {
-		resp.Body = r.judged(ctx, t, c.Request.ID, resp.Body)
+		resp.Body = r.judged(ctx, t, c.Request.ID, begunAt, resp.Body)
 	}
 	resp.Body = &endedBody{resp.Body, endHop}
 	return resp, nil
@@ -366,22 +370,23 @@
 		return nil, err
 	}
 	r.answered(t)
-	resp.Body = r.watch(ctx, t, f.Request, resp.Body, resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
+	resp.Body = r.watch(ctx, t, f.Request, begunAt, resp.Body, resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
 	return resp, nil
 }
 
-// watch returns the body of an answer that came over a connection of this host.
-func (r *Router) watch(ctx context.Context, t fleet.Target, request string, body io.ReadCloser, framed bool) io.ReadCloser {
+// watch returns the body of an answer that came over a connection of this host, to a request
+// that was sent at a time.
+func (r *Router) watch(ctx context.Context, t fleet.Target, request string, begunAt time.Time, body io.ReadCloser, framed bool) io.ReadCloser {
 	heard := &heardBody{body, r}
 	if framed || body == http.NoBody {
 		return heard
 	}
-	return r.judged(ctx, t, request, heard)
+	return r.judged(ctx, t, request, begunAt, heard)
 }
 
 // judged returns the body of an answer without a length, whose end this host judges.
-func (r *Router) judged(ctx context.Context, t fleet.Target, request string, body io.ReadCloser) io.ReadCloser {
-	return &unframedBody{ReadCloser: body, judge: func() error { return r.judgeEnd(ctx, t, request) }}
+func (r *Router) judged(ctx context.Context, t fleet.Target, request string, begunAt time.Time, body io.ReadCloser) io.ReadCloser {
+	return &unframedBody{ReadCloser: body, judge: func() error { return r.judgeEnd(ctx, t, request, begunAt) }}
 }
 
 // Run probes lost paths until ctx ends.
--- a/internal/systems/answerend/answerend.go
+++ b/internal/systems/answerend/answerend.go
@@ -35,6 +35,9 @@
 	// Listed is true if the target is listed, and Replaced if it is with a later start or
 	// another address.
 	Listed, Replaced bool
+	// Stale is true if the host may not know of a later start: its process stalled while the
+	// target answered, and it has not learned since how the target is listed.
+	Stale bool
 }
 
 // Verdict is how an answer ended.
@@ -62,6 +65,8 @@
 		return Cut, "replaced"
 	case e.Probe == Refused, e.Probe == Closed, e.Probe == Unanswered:
 		return Cut, e.Probe.String()
+	case e.Stale:
+		return Cut, "stale"
 	case e.Probe == Accepted:
 		return Whole, e.Probe.String()
 	case !e.Listed:
