--- a/internal/edge/emptyend.go
+++ b/internal/edge/emptyend.go
@@ -13,8 +13,8 @@
 var errNothingFollows = errors.New("the target says that nothing follows")
 
 // emptyEnd is what targets say of a stream that its caller takes up, or whose end is in doubt,
-// and of which they send no event. That is right if the caller has all events, and looks the same if a target has lost
-// them.
+// and of which they send no event. That is right if the caller has all events, and looks the
+// same if a target has lost them.
 type emptyEnd struct {
 	// answer is the first one without an event; nil if there is none. Its body, which is closed,
 	// had the comments and blank lines of padding only.
@@ -28,8 +28,8 @@
 func (e *emptyEnd) holds() bool { return e.answer != nil && !e.disproved }
 
 // endWithoutEvent ends the answer to a caller that takes up a stream, or an answer whose end is in
-// doubt, if the last event of the caller is that of the stream: it has an event for each token, or two targets say so. Otherwise another target is
-// to be asked.
+// doubt, if the last event of the caller is that of the stream: it has an event for each token,
+// or two targets say so. Otherwise another target is to be asked.
 func (ex *exchange) endWithoutEvent(resp *Response, padding []byte) error {
 	end := &ex.relay.emptyEnd
 	if ex.hasAllTokens() || end.holds() {
--- a/internal/relay/end.go
+++ b/internal/relay/end.go
@@ -95,8 +95,8 @@
 }
 
 // judgeEnd waits for the evidence of how an answer without a length has ended, to a request that
-// was sent at a time. It returns io.EOF if it is whole, and an error that wraps edge.ErrEndInDoubt if the target may have ended
-// in the middle of it.
+// was sent at begunAt. It returns io.EOF if it is whole, and an error that wraps
+// edge.ErrEndInDoubt if the target may have ended in the middle of it.
 func (r *Router) judgeEnd(ctx context.Context, t fleet.Target, request string, begunAt time.Time) error {
 	endedAt := r.Clock.Now()
 	probe, run := r.ends.probe(endedAt, t.Address)
