A read of the store counts as up to date only if it has brought all new records

Seen: log-read states the end of the partition, and its answer is limited in size (1 MB). A host that read the first part of the new records, or an answer with none of those that it announces, recorded its state as up to date at the time of the call. Test on the code before: after 3 of 10 records the age of the targets was 0 s, and after a page that announced 10 records and held none too. A host that is not the first one then reads again only once its state is stale, so until then it could go by entries that the store had replaced. That callers were hit by it was not shown.

Cause: decodePage dropped the end that the store states, and Watcher.read recorded every read that succeeded.

Change: Page.Partial keeps what the store said. Watcher.read goes on until a page reaches the end, and only that one is recorded. A page that announces records and holds none is followed by a listing, which always gets on; it would otherwise be asked for again at once, for ever.

Why it costs nothing else: pages that reach the end are handled as before. Backlogs above 1 MB need a large fleet and some seconds without reads.

--- a/internal/watch/ports.go
+++ b/internal/watch/ports.go
@@ -65,6 +65,8 @@
 	Records []Record
 	// End is the offset from which to read on; negative if unknown.
 	End int64
+	// Partial is true if the stream has records from End on.
+	Partial bool
 	// Incarnation is the incarnation of the store that returned the page.
 	Incarnation int64
 }
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -258,25 +258,41 @@
 // if this has not been done before or if new records were truncated. Errors wrap
 // ErrUnavailable.
 func (w *Watcher) read(ctx context.Context, name Stream, wait time.Duration) error {
+	for {
+		partial, err := w.readPage(ctx, name, wait)
+		if err != nil || !partial {
+			return err
+		}
+		wait = 0
+	}
+}
+
+// readPage makes one call for read. It reports whether the store has further records; the
+// stream counts as up to date only if it has not.
+func (w *Watcher) readPage(ctx context.Context, name Stream, wait time.Duration) (partial bool, err error) {
 	mark := w.State.Mark(name)
 	if mark.End == unread {
-		return w.list(ctx, name)
+		return false, w.list(ctx, name)
 	}
 	requestedAt := w.clock.Now()
 	page, err := w.store.Read(ctx, name, mark.End, wait)
 	if err == nil {
 		w.holdRemovalsAfterOutage(requestedAt)
 	}
+	noProgress := page.Partial && len(page.Records) == 0
 	switch {
-	case err == nil && w.State.Apply(w.clock.Now(), name, mark.End, page):
-		w.recordRead(name, requestedAt)
-		return nil
+	case err == nil && !noProgress && w.State.Apply(w.clock.Now(), name, mark.End, page):
+		if !page.Partial {
+			w.recordRead(name, requestedAt)
+		}
+		return page.Partial, nil
 	case err == nil || errors.Is(err, ErrTruncated):
-		// The store has been restored, or has deleted records that are needed.
-		return w.list(ctx, name)
+		// The store has been restored, has deleted records that are needed, or returned none
+		// of those that it announces.
+		return false, w.list(ctx, name)
 	default:
 		w.recordFailure(name, err)
-		return err
+		return false, err
 	}
 }
 
