Take the reset of a probe for the end of a target, unless the target sends to others

Callers saw: with a proxy in front of a dead target that resets new connections, an answer without a length that was cut still counted as complete.

Cause: a target with too many connections resets those beyond its limit, too, so that the end was called unclear, which counts as whole.

Change: after three probes that are reset the answer is whole only if this host has heard from the target, on another connection, 25 ms or more after the end. A full target mostly serves others; a dead one sends nothing. Only a probe that got no answer at all is still unclear. What is lost: a full target that resets three probes in 120 ms and serves no other request of this host. There, a stream that may be resumed asks the next target, a request that may run twice is sent again, all others break off.

--- a/internal/relay/end.go
+++ b/internal/relay/end.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,14 +23,14 @@
 	// target: a process that ends may close its listener some milliseconds after its
 	// connections.
 	endSettle = 40 * time.Millisecond
-	// minEndSettle is the shortest such time with which an answer may share the probe of one
-	// that ended before.
+	// minEndSettle is the shortest such time: an answer may share the probe of one that ended
+	// before, or what the target has sent to others.
 	minEndSettle = 25 * time.Millisecond
 	// probeHold is how long a probe stays open: a proxy without its server closes it within
 	// that time.
 	probeHold = 20 * time.Millisecond
-	// maxResetProbes bounds the probes of one end. A target may reset a connection because it
-	// has too many.
+	// maxResetProbes bounds the probes of one end: a target with too many connections resets
+	// those beyond its limit.
 	maxResetProbes = 3
 )
 
@@ -37,15 +38,17 @@
 // that end at the same time share a probe. It is safe for concurrent use.
 type endProbes struct {
 	mu sync.Mutex
-	// latest holds the latest probe of an address until it ends.
-	latest map[string]*endProbe
+	// running holds the probes of an address that have not ended, in the order of their begin.
+	running map[string][]*endProbe
 }
 
-// endProbe is a probe of one target. result may be read once done is closed.
+// endProbe is a probe of one target. result and heardAt may be read once done is closed.
 type endProbe struct {
 	at     time.Time
 	done   chan struct{}
 	result answerend.Probe
+	// heardAt is when the target last sent something meanwhile; zero if it did not.
+	heardAt time.Time
 }
 
 // probe returns the probe of a target for an answer that ends now, and whether the caller must
@@ -53,23 +56,34 @@
 func (p *endProbes) probe(now time.Time, address string) (probe *endProbe, run bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if shared := p.latest[address]; shared != nil && shared.at.Sub(now) >= minEndSettle {
-		return shared, false
+	running := p.running[address]
+	if n := len(running); n > 0 && running[n-1].at.Sub(now) >= minEndSettle {
+		return running[n-1], false
 	}
 	probe = &endProbe{at: now.Add(endSettle), done: make(chan struct{})}
-	if p.latest == nil {
-		p.latest = make(map[string]*endProbe)
+	if p.running == nil {
+		p.running = make(map[string][]*endProbe)
 	}
-	p.latest[address] = probe
+	p.running[address] = append(running, probe)
 	return probe, true
 }
 
+// heard records that a target has sent something.
+func (p *endProbes) heard(now time.Time, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, probe := range p.running[address] {
+		probe.heardAt = now
+	}
+}
+
 // finish ends a probe.
 func (p *endProbes) finish(address string, probe *endProbe, result answerend.Probe) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.latest[address] == probe {
-		delete(p.latest, address)
+	p.running[address] = slices.DeleteFunc(p.running[address], func(other *endProbe) bool { return other == probe })
+	if len(p.running[address]) == 0 {
+		delete(p.running, address)
 	}
 	probe.result = result
 	close(probe.done)
@@ -104,7 +118,10 @@
 	case <-probe.done:
 	}
 	listed, known := r.Target(t.ID)
-	verdict, decisive := answerend.Judge(answerend.Evidence{Probe: probe.result, Listed: known, Replaced: known && isReplaced(t, listed)})
+	verdict, decisive := answerend.Judge(answerend.Evidence{
+		Probe: probe.result, Heard: probe.heardAt.Sub(endedAt) >= minEndSettle,
+		Listed: known, Replaced: known && isReplaced(t, listed),
+	})
 	if r.OnEndJudged != nil {
 		r.OnEndJudged(verdict, decisive)
 	}
@@ -114,7 +131,7 @@
 	event.AnswerEndInDoubt.Log(r.Logger, zap.String("request", request), zap.String("target", string(t.ID)), zap.Stringer("verdict", verdict),
 		zap.String("evidence", decisive), zap.Duration("after", r.Clock.Now().Sub(endedAt)))
 	if verdict == answerend.Unclear {
-		// A dead process would refuse the connection. Such a target is mostly full.
+		// A connection to a dead process would be refused. Such a target is mostly busy.
 		return io.EOF
 	}
 	return fmt.Errorf("%w: %s", edge.ErrEndInDoubt, decisive)
--- a/internal/relay/end_test.go
+++ b/internal/relay/end_test.go
@@ -76,7 +76,7 @@
 		"lives":                       {answering, []answerend.Probe{answerend.Accepted}, false, 1},
 		"refuses":                     {answering, []answerend.Probe{answerend.Refused}, true, 1},
 		"has a proxy that closes":     {answering, []answerend.Probe{answerend.Closed}, true, 1},
-		"has too many connections":    {answering, []answerend.Probe{answerend.Reset}, false, maxResetProbes},
+		"resets all connections":      {answering, []answerend.Probe{answerend.Reset}, true, maxResetProbes},
 		"had too many connections":    {answering, []answerend.Probe{answerend.Reset, answerend.Accepted}, false, 2},
 		"resets while its queue ends": {answering, []answerend.Probe{answerend.Reset, answerend.Refused}, true, 2},
 		"takes no connection for now": {answering, []answerend.Probe{answerend.Unanswered}, false, 1},
@@ -97,6 +97,29 @@
 	}
 }
 
+func TestAnswerOfATargetWithTooManyConnectionsIsWholeWhileTheTargetSendsToOthers(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		address string
+		inDoubt bool
+	}{"the target": {answering.Address, false}, "another target": {"127.0.0.1:2", true}} {
+		r, _ := newUnframedRouter(answering, answerend.Reset)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			for ctx.Err() == nil {
+				other := fleet.Target{ID: "o", Address: c.address}
+				r.answered(other)
+				time.Sleep(time.Millisecond)
+			}
+		}()
+		_, err := readAnswer(t, r)
+		cancel()
+		if errors.Is(err, edge.ErrEndInDoubt) != c.inDoubt {
+			t.Errorf("%s sends: %v", name, err)
+		}
+	}
+}
+
 func TestAnswersOfOneTargetThatEndAtOnceCostOneConnection(t *testing.T) {
 	t.Parallel()
 	r, targets := newUnframedRouter(answering, answerend.Accepted)
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -211,6 +210,7 @@
 
 // answered records that a target has answered a request over a connection of this host.
 func (r *Router) answered(t fleet.Target) {
+	r.ends.heard(r.Clock.Now(), t.Address)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.paths.Answered(r.Clock.Now(), t)
@@ -367,15 +367,6 @@
 	return resp, nil
 }
 
-// watch returns the body of an answer that came over a connection of this host.
-func (r *Router) watch(ctx context.Context, t fleet.Target, request string, body io.ReadCloser, framed bool) io.ReadCloser {
-	heard := &heardBody{body, r}
-	if framed || body == http.NoBody {
-		return heard
-	}
-	return &unframedBody{ReadCloser: heard, judge: func() error { return r.judgeEnd(ctx, t, request) }}
-}
-
 // Run probes lost paths until ctx ends.
 func (r *Router) Run(ctx context.Context) {
 	for {
@@ -428,30 +419,3 @@
 		event.PathRegained.Log(r.Logger, zap.String("target", string(t.ID)))
 	}
 }
-
-// heardBody records that a target has sent something to this host.
-type heardBody struct {
-	io.ReadCloser
-	router *Router
-}
-
-// Read implements io.Reader.
-func (b *heardBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if n > 0 {
-		b.router.received()
-	}
-	return n, err
-}
-
-// endedBody calls end when it is closed.
-type endedBody struct {
-	io.ReadCloser
-	end func()
-}
-
-// Close implements io.Closer.
-func (b *endedBody) Close() error {
-	b.end()
-	return b.ReadCloser.Close()
-}
--- a/internal/systems/answerend/answerend.go
+++ b/internal/systems/answerend/answerend.go
@@ -20,7 +20,7 @@
 	// its server.
 	Closed
 	// Reset means that the connection was accepted and reset at once, as by a target with too
-	// many connections.
+	// many connections or by a proxy without its server.
 	Reset
 )
 
@@ -32,6 +32,8 @@
 // Evidence is what a host knows of the process of a target after an answer has ended.
 type Evidence struct {
 	Probe Probe
+	// Heard is true if the target has sent something on another connection since.
+	Heard bool
 	// Listed is true if the target is listed, and Replaced if it is with a later start or
 	// another address.
 	Listed, Replaced bool
@@ -64,6 +66,10 @@
 		return Cut, e.Probe.String()
 	case e.Probe == Accepted:
 		return Whole, e.Probe.String()
+	case e.Heard:
+		return Whole, "heard"
+	case e.Probe == Reset:
+		return Cut, e.Probe.String()
 	case !e.Listed:
 		return Cut, "unlisted"
 	default:
