Merge what a reset probe says of the end of an answer

Joined with the review: without a connection that is accepted, and without bytes that the target sends to others, an answer without a length is cut; there is no unclear verdict any more, so that the list of targets only tells of later starts. Measured: internal/relay, edge, answerend, edgenode and the specs of answers without a length in platform pass.

--- a/internal/relay/end.go
+++ b/internal/relay/end.go
@@ -23,8 +23,8 @@
 	// target: a process that ends may close its listener some milliseconds after its
 	// connections.
 	endSettle = 40 * time.Millisecond
-	// minEndSettle is the shortest such time with which an answer may share the probe of one
-	// that ended before.
+	// minEndSettle is the shortest such time: an answer may share the probe of one that ended
+	// before, or what the target has sent to others.
 	minEndSettle = 25 * time.Millisecond
 	// probeHold is how long a probe stays open: a proxy without its server closes it within
 	// that time.
@@ -42,15 +42,17 @@
 // that end at the same time share a probe. It is safe for concurrent use.
 type endProbes struct {
 	mu sync.Mutex
-	// latest holds the latest probe of an address until it ends.
-	latest map[string]*endProbe
+	// running holds the probes of an address that have not ended, in the order of their begin.
+	running map[string][]*endProbe
 }
 
-// endProbe is a probe of one target. result may be read once done is closed.
+// endProbe is a probe of one target. result and heardAt may be read once done is closed.
 type endProbe struct {
 	at     time.Time
 	done   chan struct{}
 	result answerend.Probe
+	// heardAt is when the target last sent something meanwhile; zero if it did not.
+	heardAt time.Time
 }
 
 // probe returns the probe of a target for an answer that ends now, and whether the caller must
@@ -58,23 +60,34 @@
 func (p *endProbes) probe(now time.Time, address string) (probe *endProbe, run bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if shared := p.latest[address]; shared != nil && shared.at.Sub(now) >= minEndSettle {
-		return shared, false
+	running := p.running[address]
+	if n := len(running); n > 0 && running[n-1].at.Sub(now) >= minEndSettle {
+		return running[n-1], false
 	}
 	probe = &endProbe{at: now.Add(endSettle), done: make(chan struct{})}
-	if p.latest == nil {
-		p.latest = make(map[string]*endProbe)
+	if p.running == nil {
+		p.running = make(map[string][]*endProbe)
 	}
-	p.latest[address] = probe
+	p.running[address] = append(running, probe)
 	return probe, true
 }
 
+// heard records that a target has sent something.
+func (p *endProbes) heard(now time.Time, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, probe := range p.running[address] {
+		probe.heardAt = now
+	}
+}
+
 // finish ends a probe.
 func (p *endProbes) finish(address string, probe *endProbe, result answerend.Probe) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.latest[address] == probe {
-		delete(p.latest, address)
+	p.running[address] = slices.DeleteFunc(p.running[address], func(other *endProbe) bool { return other == probe })
+	if len(p.running[address]) == 0 {
+		delete(p.running, address)
 	}
 	probe.result = result
 	close(probe.done)
@@ -109,20 +122,17 @@
 	case <-probe.done:
 	}
 	stale := r.awaitEntries(ctx, begunAt)
-	_, known := r.Target(t.ID)
-	verdict, decisive := answerend.Judge(answerend.Evidence{Probe: probe.result, Listed: known, Replaced: r.isReplaced(t), Stale: stale})
+	verdict, decisive := answerend.Judge(answerend.Evidence{
+		Probe: probe.result, Heard: probe.heardAt.Sub(endedAt) >= minEndSettle, Replaced: r.isReplaced(t), Stale: stale,
+	})
 	if r.OnEndJudged != nil {
 		r.OnEndJudged(verdict, decisive)
 	}
 	if verdict == answerend.Whole {
 		return io.EOF
 	}
-	event.AnswerEndInDoubt.Log(r.Logger, zap.String("request", request), zap.String("target", string(t.ID)), zap.Stringer("verdict", verdict),
+	event.AnswerEndInDoubt.Log(r.Logger, zap.String("request", request), zap.String("target", string(t.ID)),
 		zap.String("evidence", decisive), zap.Duration("after", r.Clock.Now().Sub(endedAt)))
-	if verdict == answerend.Unclear {
-		// A dead process would refuse the connection. Such a target is mostly full.
-		return io.EOF
-	}
 	return fmt.Errorf("%w: %s", edge.ErrEndInDoubt, decisive)
 }
 
--- a/internal/relay/endcost_test.go
+++ b/internal/relay/endcost_test.go
@@ -34,7 +34,7 @@
 	}
 	r.ends.mu.Lock()
 	defer r.ends.mu.Unlock()
-	if n := runtime.NumGoroutine(); n > before || len(r.ends.latest) > 0 {
-		t.Errorf("%d goroutines after %d, %d entries", n, before, len(r.ends.latest))
+	if n := runtime.NumGoroutine(); n > before || len(r.ends.running) > 0 {
+		t.Errorf("%d goroutines after %d, %d entries", n, before, len(r.ends.running))
 	}
 }
--- a/internal/systems/answerend/answerend.go
+++ b/internal/systems/answerend/answerend.go
@@ -20,7 +20,7 @@
 	// its server.
 	Closed
 	// Reset means that the connection was accepted and reset at once, as by a target with too
-	// many connections.
+	// many connections or by a proxy without its server.
 	Reset
 )
 
@@ -32,9 +32,10 @@
 // Evidence is what a host knows of the process of a target after an answer has ended.
 type Evidence struct {
 	Probe Probe
-	// Listed is true if the target is listed, and Replaced if it is with a later start or
-	// another address.
-	Listed, Replaced bool
+	// Heard is true if the target has sent something on another connection since.
+	Heard bool
+	// Replaced is true if the target is listed with a later start or another address.
+	Replaced bool
 	// Stale is true if the host may not know of a later start: its process stalled while the
 	// target answered, and it has not learned since how the target is listed.
 	Stale bool
@@ -47,15 +48,13 @@
 const (
 	// Whole means that the target lives and has ended the answer.
 	Whole Verdict = iota
-	// Unclear means that the evidence does not tell.
-	Unclear
-	// Cut means that the process of the target has ended, so that the answer may lack its
-	// rest.
+	// Cut means that nothing shows that the process of the target lives, so that the answer
+	// may lack its rest.
 	Cut
 )
 
 // String returns the name that logs and metrics use.
-func (v Verdict) String() string { return [...]string{"whole", "unclear", "cut"}[v] }
+func (v Verdict) String() string { return [...]string{"whole", "cut"}[v] }
 
 // Judge returns how an answer ended and the evidence that decides it, as logs and metrics name
 // it.
@@ -63,15 +62,15 @@
 	switch {
 	case e.Replaced:
 		return Cut, "replaced"
-	case e.Probe == Refused, e.Probe == Closed, e.Probe == Unanswered:
+	case e.Probe == Refused, e.Probe == Closed:
 		return Cut, e.Probe.String()
 	case e.Stale:
 		return Cut, "stale"
 	case e.Probe == Accepted:
 		return Whole, e.Probe.String()
-	case !e.Listed:
-		return Cut, "unlisted"
+	case e.Heard:
+		return Whole, "heard"
 	default:
-		return Unclear, e.Probe.String()
+		return Cut, e.Probe.String()
 	}
 }
