--- a/internal/faultsoak/crash.go
+++ b/internal/faultsoak/crash.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/platform/standin"
@@ -22,9 +23,17 @@
 	crashesUntilCounted, maxLateCrashes = 5, 3
 )
 
-// crashOnPart makes a target crash on crashPart. It registers itself when it starts again.
+// crashOnPart makes a target crash on crashPart. Its process, if it has one, ends then. It
+// registers itself when it starts again.
 func (c *cluster) crashOnPart(t *target) {
+	if t.process != nil {
+		t.OnCrash(func() { t.process.end(syscall.SIGKILL) })
+	}
 	t.CrashOn(func() {
+		if t.process != nil {
+			// A process that did not start shows in the success rate.
+			_ = t.process.start()
+		}
 		if c.hasPlace(t) {
 			t.register(c.store)
 		}
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -114,6 +114,7 @@
 func newCluster(o Options) (*cluster, error) {
 	c := &cluster{store: standin.NewStore(), crashPart: o.CrashPart, streamEnds: o.StreamEnds}
 	c.store.PutConfig(standin.Config(1, nil))
+	framingRNG := rand.New(rand.NewPCG(o.Seed, 9))
 	for i := range modelTargets + plainTargets {
 		t := standin.NewTarget(fmt.Sprintf("m-%d", i), standin.ModelService, "zone-1", streamEvents, streamEventGap)
 		if i >= modelTargets {
@@ -124,16 +125,16 @@
 			return c, err
 		}
 		c.targets = append(c.targets, proxied)
+		if o.StreamEnds {
+			if err := proxied.addStreamEnds(framingRNG.Float64() < unframedShare); err != nil {
+				return c, err
+			}
+		}
 		if o.CrashPart {
 			c.crashOnPart(proxied)
 		}
 		proxied.register(c.store)
 	}
-	if o.StreamEnds {
-		if err := c.addStreamEnds(rand.New(rand.NewPCG(o.Seed, 9))); err != nil {
-			return c, err
-		}
-	}
 	if o.Rollout {
 		c.startRolloutTargets(rand.New(rand.NewPCG(o.Seed, 7)))
 	}
--- a/internal/faultsoak/streamends.go
+++ b/internal/faultsoak/streamends.go
@@ -1,7 +1,6 @@
 package faultsoak
 
 import (
-	"math/rand/v2"
 	"syscall"
 	"time"
 
@@ -19,18 +18,8 @@
 	maxTargetOutage = time.Second
 )
 
-// addStreamEnds draws which targets leave their answers unframed and gives the model
-// targets processes of their own.
-func (c *cluster) addStreamEnds(rng *rand.Rand) error {
-	for _, t := range c.targets {
-		if err := t.addStreamEnds(rng.Float64() < unframedShare); err != nil {
-			return err
-		}
-		t.register(c.store)
-	}
-	return nil
-}
-
+// addStreamEnds sets whether the target leaves its answers unframed, and gives a model
+// target a process of its own.
 func (t *target) addStreamEnds(unframed bool) error {
 	t.unframed = unframed
 	t.SetUnframed(unframed)
--- a/internal/faultsoak/targetprocess_test.go
+++ b/internal/faultsoak/targetprocess_test.go
@@ -56,6 +56,24 @@
 		Entry(nil, syscall.SIGTERM),
 	)
 
+	It("ends when its target crashes on a part, and starts again", func() {
+		c := &cluster{}
+		c.crashOnPart(t)
+		header := standin.HeaderWithParts(crashPart + ":10,1:1")
+		header.Set("Expect-Instance", "m-0")
+		response := standin.Call{Method: http.MethodPost, Path: standin.StreamPath, Header: header}.Do(context.Background(), t.process.listenAddress())
+		Expect(response.Body).To(BeEmpty())
+		_, err := net.Dial("tcp", t.process.listenAddress())
+		Expect(err).To(MatchError(syscall.ECONNREFUSED))
+		Eventually(func() error {
+			conn, err := net.Dial("tcp", t.process.listenAddress())
+			if err == nil {
+				_ = conn.Close()
+			}
+			return err
+		}).Should(Succeed())
+	})
+
 	It("starts again at its former address", func() {
 		address := t.process.listenAddress()
 		Expect(t.entry("ready")).To(HaveKeyWithValue("address", address))
