The gate states the length of the result of an operation

Seen: a caller of HTTP/1.0 got a result above 2 KB without a length, so that the end of the connection was its only end; a gate that dies while it writes leaves a part that looks whole. Raw caller on: 0 and 1 byte had a length, 100,000 bytes had none. Streams of the own interface end with a "done" or "error" event and are not concerned.

Cause: the status was written before the body, and net/http then sends chunks, which HTTP/1.0 does not have.

Change: writeCall, which has the whole result, sets Content-Length.

--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -66,6 +67,10 @@
 	a.started = true
 	a.firstToken = a.g.Clock.Now().Sub(a.arrived)
 	a.w.Header().Set("Content-Type", "application/json")
+	if len(outcome.Body) > 0 {
+		// A caller of HTTP/1.0 gets no chunks and could not tell a part from the whole.
+		a.w.Header().Set("Content-Length", strconv.Itoa(len(outcome.Body)))
+	}
 	a.w.WriteHeader(statusOrOK(outcome.Status))
 	_, _ = a.w.Write(outcome.Body)
 	return nil
