--- a/internal/faultsoak/targetprocess_test.go
+++ b/internal/faultsoak/targetprocess_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"syscall"
@@ -26,7 +27,7 @@
 	send := func() <-chan standin.Response {
 		done := make(chan standin.Response, 1)
 		go func() {
-			header := http.Header{"Expect-Instance": {"m-0"}}
+			header := standin.HeaderForTarget("m-0")
 			done <- standin.Call{Method: http.MethodPost, Path: standin.StreamPath, Header: header}.Do(context.Background(), t.process.listenAddress())
 		}()
 		return done
@@ -59,8 +60,8 @@
 	It("ends when its target crashes on a part, and starts again", func() {
 		c := &cluster{}
 		c.crashOnPart(t)
-		header := standin.HeaderWithParts(crashPart + ":10,1:1")
-		header.Set("Expect-Instance", "m-0")
+		header := standin.HeaderForTarget("m-0")
+		maps.Copy(header, standin.HeaderWithParts(crashPart+":10,1:1"))
 		response := standin.Call{Method: http.MethodPost, Path: standin.StreamPath, Header: header}.Do(context.Background(), t.process.listenAddress())
 		Expect(response.Body).To(BeEmpty())
 		_, err := net.Dial("tcp", t.process.listenAddress())
