Probe a target at once after an answer without a length, and again after 40 ms

Cause: the one probe came 40 ms after the end and reached the later start, whose entry was not known yet. Change: a first probe 5 ms after the end can only tell that the target is gone; the second one is as before. A later start takes longer than 5 ms. Answers share probes if they end before the first one. The specs that count probes say two where the target lives. Price: one connection more for each end of an answer without a length.

--- a/internal/relay/end.go
+++ b/internal/relay/end.go
@@ -19,19 +19,21 @@
 )
 
 const (
-	// endSettle is the time from the end of an answer without a length to the probe of its
-	// target: a process that ends may close its listener some milliseconds after its
-	// connections.
+	// firstProbeAfter is the time from the end of an answer without a length to the first probe
+	// of its target: a later start may take connections soon.
+	firstProbeAfter = 5 * time.Millisecond
+	// endSettle is the time to the second probe, and between further ones: a process that ends
+	// may close its listener some milliseconds after its connections.
 	endSettle = 40 * time.Millisecond
-	// minEndSettle is the shortest such time: an answer may share the probe of one that ended
-	// before, or what the target has sent to others.
-	minEndSettle = 25 * time.Millisecond
+	// minHeardAfter is the time from the end of an answer from which on bytes that the target
+	// sends to others show that it lives: before that they may have been under way.
+	minHeardAfter = 25 * time.Millisecond
 	// probeHold is how long a probe stays open: a proxy without its server closes it within
 	// that time.
 	probeHold = 20 * time.Millisecond
 	// maxEndProbes bounds the probes of one end. A target may reset a connection because it has
 	// too many, and the first packet of one may be lost.
-	maxEndProbes = 3
+	maxEndProbes = 4
 	// maxStaleWait bounds the wait for the entries of targets after a stall of the process, and
 	// staleInterval is the time between two looks.
 	maxStaleWait  = 500 * time.Millisecond
@@ -39,32 +41,34 @@
 )
 
 // endProbes probes targets after the end of answers without a length. Answers of one target
-// that end at the same time share a probe. It is safe for concurrent use.
+// that end at the same time share their probes. It is safe for concurrent use.
 type endProbes struct {
 	mu sync.Mutex
 	// running holds the probes of an address that have not ended, in the order of their begin.
 	running map[string][]*endProbe
 }
 
-// endProbe is a probe of one target. result and heardAt may be read once done is closed.
+// endProbe is a series of probes of one target. result, that of the last one, and heardAt may
+// be read once done is closed.
 type endProbe struct {
-	at     time.Time
-	done   chan struct{}
-	result answerend.Probe
+	// firstAt is when the first probe begins.
+	firstAt time.Time
+	done    chan struct{}
+	result  answerend.Probe
 	// heardAt is when the target last sent something meanwhile; zero if it did not.
 	heardAt time.Time
 }
 
-// probe returns the probe of a target for an answer that ends now, and whether the caller must
-// run it.
+// probe returns the probes of a target for an answer that ends now, and whether the caller must
+// run them.
 func (p *endProbes) probe(now time.Time, address string) (probe *endProbe, run bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	running := p.running[address]
-	if n := len(running); n > 0 && running[n-1].at.Sub(now) >= minEndSettle {
+	if n := len(running); n > 0 && !running[n-1].firstAt.Before(now) {
 		return running[n-1], false
 	}
-	probe = &endProbe{at: now.Add(endSettle), done: make(chan struct{})}
+	probe = &endProbe{firstAt: now.Add(firstProbeAfter), done: make(chan struct{})}
 	if p.running == nil {
 		p.running = make(map[string][]*endProbe)
 	}
@@ -93,14 +97,22 @@
 	close(probe.done)
 }
 
-// run probes a target until it tells whether the target lives.
+// run probes a target until it tells whether the target lives. The first probe can only tell that
+// it does not: the process may be about to end.
 func (p *endProbes) run(clock clockwork.Clock, targets Targets, t fleet.Target, probe *endProbe) {
-	result := answerend.Unanswered
-	for range maxEndProbes {
-		clock.Sleep(endSettle)
-		// The result counts for several requests, which may end before it is known.
-		result = targets.ProbeEnd(context.Background(), t, probeHold)
-		if result != answerend.Reset && result != answerend.Unanswered {
+	// The result counts for several requests, which may end before it is known.
+	ctx := context.Background()
+	clock.Sleep(firstProbeAfter)
+	result := targets.ProbeEnd(ctx, t, 0)
+	wait := endSettle - firstProbeAfter
+	for range maxEndProbes - 1 {
+		if result == answerend.Refused || result == answerend.Closed {
+			break
+		}
+		clock.Sleep(wait)
+		wait = endSettle
+		result = targets.ProbeEnd(ctx, t, probeHold)
+		if result == answerend.Accepted {
 			break
 		}
 	}
@@ -123,7 +135,7 @@
 	}
 	stale := r.awaitEntries(ctx, begunAt)
 	verdict, decisive := answerend.Judge(answerend.Evidence{
-		Probe: probe.result, Heard: probe.heardAt.Sub(endedAt) >= minEndSettle, Replaced: r.isReplaced(t), Stale: stale,
+		Probe: probe.result, Heard: probe.heardAt.Sub(endedAt) >= minHeardAfter, Replaced: r.isReplaced(t), Stale: stale,
 	})
 	if r.OnEndJudged != nil {
 		r.OnEndJudged(verdict, decisive)
