Connections of a host's process to other hosts and the store can be cut in specs

StartInNetwork opens all connections with given functions, and the hosts of specs have a path to the other hosts and one to the store.

--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -140,14 +140,25 @@
 // returns an error if a listener cannot be opened. The structured log is written
 // to logs.
 func Start(s platform.Settings, logs io.Writer) (*Process, error) {
-	return StartWithTargets(s, logs, platform.NewTargetClient())
+	return start(s, logs, platform.NewStore(s.Platform.Address), platform.NewTargetClient(), nil)
 }
 
-// StartWithTargets starts a process that calls the targets with client.
-func StartWithTargets(s platform.Settings, logs io.Writer, client *platform.TargetClient) (*Process, error) {
-	store := platform.NewStore(s.Platform.Address)
+// Network opens the connections of a process: those to targets, to other hosts and to the store.
+type Network struct{ Targets, Hosts, Store platform.Dial }
+
+// StartInNetwork starts a process that opens all its connections with the functions of a network.
+func StartInNetwork(s platform.Settings, logs io.Writer, n Network) (*Process, error) {
+	return start(s, logs, platform.NewStoreWithDial(s.Platform.Address, n.Store), platform.NewTargetClientWithDial(n.Targets), n.Hosts)
+}
+
+// start starts a process. dialHosts opens its connections to other hosts; nil means the usual ones.
+func start(s platform.Settings, logs io.Writer, store *platform.Store, client *platform.TargetClient, dialHosts platform.Dial) (*Process, error) {
 	p := build(s, store, logs)
 	p.router.Targets = client
+	if dialHosts != nil {
+		p.peers.Dial = dialHosts
+		p.router.DialHosts(dialHosts)
+	}
 	client.SetMixed(p.origins.Mixed)
 	store.OnCall = p.metrics.StoreCalled
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -33,10 +34,10 @@
 // that must not be sent again on their own by net/http.
 type hopTransports struct{ keepAlive, singleUse *http.Transport }
 
-func newHopTransports() hopTransports {
+func newHopTransports(dial dialFunc) hopTransports {
 	newTransport := func(singleUse bool) *http.Transport {
 		return &http.Transport{
-			DialContext:            (&net.Dialer{Timeout: hopDialTimeout}).DialContext,
+			DialContext:            dial.withTimeout,
 			DisableCompression:     true,
 			DisableKeepAlives:      singleUse,
 			MaxIdleConnsPerHost:    maxIdleHops,
@@ -47,6 +48,16 @@
 	return hopTransports{keepAlive: newTransport(false), singleUse: newTransport(true)}
 }
 
+// dialFunc opens a connection, as net.Dialer.DialContext does.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// withTimeout opens a connection within hopDialTimeout.
+func (d dialFunc) withTimeout(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, hopDialTimeout)
+	defer cancel()
+	return d(ctx, network, address)
+}
+
 func (t hopTransports) of(newConnection bool) *http.Transport {
 	if newConnection {
 		return t.singleUse
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -107,7 +108,15 @@
 var _ edge.Transport = (*Router)(nil)
 
 // NewRouter returns a router. Its exported fields must be set before use.
-func NewRouter() *Router { return &Router{hops: newHopTransports()} }
+func NewRouter() *Router {
+	return &Router{hops: newHopTransports((&net.Dialer{}).DialContext)}
+}
+
+// DialHosts makes the router open its connections to other hosts with dial. It must not be called
+// once the router is in use.
+func (r *Router) DialHosts(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	r.hops = newHopTransports(dial)
+}
 
 // Send implements edge.Transport.
 func (r *Router) Send(ctx context.Context, t fleet.Target, c edge.Call) (*edge.Response, error) {
