Take the only software version seen for that of an unknown stream only if none can be unseen

Cause: a stream of which no host knows the version that began it went on at the only version that the host had seen, if its list of targets was at most 2 s old; an open poll of the store, also one over a connection that had gone silent, counted as up to date for up to 1.6 s more. A version that had appeared meanwhile was not seen, and absence in an old list was taken for evidence. The same with an empty list (the stream then went on at whichever target came first), and with a version that was listed and left between two reads, whose records are applied together.

Now the deciding host must have read the list from the store in a call that began after the request arrived: what began the stream was listed before that. It reads on demand, concurrent requests share reads, 300 ms at most; where targets were listed anew, the record of versions is read after it. Otherwise the stream is refused as origin_unknown, which is true. New log lines: 1323, and 1324 for each stream that goes on without further evidence.

--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -85,6 +85,8 @@
 type Process struct {
 	mu       sync.Mutex
 	settings platform.Settings
+	// observing is held by observeTargets, so that no older list replaces a newer one.
+	observing sync.Mutex
 	// rankedHosts is the list that links has got last.
 	rankedHosts []fleet.Host
 
@@ -293,7 +295,7 @@
 		p.rollouts.reload()
 	default:
 		p.rollouts.reload()
-		p.origins.Observe(p.state.Targets())
+		p.observeTargets()
 		estimates := p.client.Estimates()
 		p.coordinator.ReloadTargets(estimates)
 		p.fallback.ReloadTargets(estimates)
--- a/internal/edgenode/origins.go
+++ b/internal/edgenode/origins.go
@@ -26,7 +26,7 @@
 // connectOrigins connects the origins of streams with the state and the other hosts.
 func (p *Process) connectOrigins() {
 	p.coordinator.Origins, p.fallback.Origins, p.client.Origins = p.origins, p.origins, p.origins
-	p.origins.Fresh = p.viewFresh
+	p.origins.ReadSince, p.origins.Read, p.origins.Logger = p.versionsReadSince, p.watcher.ReadVersions, p.logger
 	p.origins.Send = p.sendOrigins
 	p.replicator.OnAttach = p.onAttach
 }
@@ -37,6 +37,24 @@
 	p.poison.ShareWith(conn)
 }
 
+// versionsReadSince implements pool.Origins.ReadSince. Records that another goroutine has applied may
+// not have been observed yet.
+func (p *Process) versionsReadSince(at time.Time) bool {
+	if !p.watcher.VersionsReadSince(at) {
+		return false
+	}
+	p.observeTargets()
+	p.origins.Import(p.state.Versions())
+	return true
+}
+
+// observeTargets tells the origins of streams which software versions the targets have or had.
+func (p *Process) observeTargets() {
+	p.observing.Lock()
+	defer p.observing.Unlock()
+	p.origins.Observe(p.state.TakeListed(), p.state.Targets())
+}
+
 // viewFresh reports whether the targets and the store's record of versions are known
 // and up to date.
 func (p *Process) viewFresh() bool {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -95,6 +95,8 @@
 	OriginsLoaded         = Event{1320, zapcore.InfoLevel, "origins loaded", "The coordinator has read from the store which software versions began the streams."}
 	OriginsNotStored      = Event{1321, zapcore.WarnLevel, "origins not stored", "The coordinator could not write to the store which software versions began streams; it tries again. If all hosts die meanwhile, these streams cannot be resumed."}
 	AnswerEndInDoubt      = Event{1322, zapcore.WarnLevel, "answer end in doubt", "An answer without a length or chunks ended with its connection, and its target may have ended in the middle of it. The answer counts as broken off; evidence is what became of connections opened after that (refused, closed, reset, unanswered), what came back when the target was asked what it says of itself (no_server: a proxy without its server; mute: nothing, or less than before; restarted: a later start) or how the target is listed (replaced; stale: the process stalled meanwhile and does not know yet). after is how long the end was held back."}
+	VersionsNotRead       = Event{1323, zapcore.WarnLevel, "versions not read", "Nothing is known of a stream that a caller takes up, and the store did not tell whether its service has another software version than the one that was seen; the stream is refused."}
+	SoleVersionTaken      = Event{1324, zapcore.InfoLevel, "sole version taken", "Nothing is known of a stream that a caller takes up; it goes on at the only software version of its service. The versions were read from the store after the request had arrived."}
 	CrashCauseFound       = Event{1315, zapcore.WarnLevel, "crash cause found", "Targets crashed under requests that have the traits of cause in common; all hosts refuse such requests. lost are the latest of them, each with its target."}
 	CrashCauseLearned     = Event{1316, zapcore.InfoLevel, "crash cause learned", "This host refuses requests with a cause that another host has found."}
 	CrashCauseForgotten   = Event{1317, zapcore.InfoLevel, "crash cause forgotten", "Requests with the cause are sent again: it is a day old or an operator has released it."}
@@ -139,7 +141,7 @@
 		RolloutStatusWritten, RolloutNotStored, IdentityUnreadable, StateDropped,
 		RequestRefused, RequestFinished, RequestOutcomeUnknown, StreamResumed, StreamSilent, DispatcherLost, ClaimLost,
 		QuarantineAdded, QuarantineLifted, InvariantFailed,
-		SlotGranted, SlotRefused, SendFailed, LocalFallback, CrashCauseFound, CrashCauseLearned, CrashCauseForgotten, CrashCauseTried, CrashCauseReleased, RequestForwarded, RequestRelayed, OriginsLoaded, OriginsNotStored, AnswerEndInDoubt,
+		SlotGranted, SlotRefused, SendFailed, LocalFallback, CrashCauseFound, CrashCauseLearned, CrashCauseForgotten, CrashCauseTried, CrashCauseReleased, RequestForwarded, RequestRelayed, OriginsLoaded, OriginsNotStored, AnswerEndInDoubt, VersionsNotRead, SoleVersionTaken,
 		TargetCrashed, StragglerDetected, TargetRecovered, TargetQuiet, TargetSilent, TargetLimit, TargetEjected, PathLost, PathRegained,
 		RolloutBegun, RolloutShifted, RolloutCompleted, RolloutRolledBack, RolloutAdopted, RolloutReplaced, CallerBounds, CallersHeldOff, MemoryLossExcused, ShortageChanged,
 	}
--- a/internal/pool/contradicted_origin_test.go
+++ b/internal/pool/contradicted_origin_test.go
@@ -25,7 +25,7 @@
 		sent = batches
 		o = NewOrigins(clock)
 		o.Send = func(b origin.Batch) { batches <- b }
-		o.Observe([]fleet.Target{{ID: "t-1", Service: "s", Version: v1}, {ID: "t-2", Service: "s", Version: v2}})
+		o.Observe(nil, []fleet.Target{{ID: "t-1", Service: "s", Version: v1}, {ID: "t-2", Service: "s", Version: v2}})
 		clock.Advance(originDelay)
 		o.recordGrant(id, v1, false)
 		clock.Advance(originDelay)
@@ -38,7 +38,7 @@
 
 	It("do not join the stream at the version that the asking host has heard", func() {
 		m := slotRequestMessage{Service: "s", Request: "r", Resumable: true, Resumed: true, FirstAttempt: "a", Heard: &v1}
-		Expect(o.constraint(m)).NotTo(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: v1}))
+		Expect(o.constraint(m, clock.Now())).NotTo(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: v1}))
 	})
 
 	It("tell the other hosts of the later grant", func() {
--- a/internal/pool/coordinator.go
+++ b/internal/pool/coordinator.go
@@ -114,6 +114,8 @@
 type waiter struct {
 	request slotRequestMessage
 	done    chan allocation.Decision
+	// sole is true if the request takes up a stream at the only version of its service.
+	sole bool
 }
 
 // charge is a slot request's charge to its customer's quota.
@@ -200,13 +202,14 @@
 // Acquire blocks until a slot is granted or refused. Errors have the kind
 // CustomerLimit, Overloaded, NoTarget, OriginUnknown, RetryBudget or CancelledBeforeRun.
 func (c *Coordinator) Acquire(ctx context.Context, m slotRequestMessage) (grantMessage, error) {
-	w, err := c.enqueue(m)
 	asked := c.clock.Now()
+	c.Origins.readVersions(ctx, m, asked)
+	w, err := c.enqueue(m, asked)
 	for err != nil && c.mayRecover(err, asked) && m.MaxWaitMS > 0 {
 		if !c.waitForReports(ctx, &m) {
 			return grantMessage{}, c.cancel(m)
 		}
-		w, err = c.enqueue(m)
+		w, err = c.enqueue(m, asked)
 	}
 	if err != nil {
 		return grantMessage{}, err
@@ -220,16 +223,17 @@
 	}
 }
 
-func (c *Coordinator) enqueue(m slotRequestMessage) (*waiter, error) {
+// enqueue adds the request of a message that arrived at a time to the queue.
+func (c *Coordinator) enqueue(m slotRequestMessage, arrived time.Time) (*waiter, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	c.recordContact(now)
 	c.recordUse(now, m.Host, m.coordinatorUse)
 	share := c.quotaShare(now)
-	bound := c.constraint(m)
+	bound := c.constraint(m, arrived)
 	if bound.Kind == origin.Unknown {
-		return nil, errkind.New(errkind.OriginUnknown, fmt.Sprintf("request %q resumes a stream of request %q", m.Request, m.FirstAttempt))
+		return nil, errkind.New(errkind.OriginUnknown, fmt.Sprintf("request %q resumes a stream of request %q; %s", m.Request, m.FirstAttempt, c.Origins.describe(m, arrived)))
 	}
 	limit := c.quotaOf(m.Customer)
 	quotaCharge, wait := c.buckets.Take(now, m.Customer, limit, share, m.QuotaTokens)
@@ -250,7 +254,7 @@
 		entry.retriedAt = now
 	}
 	c.charges[m.ID] = entry
-	w := &waiter{request: m, done: make(chan allocation.Decision, 1)}
+	w := &waiter{request: m, done: make(chan allocation.Decision, 1), sole: bound.Sole}
 	c.waiting[m.ID] = w
 	request := m.toSlotRequest(now)
 	request.Version, request.VersionBound = bound.Binding()
@@ -260,12 +264,13 @@
 	return w, nil
 }
 
-// constraint returns at which versions a request may run. The lock must be held.
-func (c *Coordinator) constraint(m slotRequestMessage) origin.Constraint {
+// constraint returns at which versions a request that arrived at a time may run. The lock must be
+// held.
+func (c *Coordinator) constraint(m slotRequestMessage, arrived time.Time) origin.Constraint {
 	if c.local {
-		return c.Origins.localConstraint(m)
+		return c.Origins.localConstraint(m, arrived)
 	}
-	return c.Origins.constraint(m)
+	return c.Origins.constraint(m, arrived)
 }
 
 func (c *Coordinator) quotaOf(id tables.CustomerID) fleet.Quota {
@@ -321,6 +326,9 @@
 		return
 	}
 	c.markChargeSent(d)
+	if w.sole {
+		event.SoleVersionTaken.Log(c.logger, zap.String("request", w.request.Request), zap.String("service", string(w.request.Service)), zap.String("version", string(d.Version)))
+	}
 	c.Origins.recordGrant(w.request.stream(), d.Version, w.request.Again && !w.request.Resumed)
 }
 
--- a/internal/pool/origins.go
+++ b/internal/pool/origins.go
@@ -1,12 +1,16 @@
 package pool
 
 import (
+	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
 
+	"github.com/bluebellseam/bluebellseam/internal/event"
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
 	"github.com/bluebellseam/bluebellseam/internal/systems/origin"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -34,8 +38,12 @@
 // Origins knows and keeps nothing.
 type Origins struct {
 	clock clockwork.Clock
-	// Fresh reports whether the targets that this host knows are up to date.
-	Fresh func() bool
+	// ReadSince reports whether this host has read from the store since a time which versions the
+	// services have, all of which Observe and Import were told of. Read reads it; it may be nil.
+	ReadSince func(time.Time) bool
+	Read      func(ctx context.Context, since time.Time) error
+	// Logger must be set if Read is.
+	Logger *zap.Logger
 	// Send sends entries to other hosts. It may be nil.
 	Send func(origin.Batch)
 
@@ -63,7 +71,7 @@
 
 // NewOrigins returns Origins without entries.
 func NewOrigins(clock clockwork.Clock) *Origins {
-	o := &Origins{clock: clock, Fresh: func() bool { return true }}
+	o := &Origins{clock: clock, ReadSince: func(time.Time) bool { return true }}
 	o.clear()
 	return o
 }
@@ -82,11 +90,15 @@
 	o.clear()
 }
 
-// Observe records the targets that this host knows.
-func (o *Origins) Observe(targets []fleet.Target) {
+// Observe records the targets that this host knows, and the versions that were listed since the last
+// call, also of targets that have left meanwhile.
+func (o *Origins) Observe(listed map[tables.ServiceID][]tables.SoftwareVersion, targets []fleet.Target) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.clock.Now()
+	for service, versions := range listed {
+		o.seen.Import(now, service, versions)
+	}
 	o.seen.Observe(now, targets)
 	o.updateMixed(now)
 }
@@ -162,26 +174,60 @@
 	return o.registry.Lookup(o.clock.Now(), id)
 }
 
-// constraint returns at which versions the request of a message may run.
-func (o *Origins) constraint(m slotRequestMessage) origin.Constraint {
+// constraint returns at which versions the request of a message, which arrived at a time, may run.
+func (o *Origins) constraint(m slotRequestMessage, arrived time.Time) origin.Constraint {
 	if o == nil || !m.Resumable {
 		return origin.Constraint{Kind: origin.AnyVersion}
 	}
+	q := o.question(m)
+	if origin.Decide(q).Sole {
+		complete := o.ReadSince(arrived)
+		// The read may have brought another version.
+		q = o.question(m)
+		q.Complete = complete
+	}
+	return origin.Decide(q)
+}
+
+// question returns what this host knows of the stream of a message, as if it had seen all versions.
+func (o *Origins) question(m slotRequestMessage) origin.Question {
 	q := m.question(o.lookup(m.stream()))
-	q.ViewFresh = o.Fresh()
+	q.Complete = true
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	q.Seen = o.seen.Versions(o.clock.Now(), m.Service)
-	return origin.Decide(q)
+	return q
+}
+
+// describe says why the version that began the stream of a message is unknown.
+func (o *Origins) describe(m slotRequestMessage, arrived time.Time) string {
+	q := o.question(m)
+	return fmt.Sprintf("versions %q of its service were seen, disputed %t, read since %t", q.Seen, q.Disputed, o.ReadSince(arrived))
+}
+
+// maxVersionsRead bounds the time in which the store is asked for the versions of services.
+const maxVersionsRead = 300 * time.Millisecond
+
+// readVersions reads which versions the services have, unless that has been done since the request of
+// a message arrived or makes no difference for it. A version that began its stream was listed before.
+func (o *Origins) readVersions(ctx context.Context, m slotRequestMessage, arrived time.Time) {
+	if o == nil || o.Read == nil || !m.Resumable || !origin.Decide(o.question(m)).Sole || o.ReadSince(arrived) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxVersionsRead)
+	defer cancel()
+	if err := o.Read(ctx, arrived); err != nil {
+		event.VersionsNotRead.Log(o.Logger, zap.String("request", m.Request), zap.Error(err))
+	}
 }
 
 // localConstraint is constraint for the local fallback. Other hosts may know that another
 // coordinator has granted the request a slot before, and do not hear of a further one. The
 // version stays the same then.
-func (o *Origins) localConstraint(m slotRequestMessage) origin.Constraint {
+func (o *Origins) localConstraint(m slotRequestMessage, arrived time.Time) origin.Constraint {
 	k := o.lookup(m.stream())
 	if m.Resumed || !m.Again || !k.Known || o.hasGranted(m.stream()) {
-		return o.constraint(m)
+		return o.constraint(m, arrived)
 	}
 	return origin.Constraint{Kind: origin.OnlyVersion, Version: k.Version}
 }
--- a/internal/pool/origins_test.go
+++ b/internal/pool/origins_test.go
@@ -35,23 +35,23 @@
 	})
 
 	It("send nothing while a service has one version, and all that they know once it has two", func() {
-		o.Observe(targets("v1"))
+		o.Observe(nil, targets("v1"))
 		o.recordGrant(origin.StreamIDOf("a"), "v1", false)
 		clock.Advance(time.Second)
 		Consistently(sent, 50*time.Millisecond).ShouldNot(Receive())
-		o.Observe(targets("v1", "v2"))
+		o.Observe(nil, targets("v1", "v2"))
 		clock.Advance(originDelay)
 		var batch origin.Batch
 		Eventually(sent).Should(Receive(&batch))
 		Expect(batch).To(HaveKey(tables.SoftwareVersion("v1")))
 		other := NewOrigins(clock)
-		other.Observe(targets("v1", "v2"))
+		other.Observe(nil, targets("v1", "v2"))
 		other.Merge(batch)
-		Expect(other.constraint(resumed("a"))).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v1"}))
+		Expect(other.constraint(resumed("a"), clock.Now())).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v1"}))
 	})
 
 	It("send the grants of a service with two versions in batches, each once", func() {
-		o.Observe(targets("v1", "v2"))
+		o.Observe(nil, targets("v1", "v2"))
 		clock.Advance(originDelay)
 		for _, request := range []string{"a", "b", "c"} {
 			o.recordGrant(origin.StreamIDOf(request), "v2", false)
@@ -67,19 +67,19 @@
 	})
 
 	It("refuse a stream that nobody knows while a second version may have begun it", func() {
-		o.Observe(targets("v1"))
-		Expect(o.constraint(resumed("a")).Kind).To(Equal(origin.AnyVersion))
+		o.Observe(nil, targets("v1"))
+		Expect(o.constraint(resumed("a"), clock.Now()).Kind).To(Equal(origin.AnyVersion))
 		o.Import(map[tables.ServiceID][]tables.SoftwareVersion{"s": {"v0", "v1"}})
-		Expect(o.constraint(resumed("a")).Kind).To(Equal(origin.Unknown))
+		Expect(o.constraint(resumed("a"), clock.Now()).Kind).To(Equal(origin.Unknown))
 		clock.Advance(versionWindow + time.Millisecond)
-		Expect(o.constraint(resumed("a")).Kind).To(Equal(origin.AnyVersion))
-		o.Fresh = func() bool { return false }
-		Expect(o.constraint(resumed("a")).Kind).To(Equal(origin.Unknown))
+		Expect(o.constraint(resumed("a"), clock.Now()).Kind).To(Equal(origin.AnyVersion))
+		o.ReadSince = func(time.Time) bool { return false }
+		Expect(o.constraint(resumed("a"), clock.Now()).Kind).To(Equal(origin.Unknown))
 	})
 
 	It("count a version of the store's record once, not at each further read of the record", func() {
 		record := map[tables.ServiceID][]tables.SoftwareVersion{"s": {"v0", "v1"}}
-		o.Observe(targets("v1"))
+		o.Observe(nil, targets("v1"))
 		o.Import(record)
 		clock.Advance(versionWindow / 2)
 		o.Import(record)
@@ -88,35 +88,35 @@
 	})
 
 	It("keep a stream for a while after its end, which its caller may not have got", func() {
-		o.Observe(targets("v1", "v2"))
+		o.Observe(nil, targets("v1", "v2"))
 		o.recordGrant(origin.StreamIDOf("a"), "v2", false)
 		o.end(origin.StreamIDOf("a"))
 		clock.Advance(endedOriginLifetime - time.Millisecond)
 		o.note(origin.StreamIDOf("b"), "v1")
-		Expect(o.constraint(resumed("a")).Kind).To(Equal(origin.OnlyVersion))
+		Expect(o.constraint(resumed("a"), clock.Now()).Kind).To(Equal(origin.OnlyVersion))
 		clock.Advance(time.Millisecond)
 		o.note(origin.StreamIDOf("c"), "v1")
-		Expect(o.constraint(resumed("a")).Kind).To(Equal(origin.Unknown))
+		Expect(o.constraint(resumed("a"), clock.Now()).Kind).To(Equal(origin.Unknown))
 	})
 
 	It("do not join a stream by what a host has heard before its last grant", func() {
-		o.Observe(targets("v1", "v2"))
+		o.Observe(nil, targets("v1", "v2"))
 		o.recordGrant(origin.StreamIDOf("a"), "v1", false)
 		o.recordGrant(origin.StreamIDOf("a"), "v2", false)
 		v1 := tables.SoftwareVersion("v1")
 		m := resumed("a")
 		m.Heard = &v1
-		Expect(o.constraint(m)).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v2"}))
+		Expect(o.constraint(m, clock.Now())).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v2"}))
 		m = resumed("b")
 		m.Heard = &v1
-		Expect(o.constraint(m)).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v1"}))
+		Expect(o.constraint(m, clock.Now())).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v1"}))
 	})
 
 	// Guards against a stream of two versions after the death of the coordinator and of the host
 	// that relayed the stream, within originDelay of its last grant: all others knew the first
 	// grant, at another version, only.
 	It("tell other hosts at once of a further grant to a request", func() {
-		o.Observe(targets("v1", "v2"))
+		o.Observe(nil, targets("v1", "v2"))
 		clock.Advance(originDelay)
 		o.recordGrant(origin.StreamIDOf("a"), "v1", false)
 		clock.Advance(originDelay)
@@ -125,17 +125,17 @@
 		o.recordGrant(origin.StreamIDOf("a"), "v2", true)
 		Eventually(sent).Should(Receive(&second))
 		other := NewOrigins(clock)
-		other.Observe(targets("v1", "v2"))
+		other.Observe(nil, targets("v1", "v2"))
 		other.Merge(first)
-		Expect(other.constraint(resumed("a"))).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v1"}))
+		Expect(other.constraint(resumed("a"), clock.Now())).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v1"}))
 		other.Merge(second)
-		Expect(other.constraint(resumed("a")).Kind).To(Equal(origin.Unknown))
+		Expect(other.constraint(resumed("a"), clock.Now()).Kind).To(Equal(origin.Unknown))
 	})
 
 	// Guards against a stream of two versions at a coordinator that knows of both, asked by a host
 	// that has heard of one.
 	It("do not join a stream of which they know two versions by what a host has heard", func() {
-		o.Observe(targets("v1", "v2"))
+		o.Observe(nil, targets("v1", "v2"))
 		o.recordGrant(origin.StreamIDOf("a"), "v1", false)
 		batch := make(origin.Batch)
 		batch.Add(origin.StreamIDOf("a"), "v2")
@@ -143,55 +143,55 @@
 		v1 := tables.SoftwareVersion("v1")
 		m := resumed("a")
 		m.Heard = &v1
-		Expect(o.constraint(m).Kind).To(Equal(origin.Unknown))
+		Expect(o.constraint(m, clock.Now()).Kind).To(Equal(origin.Unknown))
 	})
 
 	// Guards against a stream of two versions at a coordinator that has heard of the first grant
 	// only, asked by a host that has heard of a later one.
 	It("refuse what they and the host that asks have heard differently", func() {
-		o.Observe(targets("v1", "v2"))
+		o.Observe(nil, targets("v1", "v2"))
 		batch := make(origin.Batch)
 		batch.Add(origin.StreamIDOf("a"), "v1")
 		o.Merge(batch)
 		v2 := tables.SoftwareVersion("v2")
 		m := resumed("a")
 		m.Heard = &v2
-		Expect(o.constraint(m).Kind).To(Equal(origin.Unknown))
+		Expect(o.constraint(m, clock.Now()).Kind).To(Equal(origin.Unknown))
 		m.Heard, m.Disputed = nil, true
-		Expect(o.constraint(m).Kind).To(Equal(origin.Unknown))
+		Expect(o.constraint(m, clock.Now()).Kind).To(Equal(origin.Unknown))
 	})
 
 	// Guards against a stream of two versions at a coordinator that was stopped while another one
 	// granted the stream again.
 	It("do not put their own grants above what hosts have heard once the process was stopped", func() {
-		o.Observe(targets("v1", "v2"))
+		o.Observe(nil, targets("v1", "v2"))
 		o.recordGrant(origin.StreamIDOf("a"), "v1", false)
 		o.Resume()
 		v2 := tables.SoftwareVersion("v2")
 		m := resumed("a")
 		m.Heard = &v2
-		Expect(o.constraint(m).Kind).To(Equal(origin.Unknown))
+		Expect(o.constraint(m, clock.Now()).Kind).To(Equal(origin.Unknown))
 	})
 
 	It("refuse what a host of the build before and the coordinator know differently", func() {
-		o.Observe(targets("v1", "v2"))
+		o.Observe(nil, targets("v1", "v2"))
 		o.recordGrant(origin.StreamIDOf("a"), "v2", false)
 		v1, v2 := tables.SoftwareVersion("v1"), tables.SoftwareVersion("v2")
 		m := resumed("a")
 		m.Version = &v1
-		Expect(o.constraint(m).Kind).To(Equal(origin.Unknown))
+		Expect(o.constraint(m, clock.Now()).Kind).To(Equal(origin.Unknown))
 		m.Version = &v2
-		Expect(o.constraint(m)).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v2"}))
+		Expect(o.constraint(m, clock.Now())).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v2"}))
 	})
 
 	It("bind a request by what its host has relayed, and bind no new stream", func() {
-		o.Observe(targets("v1", "v2"))
+		o.Observe(nil, targets("v1", "v2"))
 		o.recordGrant(origin.StreamIDOf("a"), "v2", false)
 		v1 := tables.SoftwareVersion("v1")
 		m := resumed("a")
 		m.Version, m.Relayed = &v1, true
-		Expect(o.constraint(m)).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v1"}))
+		Expect(o.constraint(m, clock.Now())).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v1"}))
 		m.Resumed = false
-		Expect(o.constraint(m).Kind).To(Equal(origin.AnyVersion))
+		Expect(o.constraint(m, clock.Now()).Kind).To(Equal(origin.AnyVersion))
 	})
 })
--- a/internal/pool/originsbegin_test.go
+++ b/internal/pool/originsbegin_test.go
@@ -41,7 +41,7 @@
 		stale = batches
 		coordinator.Origins = NewOrigins(clock)
 		coordinator.Origins.Send = func(b origin.Batch) { batches <- b }
-		coordinator.Origins.Observe(deployment.targets)
+		coordinator.Origins.Observe(nil, deployment.targets)
 		clock.Advance(time.Second)
 	})
 
@@ -71,7 +71,7 @@
 		first := ask(slotRequestMessage{ID: 1, Request: "a"})
 		second := ask(slotRequestMessage{ID: 2, Request: "a", Retry: true, Again: true, Avoid: []tables.TargetID{first.Target}})
 		other := NewOrigins(clockwork.NewFakeClock())
-		other.Observe(coordinator.view.Targets())
+		other.Observe(nil, coordinator.view.Targets())
 		var batch origin.Batch
 		for batch[*second.Version] == nil {
 			Eventually(stale).Should(Receive(&batch))
@@ -81,6 +81,6 @@
 		Eventually(stale).Should(Receive(&batch))
 		other.Merge(batch)
 		resumed := slotRequestMessage{Service: "s", Request: "b", Resumable: true, Resumed: true, FirstAttempt: "a"}
-		Expect(other.constraint(resumed).Kind).To(Equal(origin.Unknown))
+		Expect(other.constraint(resumed, time.Now()).Kind).To(Equal(origin.Unknown))
 	})
 })
--- a/internal/pool/quota_play_test.go
+++ b/internal/pool/quota_play_test.go
@@ -335,7 +335,7 @@
 	}
 	m := r.message
 	m.coordinatorUse = h.use.address(now)
-	w, err := h.uses.enqueue(m)
+	w, err := h.uses.enqueue(m, now)
 	if err != nil {
 		if h.uses.mayRecover(err, r.until.Add(-takeoverGrace)) && now.Before(r.until) {
 			return false
--- a/internal/pool/resumed_test.go
+++ b/internal/pool/resumed_test.go
@@ -36,7 +36,7 @@
 		coordinator := NewCoordinator(deployment, Policy{}, func() float64 { return 0 }, whole, func() int { return 1 }, clock, zap.NewNop())
 		coordinator.ReloadTargets(allocation.Estimates{})
 		coordinator.Origins = NewOrigins(clock)
-		coordinator.Origins.Observe(deployment.targets)
+		coordinator.Origins.Observe(nil, deployment.targets)
 		coordinator.Origins.note(origin.StreamIDOf("a"), "v1")
 		client := NewClient(self, links.New(self, peers, clock, zap.NewNop()), coordinator, coordinator, 1, time.Second, clock, zap.NewNop())
 		stalls := stall.New(clock, func() time.Duration { return 0 })
--- a/internal/pool/rollout_sim_test.go
+++ b/internal/pool/rollout_sim_test.go
@@ -268,7 +268,7 @@
 		ID: r.id, Request: fmt.Sprint(r.id), Host: s.hostID(r.host), Domain: "d", Service: "s", PromptTokens: r.prompt,
 		FirstByteBudgetMS: 600, EventGapSLOMS: 250, MaxWaitMS: 1500, Avoid: r.avoid, Fingerprint: tables.Fingerprint(r.id), Route: simRoutes[r.route].name,
 	}
-	w, err := r.at.enqueue(r.message)
+	w, err := r.at.enqueue(r.message, s.clock.Now())
 	if err != nil {
 		return
 	}
--- a/internal/systems/origin/model_test.go
+++ b/internal/systems/origin/model_test.go
@@ -149,7 +149,7 @@
 		return
 	}
 	k := h.registry.Lookup(w.now, s.id)
-	c := origin.Decide(origin.Question{Resumed: true, Known: k.Known, Version: k.Version, Disputed: k.Disputed, Seen: h.seen.Versions(w.now, "s"), ViewFresh: true})
+	c := origin.Decide(origin.Question{Resumed: true, Known: k.Known, Version: k.Version, Disputed: k.Disputed, Seen: h.seen.Versions(w.now, "s"), Complete: true})
 	if c.Kind == origin.Unknown {
 		if s.recordedBy == h && !s.moved && w.maxEntries > modelMaxEntries {
 			t.Fatalf("the host that granted stream %d refuses it", s.id)
--- a/internal/systems/origin/origin.go
+++ b/internal/systems/origin/origin.go
@@ -48,9 +48,9 @@
 	Disputed bool
 	// Seen holds the versions of the service that were listed lately (Seen.Versions).
 	Seen []tables.SoftwareVersion
-	// ViewFresh is true if Seen is up to date and has all versions that were listed since
-	// the stream began.
-	ViewFresh bool
+	// Complete is true if Seen has all versions that were listed before the request arrived, and so
+	// the one that began the stream.
+	Complete bool
 }
 
 // Constraint is the answer of Decide.
@@ -72,12 +72,12 @@
 		return Constraint{Kind: Unknown}
 	case q.Known:
 		return Constraint{Kind: OnlyVersion, Version: q.Version}
-	case !q.ViewFresh || len(q.Seen) > 1:
+	case !q.Complete || len(q.Seen) > 1:
 		return Constraint{Kind: Unknown}
 	case len(q.Seen) == 1:
 		return Constraint{Kind: AnyVersion, Version: q.Seen[0], Sole: true}
 	default:
-		return Constraint{Kind: AnyVersion}
+		return Constraint{Kind: Unknown}
 	}
 }
 
--- a/internal/watch/freshness.go
+++ b/internal/watch/freshness.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -39,7 +40,9 @@
 	recovered := w.storeDown
 	w.storeDown = false
 	age := at.Sub(w.lastConfirmed)
-	w.confirmedAt[name] = at
+	if at.After(w.confirmedAt[name]) {
+		w.confirmedAt[name] = at
+	}
 	w.lastRead = w.clock.Now()
 	w.confirmOwnReads(w.lastRead)
 	w.mu.Unlock()
@@ -48,6 +51,15 @@
 	}
 }
 
+// recordListing records that this host has listed a stream anew; at is when the call began.
+func (w *Watcher) recordListing(name Stream, at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if name == Targets {
+		w.targetsListedAt = at
+	}
+}
+
 // recordConfirmed records that a read of the store by another host showed the
 // configuration and the targets to be up to date at the given time.
 func (w *Watcher) recordConfirmed(at time.Time) {
@@ -68,6 +80,37 @@
 	return !w.updatedAt.Before(at) || !w.confirmedAt[Configs].Before(at) && !w.confirmedAt[Targets].Before(at)
 }
 
+// VersionsReadSince reports whether this host itself has read the list of targets since a time, and
+// so has seen all software versions that were listed before it. Where it has listed the targets anew,
+// targets that have left meanwhile are not among them: it must have read the store's record of
+// versions after that.
+func (w *Watcher) VersionsReadSince(at time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.confirmedAt[Targets].Before(at) && w.confirmedAt[Hosts].After(w.targetsListedAt)
+}
+
+// ReadVersions reads the store until VersionsReadSince holds for a time. Calls at the same time share
+// their reads. Errors wrap ErrUnavailable or are those of ctx.
+func (w *Watcher) ReadVersions(ctx context.Context, since time.Time) error {
+	select {
+	case w.readingVersions <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-w.readingVersions }()
+	if w.VersionsReadSince(since) {
+		return nil
+	}
+	if err := w.read(ctx, Targets, 0); err != nil {
+		return err
+	}
+	if w.VersionsReadSince(since) {
+		return nil
+	}
+	return w.read(ctx, Hosts, 0)
+}
+
 // readSinceStall reports whether a read of a stream has succeeded that began after the process
 // last resumed after a stall.
 func (w *Watcher) readSinceStall(name Stream) bool {
--- a/internal/watch/state.go
+++ b/internal/watch/state.go
@@ -30,8 +30,9 @@
 	hosts   map[tables.HostID]fleet.Host
 	// departures holds what is known of targets that left.
 	departures map[tables.TargetID]appliedDeparture
-	// versions are the software versions that the store's record of them lists.
-	versions ServiceVersions
+	// versions are the software versions that the store's record of them lists, listed those of the
+	// entries of targets that were applied since the last call of TakeListed.
+	versions, listed ServiceVersions
 	// shared holds the values of the records that the hosts share, by name.
 	shared map[string][]byte
 	// orders holds the orders of rollouts by key.
@@ -53,7 +54,7 @@
 	for _, name := range Streams() {
 		s.streams[name] = newStream()
 	}
-	s.config, s.versions = nil, nil
+	s.config, s.versions, s.listed = nil, nil, make(ServiceVersions)
 	s.targets = make(map[tables.TargetID]fleet.Target)
 	s.hosts = make(map[tables.HostID]fleet.Host)
 	s.departures = make(map[tables.TargetID]appliedDeparture)
@@ -200,6 +201,7 @@
 	if known && t.IsOlder(old.StartedAt, old.Sequence) {
 		return false
 	}
+	s.listed.add(t.Service, t.Version)
 	// Neither the sequence number nor ColdUntil, which is computed anew from each
 	// record, is a change that others must be told of.
 	old.Sequence, old.ColdUntil = t.Sequence, t.ColdUntil
--- a/internal/watch/state_test.go
+++ b/internal/watch/state_test.go
@@ -58,6 +58,8 @@
 		switch name {
 		case "start":
 			t.StartedAt = time.UnixMilli(number)
+		case "version":
+			t.Service, t.Version = "s", tables.SoftwareVersion(text)
 		case "sequence":
 			t.Sequence = number
 		case "cold":
--- a/internal/watch/versions.go
+++ b/internal/watch/versions.go
@@ -26,6 +26,23 @@
 	return maps.EqualFunc(v, other, func(a, b []tables.SoftwareVersion) bool { return slices.Equal(a, b) })
 }
 
+// add adds a version of a service.
+func (v ServiceVersions) add(service tables.ServiceID, version tables.SoftwareVersion) {
+	if i, found := slices.BinarySearch(v[service], version); !found {
+		v[service] = slices.Insert(v[service], i, version)
+	}
+}
+
+// TakeListed returns the software versions of the targets that were listed since the last call. Some
+// may have left meanwhile: entries that are read together are applied together.
+func (s *State) TakeListed() ServiceVersions {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listed := s.listed
+	s.listed = make(ServiceVersions)
+	return listed
+}
+
 // versionsRecord is the value of the record.
 type versionsRecord struct {
 	Versions ServiceVersions `json:"versions"`
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -71,6 +71,8 @@
 	// stall, and must be set before Run.
 	ResumedAt func() time.Time
 
+	// readingVersions holds an element while ReadVersions reads.
+	readingVersions chan struct{}
 	// unloaded holds the streams that Load has yet to list. It is used only by Load.
 	unloaded []Stream
 
@@ -84,6 +86,9 @@
 	// confirmedAt is when the last successful read of each stream by this host
 	// began.
 	confirmedAt map[Stream]time.Time
+	// targetsListedAt is when the last listing of the targets began: they were not read on from what
+	// was known of them.
+	targetsListedAt time.Time
 	// polling holds the streams that are being long-polled.
 	polling map[Stream]bool
 	// endPoll ends the last poll of each stream.
@@ -101,7 +106,7 @@
 
 // NewWatcher returns a watcher. Run starts it.
 func NewWatcher(self fleet.Host, state *State, store Store, l *links.Links, clock clockwork.Clock, logger *zap.Logger) *Watcher {
-	return &Watcher{State: state, self: self, store: store, links: l, clock: clock, logger: logger, unloaded: Streams(), confirmedAt: make(map[Stream]time.Time), polling: make(map[Stream]bool), endPoll: make(map[Stream]context.CancelCauseFunc)}
+	return &Watcher{State: state, self: self, store: store, links: l, clock: clock, logger: logger, unloaded: Streams(), readingVersions: make(chan struct{}, 1), confirmedAt: make(map[Stream]time.Time), polling: make(map[Stream]bool), endPoll: make(map[Stream]context.CancelCauseFunc)}
 }
 
 // Run keeps the state up to date until ctx ends.
@@ -122,7 +127,7 @@
 	w.State.Reset()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lastConfirmed, w.updatedAt, w.lastRead, w.heard = time.Time{}, time.Time{}, time.Time{}, false
+	w.lastConfirmed, w.updatedAt, w.lastRead, w.heard, w.targetsListedAt = time.Time{}, time.Time{}, time.Time{}, false, time.Time{}
 	clear(w.confirmedAt)
 	clear(w.polling)
 	w.hostCounter = hostCounter{}
@@ -162,6 +167,7 @@
 		w.recordFailure(name, errOutdated)
 		return errOutdated
 	}
+	w.recordListing(name, requestedAt)
 	w.recordRead(name, requestedAt)
 	return nil
 }
