A stream belongs to the version that sent its first event, not to one that was granted to it

Cause: the coordinator recorded a grant as the origin of the stream and told the other hosts of it. A grant is an intention. If the host that asked is cut off, the answer with the grant is lost, and the host takes a slot from its local fallback or another coordinator, maybe at another version; the coordinator and all that it told still believe the first one.

Now only first events are recorded: by the host that relays them, which tells its coordinator with the report of the first byte, as before, and a later coordinator with the list of its open slots; the coordinator tells the others in batches as before. What two hosts recorded differently stays unknown. The special cases for grants are gone: own grants above reports, a further grant told at once, the bond of the local fallback to another coordinator's grant, grants after a pause.

--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -333,7 +333,6 @@
 	p.watcher.Resume()
 	p.coordinator.Resume()
 	p.fallback.Resume()
-	p.origins.Resume()
 }
 
 // upToDate reports whether the configuration and the targets have been confirmed
--- a/internal/originlog/log.go
+++ b/internal/originlog/log.go
@@ -42,9 +42,9 @@
 type Origins interface {
 	// Mixed reports whether a service has several versions.
 	Mixed() bool
-	// GrantedSince returns what this host has granted from a sequence number on, and the
+	// BegunSince returns the streams that this host has recorded from a sequence number on, and the
 	// number to pass in next time.
-	GrantedSince(sequence int) (origin.Batch, int)
+	BegunSince(sequence int) (origin.Batch, int)
 	Merge(origin.Batch)
 }
 
@@ -121,7 +121,7 @@
 // store writes what was granted since the last write. If that fails, the next step writes
 // it. It reports whether there was anything to write.
 func (l *Log) store(ctx context.Context) bool {
-	batch, sequence := l.Origins.GrantedSince(l.stored)
+	batch, sequence := l.Origins.BegunSince(l.stored)
 	if batch.Len() == 0 {
 		l.stored = sequence
 		return false
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -238,7 +238,11 @@
 	now := c.clock.Now()
 	m := reconcileMessage{Host: c.self.ID, HostCount: c.reportedHostCount(), UsedTokens: c.use.usage.recent(now), Use: c.use.report(now), coordinatorUse: c.use.address(now)}
 	m.UsageWindowMS = min(now.Sub(c.started), c.use.usage.window).Milliseconds()
+	mixed := c.Origins != nil && c.Origins.Mixed()
 	for _, g := range c.open {
+		if !mixed {
+			g.Stream, g.Version = 0, nil
+		}
 		m.Open = append(m.Open, g)
 	}
 	if c.coordinator.fairShares.Load() {
--- a/internal/pool/coordinator.go
+++ b/internal/pool/coordinator.go
@@ -231,7 +231,7 @@
 	c.recordContact(now)
 	c.recordUse(now, m.Host, m.coordinatorUse)
 	share := c.quotaShare(now)
-	bound := c.constraint(m, arrived)
+	bound := c.Origins.constraint(m, arrived)
 	if bound.Kind == origin.Unknown {
 		return nil, errkind.New(errkind.OriginUnknown, fmt.Sprintf("request %q resumes a stream of request %q; %s", m.Request, m.FirstAttempt, c.Origins.describe(m, arrived)))
 	}
@@ -264,15 +264,6 @@
 	return w, nil
 }
 
-// constraint returns at which versions a request that arrived at a time may run. The lock must be
-// held.
-func (c *Coordinator) constraint(m slotRequestMessage, arrived time.Time) origin.Constraint {
-	if c.local {
-		return c.Origins.localConstraint(m, arrived)
-	}
-	return c.Origins.constraint(m, arrived)
-}
-
 func (c *Coordinator) quotaOf(id tables.CustomerID) fleet.Quota {
 	config := c.view.Config()
 	if config == nil {
@@ -329,7 +320,6 @@
 	if w.sole {
 		event.SoleVersionTaken.Log(c.logger, zap.String("request", w.request.Request), zap.String("service", string(w.request.Service)), zap.String("version", string(d.Version)))
 	}
-	c.Origins.recordGrant(w.request.stream(), d.Version, w.request.Again && !w.request.Resumed)
 }
 
 // markChargeSent moves the quota charge of a granted request to the time of the
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -47,9 +47,6 @@
 		return nil, err
 	}
 	grant := &Grant{Target: g.Target, ExpectedFirstByte: fromMS(float64(g.ExpectedMS)), client: c, id: m.ID, service: m.Service, coordinatorID: live.Host.ID, Version: g.Version, Through: g.Through, stream: m.stream()}
-	if g.Version != nil {
-		c.Origins.note(grant.stream, *g.Version)
-	}
 	switch live.Host.ID {
 	case "":
 		grant.coordinator = c.fallback
@@ -72,9 +69,7 @@
 // ReportFirstByte reports the time from sending the request to the first byte.
 func (g *Grant) ReportFirstByte(took time.Duration) {
 	g.countFirstByte(took)
-	if g.Version != nil {
-		g.client.Origins.begin(g.stream, *g.Version)
-	}
+	g.recordOrigin()
 	r := firstByteReport{ID: g.id, TookMS: toMS(took), Sender: g.sender}
 	if g.coordinator != nil {
 		g.coordinator.Report(reportMessage{FirstBytes: []firstByteReport{r}})
@@ -83,6 +78,24 @@
 	g.client.reportFirstByte(g.coordinatorID, r)
 }
 
+// recordOrigin records the version that began the stream, and tells a later coordinator of it as long
+// as the stream lasts.
+func (g *Grant) recordOrigin() {
+	if g.Version == nil || g.stream == 0 {
+		return
+	}
+	c := g.client
+	c.Origins.learn(g.stream, *g.Version)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	open, held := c.open[g.id]
+	if !held {
+		return
+	}
+	open.Stream, open.Version = g.stream, g.Version
+	c.open[g.id] = open
+}
+
 // Release releases the slot and reports the outcome of the request. meanGap is
 // the mean event gap, or zero if unknown. Only the first call has an effect.
 func (g *Grant) Release(outcome allocation.Outcome, meanGap time.Duration) {
--- a/internal/pool/messages.go
+++ b/internal/pool/messages.go
@@ -189,6 +189,10 @@
 	Tier int `json:"k,omitempty"`
 	// grantedAt is when the host got the slot.
 	grantedAt time.Time
+	// Stream is the stream of the request, and Version that of the target that began it. Both are
+	// set once the first event has been relayed while a service has several versions.
+	Stream  origin.StreamID         `json:"st,omitempty"`
+	Version *tables.SoftwareVersion `json:"v,omitempty"`
 	// Tokens is that of slotRequestMessage.
 	Tokens *tokenCounts `json:"tk,omitempty"`
 }
--- a/internal/pool/origins.go
+++ b/internal/pool/origins.go
@@ -29,7 +29,7 @@
 	// left. It exceeds the time from the begin of a stream to its last resumption.
 	versionWindow = 30 * time.Second
 	// originDelay is how long an entry is delayed so that further ones can be sent in
-	// the same message. It is shorter than the usual time to the first event.
+	// the same message.
 	originDelay = 50 * time.Millisecond
 )
 
@@ -54,8 +54,8 @@
 	// is true, a timer sends further ones.
 	sentSequence int
 	sending      bool
-	// granted lists what this host itself has granted.
-	granted grantLog
+	// begun lists the streams that this host has recorded.
+	begun beginLog
 	// ended lists the streams that have ended, the earliest first.
 	ended []endedStream
 	// mixed is true if a service had several versions at the last Observe or Import.
@@ -80,7 +80,7 @@
 	o.registry = origin.NewRegistry(originLifetime, maxOrigins)
 	o.seen = origin.NewSeen(versionWindow)
 	o.sentSequence, o.mixed, o.ended, o.imported = 0, false, nil, nil
-	o.granted.clear()
+	o.begun.clear()
 }
 
 // Reset forgets all streams and versions: they are of another fleet.
@@ -149,14 +149,14 @@
 	return o.mixed
 }
 
-// GrantedSince returns what this host itself has granted to streams that have not ended,
-// from a sequence number on, and the number to pass in next time.
-func (o *Origins) GrantedSince(sequence int) (origin.Batch, int) {
+// BegunSince returns the streams that this host has recorded and that have not ended, from a sequence
+// number on, and the number to pass in next time.
+func (o *Origins) BegunSince(sequence int) (origin.Batch, int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	granted, next := o.granted.since(sequence)
+	begun, next := o.begun.since(sequence)
 	batch := make(origin.Batch)
-	for _, g := range granted {
+	for _, g := range begun {
 		if k := o.registry.Lookup(o.clock.Now(), g.id); k.Known && k.Version == g.version {
 			batch.Add(g.id, g.version)
 		}
@@ -221,24 +221,6 @@
 	}
 }
 
-// localConstraint is constraint for the local fallback. Other hosts may know that another
-// coordinator has granted the request a slot before, and do not hear of a further one. The
-// version stays the same then.
-func (o *Origins) localConstraint(m slotRequestMessage, arrived time.Time) origin.Constraint {
-	k := o.lookup(m.stream())
-	if m.Resumed || !m.Again || !k.Known || o.hasGranted(m.stream()) {
-		return o.constraint(m, arrived)
-	}
-	return origin.Constraint{Kind: origin.OnlyVersion, Version: k.Version}
-}
-
-// hasGranted reports whether this host has granted to a stream itself.
-func (o *Origins) hasGranted(id origin.StreamID) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.granted.has(id)
-}
-
 // question returns what the host that asks and the coordinator know of the stream.
 func (m slotRequestMessage) question(own origin.Knowledge) origin.Question {
 	q := origin.Question{Resumed: m.Resumed, Known: own.Known, Version: own.Version, Disputed: own.Disputed}
@@ -247,67 +229,30 @@
 		// That of a host of the build before Relayed.
 		heard = m.Version
 	}
-	differs := m.Disputed || own.Known && heard != nil && *heard != own.Version
 	switch {
 	case m.Relayed && m.Version != nil:
 		q.Version, q.Known, q.Disputed = *m.Version, true, false
-	case own.Disputed || own.Own && m.Version == nil:
-		// The host may not have heard of the last grant of this one.
-	case differs:
-		// Either may have heard of an earlier grant only.
+	case m.Disputed || own.Known && heard != nil && *heard != own.Version:
 		q.Disputed = true
-	case heard != nil:
+	case heard != nil && !own.Disputed:
 		q.Version, q.Known = *heard, true
 	}
 	return q
 }
 
-// Resume records that this process did not run for a while. Others may have granted the
-// streams again that it has granted.
-func (o *Origins) Resume() {
-	if o == nil {
-		return
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.registry.Disown()
-}
-
-// note records that this host has a slot for a stream.
-func (o *Origins) note(id origin.StreamID, version tables.SoftwareVersion) {
+// learn records that this host has relayed the first event of a stream, from a target of a version.
+func (o *Origins) learn(id origin.StreamID, version tables.SoftwareVersion) {
 	if o == nil || id == 0 {
 		return
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	now := o.clock.Now()
-	o.forgetEnded(now)
-	o.registry.Record(now, id, version)
-}
-
-// recordGrant records that this host granted a slot to a stream, and sends that to the
-// other hosts if a service has several versions. again is true if the request has asked
-// before: other hosts may know of a grant at another version, so that they are told before
-// the stream begins.
-func (o *Origins) recordGrant(id origin.StreamID, version tables.SoftwareVersion, again bool) {
-	if o == nil || id == 0 {
-		return
-	}
-	o.note(id, version)
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.granted.add(o.clock.Now(), id, version)
-	switch {
-	case !o.mixed || o.Send == nil:
-	case again:
-		go o.sendNew()
-	default:
-		o.sendLater()
-	}
+	batch := make(origin.Batch)
+	batch.Add(id, version)
+	o.registry.Merge(o.clock.Now(), batch)
 }
 
-// begin records that a stream has begun at the version of a slot. A slot at another version
-// may have been granted for it since.
+// begin records for all hosts that a target of a version has sent the first event of a stream.
 func (o *Origins) begin(id origin.StreamID, version tables.SoftwareVersion) {
 	if o == nil || id == 0 {
 		return
@@ -315,12 +260,13 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.clock.Now()
-	if k := o.registry.Lookup(now, id); k.Known && k.Version == version {
+	o.forgetEnded(now)
+	if !o.registry.Record(now, id, version) {
 		return
 	}
-	o.registry.Record(now, id, version)
-	if o.mixed && o.Send != nil {
-		go o.sendNew()
+	o.begun.add(now, id, version)
+	if o.mixed {
+		o.sendLater()
 	}
 }
 
--- a/internal/pool/takeover.go
+++ b/internal/pool/takeover.go
@@ -20,6 +20,9 @@
 	for _, g := range m.Open {
 		request := &allocation.SlotRequest{ID: g.ID, Host: m.Host, Service: g.Service, Customer: g.Customer, Tier: g.Tier, ArrivedAt: now, Tokens: g.Tokens.counts()}
 		held = append(held, allocation.HeldSlot{Request: request, Target: g.Target})
+		if g.Version != nil {
+			c.Origins.begin(g.Stream, *g.Version)
+		}
 	}
 	c.scheduler.Reconcile(now, m.Host, held)
 	if m.State != nil {
--- a/internal/systems/origin/registry.go
+++ b/internal/systems/origin/registry.go
@@ -11,8 +11,10 @@
 	"github.com/bluebellseam/bluebellseam/internal/tables"
 )
 
-// Registry holds the version that began each stream: what this host recorded and what
-// it got from other hosts. It is not safe for concurrent use.
+// Registry holds the version that began each stream: that of the target whose first event was
+// relayed. What was granted to a stream is no evidence of it: the answer with the grant may have been
+// lost, or the target may have sent nothing. It holds what this host recorded and what it got from
+// other hosts. It is not safe for concurrent use.
 type Registry struct {
 	lifetime time.Duration
 	// entries is ordered by the time of the last use.
@@ -30,7 +32,7 @@
 	id      StreamID
 	version tables.SoftwareVersion
 	usedAt  time.Time
-	// conflicting is true if another host reported another version, which is reported.
+	// conflicting is true if another version was reported as well, which is reported.
 	conflicting bool
 	reported    tables.SoftwareVersion
 	// sequence and recorded are set if this host recorded the entry. recorded is its place in
@@ -41,8 +43,7 @@
 
 // NewRegistry returns an empty registry. An entry expires lifetime after its last use,
 // or once maxEntries others were used after it. maxEntries should exceed the number of
-// streams that all hosts begin in a lifetime: a host that lost an entry may believe
-// another host that knows an earlier grant, at another version, of the same stream.
+// streams that all hosts begin in a lifetime: streams whose entry is lost are refused.
 func NewRegistry(lifetime time.Duration, maxEntries int) *Registry {
 	r := &Registry{lifetime: lifetime, recorded: list.New()}
 	// NewLRU fails only for a size below one.
@@ -50,21 +51,23 @@
 	return r
 }
 
-// Record records that this host granted a target of the version to the stream. It
-// replaces what is known of the stream.
-func (r *Registry) Record(now time.Time, id StreamID, version tables.SoftwareVersion) {
+// Record records that a target of the version sent the first event of the stream. It returns false
+// if that was recorded before.
+func (r *Registry) Record(now time.Time, id StreamID, version tables.SoftwareVersion) bool {
 	if id == 0 {
-		return
+		return false
 	}
 	r.advance(now)
+	contradicted := r.merge(id, version)
 	e, _ := r.use(id)
-	if e.recorded != nil && e.version == version && !e.conflicting {
-		return
+	if e.recorded != nil && !contradicted {
+		return false
 	}
 	r.removeRecorded(e)
 	r.sequence++
-	e.version, e.conflicting, e.sequence = version, false, r.sequence
+	e.sequence = r.sequence
 	e.recorded = r.recorded.PushBack(e)
+	return true
 }
 
 // Knowledge is what a registry knows of the version that began a stream.
@@ -72,8 +75,6 @@
 	// Known is true if it is Version.
 	Known   bool
 	Version tables.SoftwareVersion
-	// Own is true if this host recorded it.
-	Own bool
 	// Disputed is true if several versions were reported.
 	Disputed bool
 }
@@ -85,14 +86,7 @@
 		return Knowledge{Disputed: known}
 	}
 	e, _ := r.use(id)
-	return Knowledge{Known: true, Version: e.version, Own: e.recorded != nil}
-}
-
-// Disown makes all entries count as those of other hosts.
-func (r *Registry) Disown() {
-	for _, e := range r.entries.Values() {
-		r.removeRecorded(e)
-	}
+	return Knowledge{Known: true, Version: e.version}
 }
 
 // Forget removes a stream that ended with all its events.
@@ -129,7 +123,7 @@
 }
 
 // Merge adds the entries of another host. A stream that is known with another version
-// is contradicted: Lookup returns false until it is recorded again.
+// is contradicted from then on.
 func (r *Registry) Merge(now time.Time, b Batch) {
 	r.advance(now)
 	for _, version := range slices.Sorted(maps.Keys(b)) {
@@ -141,14 +135,18 @@
 	}
 }
 
-func (r *Registry) merge(id StreamID, version tables.SoftwareVersion) {
+// merge adds a version of a stream. It returns true if that contradicts what was known for the first
+// time.
+func (r *Registry) merge(id StreamID, version tables.SoftwareVersion) (contradicted bool) {
 	e, known := r.use(id)
 	switch {
 	case !known:
 		e.version = version
 	case e.version != version:
+		contradicted = !e.conflicting
 		e.conflicting, e.reported = true, version
 	}
+	return contradicted
 }
 
 // Len returns the number of entries, which includes contradicted ones.
