An answer whose head is none of HTTP is passed on to nobody

Cause: net/http accepts blanks in the names of fields, leaves such a name as it is, and so takes no length and no encoding from it. Names are now checked wherever answers are read: calls to targets, of this host and for other hosts, interim answers, reports, calls of the own interface and of the store. Such an answer may have run, and its connection is closed.

--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -81,6 +81,10 @@
 		c.CloseIdleConnections()
 		return nil, &Error{Sent: sent.Load(), cause: err}
 	}
+	if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
+		_ = resp.Body.Close()
+		return nil, &Error{Sent: true, cause: err}
+	}
 	return resp, nil
 }
 
