What puts the version that began a stream in doubt is told to the other hosts

Cause: a target had started again under its ID with other software, and its entry arrived after the stream had begun. The host of the stream found that out when the stream broke off, and did not go on with it, but the version that it had recorded before stayed known to all hosts. It records the later version, too, now, which contradicts the former one everywhere, so that nobody goes on.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -48,10 +48,10 @@
 	// firstSentID is the ID of the first event that this host sent to the caller. It is valid
 	// only if events is not zero.
 	firstSentID int64
-	// version is the software version of the target that sent the first event. It is not certain
-	// if versionInDoubt is true.
-	version        tables.SoftwareVersion
-	versionInDoubt bool
+	// version is the software version of the target that sent the first event. It may have been
+	// laterVersion if versionInDoubt is true.
+	version, laterVersion tables.SoftwareVersion
+	versionInDoubt        bool
 	// mayHaveRun is true if the target of a failed call may have run the
 	// request.
 	mayHaveRun bool
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -130,6 +130,9 @@
 	if err != nil {
 		ex.recordSendFailure(target, startedAt, err)
 		ex.checkVersion(target, call, startedAt)
+		if ex.relay.versionInDoubt {
+			grant.ContradictOrigin(ex.relay.laterVersion)
+		}
 		ex.checkEmptyEnd(err)
 		ex.recordSilence(sending, target, err)
 		grant.SentBy(viaOf(err, ex.call.via))
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -96,6 +96,12 @@
 	c.open[g.id] = open
 }
 
+// ContradictOrigin records that the stream may have begun at another version than that of the grant.
+// Nobody goes on with it then.
+func (g *Grant) ContradictOrigin(version tables.SoftwareVersion) {
+	g.client.Origins.begin(g.stream, version)
+}
+
 // Release releases the slot and reports the outcome of the request. meanGap is
 // the mean event gap, or zero if unknown. Only the first call has an effect.
 func (g *Grant) Release(outcome allocation.Outcome, meanGap time.Duration) {
