Grants that the build before tells as origins of streams are not believed

Hosts of the build before send what was granted to streams, and write it to the store, with the same names as first events have now. During an upgrade such a grant could count as an origin.

--- a/internal/pool/messages.go
+++ b/internal/pool/messages.go
@@ -23,8 +23,9 @@
 	// methodEstimates carries allocation.Estimates from the coordinator to the
 	// other hosts, any of which may become the next coordinator.
 	methodEstimates = "pool.learned"
-	// MethodOrigins carries an origin.Batch between hosts.
-	MethodOrigins = "pool.origins"
+	// MethodOrigins carries an origin.Batch between hosts. The build before it sends what was granted
+	// to streams with the method pool.origins, which is not used.
+	MethodOrigins = "pool.begun"
 	// methodLeave carries a leaveMessage when a host has changed to another coordinator.
 	methodLeave = "pool.leave"
 )
@@ -64,9 +65,9 @@
 	// Relayed is true if Version is that of events that the host has relayed. The build
 	// before it also sends in Version what it has heard from other hosts.
 	Relayed bool `json:"vr,omitempty"`
-	// Heard is the version that began the stream as far as the host has heard from others. A
-	// later grant may not have reached it yet.
-	Heard *tables.SoftwareVersion `json:"vh,omitempty"`
+	// Heard is the version that began the stream as far as the host has heard from others. The build
+	// before it sends a version that was granted to it, in vh.
+	Heard *tables.SoftwareVersion `json:"vb,omitempty"`
 	// Disputed is true if the host has heard of several versions.
 	Disputed bool `json:"vd,omitempty"`
 	// Again is that of SlotRequest. It is also true if an earlier coordinator was lost.
