Write contradicted streams to the store with both versions; a slow read of versions is no outage

A stream that was contradicted was left out of the log of origins, where a coordinator that starts after the death of all hosts may find the first version alone (the case fails before in internal/pool).

--- a/internal/pool/origins.go
+++ b/internal/pool/origins.go
@@ -150,14 +150,14 @@
 }
 
 // BegunSince returns the streams that this host has recorded and that have not ended, from a sequence
-// number on, and the number to pass in next time.
+// number on, and the number to pass in next time. Those that were contradicted have both versions.
 func (o *Origins) BegunSince(sequence int) (origin.Batch, int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	begun, next := o.begun.since(sequence)
 	batch := make(origin.Batch)
 	for _, g := range begun {
-		if k := o.registry.Lookup(o.clock.Now(), g.id); k.Known && k.Version == g.version {
+		if k := o.registry.Lookup(o.clock.Now(), g.id); k.Known || k.Disputed {
 			batch.Add(g.id, g.version)
 		}
 	}
@@ -205,8 +205,8 @@
 	return fmt.Sprintf("versions %q of its service were seen, disputed %t, read since %t", q.Seen, q.Disputed, o.ReadSince(arrived))
 }
 
-// maxVersionsRead bounds the time in which the store is asked for the versions of services.
-const maxVersionsRead = 300 * time.Millisecond
+// maxVersionsWait bounds the wait of a request for the versions of services.
+const maxVersionsWait = 300 * time.Millisecond
 
 // readVersions reads which versions the services have, unless that has been done since the request of
 // a message arrived or makes no difference for it. A version that began its stream was listed before.
@@ -214,7 +214,7 @@
 	if o == nil || o.Read == nil || !m.Resumable || !origin.Decide(o.question(m)).Sole || o.ReadSince(arrived) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, maxVersionsRead)
+	ctx, cancel := context.WithTimeout(ctx, maxVersionsWait)
 	defer cancel()
 	if err := o.Read(ctx, arrived); err != nil {
 		event.VersionsNotRead.Log(o.Logger, zap.String("request", m.Request), zap.Error(err))
--- a/internal/pool/origins_test.go
+++ b/internal/pool/origins_test.go
@@ -118,6 +118,7 @@
 		clock.Advance(originDelay)
 		var first, second origin.Batch
 		Eventually(sent).Should(Receive(&first))
+		stored, next := o.BegunSince(0)
 		o.begin(origin.StreamIDOf("a"), "v2")
 		clock.Advance(originDelay)
 		Eventually(sent).Should(Receive(&second))
@@ -127,6 +128,12 @@
 		Expect(other.constraint(resumed("a"), clock.Now())).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v1"}))
 		other.Merge(second)
 		Expect(other.constraint(resumed("a"), clock.Now()).Kind).To(Equal(origin.Unknown))
+		later := NewOrigins(clock)
+		later.Observe(nil, targets("v1", "v2"))
+		later.Merge(stored)
+		stored, _ = o.BegunSince(next)
+		later.Merge(stored)
+		Expect(later.constraint(resumed("a"), clock.Now()).Kind).To(Equal(origin.Unknown))
 	})
 
 	// Guards against a stream of two versions at a coordinator that knows of both, asked by a host
--- a/internal/watch/freshness.go
+++ b/internal/watch/freshness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -90,8 +91,15 @@
 	return !w.confirmedAt[Targets].Before(at) && w.confirmedAt[Hosts].After(w.targetsListedAt)
 }
 
+// versionsReadTimeout bounds the reads of one ReadVersions.
+const versionsReadTimeout = 300 * time.Millisecond
+
+// errGivenUp is the cause of the end of a read that has taken versionsReadTimeout. The store may be
+// slow, and does not count as unreachable for that.
+var errGivenUp = errors.New("the read has taken too long for the request that waits for it")
+
 // ReadVersions reads the store until VersionsReadSince holds for a time. Calls at the same time share
-// their reads. Errors wrap ErrUnavailable or are those of ctx.
+// their reads, which go on if ctx ends. Errors wrap ErrUnavailable or are those of ctx.
 func (w *Watcher) ReadVersions(ctx context.Context, since time.Time) error {
 	select {
 	case w.readingVersions <- struct{}{}:
@@ -102,6 +110,8 @@
 	if w.VersionsReadSince(since) {
 		return nil
 	}
+	ctx, cancel := context.WithTimeoutCause(context.WithoutCancel(ctx), versionsReadTimeout, errGivenUp)
+	defer cancel()
 	if err := w.read(ctx, Targets, 0); err != nil {
 		return err
 	}
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -360,9 +360,9 @@
 	}
 }
 
-// recordFailedCall records that a call failed, unless Resume has ended it.
+// recordFailedCall records that a call failed, unless this host has ended it.
 func (w *Watcher) recordFailedCall(ctx context.Context, name Stream, err error) {
-	if !errors.Is(context.Cause(ctx), errResumed) {
+	if cause := context.Cause(ctx); !errors.Is(cause, errResumed) && !errors.Is(cause, errGivenUp) {
 		w.recordFailure(name, err)
 	}
 }
