Forget ended streams at hosts that relay them and grant none

Since first events count as origins and grants do not, a host that is not the coordinator recorded no stream of its own, and the list of ended streams was cut at each record only, so that it grew with each stream. It is cut when the host relays a first event, too. The spec fails before: 2 of 2 ended streams were kept.

--- a/internal/edge/version.go
+++ b/internal/edge/version.go
@@ -10,9 +10,9 @@
 const maxClockDifference = 5 * time.Second
 
 // checkVersion records whether a target that began a stream may have done so with other software
-// than that of its entry at that time: a later start with another version is listed since, and the
-// call was not sent long before that start. Its version is recorded, too. A call that goes on with a stream reaches the listed
-// start only.
+// than that of its entry at that time: a later start with another version, which is recorded as well,
+// is listed since, and the call was not sent long before that start. A call that goes on with a
+// stream reaches the listed start only.
 func (ex *exchange) checkVersion(target fleet.Target, call Call, sentAt time.Time) {
 	if call.LastEventID != "" || ex.call.events == 0 {
 		return
--- a/internal/pool/messages.go
+++ b/internal/pool/messages.go
@@ -70,7 +70,8 @@
 	Heard *tables.SoftwareVersion `json:"vb,omitempty"`
 	// Disputed is true if the host has heard of several versions.
 	Disputed bool `json:"vd,omitempty"`
-	// Again is that of SlotRequest. It is also true if an earlier coordinator was lost.
+	// Again is that of SlotRequest. It is also true if an earlier coordinator was lost. Only
+	// coordinators of the build before use it.
 	Again bool `json:"ag,omitempty"`
 	coordinatorUse
 	// Route is the name of the route; empty unless a rollout of the service is in progress.
--- a/internal/pool/origins.go
+++ b/internal/pool/origins.go
@@ -247,9 +247,11 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	now := o.clock.Now()
+	o.forgetEnded(now)
 	batch := make(origin.Batch)
 	batch.Add(id, version)
-	o.registry.Merge(o.clock.Now(), batch)
+	o.registry.Merge(now, batch)
 }
 
 // begin records for all hosts that a target of a version has sent the first event of a stream.
--- a/internal/pool/origins_test.go
+++ b/internal/pool/origins_test.go
@@ -111,6 +111,18 @@
 		Expect(o.constraint(m, clock.Now())).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v1"}))
 	})
 
+	// Guards against streams that are kept for ever by a host that is never the coordinator.
+	It("forget the streams that this host has relayed and that have ended", func() {
+		for _, request := range []string{"a", "b"} {
+			o.learn(origin.StreamIDOf(request), "v1")
+			o.end(origin.StreamIDOf(request))
+			clock.Advance(endedOriginLifetime)
+		}
+		o.learn(origin.StreamIDOf("c"), "v1")
+		Expect(o.ended).To(BeEmpty())
+		Expect(o.lookup(origin.StreamIDOf("b")).Known).To(BeFalse())
+	})
+
 	It("tell other hosts of a stream that was contradicted with both versions", func() {
 		o.Observe(nil, targets("v1", "v2"))
 		clock.Advance(originDelay)
