Contradict streams that a later start of their target may have begun, also after their host has ended

Trace: enamel-model-5 started again under its ID with v2 at 5.459 s; edge-trnava-a-1 began the stream there at 5.701 s, recorded at v1, since the entry was under way; the host was killed at 6.401 s; edge-trnava-a-2 went on at v1 at 6.425 s, after the entry.

Cause: only the host of the stream compared its version with a later entry, and it had ended. The coordinator keeps which target sent a first event, and contradicts the streams whose first event it heard after the start that an entry names, less 20 ms for clocks that differ, if the version differs.

--- a/internal/pool/beginlog.go
+++ b/internal/pool/beginlog.go
@@ -18,15 +18,17 @@
 type begunStream struct {
 	id      origin.StreamID
 	version tables.SoftwareVersion
-	at      time.Time
+	// target is the target that sent the first event, which was recorded at the time at.
+	target tables.TargetID
+	at     time.Time
 }
 
-func (l *beginLog) add(now time.Time, id origin.StreamID, version tables.SoftwareVersion) {
+func (l *beginLog) add(b begunStream) {
 	expired := 0
-	for expired < len(l.entries) && (now.Sub(l.entries[expired].at) >= originLifetime || len(l.entries)-expired >= maxOrigins) {
+	for expired < len(l.entries) && (b.at.Sub(l.entries[expired].at) >= originLifetime || len(l.entries)-expired >= maxOrigins) {
 		expired++
 	}
-	l.entries = append(l.entries[expired:], begunStream{id, version, now})
+	l.entries = append(l.entries[expired:], b)
 	l.first += expired
 }
 
--- a/internal/pool/contradicted_origin_test.go
+++ b/internal/pool/contradicted_origin_test.go
@@ -27,10 +27,10 @@
 		o.Send = func(b origin.Batch) { batches <- b }
 		o.Observe(nil, []fleet.Target{{ID: "t-1", Service: "s", Version: v1}, {ID: "t-2", Service: "s", Version: v2}})
 		clock.Advance(originDelay)
-		o.begin(id, v1)
+		o.begin(id, v1, "")
 		clock.Advance(originDelay)
 		Eventually(sent).Should(Receive())
-		o.begin(id, v2)
+		o.begin(id, v2, "")
 		earlier := make(origin.Batch)
 		earlier.Add(id, v1)
 		o.Merge(earlier)
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -99,7 +99,7 @@
 // ContradictOrigin records that the stream may have begun at another version than that of the grant.
 // Nobody goes on with it then.
 func (g *Grant) ContradictOrigin(version tables.SoftwareVersion) {
-	g.client.Origins.begin(g.stream, version)
+	g.client.Origins.begin(g.stream, version, "")
 }
 
 // Release releases the slot and reports the outcome of the request. meanGap is
--- a/internal/pool/origins.go
+++ b/internal/pool/origins.go
@@ -56,6 +56,8 @@
 	sending      bool
 	// begun lists the streams that this host has recorded.
 	begun beginLog
+	// starts holds the starts of the targets at the last Observe.
+	starts map[tables.TargetID]targetStart
 	// ended lists the streams that have ended, the earliest first.
 	ended []endedStream
 	// mixed is true if a service had several versions at the last Observe or Import.
@@ -64,6 +66,21 @@
 	imported map[tables.ServiceID][]tables.SoftwareVersion
 }
 
+// targetStart is one start of a target with its software version.
+type targetStart struct {
+	at      time.Time
+	version tables.SoftwareVersion
+}
+
+// startMargin is by how much the clock of a target may be ahead of that of this host.
+const startMargin = 20 * time.Millisecond
+
+// mayHaveBegun reports whether this start, and not the one with another version before it, may have
+// sent an event that was recorded at a time.
+func (s targetStart) mayHaveBegun(version tables.SoftwareVersion, recorded time.Time) bool {
+	return !s.at.IsZero() && s.version != version && !recorded.Before(s.at.Add(-startMargin))
+}
+
 type endedStream struct {
 	id origin.StreamID
 	at time.Time
@@ -79,7 +96,7 @@
 func (o *Origins) clear() {
 	o.registry = origin.NewRegistry(originLifetime, maxOrigins)
 	o.seen = origin.NewSeen(versionWindow)
-	o.sentSequence, o.mixed, o.ended, o.imported = 0, false, nil, nil
+	o.sentSequence, o.mixed, o.ended, o.imported, o.starts = 0, false, nil, nil, nil
 	o.begun.clear()
 }
 
@@ -101,6 +118,26 @@
 	}
 	o.seen.Observe(now, targets)
 	o.updateMixed(now)
+	o.observeStarts(now, targets)
+}
+
+// observeStarts contradicts the streams that a later start of a target may have begun: its entry has
+// arrived after their first events. The lock must be held.
+func (o *Origins) observeStarts(now time.Time, targets []fleet.Target) {
+	before := o.starts
+	o.starts = make(map[tables.TargetID]targetStart, len(targets))
+	for _, t := range targets {
+		start := targetStart{t.StartedAt, t.Version}
+		o.starts[t.ID] = start
+		if before[t.ID] == start || now.Sub(start.at) >= originLifetime {
+			continue
+		}
+		for _, b := range o.begun.entries {
+			if b.target == t.ID && start.mayHaveBegun(b.version, b.at) {
+				o.recordLocked(now, begunStream{b.id, start.version, t.ID, now})
+			}
+		}
+	}
 }
 
 // Import records the versions that services had lately according to the store. Those
@@ -254,8 +291,10 @@
 	o.registry.Merge(now, batch)
 }
 
-// begin records for all hosts that a target of a version has sent the first event of a stream.
-func (o *Origins) begin(id origin.StreamID, version tables.SoftwareVersion) {
+// begin records for all hosts that a target of a version has sent the first event of a stream. The
+// target may be empty if it is not known. If a later start of it with another version is listed, that
+// one may have sent the event.
+func (o *Origins) begin(id origin.StreamID, version tables.SoftwareVersion, target tables.TargetID) {
 	if o == nil || id == 0 {
 		return
 	}
@@ -263,13 +302,24 @@
 	defer o.mu.Unlock()
 	now := o.clock.Now()
 	o.forgetEnded(now)
-	if !o.registry.Record(now, id, version) {
+	if !o.recordLocked(now, begunStream{id, version, target, now}) {
 		return
 	}
-	o.begun.add(now, id, version)
+	if start := o.starts[target]; start.mayHaveBegun(version, now) {
+		o.recordLocked(now, begunStream{id, start.version, target, now})
+	}
+}
+
+// recordLocked records a stream. It returns false if that was recorded before. The lock must be held.
+func (o *Origins) recordLocked(now time.Time, b begunStream) bool {
+	if !o.registry.Record(now, b.id, b.version) {
+		return false
+	}
+	o.begun.add(b)
 	if o.mixed {
 		o.sendLater()
 	}
+	return true
 }
 
 // end records that a stream has ended with all its events.
--- a/internal/pool/origins_test.go
+++ b/internal/pool/origins_test.go
@@ -36,7 +36,7 @@
 
 	It("send nothing while a service has one version, and all that they know once it has two", func() {
 		o.Observe(nil, targets("v1"))
-		o.begin(origin.StreamIDOf("a"), "v1")
+		o.begin(origin.StreamIDOf("a"), "v1", "")
 		clock.Advance(time.Second)
 		Consistently(sent, 50*time.Millisecond).ShouldNot(Receive())
 		o.Observe(nil, targets("v1", "v2"))
@@ -54,13 +54,13 @@
 		o.Observe(nil, targets("v1", "v2"))
 		clock.Advance(originDelay)
 		for _, request := range []string{"a", "b", "c"} {
-			o.begin(origin.StreamIDOf(request), "v2")
+			o.begin(origin.StreamIDOf(request), "v2", "")
 		}
 		clock.Advance(originDelay)
 		var batch origin.Batch
 		Eventually(sent).Should(Receive(&batch))
 		Expect(batch.Len()).To(Equal(3))
-		o.begin(origin.StreamIDOf("d"), "v1")
+		o.begin(origin.StreamIDOf("d"), "v1", "")
 		clock.Advance(originDelay)
 		Eventually(sent).Should(Receive(&batch))
 		Expect(batch.Len()).To(Equal(1))
@@ -89,19 +89,19 @@
 
 	It("keep a stream for a while after its end, which its caller may not have got", func() {
 		o.Observe(nil, targets("v1", "v2"))
-		o.begin(origin.StreamIDOf("a"), "v2")
+		o.begin(origin.StreamIDOf("a"), "v2", "")
 		o.end(origin.StreamIDOf("a"))
 		clock.Advance(endedOriginLifetime - time.Millisecond)
-		o.begin(origin.StreamIDOf("b"), "v1")
+		o.begin(origin.StreamIDOf("b"), "v1", "")
 		Expect(o.constraint(resumed("a"), clock.Now()).Kind).To(Equal(origin.OnlyVersion))
 		clock.Advance(time.Millisecond)
-		o.begin(origin.StreamIDOf("c"), "v1")
+		o.begin(origin.StreamIDOf("c"), "v1", "")
 		Expect(o.constraint(resumed("a"), clock.Now()).Kind).To(Equal(origin.Unknown))
 	})
 
 	It("do not join a stream by what a host has heard otherwise", func() {
 		o.Observe(nil, targets("v1", "v2"))
-		o.begin(origin.StreamIDOf("a"), "v2")
+		o.begin(origin.StreamIDOf("a"), "v2", "")
 		v1 := tables.SoftwareVersion("v1")
 		m := resumed("a")
 		m.Heard = &v1
@@ -111,6 +111,24 @@
 		Expect(o.constraint(m, clock.Now())).To(Equal(origin.Constraint{Kind: origin.OnlyVersion, Version: "v1"}))
 	})
 
+	// Guards against a stream of two versions whose host has ended before the entry of the later start
+	// that began it arrived.
+	It("contradict a stream that a later start of its target may have begun", func() {
+		start := clock.Now().Add(-10 * time.Second)
+		o.Observe(nil, []fleet.Target{{ID: "t", Service: "s", Version: "v1", StartedAt: start}})
+		o.begin(origin.StreamIDOf("before"), "v1", "t")
+		clock.Advance(time.Second)
+		restart := clock.Now()
+		clock.Advance(time.Second)
+		o.begin(origin.StreamIDOf("after"), "v1", "t")
+		o.begin(origin.StreamIDOf("elsewhere"), "v1", "u")
+		o.Observe(nil, []fleet.Target{{ID: "t", Service: "s", Version: "v2", StartedAt: restart}})
+		o.begin(origin.StreamIDOf("late"), "v1", "t")
+		for request, kind := range map[string]origin.Kind{"before": origin.OnlyVersion, "after": origin.Unknown, "elsewhere": origin.OnlyVersion, "late": origin.Unknown} {
+			Expect(o.constraint(resumed(request), clock.Now()).Kind).To(Equal(kind), request)
+		}
+	})
+
 	// Guards against streams that are kept for ever by a host that is never the coordinator.
 	It("forget the streams that this host has relayed and that have ended", func() {
 		for _, request := range []string{"a", "b"} {
@@ -126,12 +144,12 @@
 	It("tell other hosts of a stream that was contradicted with both versions", func() {
 		o.Observe(nil, targets("v1", "v2"))
 		clock.Advance(originDelay)
-		o.begin(origin.StreamIDOf("a"), "v1")
+		o.begin(origin.StreamIDOf("a"), "v1", "")
 		clock.Advance(originDelay)
 		var first, second origin.Batch
 		Eventually(sent).Should(Receive(&first))
 		stored, next := o.BegunSince(0)
-		o.begin(origin.StreamIDOf("a"), "v2")
+		o.begin(origin.StreamIDOf("a"), "v2", "")
 		clock.Advance(originDelay)
 		Eventually(sent).Should(Receive(&second))
 		other := NewOrigins(clock)
@@ -152,7 +170,7 @@
 	// that has heard of one.
 	It("do not join a stream of which they know two versions by what a host has heard", func() {
 		o.Observe(nil, targets("v1", "v2"))
-		o.begin(origin.StreamIDOf("a"), "v1")
+		o.begin(origin.StreamIDOf("a"), "v1", "")
 		batch := make(origin.Batch)
 		batch.Add(origin.StreamIDOf("a"), "v2")
 		o.Merge(batch)
@@ -180,7 +198,7 @@
 	// Guards against a stream of two versions at a coordinator that was stopped while the stream began.
 	It("do not put what they have recorded above what hosts have heard", func() {
 		o.Observe(nil, targets("v1", "v2"))
-		o.begin(origin.StreamIDOf("a"), "v1")
+		o.begin(origin.StreamIDOf("a"), "v1", "")
 		v2 := tables.SoftwareVersion("v2")
 		m := resumed("a")
 		m.Heard = &v2
@@ -189,7 +207,7 @@
 
 	It("refuse what a host of the build before and the coordinator know differently", func() {
 		o.Observe(nil, targets("v1", "v2"))
-		o.begin(origin.StreamIDOf("a"), "v2")
+		o.begin(origin.StreamIDOf("a"), "v2", "")
 		v1, v2 := tables.SoftwareVersion("v1"), tables.SoftwareVersion("v2")
 		m := resumed("a")
 		m.Version = &v1
@@ -200,7 +218,7 @@
 
 	It("bind a request by what its host has relayed, and bind no new stream", func() {
 		o.Observe(nil, targets("v1", "v2"))
-		o.begin(origin.StreamIDOf("a"), "v2")
+		o.begin(origin.StreamIDOf("a"), "v2", "")
 		v1 := tables.SoftwareVersion("v1")
 		m := resumed("a")
 		m.Version, m.Relayed = &v1, true
--- a/internal/pool/release.go
+++ b/internal/pool/release.go
@@ -80,7 +80,7 @@
 // beginStream records that a stream has sent its first event. The lock must be held.
 func (c *Coordinator) beginStream(f firstByteReport) {
 	if e, known := c.charges[f.ID]; known {
-		c.Origins.begin(e.stream, e.version)
+		c.Origins.begin(e.stream, e.version, c.scheduler.TargetOf(f.ID))
 	}
 }
 
--- a/internal/pool/resumed_test.go
+++ b/internal/pool/resumed_test.go
@@ -37,7 +37,7 @@
 		coordinator.ReloadTargets(allocation.Estimates{})
 		coordinator.Origins = NewOrigins(clock)
 		coordinator.Origins.Observe(nil, deployment.targets)
-		coordinator.Origins.begin(origin.StreamIDOf("a"), "v1")
+		coordinator.Origins.begin(origin.StreamIDOf("a"), "v1", "")
 		client := NewClient(self, links.New(self, peers, clock, zap.NewNop()), coordinator, coordinator, 1, time.Second, clock, zap.NewNop())
 		stalls := stall.New(clock, func() time.Duration { return 0 })
 		stalls.OnResume = func(time.Duration) {
--- a/internal/pool/takeover.go
+++ b/internal/pool/takeover.go
@@ -21,7 +21,7 @@
 		request := &allocation.SlotRequest{ID: g.ID, Host: m.Host, Service: g.Service, Customer: g.Customer, Tier: g.Tier, ArrivedAt: now, Tokens: g.Tokens.counts()}
 		held = append(held, allocation.HeldSlot{Request: request, Target: g.Target})
 		if g.Version != nil {
-			c.Origins.begin(g.Stream, *g.Version)
+			c.Origins.begin(g.Stream, *g.Version, g.Target)
 		}
 	}
 	c.scheduler.Reconcile(now, m.Host, held)
