--- a/internal/httpcall/head.go
+++ b/internal/httpcall/head.go
@@ -14,9 +14,9 @@
 	ErrInvalidName   = errors.New("the name of a field of the answer is none")
 )
 
-// CheckHead returns an error if the head of a final answer is none of HTTP. net/http accepts any three
-// digits as a status, and panics if one below 100 is passed on. It also accepts blanks in the names of
-// fields, and takes a length or an encoding with such a name for none.
+// CheckHead returns ErrInvalidStatus or ErrInvalidName if the head of a final answer is not valid HTTP.
+// net/http accepts any three digits as a status, and panics if one below 100 is passed on. It also
+// accepts blanks in the names of fields, and ignores a length or an encoding with such a name.
 func CheckHead(status int, header http.Header) error {
 	if status < http.StatusOK || status > 599 {
 		return fmt.Errorf("%w: %d", ErrInvalidStatus, status)
@@ -24,7 +24,7 @@
 	return CheckNames(header)
 }
 
-// CheckNames returns an error if the name of a field is none.
+// CheckNames returns ErrInvalidName if the name of a field is not a token.
 func CheckNames(header http.Header) error {
 	for name := range header {
 		if !httpguts.ValidHeaderFieldName(name) {
