review: a planned stop cuts off requests that wait for a slot

Order of events: all slots of a service are taken; a host gets SIGTERM; requests that reach it a second later are accepted and wait for a slot; the host ends at 7.3 s and closes their connections without an answer.

--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -13,8 +13,8 @@
 	"github.com/bluebellseam/bluebellseam/platform/standin"
 )
 
-// deadline is how long clients wait, as those of the plain service of smalt-desk.
-const deadline = 2500 * time.Millisecond
+// usualDeadline is how long clients wait, as those of the plain service of smalt-desk.
+const usualDeadline = 2500 * time.Millisecond
 
 var lastRequest atomic.Int64
 
@@ -22,13 +22,19 @@
 type answer struct {
 	request string
 	sentAt  time.Time
-	// status is zero if there was no answer.
+	// status is zero if there was no answer, which is then ended at endedAt.
 	status     int
+	endedAt    time.Time
 	retryAfter time.Duration
 }
 
 // send sends one attempt to a host over a new connection.
 func (c *cluster) send(h *host, method, path string) answer {
+	return c.sendWithin(usualDeadline, h, method, path)
+}
+
+// sendWithin sends one attempt with a deadline.
+func (c *cluster) sendWithin(deadline time.Duration, h *host, method, path string) answer {
 	a := answer{request: fmt.Sprintf("%016x", lastRequest.Add(1)), sentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
@@ -43,6 +49,7 @@
 	c.record.line("request %s (%s) sent to %s", a.request, path, h.Name)
 	transport := standin.NewSingleUseTransport()
 	resp, err := transport.RoundTrip(req)
+	a.endedAt = time.Now()
 	if err != nil {
 		c.record.line("request %s: no answer: %v", a.request, err)
 		return a
--- a/review/rig-2/engine.go
+++ b/review/rig-2/engine.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// workTime is how long a request runs, and downTime how long an engine is down after a crash.
-	workTime = 30 * time.Millisecond
-	downTime = 3 * time.Second
+	// usualWork is how long a request runs, and downTime how long an engine is down after a crash.
+	usualWork = 30 * time.Millisecond
+	downTime  = 3 * time.Second
 	// heartbeatInterval is that of the entries of engines.
 	heartbeatInterval = 1200 * time.Millisecond
-	engineSlots       = 6
+	usualSlots        = 6
 )
 
 // engine is a plain service's server. It serves at one address; after a crash it starts again there
@@ -24,6 +24,9 @@
 type engine struct {
 	id, service, zone, address string
 	cluster                    *cluster
+	// work is how long a request runs, and slots how many run at a time, as its entry says.
+	work  time.Duration
+	slots int
 	// crashes reports whether a request crashes the engine that runs it.
 	crashes func(*http.Request) bool
 	// fails reports whether a request that has run is answered with an error.
@@ -46,12 +49,17 @@
 
 // addEngine starts an engine and writes its entry.
 func (c *cluster) addEngine(id, service, zone string) (*engine, error) {
+	return c.addSlowEngine(id, service, zone, usualSlots, usualWork)
+}
+
+// addSlowEngine starts an engine with a number of slots whose requests run for a time.
+func (c *cluster) addSlowEngine(id, service, zone string, slots int, work time.Duration) (*engine, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	never := func(*http.Request) bool { return false }
-	e := &engine{id: id, service: service, zone: zone, address: l.Addr().String(), cluster: c, crashes: never, fails: never}
+	e := &engine{id: id, service: service, zone: zone, address: l.Addr().String(), cluster: c, work: work, slots: slots, crashes: never, fails: never}
 	c.engines = append(c.engines, e)
 	e.begin(l)
 	go e.beat()
@@ -78,7 +86,7 @@
 	}
 	e.sequence++
 	e.cluster.store.PutTarget(e.id, map[string]any{
-		"service": e.service, "address": e.address, "zone": e.zone, "version": "1", "slots": engineSlots,
+		"service": e.service, "address": e.address, "zone": e.zone, "version": "1", "slots": e.slots,
 		"state": "ready", "cold_ms": 0, "sequence": e.sequence, "born": e.born.UnixMilli(),
 	})
 }
@@ -154,7 +162,7 @@
 	select {
 	case <-r.Context().Done():
 		return
-	case <-time.After(workTime):
+	case <-time.After(e.work):
 	}
 	w.Header().Set("Response-Seal", "seal-"+e.id+"-"+id)
 	if e.fails(r) {
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -23,6 +23,7 @@
 // cases are the cases by name.
 var cases = map[string]play{
 	"crash-requests": playCrashRequests,
+	"stop-waiting":   playStopWaiting,
 }
 
 func main() {
