--- a/internal/edge/access.go
+++ b/internal/edge/access.go
@@ -21,10 +21,8 @@
 
 // RefuseUnread refuses a request whose body was not read.
 func (s *Server) RefuseUnread(ctx context.Context, r *Request, caller Caller, err error) {
-	ex := &exchange{server: s, request: r, caller: caller, config: s.Directory.Config()}
-	if ex.config != nil {
-		ex.route = ex.config.Route(r.Host, r.Path)
-	}
+	ex := s.uploadOf(r)
+	ex.caller = caller
 	ex.finish(ctx, err)
 }
 
