A relay that is told to stop while a body arrives does not send the request

Callers could see: a request that a stopping host began to send for another host after its SIGTERM, and cut off at its end.

Change: it asks again after the body, and refuses as busy; the sender takes another host. Evidence: the new test fails before (1 request sent) and passes.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -65,7 +65,8 @@
 	}
 	body, release, err := h.readBody(r, http.NewResponseController(w))
 	defer release()
-	if err != nil {
+	if err != nil || h.Stopping() {
+		// The stop may have begun while the body arrived; the sender can still choose another host.
 		refuse(w, reach.Busy)
 		return
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -162,6 +163,35 @@
 	}
 }
 
+// Guards against a request that a host begins to send for another one though it has been told to stop
+// while the body arrived, and which it may have to cut off.
+func TestRequestWhoseBodyArrivesDuringTheStopIsNotSent(t *testing.T) {
+	targets := &fakeTargets{}
+	handler := handlerOf(targets, false)
+	var stopping atomic.Bool
+	handler.Stopping = stopping.Load
+	r := httptest.NewRequest(http.MethodPost, "/x", &bodyDuringStop{rest: strings.NewReader("body"), stopping: &stopping})
+	r.ContentLength = int64(len("body"))
+	r.Header.Set(headerTarget, "t")
+	r.Header.Set(headerTargetAddress, "127.0.0.1:1")
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, r)
+	if got := w.Header().Get(headerResult); got != resultRefused || targets.forwarded > 0 {
+		t.Errorf("result %q, %d requests were sent", got, targets.forwarded)
+	}
+}
+
+// bodyDuringStop is a body with whose bytes the stop begins.
+type bodyDuringStop struct {
+	rest     io.Reader
+	stopping *atomic.Bool
+}
+
+func (b *bodyDuringStop) Read(p []byte) (int, error) {
+	b.stopping.Store(true)
+	return b.rest.Read(p)
+}
+
 func TestAddressOfAHostThatNamesNoneIsEmpty(t *testing.T) {
 	if got := Address("10.0.0.1:7600"); got != "10.0.0.1:7602" {
 		t.Error(got)
