--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -49,8 +49,10 @@
 
 // sendAndRelease makes one call and releases its slot, also if the call panics.
 func (ex *exchange) sendAndRelease(ctx context.Context, slot *heldSlot) (err error) {
+	ex.server.atTargets.Add(1)
 	outcome := allocation.Abandoned
 	defer func() {
+		ex.server.atTargets.Add(-1)
 		slot.grant.ReportEvents(ex.call.events)
 		slot.grant.Release(outcome, ex.relay.meanGap())
 	}()
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -63,6 +63,8 @@
 	quiet    quietTargets
 	framings framings
 	history  runHistory
+	// atTargets is the number of requests that are at a target now.
+	atTargets atomic.Int64
 	// bufferedBytes is the size of all bodies that are buffered now.
 	bufferedBytes atomic.Int64
 }
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -76,6 +76,9 @@
 	return context.AfterFunc(s.begun, f)
 }
 
+// AtTargets returns the number of requests that are at a target now.
+func (s *Server) AtTargets() int { return int(s.atTargets.Load()) }
+
 // runHistory holds how long the requests of this host have waited and run. It is safe for
 // concurrent use. The zero value holds nothing.
 type runHistory struct {
--- a/internal/edgenode/node.go
+++ b/internal/edgenode/node.go
@@ -117,6 +117,8 @@
 	refusedPeers refusedPeers
 	stalls       *stall.Detector
 	front        *http.Server
+	// server serves the requests of callers.
+	server *edge.Server
 	// limiter tracks the connections of callers, which frontListener accepts.
 	limiter *connlimit.Limiter
 	// router sends requests to targets, relays takes those of other hosts.
@@ -347,6 +349,7 @@
 		Clock: p.clock, Logger: p.logger, Metrics: p.metrics, Poison: p.poison, Shutdown: p.shutdown,
 		Budget: p.callers.budget,
 	}
+	p.server = server
 	p.router.OnEndJudged = func(v answerend.Verdict, decisive string) { p.metrics.UnframedEnded(v.String(), decisive) }
 	p.router.Stale = func(since time.Time) bool { return p.stalls.ResumedSince(since) && !p.upToDate() }
 	p.router.OnNotice, p.router.QuietFor, p.router.Departed = server.RecordNotice, server.QuietFor, p.state.Departed
--- a/internal/edgenode/stop.go
+++ b/internal/edgenode/stop.go
@@ -26,7 +26,7 @@
 	_ = p.frontListener.Close()
 	p.shutdown.RecordClosed()
 	if open := p.awaitRequests(ctx); open > 0 {
-		event.StopTimeoutExpired.Log(p.logger, zap.Int("connections", open))
+		event.StopTimeoutExpired.Log(p.logger, zap.Int("connections", open), zap.Int("at_targets", p.server.AtTargets()), zap.Int("relayed", p.relays.InFlight()))
 	}
 	event.ProcessStopped.Log(p.logger)
 	p.Close()
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -9,7 +9,7 @@
 	ProcessStarted     = Event{1001, zapcore.InfoLevel, "process started", "The process accepts connections on its addresses."}
 	SettingsInForce    = Event{1002, zapcore.InfoLevel, "settings in force", "The effective settings from flags, environment and defaults; keys are omitted."}
 	StopRequested      = Event{1003, zapcore.InfoLevel, "stop requested", "The process received a termination signal; it reports not ready and completes requests in flight."}
-	StopTimeoutExpired = Event{1004, zapcore.WarnLevel, "stop timeout expired", "Requests were still in flight when the stop timeout (the stop bound of the settings) expired."}
+	StopTimeoutExpired = Event{1004, zapcore.WarnLevel, "stop timeout expired", "Requests were still in flight when the stop timeout (the stop bound of the settings) expired. For a host of the platform: open connections of callers and relayed requests together, requests that were at targets, and requests relayed for other hosts."}
 	ProcessStopped     = Event{1005, zapcore.InfoLevel, "process stopped", "All requests in flight have ended; the process exits."}
 	ListenerFailed     = Event{1006, zapcore.ErrorLevel, "listener failed", "A listening socket returned an error."}
 	SettingsReloaded   = Event{1007, zapcore.InfoLevel, "settings reloaded", "The settings file was read again; on an error the previous settings stay in force."}
