--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -47,6 +47,9 @@
 	}
 }
 
+// AtTargets returns the number of requests that are at a target now.
+func (s *Server) AtTargets() int { return int(s.atTargets.Load()) }
+
 // sendAndRelease makes one call and releases its slot, also if the call panics.
 func (ex *exchange) sendAndRelease(ctx context.Context, slot *heldSlot) (err error) {
 	ex.server.atTargets.Add(1)
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -4,23 +4,17 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
-	"github.com/bluebellseam/bluebellseam/internal/systems/shutdown"
 )
 
 // shutdownRetryAfter is when a caller that is refused because of a planned stop may try another
 // host, which it may do at once.
 const shutdownRetryAfter = 100 * time.Millisecond
 
-// usualRunShare is the part of the time until its deadline that a request is expected to run if
-// too little is known of its route.
-const usualRunShare = 0.5
-
 // errEndsBefore is the cause of a wait that was ended because the process is likely to end before
 // the request could have been served.
 var errEndsBefore = errors.New("the host is stopping and is likely to end before the request")
@@ -76,51 +70,6 @@
 	return context.AfterFunc(s.begun, f)
 }
 
-// AtTargets returns the number of requests that are at a target now.
-func (s *Server) AtTargets() int { return int(s.atTargets.Load()) }
-
-// runHistory holds how long the requests of this host have waited and run. It is safe for
-// concurrent use. The zero value holds nothing.
-type runHistory struct {
-	mu    sync.Mutex
-	known *shutdown.History
-}
-
-func (h *runHistory) record(ex *exchange, waited, ran time.Duration) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.known == nil {
-		h.known = shutdown.NewHistory()
-	}
-	h.known.Record(ex.route.Name, ex.request.MaxOutputTokens, waited, ran)
-}
-
-// outlook returns what is expected of a request that has waited for a slot for a time.
-func (h *runHistory) outlook(ex *exchange, waited time.Duration) shutdown.Outlook {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.known == nil {
-		return shutdown.Outlook{Run: ex.usualRun()}
-	}
-	return h.known.Outlook(ex.route.Name, ex.request.MaxOutputTokens, waited, ex.usualRun())
-}
-
-// recordRun records a request that was answered as a whole by the target of a slot.
-func (ex *exchange) recordRun(slot *heldSlot, startedAt time.Time) {
-	if ex.call.status < http.StatusMultipleChoices {
-		ex.server.history.record(ex, slot.waited, ex.server.Clock.Now().Sub(startedAt))
-	}
-}
-
-// usualRun returns how long the request is expected to run if too little is known of its route.
-func (ex *exchange) usualRun() time.Duration {
-	if ex.deadline.IsZero() {
-		return ex.firstByteSLO()
-	}
-	total := ex.deadline.Sub(ex.request.Arrived)
-	return max(ex.firstByteSLO(), time.Duration(usualRunShare*float64(total)))
-}
-
 // endOfProcess returns when the process ends the request, and whether it does: a request whose
 // deadline is before is not concerned.
 func (ex *exchange) endOfProcess() (at time.Time, ends bool) {
@@ -136,7 +85,7 @@
 // answer begun before the stop.
 func (ex *exchange) checkStopping() error {
 	if _, ends := ex.endOfProcess(); ends && ex.server.Shutdown.isClosed() {
-		return ex.shuttingDownError(errEndsBefore)
+		return ex.shuttingDownError()
 	}
 	return nil
 }
@@ -147,14 +96,14 @@
 	endsAt, ends := ex.endOfProcess()
 	now := ex.server.Clock.Now()
 	if ends && now.After(ex.server.history.outlook(ex, 0).LatestBegin(endsAt)) {
-		return ex.shuttingDownError(errEndsBefore)
+		return ex.shuttingDownError()
 	}
 	return nil
 }
 
-func (ex *exchange) shuttingDownError(cause error) error {
+func (ex *exchange) shuttingDownError() error {
 	waited := ex.server.Clock.Now().Sub(ex.request.Arrived)
-	return errkind.NewRetry(errkind.ShuttingDown, fmt.Sprintf("%v; it was not sent in %v", cause, waited), shutdownRetryAfter)
+	return errkind.NewRetry(errkind.ShuttingDown, fmt.Sprintf("%v, which has waited %v", errEndsBefore, waited.Round(time.Millisecond)), shutdownRetryAfter)
 }
 
 // whileServable returns a context for the wait for a slot. It ends with ctx, or with errEndsBefore
@@ -206,37 +155,3 @@
 func endedByShutdown(ctx, waiting context.Context) bool {
 	return ctx.Err() == nil && errors.Is(context.Cause(waiting), errEndsBefore)
 }
-
-// AllowUpload returns a context for reading the body of a request. It ends with ctx, or earlier if
-// the process is to end and could not serve the request any more. Of the request the host, the path,
-// the arrival, the timeout and the token counts must be set. done must be called once the body was
-// read.
-func (s *Server) AllowUpload(ctx context.Context, r *Request) (uploading context.Context, done func()) {
-	ex := s.uploadOf(r)
-	if ex.route == nil {
-		return ctx, func() {}
-	}
-	ex.deadline = ex.computeDeadline()
-	return ex.untilEnd(ctx, func(_, endsAt time.Time) time.Time {
-		return s.history.outlook(ex, 0).LatestBegin(endsAt)
-	})
-}
-
-// UploadError returns the error, of the kind ShuttingDown, of a request whose body was not read
-// because a context of AllowUpload has ended; nil if it has not ended for the end of the process.
-func (s *Server) UploadError(uploading context.Context, r *Request) error {
-	if !errors.Is(context.Cause(uploading), errEndsBefore) {
-		return nil
-	}
-	return s.uploadOf(r).shuttingDownError(errEndsBefore)
-}
-
-// uploadOf returns the state of a request whose body is still arriving. Its route is nil if there
-// is none.
-func (s *Server) uploadOf(r *Request) *exchange {
-	ex := &exchange{server: s, request: r, config: s.Directory.Config()}
-	if ex.config != nil {
-		ex.route = ex.config.Route(r.Host, r.Path)
-	}
-	return ex
-}
--- a/internal/edge/shutdown_test.go
+++ b/internal/edge/shutdown_test.go
@@ -13,8 +13,8 @@
 	"github.com/bluebellseam/bluebellseam/internal/systems/allocation"
 )
 
-// usualRun is how long a stream of resumableStream is expected to run if nothing is known.
-const usualRun = time.Second
+// unknownRun is how long a stream of resumableStream is expected to run if nothing is known.
+const unknownRun = time.Second
 
 // takeSlots takes all slots that the only target of the server has for requests of unknown length.
 func (e *testServer) takeSlots(t *testing.T) (release func()) {
@@ -66,8 +66,8 @@
 		left     time.Duration
 		waitsFor time.Duration
 	}{
-		"no time for the run":  {usualRun, 0},
-		"half of what is left": {usualRun + answerTime + 2*time.Second, time.Second},
+		"no time for the run":  {unknownRun, 0},
+		"half of what is left": {unknownRun + answerTime + 2*time.Second, time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := newTestServer(t, zap.NewNop(), resumableStream(1), 1, answers(http.StatusOK, oneEvent))
@@ -96,7 +96,7 @@
 func TestSlotThatIsGrantedAsTheStopBeginsIsGivenBackUnused(t *testing.T) {
 	e := newTestServer(t, zap.NewNop(), resumableStream(1), 1, answers(http.StatusOK, oneEvent))
 	e.Shutdown = NewShutdown()
-	e.slots.onAsk = func() { e.Shutdown.Begin(e.clock.Now().Add(usualRun)) }
+	e.slots.onAsk = func() { e.Shutdown.Begin(e.clock.Now().Add(unknownRun)) }
 	caller := e.serveParts(t, "r")
 	e.expectShuttingDown(t, caller)
 	e.expectFreeSlots(t)
@@ -105,7 +105,7 @@
 func TestStoppingHostServesWhatItCanComplete(t *testing.T) {
 	e := newTestServer(t, zap.NewNop(), resumableStream(1), 1, answers(http.StatusOK, oneEvent))
 	e.Shutdown = NewShutdown()
-	e.Shutdown.Begin(e.clock.Now().Add(usualRun + 2*answerTime))
+	e.Shutdown.Begin(e.clock.Now().Add(unknownRun + 2*answerTime))
 	if caller := e.serveParts(t, "r"); caller.refused != nil {
 		t.Errorf("refused with %v", caller.refused)
 	}
@@ -128,7 +128,7 @@
 			e := newTestServer(t, zap.NewNop(), resumableStream(2), 2, nil, answers(http.StatusOK, numberedEvent(2)))
 			e.Shutdown = NewShutdown()
 			e.transport.steps[0] = func(ctx context.Context, silent chan<- struct{}) (*Response, error) {
-				e.Shutdown.Begin(e.clock.Now().Add(usualRun / 2))
+				e.Shutdown.Begin(e.clock.Now().Add(unknownRun / 2))
 				return c.first(ctx, silent)
 			}
 			caller := e.serveParts(t, "r")
@@ -151,7 +151,7 @@
 	e.serveOne(ctx)
 	receive(t, e.transport.called, "call")
 	receive(t, e.caller.written, "event")
-	e.Shutdown.Begin(e.clock.Now().Add(silentFor + usualRun/2))
+	e.Shutdown.Begin(e.clock.Now().Add(silentFor + unknownRun/2))
 	e.passSilence(t, silentFor)
 	receiveNothing(t, e.transport.called, "a second call was made")
 	receiveNothing(t, e.done, "the request has ended")
--- a/internal/edge/slot.go
+++ b/internal/edge/slot.go
@@ -89,7 +89,7 @@
 	slot, err := ex.acquireKnown(waiting, need)
 	switch {
 	case err != nil && endedByShutdown(ctx, waiting):
-		return nil, ex.shuttingDownError(errEndsBefore)
+		return nil, ex.shuttingDownError()
 	case err != nil:
 		return nil, err
 	}
