Tests: withdrawn waits at the local fallback, uploads during a stop

The fallback takes the same context as the coordinator, and was cut off in the same way by reading; no play of real processes is made for it.

--- a/internal/edge/fakes_test.go
+++ b/internal/edge/fakes_test.go
@@ -221,9 +221,18 @@
 
 // newSlotClient returns a client that is the coordinator itself.
 func newSlotClient(t *testing.T, directory *fixedDirectory, clock clockwork.Clock, logger *zap.Logger) *pool.Client {
-	self := fleet.Host{ID: "self", Address: "127.0.0.1:1"}
+	return newSlotClientAmong(t, []fleet.Host{selfHost}, directory, clock, logger)
+}
+
+// selfHost is the host of the tests.
+var selfHost = fleet.Host{ID: "self", Address: "127.0.0.1:1"}
+
+// newSlotClientAmong returns a client that knows the given hosts. Without hosts it uses its local
+// fallback.
+func newSlotClientAmong(t *testing.T, known []fleet.Host, directory *fixedDirectory, clock clockwork.Clock, logger *zap.Logger) *pool.Client {
+	self := selfHost
 	hosts := links.New(self, peer.NewPool(t.Context(), peer.Hello{Host: self.ID}, peer.NewMux(), clock), clock, zap.NewNop())
-	hosts.SetHosts([]fleet.Host{self})
+	hosts.SetHosts(known)
 	whole := func() float64 { return 1 }
 	coordinator := pool.NewCoordinator(directory, pool.Policy{}, func() float64 { return 0 }, whole, func() int { return 1 }, clock, logger)
 	coordinator.ReloadTargets(allocation.Estimates{})
--- a/internal/edge/shutdown_test.go
+++ b/internal/edge/shutdown_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebellseam/bluebellseam/internal/errkind"
+	"github.com/bluebellseam/bluebellseam/internal/fleet"
 	"github.com/bluebellseam/bluebellseam/internal/pool"
 	"github.com/bluebellseam/bluebellseam/internal/systems/allocation"
 )
@@ -62,15 +63,19 @@
 // Guards against a request that goes on waiting for a slot until the process cuts it off, and
 // whose place in the queue is kept.
 func TestStoppingHostWithdrawsWaitsThatItCannotServe(t *testing.T) {
+	hosts := []fleet.Host{selfHost}
 	for name, c := range map[string]struct {
 		left     time.Duration
 		waitsFor time.Duration
+		hosts    []fleet.Host
 	}{
-		"no time for the run":  {unknownRun, 0},
-		"half of what is left": {unknownRun + answerTime + 2*time.Second, time.Second},
+		"no time for the run":                        {unknownRun, 0, hosts},
+		"half of what is left":                       {unknownRun + answerTime + 2*time.Second, time.Second, hosts},
+		"no time for the run, at the local fallback": {unknownRun, 0, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := newTestServer(t, zap.NewNop(), resumableStream(1), 1, answers(http.StatusOK, oneEvent))
+			e.slots.inner = newSlotClientAmong(t, c.hosts, e.directory, e.clock, zap.NewNop())
 			e.Shutdown = NewShutdown()
 			release := e.takeSlots(t)
 			e.serveOne(t.Context())
@@ -156,3 +161,26 @@
 	receiveNothing(t, e.transport.called, "a second call was made")
 	receiveNothing(t, e.done, "the request has ended")
 }
+
+// Guards against an upload that is cut off at the end of the process, and against one that is ended
+// because it is done.
+func TestUploadMayLastUntilItsRequestCouldNotBeServed(t *testing.T) {
+	const left = 3 * time.Second
+	e := newTestServer(t, zap.NewNop(), resumableStream(1), 1, answers(http.StatusOK, oneEvent))
+	e.Shutdown = NewShutdown()
+	head := &Request{ID: "r", Host: "h", Path: "/x", Arrived: e.clock.Now()}
+	uploading, done := e.AllowUpload(t.Context(), head)
+	defer done()
+	whole, end := e.AllowUpload(t.Context(), head)
+	e.Shutdown.Begin(e.clock.Now().Add(left))
+	receiveNothing(t, uploading.Done(), "the upload has ended too early")
+	end()
+	if err := e.UploadError(whole, head); err != nil {
+		t.Errorf("an upload that is whole is refused: %v", err)
+	}
+	e.clock.Advance(left - unknownRun)
+	receive(t, uploading.Done(), "end of the upload")
+	if err := e.UploadError(uploading, head); errkind.Of(err) != errkind.ShuttingDown {
+		t.Errorf("refused with %v", err)
+	}
+}
