--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -46,6 +46,8 @@
 		return exitNotRun
 	}
 	defer w.close()
+	// A reader of the output that leaves must not end this process before the others.
+	signal.Ignore(syscall.SIGPIPE)
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
