An answer that claims without proof that the request has not run reaches no caller

Callers saw: a target ran a commission and answered 503 of its own, signed and not marked as not run.

Cause: the host took the mark of the target for the proof that a request has not run, and passed statuses on without a look at what they say to a caller. 503, 429, 421 and 408 are that statement themselves. It was no matter of keepServerError or of the route: 503, 429 and 408 reached callers of all four kinds of routes, over a connection of the host and through another one.

The target counts as one that has failed.

Whole tests of platform, edge, relay, edgenode, faultsoak pass.

Why it works: a status that is a promise now leaves a host only after its own decision before any send, or after the target's mark.

--- a/internal/edge/fakes_test.go
+++ b/internal/edge/fakes_test.go
@@ -58,13 +58,17 @@
 	asking chan struct{}
 	// onAsk is called before each request; nil for nothing.
 	onAsk func()
-	mu    sync.Mutex
-	asked []pool.SlotRequest
+	// refuse returns the error of the n-th request, counted from one; nil, also as its result, passes
+	// the request on.
+	refuse func(n int) error
+	mu     sync.Mutex
+	asked  []pool.SlotRequest
 }
 
 func (s *recordedSlots) Acquire(ctx context.Context, r pool.SlotRequest) (*pool.Grant, error) {
 	s.mu.Lock()
 	s.asked = append(s.asked, r)
+	count := len(s.asked)
 	s.mu.Unlock()
 	select {
 	case s.asking <- struct{}{}:
@@ -73,6 +77,11 @@
 	if s.onAsk != nil {
 		s.onAsk()
 	}
+	if s.refuse != nil {
+		if err := s.refuse(count); err != nil {
+			return nil, err
+		}
+	}
 	return s.inner.Acquire(ctx, r)
 }
 
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -23,6 +23,7 @@
 
 var (
 	errServerError        = errors.New("the target answered with a server error")
+	errClaimsNotRun       = errors.New("the answer does not prove what its status says, that the request has not run")
 	errUnsigned           = errors.New("the answer lacks the target's signature")
 	errTruncated          = errors.New("the answer broke off")
 	errEventTooLong       = fmt.Errorf("an event exceeds %d bytes", MaxEventBytes)
@@ -58,8 +59,11 @@
 	// serverError is a target's server error, relayed if no other target
 	// responds.
 	serverError *bufferedResponse
-	emptyEnd    emptyEnd
-	stream      bool
+	// withheldStatus is the status of the latest answer with Response.ClaimsNotRun; zero if there
+	// was none.
+	withheldStatus int
+	emptyEnd       emptyEnd
+	stream         bool
 	// endInDoubt is true if the answer with the last event ended after that event, its target may
 	// have ended as well, and no other one has begun to go on. The next targets tell.
 	endInDoubt bool
@@ -103,6 +107,8 @@
 // target may be tried. A response that has started is only continued by a stream.
 func (ex *exchange) relayResponse(ctx context.Context, resp *Response, onFirstByte func()) error {
 	switch {
+	case resp.ClaimsNotRun:
+		return ex.withholdAnswer(resp)
 	case resp.Status >= http.StatusInternalServerError:
 		return ex.keepServerError(resp)
 	case !resp.Signed:
@@ -142,6 +148,17 @@
 	return ex.mayHaveRunError(errServerError)
 }
 
+// withholdAnswer reads an answer whose status would make the caller repeat a request that may have
+// run. No caller gets it, whatever the kind of the route.
+func (ex *exchange) withholdAnswer(resp *Response) error {
+	if _, err := ex.readBody(resp.Body); err != nil {
+		return ex.mayHaveRunError(err)
+	}
+	ex.relay.withheldStatus = resp.Status
+	ex.server.Metrics.AnswerWithheld(resp.Status)
+	return ex.mayHaveRunError(fmt.Errorf("%w: status %d", errClaimsNotRun, resp.Status))
+}
+
 func (ex *exchange) relayBuffered(_ context.Context, resp *Response, onFirstByte func()) error {
 	onFirstByte()
 	body, err := ex.readBody(resp.Body)
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -109,6 +109,9 @@
 	Header http.Header
 	// Signed is true if the response carries the target's signature.
 	Signed bool
+	// ClaimsNotRun is true if the status tells callers that the request has not run, although
+	// the target does not state that: the request may have run.
+	ClaimsNotRun bool
 	// Length is the length of the body; negative if unknown.
 	Length int64
 	// Framed is true if the end of the body can be told from the end of the connection.
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -281,7 +281,7 @@
 	case errors.Is(err, errNothingFollows), errors.Is(err, errEndUnconfirmed), errors.Is(cause, errNotConfirmed):
 		// A stream that succeeds has ended, and its version is soon forgotten.
 		return allocation.Abandoned
-	case errors.Is(err, errServerError), errors.Is(err, errNotResumed):
+	case errors.Is(err, errServerError), errors.Is(err, errNotResumed), errors.Is(err, errClaimsNotRun):
 		return allocation.Failed
 	default:
 		return allocation.ConnectionLost
@@ -330,7 +330,16 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return errkind.Wrap(err, errkind.OutcomeUnknown, "the deadline has passed")
 	}
-	return errkind.Wrap(err, errkind.RanFailed, fmt.Sprintf("sent to %v", ex.tried))
+	return errkind.Wrap(err, errkind.RanFailed, ex.failureDetail())
+}
+
+// failureDetail describes a failure after which the request may have run.
+func (ex *exchange) failureDetail() string {
+	detail := fmt.Sprintf("sent to %v", ex.tried)
+	if ex.relay.withheldStatus != 0 {
+		detail += fmt.Sprintf("; an answer with status %d was withheld, since it does not prove that the request has not run", ex.relay.withheldStatus)
+	}
+	return detail
 }
 
 // mayHaveRun reports whether the target of an earlier failed call may have run
--- a/internal/observe/definitions.go
+++ b/internal/observe/definitions.go
@@ -72,16 +72,19 @@
 // refusedPeers counts the refusals of hosts that do not belong to the fleet.
 var refusedPeers = Definition{"bluebell_edge_refused_peers_total", "counter", []string{"way", "reason"}, "Greetings, messages and relayed requests of hosts that do not belong to this fleet, by way (greeting, relay, address) and reason (other_fleet, other_store, unlisted, other_host). Any is a sign of two deployments that share addresses.", nil}
 
+// withheldAnswers counts answers that reach no caller, since their status would be an untrue promise.
+var withheldAnswers = Definition{"bluebell_edge_withheld_answers_total", "counter", []string{"status"}, "Answers of targets that no caller got: their status tells callers that the request has not run, and the target does not state that. Any is a target that reports failures of its own with a status for refusals.", nil}
+
 // causeTrials counts the trials of causes of crashes at this host.
 var causeTrials = Definition{"bluebell_edge_crash_cause_trials_total", "counter", []string{"result"}, "Single requests that this host sent although they hold a cause of crashes, by result: survived releases the cause, lost confirms it, unused tells nothing.", nil}
 
 // causeReleases counts the causes of crashes that were released at this host.
 var causeReleases = Definition{"bluebell_edge_crash_cause_releases_total", "counter", []string{"by"}, "Causes of crashes whose requests this host sends again before they are a day old, by who has released them: trial (a target has answered a request that this host sent), evidence (other causes explain the crashes), host (another one told or wrote so) or operator.", nil}
 
-// StreamDefinitions returns the definitions of the metrics of streams, and of the hosts and the
-// configuration that they hold.
+// StreamDefinitions returns the definitions of the metrics of streams, of the hosts and the
+// configuration that they hold, and of answers that are not passed on.
 func StreamDefinitions() []Definition {
-	return []Definition{streamEnd, streamKeys, hostCount, causeTrials, causeReleases, refusedPeers, keyRequired}
+	return []Definition{streamEnd, streamKeys, hostCount, withheldAnswers, causeTrials, causeReleases, refusedPeers, keyRequired}
 }
 
 // Definitions returns the definitions of the metrics in Metrics, in the order of
--- a/internal/observe/edge.go
+++ b/internal/observe/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -21,6 +22,7 @@
 	sends             *prometheus.CounterVec
 	failedSends       *prometheus.CounterVec
 	answers           *prometheus.CounterVec
+	withheldAnswers   *prometheus.CounterVec
 	unframedEnds      *prometheus.CounterVec
 	crashEvidence     *prometheus.CounterVec
 	causeTrials       *prometheus.CounterVec
@@ -53,6 +55,8 @@
 			Name: "bluebell_edge_failed_sends_total", Help: "Sends that brought no whole answer."}, []string{"service"}),
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bluebell_edge_answers_total", Help: "Answers of targets by framing: stated by a length or chunks, or by the end of the connection."}, []string{"framing"}),
+		withheldAnswers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: withheldAnswers.Name, Help: withheldAnswers.Help}, withheldAnswers.Labels),
 		unframedEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bluebell_edge_unframed_ends_total", Help: "Ends of answers without a length or chunks, over connections of this host, by how they were judged and the evidence that decided it."}, []string{"verdict", "evidence"}),
 		crashEvidence: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -69,7 +73,7 @@
 		hostCount:    prometheus.NewGauge(prometheus.GaugeOpts{Name: hostCount.Name, Help: hostCount.Help}),
 	}
 	e.registry.MustRegister(e.slotRefusals.refused, e.slotRefusals.surplus)
-	e.registry.MustRegister(e.openRequests, e.requests, e.requestSeconds, e.firstEventSeconds, e.sends, e.failedSends, e.answers, e.unframedEnds, e.crashEvidence, e.causeTrials, e.causeReleases, e.refusedPeers, e.storeCalls, e.hostCount)
+	e.registry.MustRegister(e.openRequests, e.requests, e.requestSeconds, e.firstEventSeconds, e.sends, e.failedSends, e.answers, e.withheldAnswers, e.unframedEnds, e.crashEvidence, e.causeTrials, e.causeReleases, e.refusedPeers, e.storeCalls, e.hostCount)
 	e.rollouts = newRolloutGauges(e.registry)
 	return e
 }
@@ -103,6 +107,12 @@
 	e.answers.WithLabelValues(framing).Inc()
 }
 
+// AnswerWithheld counts an answer of a target whose status states that the request has not run, and
+// that does not prove it.
+func (e *EdgeMetrics) AnswerWithheld(status int) {
+	e.withheldAnswers.WithLabelValues(strconv.Itoa(status)).Inc()
+}
+
 // UnframedEnded counts the end of an answer without a length by its verdict and the evidence
 // that decided it.
 func (e *EdgeMetrics) UnframedEnded(verdict, evidence string) {
