--- a/internal/faultsoak/faults.go
+++ b/internal/faultsoak/faults.go
@@ -26,6 +26,8 @@
 	applyTimeout = 2 * time.Second
 	// drillShare is the share of the faults with which a drill begins.
 	drillShare = 0.2
+	// claimShare is the share of the faults beside which a target begins to claim.
+	claimShare = 0.5
 	// restoreOutage is how long the store is away before it comes back from a copy.
 	restoreOutage = 200 * time.Millisecond
 )
@@ -41,6 +43,8 @@
 	// releaseRNG draws the releases, which there are if versions is above one.
 	releaseRNG *rand.Rand
 	releases   atomic.Int64
+	// claimRNG draws the targets that state of a request that has run that it has not.
+	claimRNG *rand.Rand
 	// streamEndRNG draws the faults of Options.StreamEnds; nil without them.
 	streamEndRNG *rand.Rand
 	versions     int
@@ -120,6 +124,9 @@
 		if i.versions > 1 && i.releaseRNG.Float64() < releaseShare {
 			i.begin(fault{"release", releaseTarget}, time.Duration(i.releaseRNG.Int64N(int64(maxFaultDuration))))
 		}
+		if i.claimRNG.Float64() < claimShare {
+			i.begin(fault{"untrue claim", queueClaim}, 0)
+		}
 		i.drawStreamEnds()
 	}
 	i.active.Wait()
@@ -211,3 +218,13 @@
 	t.QueueFaults(kind)
 	return func() {}, fmt.Sprintf("%s, kind %d", t.ID, kind)
 }
+
+// queueClaim makes the next request at a random target run and be answered with a status that states
+// that it has not.
+func queueClaim(i *injector) (heal func(), affected string) {
+	t := i.cluster.drawTarget(i.claimRNG)
+	status := standin.ClaimStatuses[i.claimRNG.IntN(len(standin.ClaimStatuses))]
+	t.SetClaim(status, "")
+	t.QueueFaults(standin.ClaimNotRun)
+	return func() {}, fmt.Sprintf("%s, status %d", t.ID, status)
+}
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -206,7 +206,10 @@
 		_, _ = fmt.Fprintf(o.Out, "%7.3f %s\n", time.Since(startedAt).Seconds(), message)
 	}
 	logLine("started at " + startedAt.Format(time.StampMilli))
-	i := &injector{cluster: c, rng: rand.New(rand.NewPCG(o.Seed, 1)), drillRNG: rand.New(rand.NewPCG(o.Seed, 3)), releaseRNG: rand.New(rand.NewPCG(o.Seed, 5)), versions: o.Versions, log: logLine}
+	i := &injector{
+		cluster: c, rng: rand.New(rand.NewPCG(o.Seed, 1)), drillRNG: rand.New(rand.NewPCG(o.Seed, 3)), releaseRNG: rand.New(rand.NewPCG(o.Seed, 5)),
+		claimRNG: rand.New(rand.NewPCG(o.Seed, 13)), versions: o.Versions, log: logLine,
+	}
 	i.configVersion.Store(1)
 	l := &loadGenerator{hosts: c.hosts, resumeRNG: rand.New(rand.NewPCG(o.Seed, 4))}
 	if o.StreamEnds {
