--- a/internal/httpcall/once.go
+++ b/internal/httpcall/once.go
@@ -11,10 +11,6 @@
 	"sync/atomic"
 )
 
-// net/http sends a request once more on its own, to the same server, if a kept connection breaks before
-// the answer has begun, as long as it could be sent again: it has no body and a method or a header that
-// says so. SendOnce leaves such a repeat to its caller.
-
 // maxReplacements bounds the kept connections to one server that may prove dead under one request.
 const maxReplacements = 8
 
@@ -24,19 +20,19 @@
 // lengthMethods are the methods with which net/http states the length of an empty body.
 var lengthMethods = []string{http.MethodPost, http.MethodPut, http.MethodPatch}
 
-// NeedsNewConnection reports whether net/http could send a request once more on its own even with
-// SendOnce, if it went over a kept connection.
+// NeedsNewConnection reports whether net/http would repeat a request on its own despite SendOnce, if it
+// went over a kept connection.
 func NeedsNewConnection(method string, header http.Header, bodyLength int) bool {
 	marked := slices.ContainsFunc(repeatableHeaders, func(name string) bool { return header.Get(name) != "" })
 	return bodyLength == 0 && marked && slices.Contains(lengthMethods, method)
 }
 
-// Dial opens a connection, as net.Dialer.DialContext does.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+// dialFunc opens a connection, as net.Dialer.DialContext does.
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// CountWrites returns a dial function for the transports of SendOnce. Its connections tell whether a
-// byte of a request was written.
-func CountWrites(dial Dial) Dial {
+// CountWrites returns a dial function for the transports of SendOnce. Its connections count the bytes
+// that are written to them.
+func CountWrites(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
@@ -90,10 +86,13 @@
 	return ok && s.reused && c.written.Load() == s.before
 }
 
-// SendOnce sends a request, whose body is that of the argument, with a round tripper of net/http, and
-// writes it to one connection at most. A kept connection that proves dead before a byte was written
-// is replaced by another one; without CountWrites none is. Nothing is sent twice unless
-// NeedsNewConnection says so and the transport keeps connections.
+// SendOnce sends a request with the given body through a transport of net/http, and writes it to one
+// connection at most. On its own net/http would send a request without a body again, to the same
+// server, if a kept connection breaks before the answer has begun.
+//
+// A kept connection that proves dead before a byte of the request was written is replaced by another
+// one, if the transport dials with CountWrites. A request for which NeedsNewConnection holds must go
+// through a transport that keeps no connections. Errors are those of the transport.
 func SendOnce(ctx context.Context, through http.RoundTripper, req *http.Request, body []byte) (*http.Response, *Sending, error) {
 	for replaced := 0; ; replaced++ {
 		sending := &Sending{}
@@ -107,8 +106,8 @@
 	}
 }
 
-// setBody gives a request a body that net/http can't rewind, so that it does not send it again. If it
-// is empty, the encoding stops net/http from looking for its length, and nothing is written of it.
+// setBody sets a body that net/http can't rewind, so that it does not send the request again. An empty
+// one has the encoding "identity", with which net/http writes neither a length nor chunks.
 func setBody(req *http.Request, body []byte) {
 	req.GetBody = nil
 	switch {
