--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -13,7 +13,6 @@
 
 	"github.com/bluebellseam/bluebellseam/internal/edge"
 	"github.com/bluebellseam/bluebellseam/internal/fleet"
-	"github.com/bluebellseam/bluebellseam/internal/httpcall"
 	"github.com/bluebellseam/bluebellseam/internal/identity"
 	"github.com/bluebellseam/bluebellseam/internal/systems/reach"
 	"github.com/bluebellseam/bluebellseam/internal/tables"
@@ -38,7 +37,7 @@
 func newHopTransports(dial dialFunc) hopTransports {
 	newTransport := func(singleUse bool) *http.Transport {
 		return &http.Transport{
-			DialContext:            httpcall.CountWrites(dial.withTimeout),
+			DialContext:            dial.withTimeout,
 			DisableCompression:     true,
 			DisableKeepAlives:      singleUse,
 			MaxIdleConnsPerHost:    maxIdleHops,
@@ -119,8 +118,7 @@
 		out.Header.Set(headerResumable, "1")
 	}
 	begunAt := h.now()
-	newConnection := h.call.NewConnection || httpcall.NeedsNewConnection(out.Method, out.Header, len(h.call.Request.Body))
-	resp, err := h.transports.of(newConnection).RoundTrip(out)
+	resp, err := h.transports.of(h.call.NewConnection).RoundTrip(out)
 	if err != nil {
 		h.checkSilence(begunAt)
 		return nil, fmt.Errorf("%w: %w", edge.ErrHostLost, err)
