--- a/internal/faultsoak/faults.go
+++ b/internal/faultsoak/faults.go
@@ -26,7 +26,7 @@
 	applyTimeout = 2 * time.Second
 	// drillShare is the share of the faults with which a drill begins.
 	drillShare = 0.2
-	// claimShare is the share of the faults beside which a target begins to claim.
+	// claimShare is the share of the faults beside which a target is drawn from claimRNG.
 	claimShare = 0.5
 	// restoreOutage is how long the store is away before it comes back from a copy.
 	restoreOutage = 200 * time.Millisecond
@@ -43,7 +43,7 @@
 	// releaseRNG draws the releases, which there are if versions is above one.
 	releaseRNG *rand.Rand
 	releases   atomic.Int64
-	// claimRNG draws the targets that state of a request that has run that it has not.
+	// claimRNG draws the targets that answer with standin.ClaimNotRun, and their statuses.
 	claimRNG *rand.Rand
 	// streamEndRNG draws the faults of Options.StreamEnds; nil without them.
 	streamEndRNG *rand.Rand
@@ -219,8 +219,7 @@
 	return func() {}, fmt.Sprintf("%s, kind %d", t.ID, kind)
 }
 
-// queueClaim makes the next request at a random target run and be answered with a status that states
-// that it has not.
+// queueClaim makes a random target run its next request and answer with a status that means "not run".
 func queueClaim(i *injector) (heal func(), affected string) {
 	t := i.cluster.drawTarget(i.claimRNG)
 	status := standin.ClaimStatuses[i.claimRNG.IntN(len(standin.ClaimStatuses))]
